--- /dev/null
+++ b/src/verbenaplank/__init__.py
@@ -0,0 +1,3 @@
+"""A dispatcher for sub-second tasks."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/verbenaplank/clock/__init__.py
@@ -0,0 +1,3 @@
+"""Injected time: the decisions never read a clock of their own."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/verbenaplank/identifiers/__init__.py
@@ -0,0 +1,3 @@
+"""Identifiers that callers and processes make."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/verbenaplank/outcome/__init__.py
@@ -0,0 +1,3 @@
+"""Outcomes of requests: findings, failures and what is known to have run."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/verbenaplank/outcome/failure.py
@@ -0,0 +1,63 @@
+"""Failures that callers receive, each with what is known to have run."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import attrs
+
+from verbenaplank.outcome.finding import Finding
+
+
+class Run(StrEnum):
+    """What is known about the starts of a failed request's tasks."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class FailureKind(StrEnum):
+    """Why a request failed."""
+
+    INVALID = "invalid"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_TEAM = "unknown_team"
+    UNKNOWN_JOB = "unknown_job"
+    IMPOSSIBLE_NEEDS = "impossible_needs"
+    ID_REUSED = "id_reused"
+    TOO_LARGE = "too_large"
+    OVER_QUOTA = "over_quota"
+    OVERLOADED = "overloaded"
+    NO_QUORUM = "no_quorum"
+    NOT_READY = "not_ready"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    CANCELLED = "cancelled"
+    TASK_FAILED = "task_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+
+
+@attrs.frozen(kw_only=True)
+class Failure:
+    """A request that failed as a whole.
+
+    Attributes
+    ----------
+    kind
+        Why it failed.
+    detail
+        One sentence for a person.
+    run
+        What is known to have run.
+    findings
+        The places of the input at fault, if any.
+    retry_after_s
+        After how many seconds a retry makes sense; ``None`` if it does not.
+    """
+
+    kind: FailureKind
+    detail: str
+    run: Run
+    findings: tuple[Finding, ...] = ()
+    retry_after_s: float | None = None
--- /dev/null
+++ b/src/verbenaplank/placement/task.py
@@ -0,0 +1,40 @@
+"""A task as placement and admission see it."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Needs:
+    """What one task needs of a worker."""
+
+    cores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class TaskRequest:
+    """One task that waits for, or runs on, a backend server.
+
+    Attributes
+    ----------
+    declared_run_time_s
+        The run time that the caller or the configuration declares.
+    deadline_s
+        Monotonic time by which the answer is due.
+    avoided_members
+        Agents that an earlier attempt of this task went to.
+    """
+
+    job_id: str
+    task_index: int
+    service: str
+    team: str
+    urgent: bool = False
+    needs: Needs = Needs()
+    declared_run_time_s: float = 0.2
+    deadline_s: float = float("inf")
+    attempt: int = 1
+    avoided_members: frozenset[str] = frozenset()
--- /dev/null
+++ b/src/verbenaplank/protocol/membership.py
@@ -0,0 +1,148 @@
+"""Messages between a member (an entry or an agent) and a control instance."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import attrs
+
+
+class MemberRole(StrEnum):
+    """What a member does."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+@attrs.frozen(kw_only=True)
+class WorkerSize:
+    """What one worker holds."""
+
+    cores: int = 1
+    memory_mb: int = 1024
+    accelerators: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    """An entry, or an agent with the backend server beside it.
+
+    Attributes
+    ----------
+    address
+        ``host:port`` of the member's own gRPC endpoint.
+    services
+        Names of the services that the backend server offers.
+    slots
+        How many tasks the backend server runs at a time.
+    """
+
+    member_id: str
+    role: MemberRole
+    incarnation: str
+    data_centre: str
+    address: str
+    rack: str = ""
+    services: tuple[str, ...] = ()
+    slots: int = 0
+    connections: int = 0
+    worker: WorkerSize = WorkerSize()
+    draining: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Heartbeat:
+    """Renews a member's lease and tells which configuration it has in force."""
+
+    configuration_version: int
+    draining: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class ToControl:
+    """Envelope from a member; the first one carries ``member``."""
+
+    member: Member | None = None
+    heartbeat: Heartbeat | None = None
+    leaving: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class SectionState:
+    """One section of the configuration, as TOML text."""
+
+    name: str
+    owner: str
+    version: int
+    text: str
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationUpdate:
+    """Sections changed since the version that the receiver had.
+
+    Attributes
+    ----------
+    version
+        Version of the whole document; grows by one with each change.
+    complete
+        Whether ``sections`` is the whole document.
+    """
+
+    version: int
+    sections: tuple[SectionState, ...] = ()
+    removed: tuple[str, ...] = ()
+    complete: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class MembersUpdate:
+    """Members that joined or changed, and the ids of those that left."""
+
+    changed: tuple[Member, ...] = ()
+    left: tuple[str, ...] = ()
+    complete: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Registrar:
+    """A control instance that grants claims."""
+
+    instance_id: str
+    address: str
+    data_centre: str
+
+
+@attrs.frozen(kw_only=True)
+class RegistrarGroup:
+    """The registrars in force, under their epoch."""
+
+    epoch: int
+    registrars: tuple[Registrar, ...]
+
+
+@attrs.frozen(kw_only=True)
+class LeaseGrant:
+    """The member's lease, counted from when it sent its last heartbeat."""
+
+    lease_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class FromControl:
+    """Envelope from a control instance to a member.
+
+    Attributes
+    ----------
+    current
+        Whether a quorum backed that this is the newest state.
+    drain
+        Whether the member is ordered to drain.
+    """
+
+    lease: LeaseGrant | None = None
+    members: MembersUpdate | None = None
+    configuration: ConfigurationUpdate | None = None
+    registrars: RegistrarGroup | None = None
+    current: bool = True
+    drain: bool = False
--- /dev/null
+++ b/src/verbenaplank/protocol/work.py
@@ -0,0 +1,183 @@
+"""Messages between an entry and an agent."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import attrs
+
+
+class TaskOutcome(StrEnum):
+    """How the run of a task ended."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    TIMED_OUT = "timed_out"
+    STOPPED = "stopped"
+    CONNECTION_LOST = "connection_lost"
+
+
+class RefusalReason(StrEnum):
+    """Why an agent refused a dispatch; a refused dispatch never starts."""
+
+    DRAINING = "draining"
+    WRONG_INCARNATION = "wrong_incarnation"
+    BUDGET_SPENT = "budget_spent"
+    REVOKED = "revoked"
+    ALREADY_STARTED = "already_started"
+    LEASE_EXPIRED = "lease_expired"
+    UNKNOWN_SERVICE = "unknown_service"
+    FULL = "full"
+
+
+class RevocationState(StrEnum):
+    """What a revocation found."""
+
+    REVOKED = "revoked"
+    STARTED = "started"
+    FINISHED = "finished"
+
+
+@attrs.frozen(kw_only=True)
+class EntryHello:
+    """Opens a stream; the first message of an entry."""
+
+    entry_id: str
+    incarnation: str
+    data_centre: str
+
+
+@attrs.frozen(kw_only=True)
+class AgentWelcome:
+    """Answers :class:`EntryHello`; dispatches must carry this incarnation."""
+
+    agent_id: str
+    incarnation: str
+    slots: int
+    draining: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Dispatch:
+    """One task for one agent.
+
+    Attributes
+    ----------
+    dispatch_id
+        Unique among the dispatches of one entry incarnation.
+    attempt
+        Counts the allowed runs of the task from 1; an agent starts each
+        ``(job_id, task_index, attempt)`` at most once.
+    agent_incarnation
+        The incarnation that the dispatch is meant for.
+    payload
+        JSON text of the task.
+    start_budget_ms
+        The task must start within this time after the agent receives it.
+    run_budget_ms
+        The run is stopped after this time.
+    """
+
+    job_id: str
+    task_index: int
+    dispatch_id: int
+    agent_incarnation: str
+    service: str
+    payload: bytes
+    start_budget_ms: float
+    run_budget_ms: float
+    attempt: int = 1
+    urgent: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Revoke:
+    """Asks that a dispatch never starts, if it has not started."""
+
+    dispatch_id: int
+    job_id: str
+    task_index: int
+    attempt: int = 1
+
+
+@attrs.frozen(kw_only=True)
+class Stop:
+    """Asks that a running task is stopped where the backend server can."""
+
+    dispatch_id: int
+    job_id: str
+    task_index: int
+
+
+@attrs.frozen(kw_only=True)
+class LeaseRenewal:
+    """Renews the lease of everything that the entry has at the agent."""
+
+    lease_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class ToAgent:
+    """Envelope from an entry to an agent."""
+
+    hello: EntryHello | None = None
+    dispatches: tuple[Dispatch, ...] = ()
+    revokes: tuple[Revoke, ...] = ()
+    stops: tuple[Stop, ...] = ()
+    renewal: LeaseRenewal | None = None
+
+
+@attrs.frozen(kw_only=True)
+class TaskResult:
+    """The end of a task's run; ``output`` is JSON text."""
+
+    job_id: str
+    task_index: int
+    dispatch_id: int
+    outcome: TaskOutcome
+    output: bytes = b""
+    error: str = ""
+    run_time_ms: float = 0.0
+    wait_time_ms: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class DispatchRefusal:
+    """A dispatch that was refused and can never start."""
+
+    job_id: str
+    task_index: int
+    dispatch_id: int
+    reason: RefusalReason
+
+
+@attrs.frozen(kw_only=True)
+class Revocation:
+    """Answers :class:`Revoke`; a finished task's result follows again."""
+
+    job_id: str
+    task_index: int
+    dispatch_id: int
+    state: RevocationState
+
+
+@attrs.frozen(kw_only=True)
+class LoadReport:
+    """What an agent has of all entries together, sent along with replies."""
+
+    running: int
+    queued: int
+    draining: bool = False
+    cores_used: float = 0.0
+    memory_used_mb: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class FromAgent:
+    """Envelope from an agent to an entry."""
+
+    welcome: AgentWelcome | None = None
+    results: tuple[TaskResult, ...] = ()
+    refusals: tuple[DispatchRefusal, ...] = ()
+    revocations: tuple[Revocation, ...] = ()
+    load: LoadReport | None = None
--- /dev/null
+++ b/src/verbenaplank/rpc/endpoint.py
@@ -0,0 +1,107 @@
+"""Servers and channels, with TLS where the settings name certificates."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from contextlib import asynccontextmanager
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.server import Server
+
+from verbenaplank.rpc.address import Address
+from verbenaplank.rpc.codec import MessagePackCodec
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Iterator
+    from collections.abc import Sequence
+
+    from verbenaplank.rpc.method import Service
+    from verbenaplank.settings.common import TlsSettings
+
+KEEPALIVE_PERIOD_S = 10.0
+KEEPALIVE_TIMEOUT_S = 5.0
+WINDOW_BYTES = 8 * 1024 * 1024
+CONFIGURATION = Configuration(
+    _keepalive_time=KEEPALIVE_PERIOD_S,
+    _keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+    _keepalive_permit_without_calls=True,
+    _http2_max_pings_without_data=0,
+    http2_connection_window_size=WINDOW_BYTES,
+    http2_stream_window_size=WINDOW_BYTES,
+)
+
+
+@asynccontextmanager
+async def serve(
+    services: Sequence[Service], address: Address, tls: TlsSettings | None = None
+) -> AsyncIterator[Address]:
+    """Serve gRPC at an address for as long as the context lasts.
+
+    Yields
+    ------
+    Address
+        Where the server listens; a port 0 has been replaced by the chosen one.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be listened on.
+    """
+    server = Server(services, codec=MessagePackCodec(), config=CONFIGURATION)
+    context = _server_context(tls) if tls else None
+    await server.start(address.host, address.port, ssl=context)
+    try:
+        yield Address(address.host, _port_of(server, address))
+    finally:
+        server.close()
+        await server.wait_closed()
+
+
+@contextmanager
+def connect(address: Address, tls: TlsSettings | None = None) -> Iterator[Channel]:
+    """Open a channel, which connects at its first use, and close it at the end."""
+    context = _client_context(tls) if tls else None
+    channel = Channel(
+        address.host,
+        address.port,
+        codec=MessagePackCodec(),
+        ssl=context,
+        config=CONFIGURATION,
+    )
+    try:
+        yield channel
+    finally:
+        channel.close()
+
+
+def _port_of(server: Server, address: Address) -> int:
+    if address.port:
+        return address.port
+    listener = server._server
+    if not isinstance(listener, asyncio.Server):
+        raise TypeError("the server does not listen on a socket")
+    return int(listener.sockets[0].getsockname()[1])
+
+
+def _server_context(tls: TlsSettings) -> ssl.SSLContext:
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.verify_mode = ssl.CERT_REQUIRED
+    return _with_certificates(context, tls)
+
+
+def _client_context(tls: TlsSettings) -> ssl.SSLContext:
+    context = ssl.create_default_context(ssl.Purpose.SERVER_AUTH)
+    return _with_certificates(context, tls)
+
+
+def _with_certificates(context: ssl.SSLContext, tls: TlsSettings) -> ssl.SSLContext:
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(tls.certificate_path, tls.key_path)
+    context.load_verify_locations(tls.authority_path)
+    context.set_alpn_protocols(["h2"])
+    return context
--- /dev/null
+++ b/src/verbenaplank/rpc/method.py
@@ -0,0 +1,106 @@
+"""Descriptions of gRPC methods, shared by their client and their server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Generic
+from typing import TypeVar
+
+import attrs
+from grpclib.client import Channel
+from grpclib.client import Stream as ClientStream
+from grpclib.client import StreamStreamMethod
+from grpclib.client import UnaryUnaryMethod
+from grpclib.const import Cardinality
+from grpclib.const import Handler
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from grpclib.server import Stream as ServerStream
+
+Request = TypeVar("Request")
+Reply = TypeVar("Reply")
+
+
+@attrs.frozen
+class StreamMethod(Generic[Request, Reply]):
+    """A method whose two directions are long-lived streams."""
+
+    path: str
+    request_type: type[Request]
+    reply_type: type[Reply]
+
+    def open(self, channel: Channel) -> ClientStream[Request, Reply]:
+        """Open the stream; use the result as an asynchronous context manager."""
+        method = StreamStreamMethod(
+            channel, self.path, self.request_type, self.reply_type
+        )
+        return method.open()
+
+    def handler(
+        self, function: Callable[[ServerStream[Request, Reply]], Awaitable[None]]
+    ) -> Service:
+        """Return a service that answers this method with ``function``."""
+        return Service({self.path: _handler(self, Cardinality.STREAM_STREAM, function)})
+
+
+@attrs.frozen
+class UnaryMethod(Generic[Request, Reply]):
+    """A method of one request and one reply, for what happens rarely."""
+
+    path: str
+    request_type: type[Request]
+    reply_type: type[Reply]
+
+    async def call(
+        self, channel: Channel, request: Request, timeout_s: float | None = None
+    ) -> Reply:
+        """Send one request and return its reply.
+
+        Raises
+        ------
+        GRPCError
+            If the server refused the request.
+        OSError
+            If the server cannot be reached.
+        TimeoutError
+            If no reply came within ``timeout_s`` seconds.
+        """
+        method = UnaryUnaryMethod(
+            channel, self.path, self.request_type, self.reply_type
+        )
+        return await method(request, timeout=timeout_s)
+
+    def handler(self, function: Callable[[Request], Awaitable[Reply]]) -> Service:
+        """Return a service that answers this method with ``function``."""
+
+        async def answer(stream: ServerStream[Request, Reply]) -> None:
+            request = await stream.recv_message()
+            if request is None:
+                return
+            await stream.send_message(await function(request))
+
+        return Service({self.path: _handler(self, Cardinality.UNARY_UNARY, answer)})
+
+
+class Service:
+    """What a grpclib server serves: handlers by method path."""
+
+    def __init__(self, handlers: Mapping[str, Handler]) -> None:
+        self._handlers = handlers
+
+    def __mapping__(self) -> Mapping[str, Handler]:
+        """Return the handlers, as grpclib asks for them."""
+        return self._handlers
+
+
+def _handler(
+    method: StreamMethod[Any, Any] | UnaryMethod[Any, Any],
+    cardinality: Cardinality,
+    function: Callable[[ServerStream[Any, Any]], Awaitable[None]],
+) -> Handler:
+    return Handler(function, cardinality, method.request_type, method.reply_type)
--- /dev/null
+++ b/src/verbenaplank/settings/agent.py
@@ -0,0 +1,80 @@
+"""Settings of ``verbena-agent``."""
+
+from __future__ import annotations
+
+import attrs
+from attrs import validators
+
+from verbenaplank.settings.common import ControlPeer
+from verbenaplank.settings.common import Listen
+from verbenaplank.settings.common import LoggingSettings
+from verbenaplank.settings.common import TlsSettings
+from verbenaplank.settings.common import not_empty
+from verbenaplank.settings.common import port_number
+from verbenaplank.settings.common import positive
+
+
+@attrs.frozen(kw_only=True)
+class BackendServerSettings:
+    """The backend server beside the agent.
+
+    Attributes
+    ----------
+    run_path
+        Path that runs a task by POST; ``{service}`` is replaced by its name.
+    stop_path
+        Path that stops a task by POST, if the backend server offers it;
+        ``{task}`` is replaced by the value of the ``Task-Id`` header.
+    """
+
+    host: str = attrs.field(validator=not_empty)
+    port: int = attrs.field(validator=port_number)
+    services: tuple[str, ...] = attrs.field(validator=validators.min_len(1))
+    slots: int = attrs.field(default=8, validator=positive)
+    connections: int = attrs.field(default=64, validator=positive)
+    run_path: str = "/run/{service}"
+    stop_path: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class WorkerSettings:
+    """What the worker under the backend server holds."""
+
+    cores: int = attrs.field(default=1, validator=positive)
+    memory_mb: int = attrs.field(default=1024, validator=positive)
+    accelerators: int = attrs.field(default=0, validator=validators.ge(0))
+
+
+@attrs.frozen(kw_only=True)
+class AgentLimits:
+    """Limits of an agent.
+
+    Attributes
+    ----------
+    retention_s
+        How long a start is remembered and a result kept.
+    max_queued_tasks
+        How many tasks wait for a slot before dispatches are refused.
+    drain_timeout_s
+        How long a drain waits for the tasks in progress.
+    """
+
+    retention_s: float = attrs.field(default=300.0, validator=positive)
+    max_queued_tasks: int = attrs.field(default=64, validator=positive)
+    drain_timeout_s: float = attrs.field(default=30.0, validator=positive)
+
+
+@attrs.frozen(kw_only=True)
+class AgentSettings:
+    """Everything that ``verbena-agent`` reads from its settings file."""
+
+    instance_id: str = attrs.field(validator=not_empty)
+    data_centre: str = attrs.field(validator=not_empty)
+    rack: str = ""
+    rpc: Listen
+    control: tuple[ControlPeer, ...] = attrs.field(validator=validators.min_len(1))
+    backend_server: BackendServerSettings
+    worker: WorkerSettings = attrs.field(factory=WorkerSettings)
+    limits: AgentLimits = attrs.field(factory=AgentLimits)
+    tls: TlsSettings | None = None
+    logging: LoggingSettings = attrs.field(factory=LoggingSettings)
--- /dev/null
+++ b/src/verbenaplank/settings/checker.py
@@ -0,0 +1,174 @@
+"""Reads a settings file and reports every fault in it at once."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+from typing import get_args
+
+import attrs
+import cattrs
+from attrs import validators
+from cattrs.errors import ClassValidationError
+from cattrs.errors import ForbiddenExtraKeysError
+from cattrs.errors import IterableValidationError
+
+from verbenaplank.outcome.finding import Finding
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+Settings = TypeVar("Settings")
+
+
+class SettingsError(Exception):
+    """A settings file has faults.
+
+    Attributes
+    ----------
+    findings
+        Every fault, with file, table and key.
+    """
+
+    def __init__(self, findings: tuple[Finding, ...]) -> None:
+        super().__init__("\n".join(map(str, findings)))
+        self.findings = findings
+
+
+def load_settings(path: Path, settings_type: type[Settings]) -> Settings:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or has faults; it holds all of them.
+    """
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError((Finding(str(path), str(error)),)) from error
+    return check_settings(document, settings_type, str(path))
+
+
+def check_settings(
+    document: dict[str, object], settings_type: type[Settings], place: str
+) -> Settings:
+    """Check a parsed document; ``place`` names it in findings.
+
+    Raises
+    ------
+    SettingsError
+        If the document has faults; it holds all of them.
+    """
+    findings = list(_value_findings(document, settings_type, place, ""))
+    try:
+        with validators.disabled():
+            settings = _strict_converter().structure(document, settings_type)
+    except (ClassValidationError, IterableValidationError) as error:
+        findings.extend(_findings(error, place, ""))
+    if findings:
+        raise SettingsError(tuple(findings))
+    return settings
+
+
+def _value_findings(
+    document: object, settings_type: Any, place: str, key: str
+) -> Iterator[Finding]:
+    """Run each field's own validator, also in tables with other faults."""
+    if not isinstance(document, dict):
+        return
+    for field in attrs.fields(attrs.resolve_types(settings_type)):
+        if field.name not in document:
+            continue
+        value = document[field.name]
+        yield from _field_findings(value, field, place, _join(key, field.name))
+
+
+def _field_findings(
+    value: object, field: attrs.Attribute[Any], place: str, key: str
+) -> Iterator[Finding]:
+    nested = _nested_type(field.type)
+    if nested is not None and isinstance(value, list):
+        for index, item in enumerate(value):
+            yield from _value_findings(item, nested, place, f"{key}[{index}]")
+    elif nested is not None:
+        yield from _value_findings(value, nested, place, key)
+    if field.validator is None:
+        return
+    try:
+        field.validator(None, field, value)
+    except ValueError as error:
+        yield Finding(f"{place}: {key}", _message(error))
+    except TypeError:
+        return  # The value is of another type, which structuring reports.
+
+
+def _nested_type(annotation: Any) -> Any:
+    """Return the attrs class that an annotation holds, if it holds one."""
+    if attrs.has(annotation):
+        return annotation
+    return next(filter(attrs.has, get_args(annotation)), None)
+
+
+def _strict_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for primitive in (str, int, float, bool):
+        converter.register_structure_hook(primitive, _check_primitive)
+    return converter
+
+
+def _check_primitive(value: object, primitive: type) -> object:
+    if primitive is float and type(value) is int:
+        return float(value)
+    if type(value) is not primitive:
+        expected = primitive.__name__
+        raise TypeError(f"expected {expected}, got {type(value).__name__}")
+    return value
+
+
+def _findings(error: BaseException, place: str, key: str) -> Iterator[Finding]:
+    if isinstance(error, ClassValidationError):
+        yield from _class_findings(error, place, key)
+    elif isinstance(error, IterableValidationError):
+        yield from _item_findings(error, place, key)
+    elif isinstance(error, ForbiddenExtraKeysError):
+        for extra in sorted(error.extra_fields):
+            yield Finding(f"{place}: {_join(key, extra)}", "unknown key")
+    elif isinstance(error, KeyError):
+        yield Finding(f"{place}: {_join(key, str(error.args[0]))}", "missing")
+    else:
+        yield Finding(f"{place}: {key}", _message(error))
+
+
+def _class_findings(
+    error: ClassValidationError, place: str, key: str
+) -> Iterator[Finding]:
+    noted, others = error.group_exceptions()
+    for exception, note in noted:
+        missing = isinstance(exception, KeyError)
+        yield from _findings(
+            exception, place, key if missing else _join(key, note.name)
+        )
+    for exception in others:
+        yield from _findings(exception, place, key)
+
+
+def _item_findings(
+    error: IterableValidationError, place: str, key: str
+) -> Iterator[Finding]:
+    noted, others = error.group_exceptions()
+    for exception, note in noted:
+        yield from _findings(exception, place, f"{key}[{note.index}]")
+    for exception in others:
+        yield from _findings(exception, place, key)
+
+
+def _message(error: BaseException) -> str:
+    return str(error.args[0]) if error.args else type(error).__name__
+
+
+def _join(key: str, name: str) -> str:
+    return f"{key}.{name}" if key else name
--- /dev/null
+++ b/src/verbenaplank/settings/common.py
@@ -0,0 +1,75 @@
+"""Settings that several programs share."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+from attrs import validators
+
+from verbenaplank.rpc.address import Address
+
+MAX_PORT = 65_535
+
+
+def port_number(instance: object, attribute: attrs.Attribute[Any], value: Any) -> None:
+    """Check that a value is a port, or 0 for one that the system chooses."""
+    validators.ge(0)(instance, attribute, value)
+    validators.le(MAX_PORT)(instance, attribute, value)
+
+
+def positive(instance: object, attribute: attrs.Attribute[Any], value: Any) -> None:
+    """Check that a number is above zero."""
+    validators.gt(0)(instance, attribute, value)
+
+
+def not_empty(instance: object, attribute: attrs.Attribute[Any], value: Any) -> None:
+    """Check that a text is not empty."""
+    validators.min_len(1)(instance, attribute, value)
+
+
+@attrs.frozen(kw_only=True)
+class Listen:
+    """Where a program listens; port 0 lets the system choose."""
+
+    host: str = attrs.field(validator=not_empty)
+    port: int = attrs.field(validator=port_number)
+
+    @property
+    def address(self) -> Address:
+        """Return the host and port as an address."""
+        return Address(self.host, self.port)
+
+
+@attrs.frozen(kw_only=True)
+class ControlPeer:
+    """A control instance as other processes reach it."""
+
+    instance_id: str = attrs.field(validator=not_empty)
+    host: str = attrs.field(validator=not_empty)
+    port: int = attrs.field(validator=port_number)
+    data_centre: str = ""
+
+    @property
+    def address(self) -> Address:
+        """Return the host and port as an address."""
+        return Address(self.host, self.port)
+
+
+@attrs.frozen(kw_only=True)
+class TlsSettings:
+    """Files for mutual TLS between the system's processes, in PEM form."""
+
+    key_path: str = attrs.field(validator=not_empty)
+    certificate_path: str = attrs.field(validator=not_empty)
+    authority_path: str = attrs.field(validator=not_empty)
+
+
+@attrs.frozen(kw_only=True)
+class LoggingSettings:
+    """What a program logs on standard error, as JSON lines."""
+
+    level: str = attrs.field(
+        default="INFO",
+        validator=validators.in_(("DEBUG", "INFO", "WARNING", "ERROR")),
+    )
--- /dev/null
+++ b/src/verbenaplank/settings/entry.py
@@ -0,0 +1,58 @@
+"""Settings of ``verbena-entry``."""
+
+from __future__ import annotations
+
+import attrs
+from attrs import validators
+
+from verbenaplank.settings.common import ControlPeer
+from verbenaplank.settings.common import Listen
+from verbenaplank.settings.common import LoggingSettings
+from verbenaplank.settings.common import TlsSettings
+from verbenaplank.settings.common import not_empty
+from verbenaplank.settings.common import positive
+
+MAX_TASKS_PER_JOB = 350
+
+
+@attrs.frozen(kw_only=True)
+class EntryLimits:
+    """Limits of an entry.
+
+    Attributes
+    ----------
+    max_body_bytes
+        Largest request body.
+    max_queued_tasks
+        How many tasks wait at this entry before requests are refused.
+    retention_s
+        How long an answer is kept for resubmission.
+    max_clock_skew_s
+        How far in the future an identifier's timestamp may lie.
+    default_deadline_ms
+        Deadline of a request that names none.
+    drain_timeout_s
+        How long a stop waits for the requests in progress.
+    """
+
+    max_body_bytes: int = attrs.field(default=1024 * 1024, validator=positive)
+    max_tasks_per_job: int = attrs.field(default=MAX_TASKS_PER_JOB, validator=positive)
+    max_queued_tasks: int = attrs.field(default=20_000, validator=positive)
+    retention_s: float = attrs.field(default=300.0, validator=positive)
+    max_clock_skew_s: float = attrs.field(default=5.0, validator=positive)
+    default_deadline_ms: int = attrs.field(default=30_000, validator=positive)
+    drain_timeout_s: float = attrs.field(default=30.0, validator=positive)
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings:
+    """Everything that ``verbena-entry`` reads from its settings file."""
+
+    instance_id: str = attrs.field(validator=not_empty)
+    data_centre: str = attrs.field(validator=not_empty)
+    http: Listen
+    rpc: Listen
+    control: tuple[ControlPeer, ...] = attrs.field(validator=validators.min_len(1))
+    limits: EntryLimits = attrs.field(factory=EntryLimits)
+    tls: TlsSettings | None = None
+    logging: LoggingSettings = attrs.field(factory=LoggingSettings)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,6 @@
+from __future__ import annotations
+
+from hypothesis import settings
+
+settings.register_profile("ci", derandomize=True, deadline=None, database=None)
+settings.load_profile("ci")
--- /dev/null
+++ b/tests/rpc/test_stream_method.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import pytest
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from verbenaplank.protocol.peer import CancelReply
+from verbenaplank.protocol.peer import CancelRequest
+from verbenaplank.protocol.work import FromAgent
+from verbenaplank.protocol.work import LoadReport
+from verbenaplank.protocol.work import Revoke
+from verbenaplank.protocol.work import ToAgent
+from verbenaplank.rpc.address import Address
+from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.endpoint import serve
+from verbenaplank.rpc.method import StreamMethod
+from verbenaplank.rpc.services import CANCEL
+from verbenaplank.rpc.services import WORK
+
+if TYPE_CHECKING:
+    from grpclib.client import Channel
+    from grpclib.server import Stream
+
+    from verbenaplank.rpc.method import Service
+
+ANY_PORT = Address("127.0.0.1", 0)
+
+
+@attrs.frozen
+class ForeignEnvelope:
+    revokes: int
+
+
+MISFIT = StreamMethod(WORK.path, ForeignEnvelope, FromAgent)
+
+
+async def _count_revokes(stream: Stream[ToAgent, FromAgent]) -> None:
+    async for message in stream:
+        load = LoadReport(running=len(message.revokes), queued=0)
+        await stream.send_message(FromAgent(load=load))
+
+
+async def _cancel(request: CancelRequest) -> CancelReply:
+    return CancelReply(cancelled=request.job_id == "known")
+
+
+async def _send_foreign_message(channel: Channel) -> None:
+    async with MISFIT.open(channel) as stream:
+        await stream.send_message(ForeignEnvelope(1), end=True)
+        await stream.recv_message()
+
+
+def _services() -> list[Service]:
+    return [WORK.handler(_count_revokes), CANCEL.handler(_cancel)]
+
+
+async def test_stream_carries_messages_both_ways() -> None:
+    revoke = Revoke(dispatch_id=1, job_id="j", task_index=0)
+    async with serve(_services(), ANY_PORT) as address:
+        with connect(address) as channel:
+            async with WORK.open(channel) as stream:
+                await stream.send_message(ToAgent(revokes=(revoke, revoke)))
+                reply = await stream.recv_message()
+                await stream.end()
+
+    assert reply == FromAgent(load=LoadReport(running=2, queued=0))
+
+
+async def test_unknown_message_ends_its_stream_and_no_other() -> None:
+    async with serve(_services(), ANY_PORT) as address:
+        with connect(address) as channel:
+            with pytest.raises(GRPCError) as error:
+                await _send_foreign_message(channel)
+            reply = await CANCEL.call(channel, CancelRequest(job_id="known"))
+
+    assert error.value.status is Status.INVALID_ARGUMENT
+    assert reply.cancelled
