--- /dev/null
+++ b/src/verbenaplank/consensus/log.py
@@ -0,0 +1,77 @@
+"""The part of the replicated log that is held in memory."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from verbenaplank.protocol.consensus import LogEntry
+
+
+class Log:
+    """Entries after a base, which is the last compacted entry."""
+
+    def __init__(
+        self, base_index: int = 0, base_term: int = 0, entries: Sequence[LogEntry] = ()
+    ) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self.entries = list(entries)
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term at an index, or ``None`` if it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self.entries[index - self.base_index - 1].term
+
+    def between(self, after: int, last: int) -> tuple[LogEntry, ...]:
+        """Return the entries behind ``after`` up to and with ``last``."""
+        start = max(0, after - self.base_index)
+        return tuple(self.entries[start : max(0, last - self.base_index)])
+
+    def batch(self, after: int, max_entries: int, max_bytes: int) -> list[LogEntry]:
+        """Return the next entries behind ``after``, at least one if there is."""
+        batch: list[LogEntry] = []
+        size_bytes = 0
+        for entry in self.between(after, after + max_entries):
+            size_bytes += len(entry.data)
+            if batch and size_bytes > max_bytes:
+                break
+            batch.append(entry)
+        return batch
+
+    def first_index_of_term_at(self, index: int) -> int:
+        """Return the first held index with the same term as at ``index``."""
+        term = self.term_at(index)
+        while index > self.base_index + 1 and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Add entries at the end."""
+        self.entries.extend(entries)
+
+    def drop_from(self, index: int) -> None:
+        """Drop the entries from an index on."""
+        del self.entries[index - self.base_index - 1 :]
+
+    def compact(self, index: int, term: int) -> None:
+        """Drop the entries up to ``index``, or all if ``term`` is not theirs."""
+        matches = self.term_at(index) == term
+        self.entries = list(self.between(index, self.last_index)) if matches else []
+        self.base_index = index
+        self.base_term = term
--- /dev/null
+++ b/src/verbenaplank/consensus/writer.py
@@ -0,0 +1,106 @@
+"""Writes to the storage in a thread of its own, many with one sync."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from verbenaplank.storage.errors import StorageFullError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenaplank.storage.model import Write
+    from verbenaplank.storage.store import Store
+
+FULL_RETRY_S = 1.0
+
+Result = TypeVar("Result")
+
+_logger = logging.getLogger(__name__)
+
+
+class SyncWriter:
+    """Makes writes durable in their order, all that wait in one group.
+
+    A full disk keeps the writes waiting; they are tried again until there is
+    room.  Any other error of the disk ends the writing for good, since what
+    the disk holds is then unknown.
+
+    Parameters
+    ----------
+    store
+        Where to write.
+    on_synced
+        Called with the sequence number up to which all writes are durable.
+    on_writable
+        Called when the storage stops or resumes accepting writes.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        on_synced: Callable[[int], None],
+        on_writable: Callable[[bool], None],
+    ) -> None:
+        self._store = store
+        self._on_synced = on_synced
+        self._on_writable = on_writable
+        self._waiting: list[Write] = []
+        self._ready = asyncio.Event()
+        self._executor = ThreadPoolExecutor(1, thread_name_prefix="consensus-writer")
+        self.error = ""
+
+    def put(self, write: Write) -> None:
+        """Queue a write; it never waits."""
+        self._waiting.append(write)
+        self._ready.set()
+
+    async def call(self, function: Callable[[], Result]) -> Result:
+        """Run a blocking function in the writer's thread."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._executor, function)
+
+    async def run(self) -> None:
+        """Write until cancelled or until the disk fails."""
+        while True:
+            await self._ready.wait()
+            self._ready.clear()
+            group = self._waiting
+            self._waiting = []
+            if not await self._write(group):
+                return
+            self._on_synced(group[-1].sequence)
+
+    def close(self) -> None:
+        """Wait for the write in progress and stop the thread."""
+        self._executor.shutdown(wait=True)
+
+    async def _write(self, group: list[Write]) -> bool:
+        while True:
+            try:
+                await self.call(lambda: self._store.write(group))
+            except StorageFullError as error:
+                self._note_error(f"the disk is full: {error}")
+            except OSError as error:
+                self._note_error(f"the disk failed: {error}")
+                return False
+            else:
+                self._note_recovery()
+                return True
+            await asyncio.sleep(FULL_RETRY_S)
+
+    def _note_error(self, text: str) -> None:
+        if not self.error:
+            _logger.error("storage accepts no writes: %s", text)
+            self._on_writable(False)
+        self.error = text
+
+    def _note_recovery(self) -> None:
+        if self.error:
+            _logger.warning("storage accepts writes again")
+            self.error = ""
+            self._on_writable(True)
--- /dev/null
+++ b/src/verbenaplank/storage/ceiling.py
@@ -0,0 +1,54 @@
+"""A number that only grows and survives a crash."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from verbenaplank.storage.durable_value import load_value
+from verbenaplank.storage.durable_value import save_value
+from verbenaplank.storage.files import OperatingSystemFiles
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from verbenaplank.storage.files import Files
+
+
+class SyncedCeiling:
+    """A durable upper bound, raised ahead of what it bounds.
+
+    The calls block until the disk has answered, so call them from a thread
+    that may wait.
+    """
+
+    def __init__(self, path: Path, files: Files | None = None) -> None:
+        self._path = path
+        self._files = files or OperatingSystemFiles()
+        self._value: int | None = None
+
+    def read(self) -> int:
+        """Return the ceiling; 0 if it was never raised.
+
+        Raises
+        ------
+        DamagedFileError
+            If the file is damaged.
+        """
+        if self._value is None:
+            loaded = load_value(self._files, self._path, int)
+            self._value = 0 if loaded is None else int(loaded)
+        return self._value
+
+    def raise_to(self, value: int) -> None:
+        """Make a higher ceiling durable; a lower one changes nothing.
+
+        Raises
+        ------
+        OSError
+            If the file cannot be written; the former ceiling stays in force.
+        """
+        if value <= self.read():
+            return
+        self._files.make_folder(self._path.parent)
+        save_value(self._files, self._path, value)
+        self._value = value
--- /dev/null
+++ b/src/verbenaplank/storage/durable_value.py
@@ -0,0 +1,51 @@
+"""Small files that are replaced as a whole and survive a crash at any point."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from verbenaplank.storage.errors import DamagedFileError
+from verbenaplank.storage.records import decode_single
+from verbenaplank.storage.records import encode_record
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from verbenaplank.storage.files import Files
+
+TEMPORARY_SUFFIX = ".tmp"
+
+
+def replace_file(files: Files, path: Path, data: bytes) -> None:
+    """Replace a file so that a crash leaves either the old or the new one."""
+    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
+    files.write(temporary, data)
+    files.sync(temporary)
+    files.rename(temporary, path)
+    files.sync_folder(path.parent)
+
+
+def save_value(files: Files, path: Path, value: Any) -> None:
+    """Replace a file by one that holds a message."""
+    replace_file(files, path, encode_record(msgspec.msgpack.encode(value)))
+
+
+def load_value(files: Files, path: Path, value_type: Any) -> Any:
+    """Return what a file holds, or ``None`` if there is no such file.
+
+    Raises
+    ------
+    DamagedFileError
+        If the file holds anything else than one message of that type.
+    """
+    data = files.read(path)
+    if data is None:
+        return None
+    payload = decode_single(data, str(path))
+    try:
+        return msgspec.msgpack.decode(payload, type=value_type)
+    except msgspec.MsgspecError as error:
+        raise DamagedFileError(str(path), 0, str(error)) from error
--- /dev/null
+++ b/src/verbenaplank/storage/errors.py
@@ -0,0 +1,28 @@
+"""Errors of the storage."""
+
+from __future__ import annotations
+
+
+class DamagedFileError(Exception):
+    """A file holds something else than what was synced to it.
+
+    Attributes
+    ----------
+    path
+        The damaged file.
+    offset_bytes
+        Where the damage begins.
+    """
+
+    def __init__(self, path: str, offset_bytes: int, reason: str) -> None:
+        super().__init__(f"{path}: byte {offset_bytes}: {reason}")
+        self.path = path
+        self.offset_bytes = offset_bytes
+
+
+class StorageFullError(Exception):
+    """There is no room for a write; nothing that was synced is lost."""
+
+
+class WrongInstanceError(Exception):
+    """The data folder belongs to another instance."""
