Notice a control instance that restarts within its process

Cause: grpclib's server.close() cancels handlers but leaves connections open, so a link to an instance that was stopped and started again in one process (tests, standalone) stayed on a dead stream, and the rejoin never began. Ruled out: a status in trailers; grpclib then logs a failed cancellation for each link that breaks. Change: the handler resets its stream when it is cancelled; a link carries a closed flag, since grpclib may replace a cancellation by the stream's error.

--- a/src/verbenaplank/consensus/links.py
+++ b/src/verbenaplank/consensus/links.py
@@ -48,6 +48,15 @@
         self._peer = peer
         self._tls = tls
         self._outbox: Outbox[PeerMessage] = Outbox()
+        self._closed = False
+
+    def close(self) -> None:
+        """Open no further stream.
+
+        Cancelling the task is not enough: grpclib replaces a cancellation by
+        the error of a stream that breaks at the same time.
+        """
+        self._closed = True
 
     def send(self, message: PeerMessage) -> None:
         """Queue a message; it is dropped if the instance does not keep up."""
@@ -55,8 +64,8 @@
             self._outbox.put(message)
 
     async def run(self) -> None:
-        """Keep a stream open until cancelled."""
-        while True:
+        """Keep a stream open until the link is closed and the task cancelled."""
+        while not self._closed:
             with connect(self._peer.address, self._tls) as channel:
                 try:
                     await self._use(channel)
--- a/src/verbenaplank/consensus/node.py
+++ b/src/verbenaplank/consensus/node.py
@@ -6,9 +6,12 @@
 import logging
 import secrets
 from contextlib import AsyncExitStack
+from contextlib import suppress
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from h2.exceptions import ProtocolError
+
 from verbenaplank.consensus.calls import Calls
 from verbenaplank.consensus.core import Core
 from verbenaplank.consensus.driver import Driver
@@ -118,6 +121,8 @@
             tasks = [asyncio.create_task(self._writer.run())]
             tasks += [asyncio.create_task(link.run()) for link in self._links.values()]
             stack.push_async_callback(_cancel, tasks)
+            for link in self._links.values():
+                stack.callback(link.close)
             stack.callback(calls.close)
             driver.start()
             self._stack = stack.pop_all()
@@ -266,10 +271,23 @@
     async def _receive_all(
         self, stream: Stream[ConsensusEnvelope, ConsensusEnvelope]
     ) -> None:
-        async for envelope in stream:
-            for message in envelope.messages:
-                if not self._calls.receive(message):
-                    self._driver.step(MessageReceived(message=message))
+        """Take messages until the sender or this instance's server ends.
+
+        A server that closes cancels its handlers but not its connections, so
+        the sender is told, and connects to the instance's next start.
+        """
+        try:
+            async for envelope in stream:
+                for message in envelope.messages:
+                    self._receive(message)
+        except asyncio.CancelledError:
+            with suppress(ProtocolError):
+                await stream.cancel()
+            raise
+
+    def _receive(self, message: PeerMessage) -> None:
+        if not self._calls.receive(message):
+            self._driver.step(MessageReceived(message=message))
 
 
 async def _cancel(tasks: Sequence[asyncio.Task[None]]) -> None:
