Check the replicated log's promises under random faults

Cause: nothing showed that the core keeps its promises when messages are lost, instances crash or disks are lost. Found: a hand-over that no other replica could take over left the leader refusing commands for good (size 1, seed 0); it now ends after an election timeout and does not begin with a single voter.

--- a/src/verbenaplank/consensus/admission.py
+++ b/src/verbenaplank/consensus/admission.py
@@ -21,7 +21,7 @@
 
 def admit_learners(state: State) -> None:
     """Take the next step of an admission, if one is due."""
-    if state.role is not Role.LEADER or state.hand_over_pending:
+    if state.role is not Role.LEADER or state.hands_over:
         return
     if state.commit_index < state.term_start_index or not state.members_committed:
         return
--- a/src/verbenaplank/consensus/core.py
+++ b/src/verbenaplank/consensus/core.py
@@ -124,7 +124,7 @@
             case StorageChanged(writable=writable):
                 _on_storage_changed(state, writable=writable)
             case HandOverAsked():
-                state.hand_over_pending = state.role is Role.LEADER
+                replication.start_hand_over(state)
         return self._finish()
 
     @property
@@ -144,7 +144,7 @@
         state = self.state
         if state.role is not Role.LEADER:
             return now_s < state.backed_s + state.timing.lease_s
-        if state.commit_index < state.term_start_index or state.hand_over_pending:
+        if state.commit_index < state.term_start_index or state.hands_over:
             return False
         answered_s = replication.quorum_answered_s(state)
         return now_s < answered_s + state.timing.lease_s
@@ -274,7 +274,7 @@
 
 
 def _on_command(state: State, proposal_id: int, command: bytes) -> None:
-    accepts = state.writable and not state.hand_over_pending
+    accepts = state.writable and not state.hands_over
     if state.role is not Role.LEADER or not accepts:
         state.effects.append(ProposalRefused(proposal_id=proposal_id))
         return
@@ -307,5 +307,5 @@
         state.heartbeat_due_s = state.now_s + state.timing.heartbeat_s
     replication.advance_commit(state)
     admit_learners(state)
-    if state.hand_over_pending:
-        replication.hand_over(state)
+    if state.hands_over:
+        replication.finish_hand_over(state)
--- a/src/verbenaplank/consensus/replication.py
+++ b/src/verbenaplank/consensus/replication.py
@@ -86,7 +86,7 @@
 
 def holds_lease(state: State) -> bool:
     """Return whether no other replica can be leader now."""
-    if state.role is not Role.LEADER or state.hand_over_pending:
+    if state.role is not Role.LEADER or state.hands_over:
         return False
     return state.now_s < quorum_answered_s(state) + state.timing.lease_s
 
@@ -143,8 +143,14 @@
         replicate(state)
 
 
-def hand_over(state: State) -> None:
-    """Give up the lease and ask the replica with the whole log to stand."""
+def start_hand_over(state: State) -> None:
+    """Take no more commands until another replica leads, or none could."""
+    if state.role is Role.LEADER and len(state.members) > 1:
+        state.hand_over_until_s = state.now_s + state.timing.election_timeout_s
+
+
+def finish_hand_over(state: State) -> None:
+    """Give up the lease and ask a replica with the whole log to stand."""
     for member in state.members:
         progress = state.progress.get(member)
         if progress and progress.match_index == state.log.last_index:
--- a/src/verbenaplank/consensus/state.py
+++ b/src/verbenaplank/consensus/state.py
@@ -142,7 +142,7 @@
     partial: PartialSnapshot | None = None
     statements: dict[str, tuple[Replica, StorageState]] = attrs.field(factory=dict)
     founder: Replica | None = None
-    hand_over_pending: bool = False
+    hand_over_until_s: float = NEVER_S
     writable: bool = True
     sequence: int = 0
     unsynced: deque[tuple[int, int]] = attrs.field(factory=deque)
@@ -163,6 +163,11 @@
         """Return the voters in force."""
         return self.member_history[-1][1] if self.member_history else ()
 
+    @property
+    def hands_over(self) -> bool:
+        """Return whether the leader is looking for another one."""
+        return self.now_s < self.hand_over_until_s
+
     @property
     def members_committed(self) -> bool:
         """Return whether the voters in force are committed."""
@@ -251,7 +256,7 @@
     state.leader = leader
     state.votes.clear()
     state.progress.clear()
-    state.hand_over_pending = False
+    state.hand_over_until_s = NEVER_S
     state.heartbeat_due_s = math.inf
     reset_election_timer(state)
 
--- /dev/null
+++ b/tests/consensus/cluster.py
@@ -0,0 +1,358 @@
+from __future__ import annotations
+
+import random
+from collections import deque
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from verbenaplank.consensus.core import Core
+from verbenaplank.consensus.effects import Apply
+from verbenaplank.consensus.effects import ProposalAppended
+from verbenaplank.consensus.effects import ReadAnswered
+from verbenaplank.consensus.effects import Restore
+from verbenaplank.consensus.effects import Save
+from verbenaplank.consensus.effects import Send
+from verbenaplank.consensus.events import CommandProposed
+from verbenaplank.consensus.events import MessageReceived
+from verbenaplank.consensus.events import ReadStarted
+from verbenaplank.consensus.events import SnapshotTaken
+from verbenaplank.consensus.events import TimePassed
+from verbenaplank.consensus.events import WritesSynced
+from verbenaplank.consensus.state import Role
+from verbenaplank.consensus.state import Timing
+from verbenaplank.protocol.consensus import EntryKind
+from verbenaplank.protocol.consensus import StorageState
+from verbenaplank.storage.model import Identity
+from verbenaplank.storage.model import Stored
+
+if TYPE_CHECKING:
+    from verbenaplank.consensus.effects import Effect
+    from verbenaplank.consensus.events import Event
+    from verbenaplank.protocol.consensus import LogEntry
+    from verbenaplank.protocol.consensus import PeerMessage
+    from verbenaplank.protocol.consensus import Replica
+    from verbenaplank.storage.model import Write
+
+TIMING = Timing(heartbeat_s=0.05, election_timeout_s=0.5)
+MAX_DRIFT = 0.05
+SNAPSHOT_EVERY = 8
+
+
+class Disk:
+    def __init__(self, name: str, incarnation: str) -> None:
+        state = StorageState.EMPTY
+        self.stored = Stored(
+            identity=Identity(instance_id=name, incarnation=incarnation, state=state)
+        )
+
+    def write(self, write: Write) -> None:
+        entries = self.stored.entries
+        if write.snapshot:
+            entries = write.entries
+        elif write.entries:
+            first = write.entries[0].index
+            kept = [entry for entry in entries if entry.index < first]
+            entries = (*kept, *write.entries)
+        self.stored = Stored(
+            identity=write.identity or self.stored.identity,
+            vote=write.vote or self.stored.vote,
+            snapshot=write.snapshot or self.stored.snapshot,
+            entries=entries,
+        )
+
+
+class Instance:
+    def __init__(self, name: str, disk: Disk, source: random.Random) -> None:
+        self.name = name
+        self.disk = disk
+        self.rate = 1.0 + source.uniform(-MAX_DRIFT, MAX_DRIFT)
+        self.offset_s = source.uniform(0.0, 1_000.0)
+        self.core: Core | None = None
+
+    def clear(self) -> None:
+        self.waiting: deque[Write] = deque()
+        self.held_back: deque[tuple[int, PeerMessage]] = deque()
+        self.put_sequence = 0
+        self.commands: list[tuple[int, bytes]] = []
+        self.applied_index = 0
+
+    def clock_s(self, now_s: float) -> float:
+        return self.offset_s + now_s * self.rate
+
+    @property
+    def state(self):
+        return self.core.state
+
+
+class Cluster:
+    """Cores with disks and a network, all driven by one source of randomness.
+
+    Every step checks the promises of the replicated log.
+    """
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now_s = 0.0
+        self.names = tuple(f"control-{number}" for number in range(size))
+        self.network: list[PeerMessage] = []
+        self.cut: set[frozenset[str]] = set()
+        self.leaders: dict[int, Replica] = {}
+        self.committed: dict[int, LogEntry] = {}
+        self.acknowledged: list[tuple[float, int]] = [(0.0, 0)]
+        self.pending: dict[tuple[str, int], int] = {}
+        self.reads: dict[tuple[str, int], int] = {}
+        self.answered_reads = 0
+        self.count = 0
+        self.instances = {name: self._new_instance(name) for name in self.names}
+        for name in self.names:
+            self.start(name)
+
+    def _new_instance(self, name: str) -> Instance:
+        return Instance(name, self.new_disk(name), self.random)
+
+    def new_disk(self, name: str) -> Disk:
+        self.count += 1
+        return Disk(name, f"incarnation-{self.count}")
+
+    # Faults
+
+    def start(self, name: str) -> None:
+        instance = self.instances[name]
+        instance.clear()
+        now_s = instance.clock_s(self.now_s)
+        source = random.Random(self.random.random())
+        instance.core = Core(instance.disk.stored, self.names, TIMING, source, now_s)
+        self._perform(instance, instance.core.start(now_s))
+
+    def crash(self, name: str) -> None:
+        instance = self.instances[name]
+        instance.core = None
+        self.pending = {key: at for key, at in self.pending.items() if key[0] != name}
+        self.reads = {key: at for key, at in self.reads.items() if key[0] != name}
+
+    def lose_disk(self, name: str) -> None:
+        self.crash(name)
+        self.instances[name].disk = self.new_disk(name)
+
+    def may_lose_disk(self, name: str) -> bool:
+        intact = {item.disk.stored.identity.replica for item in self.all}
+        intact.discard(self.instances[name].disk.stored.identity.replica)
+        voters = [item.state.members for item in self.running if item.state.members]
+        return bool(voters) and all(
+            len(intact.intersection(members)) > len(members) // 2 for members in voters
+        )
+
+    def isolate(self, name: str) -> None:
+        self.cut |= {frozenset({name, other}) for other in self.names if other != name}
+
+    def heal(self) -> None:
+        self.cut.clear()
+
+    # Steps
+
+    @property
+    def all(self) -> list[Instance]:
+        return list(self.instances.values())
+
+    @property
+    def running(self) -> list[Instance]:
+        return [item for item in self.all if item.core is not None]
+
+    def step(self, instance: Instance, event: Event) -> None:
+        now_s = instance.clock_s(self.now_s)
+        self._perform(instance, instance.core.handle(event, now_s))
+        self.check(instance)
+
+    def pass_time(self, duration_s: float, frozen_share: float = 0.0) -> None:
+        self.now_s += duration_s
+        for instance in self.running:
+            due_s = instance.core.next_due_s
+            due = instance.clock_s(self.now_s) >= due_s
+            if due and self.random.random() >= frozen_share:
+                self.step(instance, TimePassed())
+            self.check(instance)
+
+    def deliver(self, position: int, *, keep: bool = False) -> None:
+        message = self.network[position]
+        if not keep:
+            del self.network[position]
+        sender, recipient = message.sender.instance_id, message.recipient.instance_id
+        instance = self.instances[recipient]
+        if frozenset({sender, recipient}) in self.cut or instance.core is None:
+            return
+        self.step(instance, MessageReceived(message=message))
+
+    def sync(self, instance: Instance) -> None:
+        write = instance.waiting.popleft()
+        instance.disk.write(write)
+        while instance.held_back and instance.held_back[0][0] <= write.sequence:
+            self.network.append(instance.held_back.popleft()[1])
+        self.step(instance, WritesSynced(sequence=write.sequence))
+
+    def propose(self, instance: Instance) -> None:
+        self.count += 1
+        command = b"%d" % self.count
+        self.step(instance, CommandProposed(proposal_id=self.count, command=command))
+
+    def read(self, instance: Instance) -> None:
+        self.count += 1
+        self.reads[instance.name, self.count] = self.acknowledged[-1][1]
+        self.step(instance, ReadStarted(read_id=self.count))
+
+    def _perform(self, instance: Instance, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send(message=message, after_sync=True) if instance.waiting:
+                    sequence = instance.put_sequence
+                    instance.held_back.append((sequence, message))
+                case Send(message=message):
+                    self.network.append(message)
+                case Save(write=write):
+                    instance.put_sequence = write.sequence
+                    instance.waiting.append(write)
+                case Apply(entries=entries):
+                    self._apply(instance, entries)
+                case Restore(snapshot=snapshot):
+                    self._restore(instance, snapshot.index, snapshot.data)
+                case ProposalAppended(index=index, term=term):
+                    self.pending[instance.name, index] = term
+                case ReadAnswered(read_id=read_id, index=index):
+                    self._check_read(instance, read_id, index)
+        due = instance.applied_index - instance.state.log.base_index
+        if due >= SNAPSHOT_EVERY:
+            data = msgspec.msgpack.encode(instance.commands)
+            self.step(instance, SnapshotTaken(index=instance.applied_index, data=data))
+
+    def _apply(self, instance: Instance, entries: tuple[LogEntry, ...]) -> None:
+        for entry in entries:
+            assert entry.index == instance.applied_index + 1, "an entry was left out"
+            known = self.committed.setdefault(entry.index, entry)
+            assert known == entry, "two instances applied different entries"
+            instance.applied_index = entry.index
+            if entry.kind is EntryKind.COMMAND:
+                instance.commands.append((entry.index, entry.data))
+            if self.pending.pop((instance.name, entry.index), None) == entry.term:
+                newest = max(entry.index, self.acknowledged[-1][1])
+                self.acknowledged.append((self.now_s, newest))
+
+    def _restore(self, instance: Instance, index: int, data: bytes) -> None:
+        instance.commands = msgspec.msgpack.decode(data, type=list[tuple[int, bytes]])
+        instance.applied_index = index
+        expected = [
+            (entry.index, entry.data)
+            for entry in self.committed.values()
+            if entry.index <= index and entry.kind is EntryKind.COMMAND
+        ]
+        assert instance.commands == sorted(expected), "a snapshot has another content"
+
+    # Checks
+
+    def check(self, instance: Instance) -> None:
+        state = instance.state
+        if state.role is Role.LEADER:
+            known = self.leaders.get(state.term)
+            assert known in (None, state.replica), "two leaders in one term"
+            if known is None:
+                self.leaders[state.term] = state.replica
+                self._check_completeness(instance)
+        self._check_current(instance)
+
+    def _check_completeness(self, instance: Instance) -> None:
+        log = instance.state.log
+        for index, entry in self.committed.items():
+            if index > log.base_index:
+                message = f"leader lacks committed entry {index}"
+                assert log.term_at(index) == entry.term, message
+
+    def _check_current(self, instance: Instance) -> None:
+        if not instance.core.is_current(instance.clock_s(self.now_s)):
+            return
+        stale_s = 0.0
+        if instance.state.role is not Role.LEADER:
+            stale_s = TIMING.lease_s * (1 + 2 * MAX_DRIFT)
+        since_s = self.now_s - stale_s
+        expected = max(
+            (index for at_s, index in self.acknowledged if at_s <= since_s), default=0
+        )
+        assert instance.applied_index >= expected, "a current instance is stale"
+
+    def _check_read(self, instance: Instance, read_id: int, index: int | None) -> None:
+        expected = self.reads.pop((instance.name, read_id), 0)
+        if index is not None:
+            self.answered_reads += 1
+            assert index >= expected, "a read misses an acknowledged command"
+
+    def check_logs_match(self) -> None:
+        logs = [item.state.log for item in self.running]
+        for log in logs:
+            for other in logs:
+                last = min(log.last_index, other.last_index)
+                first = max(log.base_index, other.base_index)
+                same = [
+                    log.term_at(i) == other.term_at(i)
+                    for i in range(first + 1, last + 1)
+                ]
+                assert same == sorted(same, reverse=True), "logs differ before a match"
+
+    # Schedules
+
+    def run(self, steps: int) -> None:
+        for _ in range(steps):
+            self._random_step()
+        self.check_logs_match()
+
+    def _random_step(self) -> None:
+        chance = self.random.random()
+        if not self.running:
+            return
+        instance = self.random.choice(self.running)
+        if chance < 0.60 and self.network:
+            position = self.random.randrange(len(self.network))
+            if self.random.random() < 0.7:
+                position = 0
+            keep = self.random.random() < 0.05
+            if self.random.random() < 0.03:
+                del self.network[position]
+            else:
+                self.deliver(position, keep=keep)
+        elif chance < 0.80:
+            if instance.waiting:
+                self.sync(instance)
+        elif chance < 0.92:
+            self.pass_time(self.random.uniform(0.0, 0.04), frozen_share=0.2)
+        elif chance < 0.97:
+            self.propose(instance)
+        else:
+            self.read(instance)
+
+    def settle(self, duration_s: float = 20.0) -> None:
+        """Let everything run without faults until all instances agree."""
+        self.heal()
+        for instance in self.all:
+            if instance.core is None:
+                self.start(instance.name)
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s and not self._settled():
+            self.pass_time(0.01)
+            self.run_out()
+        assert self._settled(), "the instances do not agree in time"
+        self.check_logs_match()
+
+    def run_out(self) -> None:
+        """Sync all writes and deliver all messages."""
+        while self.network or any(item.waiting for item in self.running):
+            for instance in self.running:
+                while instance.waiting:
+                    self.sync(instance)
+            while self.network:
+                self.deliver(0)
+
+    def _settled(self) -> bool:
+        replicas = {item.disk.stored.identity.replica for item in self.all}
+        return all(
+            set(item.state.members) == replicas
+            and item.applied_index == max(self.committed, default=0)
+            and item.core.is_current(item.clock_s(self.now_s))
+            for item in self.all
+        )
