--- a/tests/consensus/test_core_promises.py
+++ b/tests/consensus/test_core_promises.py
@@ -8,6 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import initialize
 from hypothesis.stateful import rule
+from tests.consensus.cluster import TIMING
 from tests.consensus.cluster import Cluster
 
 from verbenaplank.consensus.events import HandOverAsked
@@ -89,5 +90,5 @@
     cluster.settle()
 
     command = cluster.propose(cluster.leader())
-    cluster.settle()
+    cluster.run_for(2 * TIMING.heartbeat_s)
     assert all(item.commands[-1][1] == command for item in cluster.all)
