Kill the storage at every write boundary

Change: files in memory of which only synced content and names survive; a kill before each operation with five shares of the unsynced end kept.

--- /dev/null
+++ b/tests/storage/test_store.py
@@ -0,0 +1,262 @@
+from __future__ import annotations
+
+import contextlib
+import errno
+from pathlib import Path
+
+import pytest
+from tests.storage.memory_files import KilledError
+from tests.storage.memory_files import MemoryFiles
+
+from verbenaplank.protocol.consensus import LogEntry
+from verbenaplank.protocol.consensus import Replica
+from verbenaplank.protocol.consensus import StorageState
+from verbenaplank.storage.errors import DamagedFileError
+from verbenaplank.storage.errors import StorageFullError
+from verbenaplank.storage.errors import WrongInstanceError
+from verbenaplank.storage.model import Identity
+from verbenaplank.storage.model import Snapshot
+from verbenaplank.storage.model import Stored
+from verbenaplank.storage.model import Vote
+from verbenaplank.storage.model import Write
+from verbenaplank.storage.store import Store
+
+FOLDER = Path("/data/log")
+NAME = "control-0"
+SELF = Replica(instance_id=NAME, incarnation="1")
+EMPTY = Identity(instance_id=NAME, incarnation="1", state=StorageState.EMPTY)
+MEMBER = Identity(
+    instance_id=NAME, incarnation="1", state=StorageState.MEMBER, cluster_id="1"
+)
+
+
+def _entries(first: int, last: int, term: int) -> tuple[LogEntry, ...]:
+    return tuple(
+        LogEntry(index=index, term=term, data=b"command %d" % index)
+        for index in range(first, last + 1)
+    )
+
+
+def _snapshot(index: int, term: int) -> Snapshot:
+    return Snapshot(index=index, term=term, members=(SELF,), data=b"state" * 20)
+
+
+WRITES = (
+    Write(vote=Vote(term=1), identity=MEMBER),
+    Write(entries=_entries(1, 3, term=1)),
+    Write(vote=Vote(term=2, voted_for=SELF)),
+    Write(entries=_entries(3, 5, term=2)),
+    Write(snapshot=_snapshot(4, term=2), entries=_entries(5, 5, term=2)),
+    Write(entries=_entries(6, 6, term=2)),
+    Write(vote=Vote(term=3)),
+    Write(snapshot=_snapshot(9, term=3)),
+    Write(entries=_entries(10, 11, term=3)),
+)
+
+
+def _after(count: int) -> Stored:
+    """Return what the first writes amount to."""
+    stored = Stored(identity=EMPTY)
+    for write in WRITES[:count]:
+        entries = stored.entries
+        if write.snapshot:
+            entries = write.entries
+        elif write.entries:
+            first = write.entries[0].index
+            kept = (entry for entry in entries if entry.index < first)
+            entries = (*kept, *write.entries)
+        stored = Stored(
+            identity=write.identity or stored.identity,
+            vote=write.vote or stored.vote,
+            snapshot=write.snapshot or stored.snapshot,
+            entries=entries,
+        )
+    return stored
+
+
+def _open(files: MemoryFiles) -> tuple[Store, Stored]:
+    store = Store(FOLDER, files)
+    return store, store.open(NAME, "1")
+
+
+def _write_until_killed(files: MemoryFiles) -> int:
+    """Return how many writes were acknowledged."""
+    acknowledged = 0
+    try:
+        store, _ = _open(files)
+        for write in WRITES:
+            store.write([write])
+            acknowledged += 1
+    except KilledError:
+        pass
+    return acknowledged
+
+
+def _written() -> MemoryFiles:
+    files = MemoryFiles()
+    assert _write_until_killed(files) == len(WRITES)
+    return files
+
+
+def _journal(files: MemoryFiles) -> Path:
+    name = next(name for name in files.names(FOLDER) if name.startswith("journal-"))
+    return FOLDER / name
+
+
+OPERATIONS = _written().operations
+
+
+@pytest.mark.parametrize("kept_share", [0.0, 0.3, 0.9, 1.0, None])
+@pytest.mark.parametrize("kill_at", range(OPERATIONS + 1))
+def test_kill_at_any_operation_loses_no_acknowledged_write(
+    kill_at: int, kept_share: float | None
+) -> None:
+    files = MemoryFiles()
+    files.kill_at = kill_at
+    acknowledged = _write_until_killed(files)
+    killed = kept_share is None
+    found = files.be_killed() if killed else files.lose_power(kept_share)
+
+    store, stored = _open(found)
+    possible = [_after(acknowledged), _after(acknowledged + 1)]
+    position = next((i for i, one in enumerate(possible) if one == stored), None)
+    if position is None:
+        assert stored in _partial_batches(acknowledged)
+        return
+    for write in WRITES[acknowledged + position :]:
+        store.write([write])
+    assert _open(found.lose_power(0.0))[1] == _after(len(WRITES))
+
+
+def _partial_batches(acknowledged: int) -> list[Stored]:
+    """Return what a batch of entries leaves of which only the first are whole."""
+    before = _after(acknowledged)
+    entries = WRITES[acknowledged].entries
+    kept = [entry for entry in before.entries if entry.index < entries[0].index]
+    return [
+        Stored(
+            identity=before.identity,
+            vote=before.vote,
+            snapshot=before.snapshot,
+            entries=(*kept, *entries[:count]),
+        )
+        for count in range(1, len(entries))
+    ]
+
+
+def test_write_of_several_parts_needs_one_journal_sync() -> None:
+    files = MemoryFiles()
+    store, _ = _open(files)
+    store.write(WRITES[:1])
+    before = files.operations
+    store.write([Write(entries=_entries(i, i, term=1)) for i in range(1, 20)])
+
+    assert files.operations - before == len(["truncate", "append", "sync"])
+    assert len(_open(files.lose_power(0.0))[1].entries) == 19
+
+
+def test_last_record_cut_short_is_dropped() -> None:
+    files = _written()
+    path = _journal(files)
+    whole = files.read(path)
+    last_bytes = len(whole) - whole.rfind(b"command 11")
+    for cut_bytes in range(1, last_bytes):
+        files.write(path, whole[:-cut_bytes])
+        assert _open(files)[1].entries == _after(len(WRITES)).entries[:-1]
+
+
+def test_unwritten_end_of_zeros_is_dropped() -> None:
+    files = _written()
+    path = _journal(files)
+    files.append(path, bytes(100))
+
+    assert _open(files)[1] == _after(len(WRITES))
+
+
+def test_flipped_bit_is_refused_with_file_and_offset() -> None:
+    files = _written()
+    path = _journal(files)
+    whole = files.read(path)
+    for offset in range(len(whole)):
+        flipped = bytearray(whole)
+        flipped[offset] ^= 1 << offset % 8
+        files.write(path, bytes(flipped))
+        with pytest.raises(DamagedFileError) as error:
+            _open(files)
+        assert error.value.path == str(path)
+        assert error.value.offset_bytes <= offset
+
+
+@pytest.mark.parametrize("name", ["identity", "vote", "snapshot"])
+def test_damaged_or_missing_small_file_is_refused(name: str) -> None:
+    files = _written()
+    path = FOLDER / name
+    whole = files.read(path)
+    files.write(path, whole[:-1] + bytes([whole[-1] ^ 1]))
+    with pytest.raises(DamagedFileError, match=name):
+        _open(files)
+
+    files.remove(path)
+    with pytest.raises(DamagedFileError):
+        _open(files)
+
+
+def test_left_out_index_is_refused() -> None:
+    files = MemoryFiles()
+    store, _ = _open(files)
+    store.write(WRITES[:2])
+    store.write([Write(entries=_entries(6, 6, term=1))])
+
+    with pytest.raises(DamagedFileError, match="entry 6 does not follow"):
+        _open(files)
+
+
+def test_full_disk_refuses_the_write_and_loses_nothing() -> None:
+    files = MemoryFiles()
+    store, _ = _open(files)
+    store.write(WRITES[:3])
+    files.room_bytes = 10
+    for _ in range(2):
+        with pytest.raises(StorageFullError):
+            store.write(WRITES[3:4])
+    assert _open(files.lose_power(1.0))[1] == _after(3)
+
+    files.room_bytes = 10_000
+    store.write(WRITES[3:4])
+    assert _open(files.lose_power(0.0))[1] == _after(4)
+
+
+def test_failed_sync_is_not_taken_for_a_full_disk() -> None:
+    files = MemoryFiles()
+    store, _ = _open(files)
+    store.write(WRITES[:1])
+    files.sync_error = OSError(errno.EIO, "input/output error")
+
+    with pytest.raises(OSError, match="input/output error"):
+        store.write(WRITES[1:2])
+
+
+def test_replaced_storage_has_a_new_identity_and_keeps_the_damaged_files() -> None:
+    files = _written()
+    stored = Store(FOLDER, files).replace_damaged(NAME, "2")
+
+    assert stored.identity.state is StorageState.REJOINING
+    assert _open(files)[1] == stored
+    assert "vote" in files.names(FOLDER / "damaged" / "2")
+
+
+@pytest.mark.parametrize("kill_at", range(20))
+def test_kill_while_replacing_never_leaves_an_empty_storage(kill_at: int) -> None:
+    files = _written()
+    files.kill_at = files.operations + kill_at
+    with contextlib.suppress(KilledError):
+        Store(FOLDER, files).replace_damaged(NAME, "2")
+    stored = _open(files.lose_power(0.0))[1]
+
+    assert stored.identity.state is not StorageState.EMPTY
+
+
+def test_folder_of_another_instance_is_refused() -> None:
+    files = _written()
+    with pytest.raises(WrongInstanceError, match="belongs to control-0"):
+        Store(FOLDER, files).open("control-1", "2")
