Make durable at the start what a killed process had only written

Cause: a process killed between a rename and the sync of its folder left a new name that the next process read and built on; a power loss then took the name away together with entries acknowledged since. Found when the test's files learned to keep apart what is read after a kill from what is durable. Ruled out: the content of the files; they are synced before the rename. Change: the store and the ceiling sync the folder before they read it. A full disk is now named in the refusal of a command.

--- a/src/verbenaplank/consensus/calls.py
+++ b/src/verbenaplank/consensus/calls.py
@@ -27,6 +27,7 @@
 
 MAX_COMMAND_BYTES = 1024 * 1024
 READ_RETRY_HEARTBEATS = 5
+NO_LEADER = "no leader was found in time"
 
 
 class Calls:
@@ -40,6 +41,8 @@
         Tells what has been applied.
     send
         Sends a message to another instance.
+    storage_error
+        Tells why the storage accepts no writes; empty if it does.
     """
 
     def __init__(
@@ -47,10 +50,12 @@
         driver: Driver,
         applied: AppliedIndex,
         send: Callable[[PeerMessage], None],
+        storage_error: Callable[[], str],
     ) -> None:
         self._driver = driver
         self._state = driver.core.state
         self._applied = applied
+        self._storage_error = storage_error
         self._forwarder = Forwarder(send, self._propose_here)
         self._appended: ProposalAppended | None = None
         self._reads: dict[int, asyncio.Future[int | None]] = {}
@@ -72,7 +77,7 @@
             raise NotAcceptedError(f"over the limit of {MAX_COMMAND_BYTES} bytes")
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
-        reason = "no leader was found in time"
+        reason = NO_LEADER
         while (remaining_s := deadline_s - loop.time()) > 0:
             try:
                 applied = await self._propose_once(command, remaining_s)
@@ -124,7 +129,7 @@
     async def _propose_once(self, command: bytes, timeout_s: float) -> AppliedCommand:
         leader = self._state.leader
         if leader is None:
-            raise NotAcceptedError("no leader was found in time")
+            raise NotAcceptedError(self._storage_error() or NO_LEADER)
         try:
             if self._state.role is Role.LEADER:
                 return await self._propose_here(command, timeout_s)
--- a/src/verbenaplank/consensus/node.py
+++ b/src/verbenaplank/consensus/node.py
@@ -114,7 +114,7 @@
             stack.callback(self._writer.close)
             stored = await self._writer.call(self._open_store)
             driver = self._driver_of(stored)
-            calls = Calls(driver, self._applied, self._send)
+            calls = Calls(driver, self._applied, self._send, lambda: self.storage_error)
             self._running = driver
             self._caller_side = calls
             stack.callback(driver.stop)
--- a/src/verbenaplank/storage/ceiling.py
+++ b/src/verbenaplank/storage/ceiling.py
@@ -29,12 +29,16 @@
     def read(self) -> int:
         """Return the ceiling; 0 if it was never raised.
 
+        What is read is durable, also if a process was killed while raising it.
+
         Raises
         ------
         DamagedFileError
             If the file is damaged.
         """
         if self._value is None:
+            self._files.make_folder(self._path.parent)
+            self._files.sync_folder(self._path.parent)
             loaded = load_value(self._files, self._path, int)
             self._value = 0 if loaded is None else int(loaded)
         return self._value
@@ -49,6 +53,5 @@
         """
         if value <= self.read():
             return
-        self._files.make_folder(self._path.parent)
         save_value(self._files, self._path, value)
         self._value = value
--- a/src/verbenaplank/storage/journal.py
+++ b/src/verbenaplank/storage/journal.py
@@ -78,7 +78,8 @@
         records = list(decode_records(data, str(path)))
         if not records:
             raise DamagedFileError(str(path), 0, "the segment has no start")
-        self._drop_torn_end(path, records[-1].end_bytes, len(data))
+        self._files.sync(path)
+        self._synced_bytes = records[-1].end_bytes
         self._remove_older(numbers)
         return _content(records, str(path))
 
@@ -94,10 +95,13 @@
     def append(self, entries: Sequence[LogEntry]) -> None:
         """Write entries and wait until they are durable.
 
+        What stands behind the last whole record is cut off first: the end of
+        a record that was cut short, or of an append that failed.
+
         Raises
         ------
         OSError
-            If that failed.  The next call first cuts off what was written.
+            If that failed.
         """
         path = self._path(self._number)
         data = b"".join(map(_encode, entries))
@@ -106,12 +110,6 @@
         self._files.sync(path)
         self._synced_bytes += len(data)
 
-    def _drop_torn_end(self, path: Path, whole_bytes: int, size_bytes: int) -> None:
-        self._synced_bytes = whole_bytes
-        if whole_bytes < size_bytes:
-            self._files.truncate(path, whole_bytes)
-        self._files.sync(path)
-
     def _remove_older(self, numbers: Sequence[int]) -> None:
         for number in numbers:
             if number < self._number:
--- a/src/verbenaplank/storage/store.py
+++ b/src/verbenaplank/storage/store.py
@@ -49,6 +49,9 @@
     def open(self, instance_id: str, new_incarnation: str) -> Stored:
         """Read the folder; an empty one gets a new identity.
 
+        What is read is durable afterwards, also what a process that was killed
+        had not yet synced.
+
         Raises
         ------
         DamagedFileError
@@ -57,6 +60,7 @@
             If the folder belongs to another instance.
         """
         self._files.make_folder(self._folder)
+        self._files.sync_folder(self._folder)
         identity = load_value(self._files, self._folder / IDENTITY_NAME, Identity)
         if identity is None:
             self._check_no_data()
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -153,6 +153,15 @@
             len(intact.intersection(members)) > len(members) // 2 for members in voters
         )
 
+    def grow_to(self, size: int) -> None:
+        """Restart all instances with settings that name further ones."""
+        self.names = tuple(f"control-{number}" for number in range(size))
+        for name in self.names:
+            if name in self.instances:
+                self.crash(name)
+            else:
+                self.instances[name] = self._new_instance(name)
+
     def isolate(self, name: str) -> None:
         others = set(self.names) - {name}
         self.cut |= {(name, other) for other in others}
--- a/tests/consensus/test_admission.py
+++ b/tests/consensus/test_admission.py
@@ -121,3 +121,14 @@
     cluster.settle()
 
     assert lost.state.replica in leader.state.members
+
+
+def test_single_instance_grows_to_three() -> None:
+    cluster, first = settled_cluster(1)
+    cluster.propose(first)
+    cluster.run_out()
+    cluster.grow_to(3)
+    cluster.settle()
+
+    assert len(first.state.members) == 3
+    assert all(item.commands == first.commands for item in cluster.all)
--- a/tests/consensus/test_following.py
+++ b/tests/consensus/test_following.py
@@ -33,7 +33,7 @@
     return cluster, leader, others_than(cluster, leader)[0]
 
 
-def test_follower_trusts_only_an_echo_of_its_present_start(
+def test_follower_is_current_only_by_an_echo_of_its_start_and_all_entries(
     pair: tuple[Cluster, Instance, Instance],
 ) -> None:
     cluster, leader, follower = pair
@@ -43,11 +43,11 @@
     state = follower.state
     last = leader.state.log.last_index
 
-    def current_after(echo_s: float) -> bool:
+    def current_after(echo_s: float, missing: int = 0) -> bool:
         request = AppendRequest(
             previous_index=last,
             previous_term=leader.state.term,
-            commit_index=last,
+            commit_index=last + missing,
             echo_s=echo_s,
             backed=True,
         )
@@ -57,6 +57,7 @@
 
     assert not current_after(state.started_s - 0.01)
     assert not current_after(state.now_s + 0.01)
+    assert not current_after(state.now_s, missing=1)
     assert current_after(state.now_s)
 
 
--- a/tests/consensus/test_formation.py
+++ b/tests/consensus/test_formation.py
@@ -37,10 +37,12 @@
 def test_instance_that_missed_the_foundation_hears_of_it_again() -> None:
     cluster = Cluster(3, 1)
     founder = cluster.instances["control-0"]
-    while not founder.state.is_member:
+    while not any(message.foundation for message in cluster.network):
         cluster.pass_time(0.01)
-        while cluster.network and not founder.state.is_member:
+        while cluster.network and not founder.waiting:
             cluster.deliver(0)
+        while founder.waiting:
+            cluster.sync(founder)
     cluster.crash("control-1")
     cluster.crash("control-2")
     cluster.network.clear()
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -1,14 +1,24 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import shutil
-from typing import TYPE_CHECKING
+from contextlib import suppress
+from pathlib import Path
 
+import pytest
 from tests.consensus.nodes import TIMEOUT_S
+from tests.consensus.nodes import Instance
 from tests.consensus.nodes import Instances
 
-if TYPE_CHECKING:
-    from pathlib import Path
+from verbenaplank.clock.sources import monotonic_s
+from verbenaplank.consensus import writer
+from verbenaplank.consensus.errors import NoQuorumError
+from verbenaplank.consensus.errors import NotAcceptedError
+from verbenaplank.consensus.errors import OutcomeUnknownError
+from verbenaplank.consensus.node import LOG_FOLDER
+from verbenaplank.storage.errors import DamagedFileError
+from verbenaplank.storage.files import OperatingSystemFiles
 
 
 async def test_single_instance_keeps_its_commands_over_a_restart(
@@ -65,3 +75,101 @@
 
         assert not leader.node.is_leader
         assert await leader.node.propose(b"after", TIMEOUT_S) == b"result of after"
+
+
+async def test_command_resent_after_the_leader_s_loss_is_accepted(
+    tmp_path: Path,
+) -> None:
+    async with Instances(tmp_path, 3) as instances:
+        leader = await instances.leader()
+        follower = (await instances.followers())[0]
+        await leader.stop()
+        with suppress(OutcomeUnknownError):
+            await follower.node.propose(b"next", TIMEOUT_S)
+
+        assert await follower.node.propose(b"next", TIMEOUT_S) == b"result of next"
+
+
+async def test_instance_without_a_quorum_neither_accepts_nor_reads(
+    tmp_path: Path,
+) -> None:
+    async with Instances(tmp_path, 3) as instances:
+        leader = await instances.leader()
+        for follower in await instances.followers():
+            await follower.stop()
+        with pytest.raises((NotAcceptedError, OutcomeUnknownError)):
+            await leader.node.propose(b"lonely", 1.0)
+        with pytest.raises(NoQuorumError):
+            await leader.node.read_barrier(0.1)
+
+        assert not leader.node.is_current(monotonic_s())
+        assert leader.machine.applied == []
+
+
+def _flip_bit(instance: Instance) -> None:
+    """Damage the first record of an instance's journal."""
+    folder = Path(instance.settings.data_folder) / LOG_FOLDER
+    (path,) = folder.glob("journal-*")
+    content = bytearray(path.read_bytes())
+    content[20] ^= 1
+    path.write_bytes(content)
+
+
+async def test_damaged_journal_of_a_single_instance_is_refused(
+    tmp_path: Path,
+) -> None:
+    instances = Instances(tmp_path, 1)
+    (instance,) = instances.all.values()
+    async with instances:
+        await instance.node.propose(b"one", TIMEOUT_S)
+        await instance.stop()
+        _flip_bit(instance)
+        with pytest.raises(DamagedFileError, match=r"journal-.*byte 0"):
+            await instance.start()
+
+
+async def test_damaged_journal_is_replaced_from_the_other_instances(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    async with Instances(tmp_path, 3) as instances:
+        damaged = (await instances.followers())[0]
+        await damaged.node.propose(b"one", TIMEOUT_S)
+        former = damaged.node.replica
+        await damaged.stop()
+        _flip_bit(damaged)
+        await damaged.start()
+        await damaged.node.read_barrier(TIMEOUT_S)
+
+        assert damaged.machine.applied == [b"one"]
+        assert damaged.node.replica.incarnation != former.incarnation
+        assert "damaged storage" in caplog.text
+
+
+class FullDisk(OperatingSystemFiles):
+    def __init__(self) -> None:
+        self.full = False
+
+    def append(self, path: Path, data: bytes) -> None:
+        if self.full:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        super().append(path, data)
+
+
+async def test_full_disk_is_named_in_the_refusal_and_nothing_is_lost(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(writer, "FULL_RETRY_S", 0.05)
+    instances = Instances(tmp_path, 1)
+    (instance,) = instances.all.values()
+    disk = instance.files = FullDisk()
+    async with instances:
+        await instance.node.propose(b"one", TIMEOUT_S)
+        disk.full = True
+        with pytest.raises(OutcomeUnknownError):
+            await instance.node.propose(b"two", 0.5)
+        with pytest.raises(NotAcceptedError, match="the disk is full"):
+            await instance.node.propose(b"three", 0.5)
+        disk.full = False
+        await instance.node.propose(b"four", TIMEOUT_S)
+
+        assert instance.machine.applied == [b"one", b"two", b"four"]
--- a/tests/storage/memory_files.py
+++ b/tests/storage/memory_files.py
@@ -46,9 +46,14 @@
     def be_killed(self) -> MemoryFiles:
         """Return what is found if only the process ended."""
         found = MemoryFiles()
-        for path, file in self._names.items():
-            found._names[path] = _File(file.content, file.content)
-        found._synced_names = dict(found._names)
+        copies = {
+            id(file): _File(file.content, file.synced)
+            for file in (*self._names.values(), *self._synced_names.values())
+        }
+        found._names = {path: copies[id(file)] for path, file in self._names.items()}
+        found._synced_names = {
+            path: copies[id(file)] for path, file in self._synced_names.items()
+        }
         return found
 
     def make_folder(self, path: Path) -> None:
--- a/tests/storage/test_ceiling.py
+++ b/tests/storage/test_ceiling.py
@@ -39,6 +39,10 @@
         pass
 
     assert SyncedCeiling(PATH, files.lose_power(kept_share)).read() in expected
+    found = files.be_killed()
+    value = SyncedCeiling(PATH, found).read()
+    assert value in expected
+    assert SyncedCeiling(PATH, found.lose_power(0.0)).read() == value
 
 
 def test_damaged_ceiling_is_refused() -> None:
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -47,7 +47,7 @@
     Write(vote=Vote(term=2, voted_for=SELF)),
     Write(entries=_entries(3, 5, term=2)),
     Write(snapshot=_snapshot(4, term=2), entries=_entries(5, 5, term=2)),
-    Write(entries=_entries(6, 6, term=2)),
+    Write(entries=_entries(6, 12, term=2)),
     Write(vote=Vote(term=3)),
     Write(snapshot=_snapshot(9, term=3)),
     Write(entries=_entries(10, 11, term=3)),
@@ -118,6 +118,7 @@
     found = files.be_killed() if killed else files.lose_power(kept_share)
 
     store, stored = _open(found)
+    assert _open(found.lose_power(0.0))[1] == stored
     possible = [_after(acknowledged), _after(acknowledged + 1)]
     position = next((i for i, one in enumerate(possible) if one == stored), None)
     if position is None:
