Add the callers' commands, logs, metrics and settings check

Cause: the programs need a command line, JSON-line logs and checked settings before the roles arrive. Change: verbena submit, request, status, cancel and settings check; documented exit codes; wrappers of the three long-lived programs, whose roles follow. Conclusion: the client side is ready for the thin whole path.

--- /dev/null
+++ b/src/verbenaplank/console/__init__.py
@@ -0,0 +1,3 @@
+"""The programs' command lines."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/verbenaplank/console/application.py
@@ -0,0 +1,25 @@
+"""Program ``verbena``: the command line of callers and operators."""
+
+from __future__ import annotations
+
+import typer
+
+from verbenaplank.console.commands import cancel
+from verbenaplank.console.commands import request
+from verbenaplank.console.commands import settings
+from verbenaplank.console.commands import status
+from verbenaplank.console.commands import submit
+
+application = typer.Typer(
+    add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False
+)
+application.command()(submit.submit)
+application.command()(request.request)
+application.command()(status.status)
+application.command()(cancel.cancel)
+application.add_typer(settings.application, name="settings")
+
+
+def main() -> None:
+    """Run the program."""
+    application()
--- /dev/null
+++ b/src/verbenaplank/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""The commands of ``verbena``, one module each."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/verbenaplank/console/commands/settings.py
@@ -0,0 +1,51 @@
+"""``verbena settings``: check settings files."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from verbenaplank.console.exit_code import ExitCode
+from verbenaplank.console.output import error_console
+from verbenaplank.settings.agent import AgentSettings
+from verbenaplank.settings.checker import SettingsError
+from verbenaplank.settings.checker import load_settings
+from verbenaplank.settings.control import ControlSettings
+from verbenaplank.settings.entry import EntrySettings
+
+application = typer.Typer(help="Check settings files.", no_args_is_help=True)
+
+SettingsType = type[AgentSettings] | type[ControlSettings] | type[EntrySettings]
+
+
+@application.command()
+def check(
+    files: Annotated[list[Path], typer.Argument(help="Settings files, TOML.")],
+) -> None:
+    """Report every fault in settings files, with file, table and key."""
+    faulty = False
+    for file in files:
+        try:
+            load_settings(file, settings_type_of(file))
+            typer.echo(f"{file}: no faults")
+        except SettingsError as error:
+            faulty = True
+            error_console.print(str(error), markup=False)
+    if faulty:
+        raise typer.Exit(ExitCode.USAGE)
+
+
+def settings_type_of(file: Path) -> SettingsType:
+    """Tell from its tables which program a settings file is for."""
+    try:
+        document = tomllib.loads(file.read_text(encoding="utf-8"))
+    except (OSError, ValueError):
+        return EntrySettings
+    if "backend_server" in document:
+        return AgentSettings
+    if "administration" in document or "data_folder" in document:
+        return ControlSettings
+    return EntrySettings
--- /dev/null
+++ b/src/verbenaplank/console/entry.py
@@ -0,0 +1,27 @@
+"""Program ``verbena-entry``: one entry instance."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from verbenaplank.console.program import run_program
+from verbenaplank.entry.application import EntryInstance
+from verbenaplank.settings.entry import EntrySettings
+
+application = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+@application.command()
+def run(
+    settings_path: Annotated[Path, typer.Argument(help="Settings file, TOML.")],
+) -> None:
+    """Run one entry instance until a signal stops it."""
+    run_program(settings_path, EntrySettings, EntryInstance)
+
+
+def main() -> None:
+    """Run the program."""
+    application()
--- /dev/null
+++ b/src/verbenaplank/console/output.py
@@ -0,0 +1,98 @@
+"""What commands print: tables for people, JSON for scripts."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NoReturn
+
+import httpx
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from verbenaplank.console.exit_code import ExitCode
+from verbenaplank.outcome.failure import Run
+
+if TYPE_CHECKING:
+    from verbenaplank.console.client import Reply
+
+RUN_SENTENCES = {
+    Run.NOT_RUN: "Nothing was run.",
+    Run.MAY_HAVE_RUN: "Some tasks may have run.",
+    Run.RAN: "Some tasks ran.",
+}
+
+console = Console()
+error_console = Console(stderr=True, soft_wrap=True)
+
+
+def print_json(content: Any) -> None:
+    """Print a value as indented JSON."""
+    typer.echo(json.dumps(content, indent=2, ensure_ascii=False))
+
+
+def print_table(
+    title: str, columns: Sequence[str], rows: Iterable[Sequence[Any]]
+) -> None:
+    """Print rows under their column names."""
+    table = Table(*columns, title=title, title_justify="left")
+    for row in rows:
+        table.add_row(*("" if cell is None else str(cell) for cell in row))
+    console.print(table)
+
+
+def exit_with_problem(reply: Reply, as_json: bool) -> NoReturn:
+    """Print a refusal or failure on standard error and exit with its code.
+
+    Raises
+    ------
+    typer.Exit
+        Always.
+    """
+    if as_json:
+        typer.echo(json.dumps(reply.content), err=True)
+    else:
+        _print_problem(reply.content)
+    raise typer.Exit(_exit_code(reply))
+
+
+def exit_unreachable(error: Exception) -> NoReturn:
+    """Say that no instance answered and exit.
+
+    Raises
+    ------
+    typer.Exit
+        Always, with ``ExitCode.UNREACHABLE``.
+    """
+    error_console.print(f"No instance answered: {error}", markup=False)
+    error_console.print("The outcome is not known; send the same id again to learn it.")
+    raise typer.Exit(ExitCode.UNREACHABLE)
+
+
+def _print_problem(content: Any) -> None:
+    if not isinstance(content, dict):
+        error_console.print(str(content), markup=False)
+        return
+    detail = content.get("detail") or content.get("title") or "failed"
+    error_console.print(str(detail), markup=False)
+    for finding in content.get("findings") or ():
+        line = f"  {finding['place']}: {finding['message']}"
+        error_console.print(line, markup=False)
+    if "run" in content:
+        error_console.print(RUN_SENTENCES[Run(content["run"])])
+    if content.get("retry_after_s") is not None:
+        error_console.print(f"Try again after {content['retry_after_s']} s.")
+
+
+def _exit_code(reply: Reply) -> ExitCode:
+    if reply.status == httpx.codes.CONFLICT:
+        return ExitCode.CONFLICT
+    if reply.status == httpx.codes.BAD_REQUEST:
+        return ExitCode.USAGE
+    if reply.surely_not_run:
+        return ExitCode.NOT_RUN
+    return ExitCode.FAILED
--- /dev/null
+++ b/src/verbenaplank/console/program.py
@@ -0,0 +1,102 @@
+"""Runs a long-lived program: settings, logs, signals, graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Protocol
+from typing import TypeVar
+
+import typer
+
+from verbenaplank.console.exit_code import ExitCode
+from verbenaplank.observability.logs import configure_logging
+from verbenaplank.settings.checker import SettingsError
+from verbenaplank.settings.checker import load_settings
+
+if TYPE_CHECKING:
+    from verbenaplank.settings.common import LoggingSettings
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+logger = logging.getLogger(__name__)
+
+
+class ProgramSettings(Protocol):
+    """What the settings of every long-lived program hold."""
+
+    @property
+    def instance_id(self) -> str:
+        """Return the instance's name."""
+
+    @property
+    def data_centre(self) -> str:
+        """Return the data centre that the instance stands in."""
+
+    @property
+    def logging(self) -> LoggingSettings:
+        """Return what the program logs."""
+
+
+class Instance(Protocol):
+    """A running program."""
+
+    async def drain(self) -> None:
+        """Refuse new work, finish what is in progress, then return."""
+
+
+Settings = TypeVar("Settings", bound=ProgramSettings)
+Build = Callable[[Settings], AbstractAsyncContextManager[Instance]]
+
+
+def run_program(
+    path: Path, settings_type: type[Settings], build: Build[Settings]
+) -> None:
+    """Run a program until a signal stops it, then drain it.
+
+    Raises
+    ------
+    typer.Exit
+        With ``ExitCode.USAGE`` if the settings have faults.
+    """
+    settings = load_or_exit(path, settings_type)
+    configure_logging(
+        settings.instance_id, settings.data_centre, settings.logging.level
+    )
+    asyncio.run(_run_until_stopped(build(settings)))
+
+
+def load_or_exit(path: Path, settings_type: type[Settings]) -> Settings:
+    """Load settings, or print every fault and exit.
+
+    Raises
+    ------
+    typer.Exit
+        With ``ExitCode.USAGE`` if the settings have faults.
+    """
+    try:
+        return load_settings(path, settings_type)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        raise typer.Exit(ExitCode.USAGE) from error
+
+
+async def _run_until_stopped(
+    context: AbstractAsyncContextManager[Instance],
+) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, stopped.set)
+    async with context as instance:
+        logger.info("serving")
+        await stopped.wait()
+        logger.info("draining")
+        await instance.drain()
+    logger.info("stopped")
--- /dev/null
+++ b/src/verbenaplank/observability/__init__.py
@@ -0,0 +1,3 @@
+"""Logs as JSON lines, and metrics."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/verbenaplank/observability/logs.py
@@ -0,0 +1,33 @@
+"""Logs on standard error: one JSON object a line."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+LOG_FIELDS = ("asctime", "levelname", "name", "message")
+RENAMED_FIELDS = {"asctime": "time", "levelname": "level", "name": "logger"}
+QUIET_LOGGERS = ("hpack", "httpx", "httpcore", "uvicorn.access")
+
+
+def configure_logging(instance_id: str, data_centre: str, level: str) -> None:
+    """Send every log record to standard error as JSON.
+
+    Each line carries the instance and the data centre; a record's ``extra``
+    values, such as ``job_id``, become fields of their own.
+    """
+    formatter = JsonFormatter(
+        LOG_FIELDS,
+        style="%",
+        rename_fields=RENAMED_FIELDS,
+        static_fields={"instance": instance_id, "data_centre": data_centre},
+    )
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(formatter)
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level)
+    for name in QUIET_LOGGERS:
+        logging.getLogger(name).setLevel(logging.WARNING)
