--- /dev/null
+++ b/demo/fleet.py
@@ -0,0 +1,136 @@
+"""A whole small fleet: control, entries, agents and stand-in backend servers."""
+
+from __future__ import annotations
+
+import hashlib
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import attrs
+
+from demo.cluster import Processes
+from demo.cluster import free_port
+from demo.documents import ADMINISTRATION_TOKEN
+from demo.documents import DATA_CENTRES
+from demo.documents import HOST
+from demo.documents import Peer
+from demo.documents import Ports
+from demo.documents import agent_document
+from demo.documents import control_document
+from demo.documents import entry_document
+from demo.documents import write_toml
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+STANDIN_MODULE = "verbenaplank.standin.backend_server"
+
+
+@attrs.frozen(kw_only=True)
+class Fleet:
+    """Names and URLs of the running processes."""
+
+    folder: Path
+    control_urls: dict[str, str]
+    entry_urls: dict[str, str]
+    agents: tuple[str, ...]
+    backend_servers: tuple[str, ...]
+
+
+def start_fleet(
+    processes: Processes,
+    folder: Path,
+    document: str,
+    control_count: int,
+    entry_count: int,
+    speeds: Sequence[float],
+) -> Fleet:
+    """Start a fleet with one backend server for each speed, and wait for it.
+
+    Raises
+    ------
+    ProcessEndedError
+        If a process ended, or did not get ready in time.
+    """
+    (folder / "document.toml").write_text(document, encoding="utf-8")
+    peers = _peers(control_count)
+    control_urls = _start_control(processes, folder, peers)
+    backend_ports = _start_backend_servers(processes, speeds)
+    agents = _start_agents(processes, folder, peers, backend_ports)
+    entry_urls = _start_entries(processes, folder, peers, entry_count)
+    for name, url in {**control_urls, **entry_urls}.items():
+        processes.wait_ready(name, f"{url}/readyz")
+    return Fleet(
+        folder=folder,
+        control_urls=control_urls,
+        entry_urls=entry_urls,
+        agents=agents,
+        backend_servers=tuple(backend_ports),
+    )
+
+
+def _peers(count: int) -> tuple[Peer, ...]:
+    return tuple(
+        Peer(
+            instance_id=f"control-{index + 1}",
+            data_centre=DATA_CENTRES[index % len(DATA_CENTRES)],
+            ports=Ports(rpc=free_port(), http=free_port()),
+        )
+        for index in range(count)
+    )
+
+
+def _start_control(
+    processes: Processes, folder: Path, peers: tuple[Peer, ...]
+) -> dict[str, str]:
+    digest = hashlib.sha256(ADMINISTRATION_TOKEN.encode()).hexdigest()
+    for peer in peers:
+        document = control_document(peer, peers, folder, digest)
+        path = write_toml(folder / f"{peer.instance_id}.toml", document)
+        processes.start_program(peer.instance_id, "verbena-control", path)
+    return {peer.instance_id: f"http://{HOST}:{peer.ports.http}" for peer in peers}
+
+
+def _start_backend_servers(
+    processes: Processes, speeds: Sequence[float]
+) -> dict[str, int]:
+    ports = {}
+    for index, speed in enumerate(speeds):
+        name = f"backend-{index + 1}"
+        ports[name] = free_port()
+        arguments = ("--port", str(ports[name]), "--speed", str(speed))
+        processes.start(name, sys.executable, "-m", STANDIN_MODULE, *arguments)
+    return ports
+
+
+def _start_agents(
+    processes: Processes,
+    folder: Path,
+    peers: tuple[Peer, ...],
+    backend_ports: dict[str, int],
+) -> tuple[str, ...]:
+    names = []
+    for index, backend_port in enumerate(backend_ports.values()):
+        ports = Ports(rpc=free_port())
+        document = agent_document(index, ports, backend_port, peers)
+        name = document["instance_id"]
+        path = write_toml(folder / f"{name}.toml", document)
+        processes.start_program(name, "verbena-agent", path)
+        names.append(name)
+    return tuple(names)
+
+
+def _start_entries(
+    processes: Processes, folder: Path, peers: tuple[Peer, ...], count: int
+) -> dict[str, str]:
+    urls = {}
+    for index in range(count):
+        name = f"entry-{index + 1}"
+        data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
+        ports = Ports(rpc=free_port(), http=free_port())
+        document = entry_document(name, data_centre, ports, peers)
+        path = write_toml(folder / f"{name}.toml", document)
+        processes.start_program(name, "verbena-entry", path)
+        urls[name] = f"http://{HOST}:{ports.http}"
+    return urls
--- a/src/verbenaplank/console/client.py
+++ b/src/verbenaplank/console/client.py
@@ -20,6 +20,10 @@
     """No instance answered, so the outcome is not known."""
 
 
+class NotSentError(UnreachableError):
+    """No instance could be connected to, so surely nothing was run."""
+
+
 @attrs.frozen
 class Reply:
     """An instance's answer.
@@ -77,8 +81,10 @@
 
         Raises
         ------
+        NotSentError
+            If no instance could be connected to.
         UnreachableError
-            If no instance answered.
+            If the request was sent and no answer came.
         """
         faults = []
         refusal = None
@@ -96,7 +102,7 @@
             refusal = reply
         if refusal is not None:
             return refusal
-        raise UnreachableError("; ".join(faults))
+        raise NotSentError("; ".join(faults))
 
 
 def _reply(response: httpx.Response) -> Reply:
--- a/src/verbenaplank/console/output.py
+++ b/src/verbenaplank/console/output.py
@@ -14,6 +14,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from verbenaplank.console.client import NotSentError
 from verbenaplank.console.exit_code import ExitCode
 from verbenaplank.outcome.failure import Run
 
@@ -66,9 +67,13 @@
     Raises
     ------
     typer.Exit
-        Always, with ``ExitCode.UNREACHABLE``.
+        Always, with ``ExitCode.UNREACHABLE``, or with ``ExitCode.NOT_RUN`` if
+        no instance could be connected to.
     """
     error_console.print(f"No instance answered: {error}", markup=False)
+    if isinstance(error, NotSentError):
+        error_console.print(RUN_SENTENCES[Run.NOT_RUN])
+        raise typer.Exit(ExitCode.NOT_RUN)
     error_console.print("The outcome is not known; send the same id again to learn it.")
     raise typer.Exit(ExitCode.UNREACHABLE)
 
