--- /dev/null
+++ b/src/verbenaplank/configuration/audit.py
@@ -0,0 +1,126 @@
+"""The audit trail: one record for each command, chained by digests."""
+
+from __future__ import annotations
+
+import hashlib
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MAX_RECORDS = 50_000
+"""How many records the trail keeps; older ones leave it first."""
+
+EMPTY_DIGEST = "0" * 64
+"""Digest before the first record."""
+
+
+@attrs.frozen(kw_only=True)
+class AuditRecord:
+    """One command and its outcome.
+
+    Attributes
+    ----------
+    sequence
+        Counts the records from 1, without a gap.
+    subject
+        What the command was about: a section, or a member's id.
+    version
+        The subject's version after the command.
+    digest
+        SHA-256 over the previous record's digest and this record.
+    """
+
+    sequence: int
+    at_ms: int
+    actor: str
+    command_id: str
+    action: str
+    subject: str
+    version: int
+    outcome: str
+    detail: str = ""
+    digest: str = ""
+
+
+class BrokenTrailError(Exception):
+    """A record of the trail was changed, removed or put in."""
+
+
+class AuditTrail:
+    """Keeps the newest records and the digest of the one before them."""
+
+    def __init__(
+        self, records: Iterable[AuditRecord] = (), anchor: str = EMPTY_DIGEST
+    ) -> None:
+        self._records = deque(records)
+        self._anchor = anchor
+
+    @property
+    def anchor(self) -> str:
+        """Return the digest of the record before the oldest one kept."""
+        return self._anchor
+
+    @property
+    def records(self) -> tuple[AuditRecord, ...]:
+        """Return the records kept, oldest first."""
+        return tuple(self._records)
+
+    def append(
+        self,
+        *,
+        at_ms: int,
+        actor: str,
+        command_id: str,
+        action: str,
+        subject: str,
+        version: int,
+        outcome: str,
+        detail: str = "",
+    ) -> None:
+        """Add a record at the end of the chain."""
+        last = self._records[-1] if self._records else None
+        record = AuditRecord(
+            sequence=last.sequence + 1 if last else 1,
+            at_ms=at_ms,
+            actor=actor,
+            command_id=command_id,
+            action=action,
+            subject=subject,
+            version=version,
+            outcome=outcome,
+            detail=detail,
+        )
+        digest = digest_of(record, last.digest if last else self._anchor)
+        self._records.append(attrs.evolve(record, digest=digest))
+        if len(self._records) > MAX_RECORDS:
+            self._anchor = self._records.popleft().digest
+
+
+def digest_of(record: AuditRecord, previous: str) -> str:
+    """Return the digest of a record that follows the digest ``previous``."""
+    content = msgspec.json.encode(attrs.evolve(record, digest=previous))
+    return hashlib.sha256(content).hexdigest()
+
+
+def verify(records: Iterable[AuditRecord], anchor: str) -> None:
+    """Check the chain of digests and the numbering.
+
+    Raises
+    ------
+    BrokenTrailError
+        At the first record that does not follow from the one before it.
+    """
+    previous = anchor
+    sequence: int | None = None
+    for record in records:
+        if sequence is not None and record.sequence != sequence + 1:
+            raise BrokenTrailError(f"record {sequence + 1} is missing")
+        if record.digest != digest_of(record, previous):
+            raise BrokenTrailError(f"record {record.sequence} was changed")
+        previous = record.digest
+        sequence = record.sequence
--- /dev/null
+++ b/src/verbenaplank/control/application.py
@@ -0,0 +1,154 @@
+"""The control instance as a whole, owned by one context manager."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import AsyncExitStack
+from contextlib import asynccontextmanager
+from contextlib import suppress
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.clock.sources import monotonic_s
+from verbenaplank.clock.sources import wall_clock_ms
+from verbenaplank.control.bootstrap import bootstrap
+from verbenaplank.control.currency import Currency
+from verbenaplank.control.first_document import load_first_document
+from verbenaplank.control.join_service import JoinService
+from verbenaplank.control.join_session import SessionContext
+from verbenaplank.control.lease_keeper import LeaseKeeper
+from verbenaplank.control.machine import ControlMachine
+from verbenaplank.control.renewal_forwarder import RenewalForwarder
+from verbenaplank.control.replication import LocalLog
+from verbenaplank.control.replication import ReplicatedLog
+from verbenaplank.control.replication import SharedBarrier
+from verbenaplank.rpc.endpoint import serve
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Coroutine
+
+    from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.clock.sources import WallClock
+    from verbenaplank.membership.renewals import RenewalReply
+    from verbenaplank.settings.common import ControlPeer
+    from verbenaplank.settings.control import ControlSettings
+
+BARRIER_TIMEOUT_S = 2.0
+TICK_S = 0.05
+
+
+class ControlInstance:
+    """Serves members, the other control instances and operators.
+
+    Use it as an asynchronous context manager; leaving it hands leadership over.
+
+    Raises
+    ------
+    SettingsError
+        On entering, if the first document has faults.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        clock: MonotonicClock = monotonic_s,
+        wall_clock: WallClock = wall_clock_ms,
+        generator: random.Random | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._random = generator or random.Random()
+        self._stack = AsyncExitStack()
+        self.machine = ControlMachine(self._on_change)
+        self.log: ReplicatedLog = LocalLog(settings.instance_id, self.machine)
+        self._barrier = SharedBarrier(self.log, BARRIER_TIMEOUT_S)
+        self._currency = Currency(
+            self.log, clock, settings.consensus.election_timeout_ms / 1_000
+        )
+        self.keeper = LeaseKeeper(
+            self.log, self.machine, settings.membership.lease_ms / 1_000, clock
+        )
+        self._addresses = {peer.instance_id: peer.address for peer in settings.peers}
+        self._forwarder = RenewalForwarder(
+            self.log, self.keeper, self._addresses, settings.tls, self._deliver
+        )
+        self._members = JoinService(self._session_context())
+        self.rpc_address = settings.rpc.address
+
+    async def __aenter__(self) -> ControlInstance:
+        """Start to serve."""
+        path = self._settings.administration.document_path
+        document = load_first_document(Path(path)) if path else None
+        async with AsyncExitStack() as stack:
+            services = [
+                *self.log.services(),
+                *self.keeper.services(),
+                self._members.service(),
+            ]
+            listening = serve(services, self._settings.rpc.address, self._settings.tls)
+            self.rpc_address = await stack.enter_async_context(listening)
+            await stack.enter_async_context(_running(self._forwarder.run()))
+            await stack.enter_async_context(_running(self._tick()))
+            first = bootstrap(
+                self.log, self.machine, document, self._peers(), self._wall_clock
+            )
+            await stack.enter_async_context(_running(first))
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Hand leadership over and stop serving."""
+        await self.log.hand_over()
+        await self._stack.aclose()
+
+    def _session_context(self) -> SessionContext:
+        return SessionContext(
+            machine=self.machine,
+            log=self.log,
+            barrier=self._barrier,
+            lease_ms=self._settings.membership.lease_ms,
+            heartbeat_ms=self._settings.membership.heartbeat_ms,
+            is_current=self._currency.is_current,
+            is_given_up=self._currency.is_given_up,
+            forward=self._forwarder.put,
+        )
+
+    def _peers(self) -> list[ControlPeer]:
+        """Return the instances; a port of its own that was 0 is the chosen one."""
+        own = self._settings.instance_id
+        return [
+            attrs.evolve(peer, port=self.rpc_address.port)
+            if peer.instance_id == own and peer.port == 0
+            else peer
+            for peer in self._settings.peers
+        ]
+
+    def _on_change(self) -> None:
+        self._members.wake()
+
+    def _deliver(self, reply: RenewalReply) -> None:
+        self._members.deliver(reply)
+
+    async def _tick(self) -> None:
+        while True:
+            self.keeper.expire()
+            if self._currency.has_turned():
+                self._members.wake()
+            await asyncio.sleep(TICK_S)
+
+
+@asynccontextmanager
+async def _running(work: Coroutine[None, None, None]) -> AsyncIterator[None]:
+    """Run a coroutine beside the context and cancel it at the end."""
+    task = asyncio.create_task(work)
+    try:
+        yield
+    finally:
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
--- /dev/null
+++ b/src/verbenaplank/control/bootstrap.py
@@ -0,0 +1,97 @@
+"""Fills an empty replicated state: first document, first registrar group."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from verbenaplank.configuration.commands import LoadDocument
+from verbenaplank.configuration.commands import Origin
+from verbenaplank.control.commands import ControlCommand
+from verbenaplank.control.commands import OperatorCommand
+from verbenaplank.control.commands import decode_result
+from verbenaplank.control.commands import encode
+from verbenaplank.control.first_document import FIRST_COMMAND_ID
+from verbenaplank.control.replication import NoQuorumError
+from verbenaplank.control.replication import NotAcceptedError
+from verbenaplank.control.replication import OutcomeUnknownError
+from verbenaplank.membership.commands import SetRegistrars
+from verbenaplank.protocol.membership import Registrar
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from verbenaplank.clock.sources import WallClock
+    from verbenaplank.control.machine import ControlMachine
+    from verbenaplank.control.replication import ReplicatedLog
+    from verbenaplank.settings.common import ControlPeer
+
+REGISTRARS_PER_GROUP = 3
+FIRST_REGISTRARS_COMMAND_ID = "first-registrars"
+PROPOSAL_TIMEOUT_S = 2.0
+RETRY_S = 0.2
+
+logger = logging.getLogger(__name__)
+
+
+async def bootstrap(
+    log: ReplicatedLog,
+    machine: ControlMachine,
+    document: LoadDocument | None,
+    peers: Sequence[ControlPeer],
+    wall_clock: WallClock,
+) -> None:
+    """Propose what an empty state lacks, until it is there.
+
+    Every instance does so; the command ids let only one proposal take effect.
+    """
+    registrars = SetRegistrars(expected_epoch=0, registrars=choose_registrars(peers))
+    while True:
+        try:
+            await log.read_barrier(PROPOSAL_TIMEOUT_S)
+            if machine.membership.registrars is None:
+                origin = _origin(FIRST_REGISTRARS_COMMAND_ID, wall_clock)
+                await _propose(
+                    log, OperatorCommand(origin=origin, registrars=registrars)
+                )
+            if document is not None and machine.configuration.version == 0:
+                origin = _origin(FIRST_COMMAND_ID, wall_clock)
+                await _propose(log, OperatorCommand(origin=origin, load=document))
+        except (NoQuorumError, NotAcceptedError, OutcomeUnknownError) as error:
+            logger.info("first state not proposed yet: %s", error)
+            await asyncio.sleep(RETRY_S)
+        else:
+            return
+
+
+def choose_registrars(peers: Sequence[ControlPeer]) -> tuple[Registrar, ...]:
+    """Return the first instances, from as many data centres as possible."""
+    ordered = sorted(peers, key=lambda peer: peer.instance_id)
+    seen: dict[str, int] = {}
+    ranked: list[tuple[int, int]] = []
+    for index, peer in enumerate(ordered):
+        ranked.append((seen.get(peer.data_centre, 0), index))
+        seen[peer.data_centre] = seen.get(peer.data_centre, 0) + 1
+    chosen = [ordered[index] for _, index in sorted(ranked)[:REGISTRARS_PER_GROUP]]
+    return tuple(
+        Registrar(
+            instance_id=peer.instance_id,
+            address=str(peer.address),
+            data_centre=peer.data_centre,
+        )
+        for peer in chosen
+    )
+
+
+def _origin(command_id: str, wall_clock: WallClock) -> Origin:
+    return Origin(command_id=command_id, sent_at_ms=wall_clock(), administrator=True)
+
+
+async def _propose(log: ReplicatedLog, command: OperatorCommand) -> None:
+    data = encode(ControlCommand(operator=command))
+    outcome = decode_result(await log.propose(data, PROPOSAL_TIMEOUT_S)).outcome
+    if outcome is None or outcome.accepted:
+        return
+    findings = "; ".join(map(str, outcome.findings))
+    logger.error("first state refused: %s %s", outcome.detail, findings)
--- /dev/null
+++ b/src/verbenaplank/control/first_document.py
@@ -0,0 +1,87 @@
+"""Reads the first document, which fills an empty configuration once."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import TYPE_CHECKING
+from typing import Any
+
+import attrs
+from attrs import validators
+
+from verbenaplank.configuration.commands import FirstSection
+from verbenaplank.configuration.commands import LoadDocument
+from verbenaplank.configuration.commands import SectionGrant
+from verbenaplank.configuration.schema import SHA256_HEX_PATTERN
+from verbenaplank.configuration.schema import parse_tables
+from verbenaplank.outcome.finding import Finding
+from verbenaplank.settings.checker import SettingsError
+from verbenaplank.settings.common import not_empty
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+KEY = "sections"
+FIRST_COMMAND_ID = "first-document"
+
+
+def known_grants(instance: object, attribute: attrs.Attribute[Any], value: Any) -> None:
+    """Check that each text names a grant."""
+    validators.deep_iterable(validators.in_([grant.value for grant in SectionGrant]))(
+        instance, attribute, value
+    )
+
+
+@attrs.frozen(kw_only=True)
+class SectionEntry:
+    """A table ``[sections.NAME]`` of the first document.
+
+    Attributes
+    ----------
+    team
+        The team that owns the section.
+    token_sha256
+        SHA-256 of the team's operator token, in hexadecimal.
+    text
+        The section's own TOML text.
+    """
+
+    team: str = attrs.field(validator=not_empty)
+    token_sha256: str = attrs.field(
+        default="", validator=validators.matches_re(f"({SHA256_HEX_PATTERN})?")
+    )
+    grants: tuple[str, ...] = attrs.field(default=(), validator=known_grants)
+    text: str = ""
+
+
+def load_first_document(path: Path) -> LoadDocument:
+    """Read and check a first document.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or has faults; it holds all of them.
+    """
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError((Finding(str(path), str(error)),)) from error
+    findings = [
+        Finding(f"{path}: {key}", "unknown key") for key in document.keys() - {KEY}
+    ]
+    entries = parse_tables(document, KEY, SectionEntry, str(path), findings)
+    if findings:
+        raise SettingsError(tuple(findings))
+    return LoadDocument(
+        sections=tuple(_first(name, entry) for name, entry in entries.items())
+    )
+
+
+def _first(name: str, entry: SectionEntry) -> FirstSection:
+    return FirstSection(
+        section=name,
+        team=entry.team,
+        text=entry.text,
+        token_sha256=entry.token_sha256,
+        grants=tuple(map(SectionGrant, entry.grants)),
+    )
--- /dev/null
+++ b/src/verbenaplank/control/join_session.py
@@ -0,0 +1,209 @@
+"""One member's stream to this control instance."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from verbenaplank.control.commands import ControlCommand
+from verbenaplank.control.commands import decode_result
+from verbenaplank.control.commands import encode
+from verbenaplank.control.machine import ControlMachine
+from verbenaplank.control.replication import NoQuorumError
+from verbenaplank.control.replication import NotAcceptedError
+from verbenaplank.control.replication import OutcomeUnknownError
+from verbenaplank.control.replication import ReplicatedLog
+from verbenaplank.control.replication import SharedBarrier
+from verbenaplank.membership.commands import Announce
+from verbenaplank.membership.commands import Leave
+from verbenaplank.membership.renewals import Renewal
+from verbenaplank.protocol.membership import FromControl
+from verbenaplank.protocol.membership import LeaseGrant
+from verbenaplank.protocol.membership import Member
+
+if TYPE_CHECKING:
+    from grpclib.server import Stream
+
+    from verbenaplank.control.member_view import MemberView
+    from verbenaplank.protocol.membership import Heartbeat
+    from verbenaplank.protocol.membership import ToControl
+
+PROPOSAL_TIMEOUT_S = 2.0
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class SessionContext:
+    """What the sessions of one control instance share.
+
+    Attributes
+    ----------
+    is_current
+        Returns whether a quorum backs this instance now.
+    is_given_up
+        Returns whether the instance has been without a quorum for so long that
+        its members are to move on.
+    forward
+        Passes a heartbeat on to the leader.
+    """
+
+    machine: ControlMachine
+    log: ReplicatedLog
+    barrier: SharedBarrier
+    lease_ms: float
+    heartbeat_ms: float
+    is_current: Callable[[], bool]
+    is_given_up: Callable[[], bool]
+    forward: Callable[[Renewal], None]
+
+
+class JoinSession:
+    """Takes in what a member says and sends it what it does not yet know."""
+
+    def __init__(
+        self,
+        stream: Stream[ToControl, FromControl],
+        context: SessionContext,
+        member: Member,
+        view: MemberView,
+    ) -> None:
+        self._stream = stream
+        self._context = context
+        self._member = member
+        self._view = view
+        self._is_announced = False
+        self._left = False
+        self._replaced = False
+        self._wake = asyncio.Event()
+
+    async def join(self, first: ToControl) -> bool:
+        """Take the member in; return false if this instance is not current.
+
+        Everything committed before this call is applied here when it returns.
+        """
+        try:
+            await self._context.barrier.wait()
+            await self._announce(rejoin=False)
+        except (NoQuorumError, NotAcceptedError, OutcomeUnknownError) as error:
+            logger.info("member not taken in: %s", error)
+            return False
+        if not self._context.is_current():
+            return False
+        await self._take(attrs.evolve(first, member=None))
+        self._wake.set()
+        return True
+
+    async def run(self) -> None:
+        """Serve the stream until it ends or the member is to move on."""
+        reader = asyncio.create_task(self._read())
+        writer = asyncio.create_task(self._write())
+        try:
+            await asyncio.wait((reader, writer), return_when=asyncio.FIRST_COMPLETED)
+            if reader.done() and not self._left:
+                reader.result()
+            else:
+                await writer
+        finally:
+            reader.cancel()
+            writer.cancel()
+            await asyncio.gather(reader, writer, return_exceptions=True)
+
+    def wake_if_news(self) -> None:
+        """Let the session write if the member lacks something."""
+        if self._view.has_news() or self._context.is_given_up():
+            self._wake.set()
+
+    def grant(self, renewal: Renewal) -> None:
+        """Pass on that the leader renewed the lease."""
+        if renewal.incarnation != self._member.incarnation:
+            return
+        lease = LeaseGrant(
+            lease_ms=self._context.lease_ms,
+            heartbeat_ms=self._context.heartbeat_ms,
+            number=renewal.number,
+        )
+        self._view.grant(lease)
+        self._wake.set()
+
+    def rejoin(self, renewal: Renewal) -> None:
+        """Announce the member anew with its next heartbeat."""
+        if renewal.incarnation == self._member.incarnation:
+            self._is_announced = False
+
+    def replace(self) -> None:
+        """End the stream, since the member has opened another one."""
+        self._replaced = True
+        self._wake.set()
+
+    async def _announce(self, *, rejoin: bool) -> None:
+        member = self._member
+        known = self._context.machine.membership.members.get(member.member_id)
+        if known != member:
+            announce = Announce(member=member, rejoin=rejoin)
+            result = await self._propose(ControlCommand(announce=announce))
+            if not decode_result(result).changed:
+                raise GRPCError(Status.ALREADY_EXISTS, "another incarnation joined")
+        self._is_announced = member == self._member
+
+    async def _propose(self, command: ControlCommand) -> bytes:
+        return await self._context.log.propose(encode(command), PROPOSAL_TIMEOUT_S)
+
+    async def _read(self) -> None:
+        async for message in self._stream:
+            if message.member is not None:
+                self._member = message.member
+                self._is_announced = False
+            await self._take(message)
+            if self._left:
+                return
+
+    async def _take(self, message: ToControl) -> None:
+        try:
+            if message.leaving:
+                await self._leave()
+                return
+            if not self._is_announced:
+                await self._announce(rejoin=True)
+        except (NotAcceptedError, OutcomeUnknownError) as error:
+            logger.info("not logged yet: %s", error)
+            return
+        if message.heartbeat is not None:
+            self._forward(message.heartbeat)
+
+    async def _leave(self) -> None:
+        member = self._member
+        leave = Leave(member_id=member.member_id, incarnation=member.incarnation)
+        await self._propose(ControlCommand(leave=leave))
+        self._left = True
+        self._wake.set()
+
+    def _forward(self, heartbeat: Heartbeat) -> None:
+        renewal = Renewal(
+            member_id=self._member.member_id,
+            incarnation=self._member.incarnation,
+            configuration_version=heartbeat.configuration_version,
+            number=heartbeat.number,
+        )
+        self._context.forward(renewal)
+
+    async def _write(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            if self._left:
+                await self._stream.send_message(FromControl(left=True))
+                return
+            if self._replaced:
+                raise GRPCError(Status.ABORTED, "the member opened another stream")
+            if self._context.is_given_up():
+                await self._stream.send_message(FromControl(current=False))
+                return
+            if self._context.is_current() and self._view.has_news():
+                await self._stream.send_message(self._view.next_message())
--- /dev/null
+++ b/src/verbenaplank/control/lease_keeper.py
@@ -0,0 +1,147 @@
+"""The leader's side of membership: grants leases and logs expired ones."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from verbenaplank.control.commands import ControlCommand
+from verbenaplank.control.commands import encode
+from verbenaplank.control.replication import NotAcceptedError
+from verbenaplank.control.replication import OutcomeUnknownError
+from verbenaplank.membership.commands import Leave
+from verbenaplank.membership.leases import LeaseTable
+from verbenaplank.membership.renewals import LEASES
+from verbenaplank.membership.renewals import RENEW
+from verbenaplank.membership.renewals import LeaseReport
+from verbenaplank.membership.renewals import LeasesReply
+from verbenaplank.membership.renewals import LeasesRequest
+from verbenaplank.membership.renewals import Renewal
+from verbenaplank.membership.renewals import RenewalBatch
+from verbenaplank.membership.renewals import RenewalReply
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from grpclib.server import Stream
+
+    from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.control.machine import ControlMachine
+    from verbenaplank.control.replication import ReplicatedLog
+    from verbenaplank.rpc.method import Service
+
+LEAVE_TIMEOUT_S = 2.0
+
+logger = logging.getLogger(__name__)
+
+
+class LeaseKeeper:
+    """Keeps the leases while this instance leads."""
+
+    def __init__(
+        self,
+        log: ReplicatedLog,
+        machine: ControlMachine,
+        lease_s: float,
+        clock: MonotonicClock,
+    ) -> None:
+        self._log = log
+        self._machine = machine
+        self._clock = clock
+        self._table = LeaseTable(lease_s)
+        self._term: int | None = None
+        self._revision = -1
+        self._expiring: dict[str, str] = {}
+        self._leaves: set[asyncio.Task[None]] = set()
+
+    def services(self) -> Sequence[Service]:
+        """Return what the other instances ask of the leader."""
+        return RENEW.handler(self._serve_renewals), LEASES.handler(self._serve_leases)
+
+    def renew(self, batch: RenewalBatch) -> RenewalReply:
+        """Renew the leases of members; refuse all while not leading."""
+        now_s = self._clock()
+        if not self._leads(now_s):
+            return RenewalReply(leads=False)
+        granted: list[Renewal] = []
+        unknown: list[Renewal] = []
+        for renewal in batch.renewals:
+            if self._is_member(renewal):
+                self._table.renew(renewal, now_s)
+                granted.append(renewal)
+            else:
+                unknown.append(renewal)
+        return RenewalReply(leads=True, granted=tuple(granted), unknown=tuple(unknown))
+
+    def report(self) -> LeasesReply:
+        """Return the leases as they stand."""
+        now_s = self._clock()
+        if not self._leads(now_s):
+            return LeasesReply(leads=False)
+        leases = tuple(
+            LeaseReport(
+                member_id=member_id,
+                incarnation=lease.incarnation,
+                renewed_ago_ms=(now_s - lease.renewed_s) * 1_000,
+                configuration_version=lease.configuration_version,
+            )
+            for member_id, lease in self._table.leases.items()
+        )
+        return LeasesReply(leads=True, leases=leases)
+
+    def expire(self) -> None:
+        """Start to log the leave of each member whose lease expired."""
+        now_s = self._clock()
+        if not self._leads(now_s):
+            return
+        for member_id, incarnation in self._table.take_expired(now_s):
+            self._expiring[member_id] = incarnation
+            task = asyncio.create_task(self._log_leave(member_id, incarnation))
+            self._leaves.add(task)
+            task.add_done_callback(self._leaves.discard)
+
+    def _leads(self, now_s: float) -> bool:
+        if not (self._log.is_leader and self._log.is_current(now_s)):
+            return False
+        members = self._machine.membership.members
+        if self._term != self._log.term:
+            self._term = self._log.term
+            self._expiring.clear()
+            self._table.grant_all(members.values(), now_s)
+        if self._revision != self._machine.membership.revision:
+            self._revision = self._machine.membership.revision
+            staying = {
+                member_id: member
+                for member_id, member in members.items()
+                if self._expiring.get(member_id) != member.incarnation
+            }
+            self._table.follow(staying, now_s)
+        return True
+
+    def _is_member(self, renewal: Renewal) -> bool:
+        member = self._machine.membership.members.get(renewal.member_id)
+        if member is None or member.incarnation != renewal.incarnation:
+            return False
+        return self._expiring.get(renewal.member_id) != renewal.incarnation
+
+    async def _log_leave(self, member_id: str, incarnation: str) -> None:
+        leave = Leave(member_id=member_id, incarnation=incarnation, expired=True)
+        logger.warning("lease expired", extra={"member_id": member_id})
+        try:
+            command = encode(ControlCommand(leave=leave))
+            await self._log.propose(command, LEAVE_TIMEOUT_S)
+        except (NotAcceptedError, OutcomeUnknownError) as error:
+            logger.warning("leave not logged: %s", error)
+        finally:
+            if self._expiring.get(member_id) == incarnation:
+                del self._expiring[member_id]
+            self._revision = -1
+
+    async def _serve_renewals(self, stream: Stream[RenewalBatch, RenewalReply]) -> None:
+        async for batch in stream:
+            await stream.send_message(self.renew(batch))
+
+    async def _serve_leases(self, request: LeasesRequest) -> LeasesReply:
+        del request
+        return self.report()
--- /dev/null
+++ b/src/verbenaplank/control/machine.py
@@ -0,0 +1,226 @@
+"""The replicated state machine of the control instances, without I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from verbenaplank.configuration.audit import EMPTY_DIGEST
+from verbenaplank.configuration.audit import AuditRecord
+from verbenaplank.configuration.audit import AuditTrail
+from verbenaplank.configuration.build import build_effective
+from verbenaplank.configuration.command_memory import CommandMemory
+from verbenaplank.configuration.command_memory import RememberedCommand
+from verbenaplank.configuration.command_memory import content_digest
+from verbenaplank.configuration.commands import CommandOutcome
+from verbenaplank.configuration.commands import Origin
+from verbenaplank.configuration.commands import SectionGrant
+from verbenaplank.configuration.commands import Verdict
+from verbenaplank.configuration.effective import EffectiveConfiguration
+from verbenaplank.configuration.state import ConfigurationSnapshot
+from verbenaplank.configuration.state import ConfigurationState
+from verbenaplank.configuration.state import actor_of
+from verbenaplank.control.commands import ControlResult
+from verbenaplank.control.commands import OperatorCommand
+from verbenaplank.control.commands import decode_command
+from verbenaplank.control.commands import encode
+from verbenaplank.membership.state import MembershipSnapshot
+from verbenaplank.membership.state import MembershipState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenaplank.configuration.commands import Change
+    from verbenaplank.control.commands import ControlCommand
+    from verbenaplank.membership.commands import OrderDrain
+    from verbenaplank.membership.commands import SetRegistrars
+
+_NO_ORIGIN = Origin(command_id="", sent_at_ms=0)
+
+
+@attrs.frozen(kw_only=True)
+class ControlSnapshot:
+    """The whole state, as snapshots carry it."""
+
+    configuration: ConfigurationSnapshot = attrs.field(factory=ConfigurationSnapshot)
+    membership: MembershipSnapshot = attrs.field(factory=MembershipSnapshot)
+    audit: tuple[AuditRecord, ...] = ()
+    audit_anchor: str = EMPTY_DIGEST
+    commands: tuple[RememberedCommand, ...] = ()
+
+
+class ControlMachine:
+    """Configuration, membership, audit trail and remembered commands.
+
+    Parameters
+    ----------
+    on_change
+        Called after entries that changed something, and after a restore.
+    """
+
+    def __init__(self, on_change: Callable[[], None] = lambda: None) -> None:
+        self._on_change = on_change
+        self._take(ControlSnapshot())
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply one entry of the log and return its encoded result."""
+        del index
+        before = self._stamp()
+        result = self._apply(decode_command(command))
+        if before[0] != self.configuration.version:
+            self._refresh_effective()
+        if before != self._stamp():
+            self._on_change()
+        return encode(result)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return encode(
+            ControlSnapshot(
+                configuration=self.configuration.snapshot(),
+                membership=self.membership.snapshot(),
+                audit=self.audit.records,
+                audit_anchor=self.audit.anchor,
+                commands=self._commands.commands,
+            )
+        )
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state."""
+        self._take(msgspec.msgpack.decode(snapshot, type=ControlSnapshot))
+        self._on_change()
+
+    def _take(self, snapshot: ControlSnapshot) -> None:
+        self.configuration = ConfigurationState(snapshot.configuration)
+        self.membership = MembershipState(snapshot.membership)
+        self.audit = AuditTrail(snapshot.audit, snapshot.audit_anchor)
+        self._commands = CommandMemory(snapshot.commands)
+        self.effective = EffectiveConfiguration()
+        self._refresh_effective()
+
+    def _stamp(self) -> tuple[int, int, int]:
+        group = self.membership.registrars
+        epoch = group.epoch if group else 0
+        return self.configuration.version, self.membership.revision, epoch
+
+    def _refresh_effective(self) -> None:
+        sections = self.configuration.sections.values()
+        self.effective = build_effective(
+            self.configuration.version, [section.state for section in sections]
+        )
+        self.membership.configure_drains(self.effective.drained_backend_servers)
+
+    def _apply(self, command: ControlCommand) -> ControlResult:
+        if command.announce is not None:
+            return ControlResult(changed=self.membership.announce(command.announce))
+        if command.leave is not None:
+            return ControlResult(changed=self.membership.leave(command.leave))
+        if command.operator is not None:
+            return ControlResult(outcome=self._operate(command.operator))
+        return ControlResult()
+
+    def _operate(self, command: OperatorCommand) -> CommandOutcome:
+        origin = command.origin
+        actor = actor_of(origin)
+        digest = content_digest(attrs.evolve(command, origin=_NO_ORIGIN))
+        known = self._commands.find(actor, origin.command_id)
+        if known is not None:
+            return self._first_outcome(known, digest)
+        outcome = self._carry_out(command)
+        remembered = RememberedCommand(
+            actor=actor,
+            command_id=origin.command_id,
+            digest=digest,
+            at_ms=origin.sent_at_ms,
+            outcome=encode(outcome),
+        )
+        self._commands.remember(remembered)
+        self._record(command, outcome, actor)
+        return outcome
+
+    def _first_outcome(self, known: RememberedCommand, digest: bytes) -> CommandOutcome:
+        if known.digest == digest:
+            return msgspec.msgpack.decode(known.outcome, type=CommandOutcome)
+        detail = f"command id {known.command_id} was used for another command"
+        return self._outcome(Verdict.COMMAND_ID_REUSED, detail)
+
+    def _carry_out(self, command: OperatorCommand) -> CommandOutcome:
+        if command.drain is not None:
+            return self._drain(command.drain, command.origin)
+        if command.registrars is not None:
+            return self._set_registrars(command.registrars, command.origin)
+        change = _change_of(command)
+        if change is None:
+            return self._outcome(Verdict.INVALID, "the command asks for nothing")
+        return self.configuration.apply(change, command.origin)
+
+    def _drain(self, order: OrderDrain, origin: Origin) -> CommandOutcome:
+        if not (origin.administrator or self._may_drain(origin.team)):
+            return self._outcome(
+                Verdict.FORBIDDEN, f"team {origin.team} may not drain members"
+            )
+        if not self.membership.order_drain(order):
+            return self._outcome(
+                Verdict.UNKNOWN_MEMBER, f"there is no member {order.member_id}"
+            )
+        return self._outcome(Verdict.ACCEPTED)
+
+    def _may_drain(self, team: str) -> bool:
+        return any(
+            section.team == team and SectionGrant.DRAINS in section.grants
+            for section in self.configuration.sections.values()
+        )
+
+    def _set_registrars(self, change: SetRegistrars, origin: Origin) -> CommandOutcome:
+        if not origin.administrator:
+            detail = "only administrators change the registrar group"
+            return self._outcome(Verdict.FORBIDDEN, detail)
+        if not self.membership.set_registrars(change):
+            group = self.membership.registrars
+            epoch = group.epoch if group else 0
+            detail = f"the registrar group is at epoch {epoch}"
+            return self._outcome(Verdict.CONFLICT, detail)
+        return self._outcome(Verdict.ACCEPTED)
+
+    def _outcome(self, verdict: Verdict, detail: str = "") -> CommandOutcome:
+        return CommandOutcome(
+            verdict=verdict,
+            document_version=self.configuration.version,
+            detail=detail,
+        )
+
+    def _record(
+        self, command: OperatorCommand, outcome: CommandOutcome, actor: str
+    ) -> None:
+        origin = command.origin
+        self.audit.append(
+            at_ms=origin.sent_at_ms,
+            actor=actor,
+            command_id=origin.command_id,
+            action=action_of(command),
+            subject=_subject_of(command),
+            version=outcome.section_version,
+            outcome=outcome.verdict.value,
+            detail=outcome.detail,
+        )
+
+
+def action_of(command: OperatorCommand) -> str:
+    """Return the name under which the audit trail knows a command."""
+    if command.drain is not None:
+        return "drain" if command.drain.drain else "undrain"
+    names = ("apply", "assign", "remove", "load", "registrars")
+    return next((n for n in names if getattr(command, n) is not None), "nothing")
+
+
+def _change_of(command: OperatorCommand) -> Change | None:
+    return command.apply or command.assign or command.remove or command.load
+
+
+def _subject_of(command: OperatorCommand) -> str:
+    if command.drain is not None:
+        return command.drain.member_id
+    change = command.apply or command.assign or command.remove
+    return change.section if change is not None else ""
--- /dev/null
+++ b/src/verbenaplank/control/member_view.py
@@ -0,0 +1,110 @@
+"""What one member has been told, and what it lacks, without I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from verbenaplank.protocol.membership import ConfigurationUpdate
+from verbenaplank.protocol.membership import FromControl
+from verbenaplank.protocol.membership import LeaseGrant
+from verbenaplank.protocol.membership import Member
+from verbenaplank.protocol.membership import MemberRole
+from verbenaplank.protocol.membership import MembersUpdate
+from verbenaplank.protocol.membership import RegistrarGroup
+
+if TYPE_CHECKING:
+    from verbenaplank.control.machine import ControlMachine
+
+
+class MemberView:
+    """Builds the messages that bring one member up to date.
+
+    Parameters
+    ----------
+    configuration_version
+        Version of the configuration that the member has.
+    members_revision
+        Revision of the member list that the member has.
+    """
+
+    def __init__(
+        self,
+        machine: ControlMachine,
+        member: Member,
+        configuration_version: int,
+        members_revision: int,
+    ) -> None:
+        self._machine = machine
+        self._member_id = member.member_id
+        self._wants_members = member.role is MemberRole.ENTRY
+        self._configuration_version = configuration_version
+        self._members_revision = members_revision
+        self._epoch = 0
+        self._drain = False
+        self._first = True
+        self._lease: LeaseGrant | None = None
+
+    def grant(self, lease: LeaseGrant) -> None:
+        """Add a lease to the next message."""
+        self._lease = lease
+
+    def has_news(self) -> bool:
+        """Return whether the member lacks something."""
+        return (
+            self._first
+            or self._lease is not None
+            or self._lacks_configuration()
+            or self._lacks_members()
+            or self._lacks_registrars()
+            or self._drain != self._is_drain_ordered()
+        )
+
+    def next_message(self) -> FromControl:
+        """Return all that the member lacks, and count it as told."""
+        message = FromControl(
+            lease=self._lease,
+            configuration=self._configuration(),
+            members=self._members(),
+            registrars=self._registrars(),
+            drain=self._is_drain_ordered(),
+        )
+        self._drain = message.drain
+        self._lease = None
+        self._first = False
+        return message
+
+    def _configuration(self) -> ConfigurationUpdate | None:
+        if not (self._first or self._lacks_configuration()):
+            return None
+        configuration = self._machine.configuration
+        update = configuration.changes_since(self._configuration_version)
+        self._configuration_version = update.version
+        return update
+
+    def _members(self) -> MembersUpdate | None:
+        if not self._lacks_members():
+            return None
+        update = self._machine.membership.changes_since(self._members_revision)
+        self._members_revision = update.revision
+        return update
+
+    def _registrars(self) -> RegistrarGroup | None:
+        group = self._machine.membership.registrars
+        if group is None or not self._lacks_registrars():
+            return None
+        self._epoch = group.epoch
+        return group
+
+    def _lacks_configuration(self) -> bool:
+        return self._configuration_version != self._machine.configuration.version
+
+    def _lacks_members(self) -> bool:
+        revision = self._machine.membership.revision
+        return self._wants_members and self._members_revision != revision
+
+    def _lacks_registrars(self) -> bool:
+        group = self._machine.membership.registrars
+        return group is not None and group.epoch != self._epoch
+
+    def _is_drain_ordered(self) -> bool:
+        return self._machine.membership.is_drain_ordered(self._member_id)
--- /dev/null
+++ b/src/verbenaplank/control/renewal_forwarder.py
@@ -0,0 +1,100 @@
+"""Passes the heartbeats of this instance's members on to the leader."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import ProtocolError
+from grpclib.exceptions import StreamTerminatedError
+
+from verbenaplank.membership.renewals import RENEW
+from verbenaplank.membership.renewals import Renewal
+from verbenaplank.membership.renewals import RenewalBatch
+from verbenaplank.membership.renewals import RenewalReply
+from verbenaplank.rpc.endpoint import connect
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from verbenaplank.control.lease_keeper import LeaseKeeper
+    from verbenaplank.control.replication import ReplicatedLog
+    from verbenaplank.rpc.address import Address
+    from verbenaplank.settings.common import TlsSettings
+
+BATCH_PERIOD_S = 0.05
+"""How long heartbeats wait for each other, so that a batch carries many."""
+
+REPLY_TIMEOUT_S = 1.0
+RETRY_S = 0.1
+
+LEADER_FAILURES = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
+
+
+class RenewalForwarder:
+    """Collects renewals and hands the leader's answers to a listener.
+
+    Parameters
+    ----------
+    addresses
+        Addresses of the control instances by id.
+    deliver
+        Called with each reply of a leader.
+    """
+
+    def __init__(
+        self,
+        log: ReplicatedLog,
+        keeper: LeaseKeeper,
+        addresses: Mapping[str, Address],
+        tls: TlsSettings | None,
+        deliver: Callable[[RenewalReply], None],
+    ) -> None:
+        self._log = log
+        self._keeper = keeper
+        self._addresses = addresses
+        self._tls = tls
+        self._deliver = deliver
+        self._pending: dict[str, Renewal] = {}
+        self._ready = asyncio.Event()
+
+    def put(self, renewal: Renewal) -> None:
+        """Pass a renewal on with the next batch; a newer one replaces it."""
+        self._pending[renewal.member_id] = renewal
+        self._ready.set()
+
+    async def run(self) -> None:
+        """Forward for as long as the task lasts."""
+        while True:
+            await self._ready.wait()
+            leader_id = self._log.leader_id
+            if self._log.is_leader:
+                self._deliver(self._keeper.renew(self._take()))
+            elif leader_id is not None:
+                await self._forward(leader_id)
+            await asyncio.sleep(BATCH_PERIOD_S)
+
+    async def _forward(self, leader_id: str) -> None:
+        """Keep a stream to one leader until it fails or no longer leads."""
+        address = self._addresses[leader_id]
+        with suppress(*LEADER_FAILURES), connect(address, self._tls) as channel:
+            async with RENEW.open(channel) as stream:
+                while self._log.leader_id == leader_id:
+                    await self._ready.wait()
+                    async with asyncio.timeout(REPLY_TIMEOUT_S):
+                        await stream.send_message(self._take())
+                        reply = await stream.recv_message()
+                    if reply is None or not reply.leads:
+                        break
+                    self._deliver(reply)
+                    await asyncio.sleep(BATCH_PERIOD_S)
+        await asyncio.sleep(RETRY_S)
+
+    def _take(self) -> RenewalBatch:
+        batch = RenewalBatch(renewals=tuple(self._pending.values()))
+        self._pending.clear()
+        self._ready.clear()
+        return batch
--- /dev/null
+++ b/src/verbenaplank/membership/link.py
@@ -0,0 +1,273 @@
+"""A member's link to the control instances: lease, configuration, members."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import ProtocolError
+from grpclib.exceptions import StreamTerminatedError
+
+from verbenaplank.membership.link_state import LinkEvent
+from verbenaplank.membership.link_state import LinkState
+from verbenaplank.protocol.membership import Heartbeat
+from verbenaplank.protocol.membership import Member
+from verbenaplank.protocol.membership import ToControl
+from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.services import JOIN
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from grpclib.client import Stream
+
+    from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.configuration.effective import EffectiveConfiguration
+    from verbenaplank.protocol.membership import FromControl
+    from verbenaplank.protocol.membership import RegistrarGroup
+    from verbenaplank.settings.common import ControlPeer
+    from verbenaplank.settings.common import TlsSettings
+
+FIRST_HEARTBEAT_S = 0.5
+"""Time between heartbeats until an instance has named another."""
+
+FIRST_ANSWER_TIMEOUT_S = 3.0
+"""How long an instance may take to answer the first message of a stream."""
+
+SILENT_HEARTBEATS = 3.0
+"""An instance that grants nothing for so many heartbeats is given up."""
+
+MIN_SILENCE_S = 0.5
+MIN_BACKOFF_S = 0.02
+MAX_BACKOFF_S = 2.0
+LEAVE_TIMEOUT_S = 2.0
+
+LINK_FAILURES = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
+
+
+class MemberLink:
+    """Keeps a member joined to the system through one control instance.
+
+    Use it as an asynchronous context manager.  It moves on to another instance
+    when the stream breaks, when the instance is silent, and when it says that
+    it is not current.
+
+    Parameters
+    ----------
+    member
+        What the member announces of itself.
+    control
+        The control instances; those of the member's data centre are preferred.
+    listener
+        Called with each change, after the link's own view has changed.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        control: Sequence[ControlPeer],
+        tls: TlsSettings | None,
+        clock: MonotonicClock,
+        listener: Callable[[LinkEvent], None] | None = None,
+    ) -> None:
+        self._member = member
+        self._control = control
+        self._tls = tls
+        self._clock = clock
+        self._listener = listener
+        self._state = LinkState()
+        self._random = random.Random(f"{member.member_id} {member.incarnation}")
+        self._wake = asyncio.Event()
+        self._ready = asyncio.Event()
+        self._left = asyncio.Event()
+        self._member_changed = False
+        self._leaving = False
+        self._joined = False
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> MemberLink:
+        """Start to connect; :meth:`wait_ready` waits for the first state."""
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Close the stream; the lease runs out unless the member left."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with suppress(asyncio.CancelledError):
+            await self._task
+
+    @property
+    def configuration(self) -> EffectiveConfiguration:
+        """Return the newest configuration; it never goes back."""
+        return self._state.configuration
+
+    @property
+    def members(self) -> Mapping[str, Member]:
+        """Return the agents by id; empty for a member that is an agent."""
+        return self._state.agents
+
+    @property
+    def entries(self) -> Mapping[str, Member]:
+        """Return the entries by id; empty for a member that is an agent."""
+        return self._state.entries
+
+    @property
+    def registrars(self) -> RegistrarGroup | None:
+        """Return the registrar group in force, once it is known."""
+        return self._state.registrars
+
+    @property
+    def ready(self) -> bool:
+        """Return whether a current instance told the newest state since the start."""
+        return self._state.ready
+
+    @property
+    def drain_ordered(self) -> bool:
+        """Return whether an operator or the configuration drains this member."""
+        return self._state.drain_ordered
+
+    @property
+    def lease_since_s(self) -> float:
+        """Return when the lease began that has been held without a gap.
+
+        Infinity as long as there was no lease.
+        """
+        return self._state.lease_since_s
+
+    async def wait_ready(self) -> None:
+        """Wait until :attr:`ready`."""
+        await self._ready.wait()
+
+    def lease_valid(self, now_s: float) -> bool:
+        """Return whether the lease runs at a time of the monotonic clock."""
+        return self._state.lease_valid(now_s)
+
+    def update(self, member: Member) -> None:
+        """Announce something new of the member at once."""
+        self._member = member
+        self._member_changed = True
+        self._wake.set()
+
+    async def leave(self) -> None:
+        """Leave the member list; returns when it is logged, or after a while."""
+        self._leaving = True
+        self._wake.set()
+        if not self._joined:
+            return
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await self._left.wait()
+
+    async def _run(self) -> None:
+        peers = self._peers_by_preference()
+        failures = 0
+        while not self._left.is_set():
+            peer = peers[failures % len(peers)]
+            if await self._try_session(peer):
+                failures = 0
+                peers = [*[p for p in peers if p is not peer], peer]
+            else:
+                failures += 1
+            await asyncio.sleep(self._backoff_s(failures // len(peers)))
+
+    def _peers_by_preference(self) -> list[ControlPeer]:
+        peers = list(self._control)
+        self._random.shuffle(peers)
+        home = self._member.data_centre
+        return sorted(peers, key=lambda peer: peer.data_centre != home)
+
+    def _backoff_s(self, rounds: int) -> float:
+        longest_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**rounds)
+        return self._random.uniform(longest_s / 2, longest_s)
+
+    async def _try_session(self, peer: ControlPeer) -> bool:
+        """Stay with one instance; return whether it ever was current."""
+        self._joined = False
+        with suppress(*LINK_FAILURES), connect(peer.address, self._tls) as channel:
+            async with JOIN.open(channel) as stream:
+                await self._session(stream)
+        return self._joined
+
+    async def _session(self, stream: Stream[ToControl, FromControl]) -> None:
+        self._state.start_stream()
+        self._member_changed = False
+        await self._send(stream, 1, first=True)
+        sender = asyncio.create_task(self._send_heartbeats(stream))
+        try:
+            await self._receive(stream)
+        finally:
+            sender.cancel()
+            with suppress(asyncio.CancelledError, *LINK_FAILURES):
+                await sender
+
+    async def _send_heartbeats(self, stream: Stream[ToControl, FromControl]) -> None:
+        number = 1
+        while True:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self._heartbeat_s()):
+                    await self._wake.wait()
+            self._wake.clear()
+            number += 1
+            await self._send(stream, number)
+
+    def _heartbeat_s(self) -> float:
+        return self._state.heartbeat_s or FIRST_HEARTBEAT_S
+
+    async def _send(
+        self,
+        stream: Stream[ToControl, FromControl],
+        number: int,
+        *,
+        first: bool = False,
+    ) -> None:
+        announced = first or self._member_changed
+        self._member_changed = False
+        heartbeat = Heartbeat(
+            configuration_version=self._state.configuration.version,
+            draining=self._member.draining,
+            number=number,
+        )
+        message = ToControl(
+            member=self._member if announced else None,
+            heartbeat=heartbeat,
+            leaving=self._leaving,
+            members_revision=self._state.members_revision if first else 0,
+        )
+        self._state.note_heartbeat(number, self._clock())
+        await stream.send_message(message)
+
+    async def _receive(self, stream: Stream[ToControl, FromControl]) -> None:
+        granted_s = self._clock()
+        while True:
+            silence_s = self._silence_s() - (self._clock() - granted_s)
+            async with asyncio.timeout(silence_s):
+                message = await stream.recv_message()
+            if message is None or not message.current:
+                return
+            if message.left:
+                self._left.set()
+                return
+            if message.lease is not None:
+                granted_s = self._clock()
+            self._joined = True
+            self._take(message)
+
+    def _silence_s(self) -> float:
+        if not self._joined:
+            return FIRST_ANSWER_TIMEOUT_S
+        return max(MIN_SILENCE_S, SILENT_HEARTBEATS * self._heartbeat_s())
+
+    def _take(self, message: FromControl) -> None:
+        for event in self._state.receive(message):
+            if self._listener is not None:
+                self._listener(event)
+        if self._state.ready:
+            self._ready.set()
+            self._left.clear()
--- /dev/null
+++ b/src/verbenaplank/membership/link_state.py
@@ -0,0 +1,158 @@
+"""What a member knows of the system, fed by a control instance, no I/O."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.configuration.build import build_effective
+from verbenaplank.configuration.effective import EffectiveConfiguration
+from verbenaplank.protocol.membership import Member
+from verbenaplank.protocol.membership import MemberRole
+
+if TYPE_CHECKING:
+    from verbenaplank.protocol.membership import ConfigurationUpdate
+    from verbenaplank.protocol.membership import FromControl
+    from verbenaplank.protocol.membership import LeaseGrant
+    from verbenaplank.protocol.membership import MembersUpdate
+    from verbenaplank.protocol.membership import RegistrarGroup
+    from verbenaplank.protocol.membership import SectionState
+
+MAX_UNANSWERED_HEARTBEATS = 64
+"""How many heartbeats' times are kept until a grant answers them."""
+
+
+class LinkEventKind(StrEnum):
+    """What changed."""
+
+    MEMBERS = "members"
+    CONFIGURATION = "configuration"
+    REGISTRARS = "registrars"
+    DRAIN = "drain"
+
+
+@attrs.frozen(kw_only=True)
+class LinkEvent:
+    """Something that a member learned.
+
+    Attributes
+    ----------
+    changed
+        Agents and entries that joined or changed.
+    left
+        Ids of agents and entries that left.
+    drain_ordered
+        Whether the member is ordered to drain, as it stands now.
+    """
+
+    kind: LinkEventKind
+    changed: tuple[Member, ...] = ()
+    left: tuple[str, ...] = ()
+    drain_ordered: bool = False
+
+
+class LinkState:
+    """The newest state that the member was told, and its lease.
+
+    ``lease_since_s`` is when the lease began that has been held without a gap.
+    """
+
+    def __init__(self) -> None:
+        self.configuration = EffectiveConfiguration()
+        self.agents: dict[str, Member] = {}
+        self.entries: dict[str, Member] = {}
+        self.members_revision = 0
+        self.registrars: RegistrarGroup | None = None
+        self.ready = False
+        self.drain_ordered = False
+        self.lease_until_s = float("-inf")
+        self.lease_since_s = float("inf")
+        self.heartbeat_s: float | None = None
+        self._sections: dict[str, SectionState] = {}
+        self._heartbeats: dict[int, float] = {}
+
+    def lease_valid(self, now_s: float) -> bool:
+        """Return whether the lease still runs."""
+        return now_s < self.lease_until_s
+
+    def start_stream(self) -> None:
+        """Forget the heartbeats of the stream before; their numbers start anew."""
+        self._heartbeats.clear()
+
+    def note_heartbeat(self, number: int, sent_s: float) -> None:
+        """Remember when a heartbeat was sent."""
+        self._heartbeats[number] = sent_s
+        if len(self._heartbeats) > MAX_UNANSWERED_HEARTBEATS:
+            del self._heartbeats[next(iter(self._heartbeats))]
+
+    def receive(self, message: FromControl) -> list[LinkEvent]:
+        """Take in a message of a current instance; return what changed."""
+        events: list[LinkEvent] = []
+        if message.lease is not None:
+            self._take_lease(message.lease)
+        if message.configuration is not None:
+            events.extend(self._take_configuration(message.configuration))
+        if message.members is not None:
+            events.extend(self._take_members(message.members))
+        if message.registrars is not None:
+            events.extend(self._take_registrars(message.registrars))
+        if message.drain != self.drain_ordered:
+            self.drain_ordered = message.drain
+            events.append(
+                LinkEvent(kind=LinkEventKind.DRAIN, drain_ordered=message.drain)
+            )
+        return events
+
+    def _take_lease(self, grant: LeaseGrant) -> None:
+        sent_s = self._heartbeats.pop(grant.number, None)
+        if sent_s is None:
+            return
+        if sent_s >= self.lease_until_s:
+            self.lease_since_s = sent_s
+        self.lease_until_s = max(self.lease_until_s, sent_s + grant.lease_ms / 1_000)
+        self.heartbeat_s = grant.heartbeat_ms / 1_000
+
+    def _take_configuration(self, update: ConfigurationUpdate) -> list[LinkEvent]:
+        first = not self.ready
+        self.ready = True
+        if update.version < self.configuration.version:
+            return []
+        if update.version == self.configuration.version and not first:
+            return []
+        if update.complete:
+            self._sections.clear()
+        for name in update.removed:
+            self._sections.pop(name, None)
+        self._sections.update((section.name, section) for section in update.sections)
+        self.configuration = build_effective(update.version, self._sections.values())
+        return [LinkEvent(kind=LinkEventKind.CONFIGURATION)]
+
+    def _take_members(self, update: MembersUpdate) -> list[LinkEvent]:
+        if update.revision < self.members_revision:
+            return []
+        self.members_revision = update.revision
+        left = list(update.left)
+        if update.complete:
+            present = {member.member_id for member in update.changed}
+            known = [*self.agents, *self.entries]
+            left.extend(id_ for id_ in known if id_ not in present)
+        for member_id in left:
+            self.agents.pop(member_id, None)
+            self.entries.pop(member_id, None)
+        for member in update.changed:
+            agent = member.role is MemberRole.AGENT
+            (self.agents if agent else self.entries)[member.member_id] = member
+        if not left and not update.changed:
+            return []
+        event = LinkEvent(
+            kind=LinkEventKind.MEMBERS, changed=update.changed, left=tuple(left)
+        )
+        return [event]
+
+    def _take_registrars(self, group: RegistrarGroup) -> list[LinkEvent]:
+        if self.registrars is not None and group.epoch <= self.registrars.epoch:
+            return []
+        self.registrars = group
+        return [LinkEvent(kind=LinkEventKind.REGISTRARS)]
--- a/src/verbenaplank/protocol/membership.py
+++ b/src/verbenaplank/protocol/membership.py
@@ -52,19 +52,33 @@
 
 @attrs.frozen(kw_only=True)
 class Heartbeat:
-    """Renews a member's lease and tells which configuration it has in force."""
+    """Renews a member's lease and tells which configuration it has in force.
+
+    Attributes
+    ----------
+    number
+        Counts the heartbeats of one stream from 1; the grant repeats it.
+    """
 
     configuration_version: int
     draining: bool = False
+    number: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class ToControl:
-    """Envelope from a member; the first one carries ``member``."""
+    """Envelope from a member; the first one carries ``member``.
+
+    Attributes
+    ----------
+    members_revision
+        Revision of the member list that the sender has; only in the first one.
+    """
 
     member: Member | None = None
     heartbeat: Heartbeat | None = None
     leaving: bool = False
+    members_revision: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -97,11 +111,20 @@
 
 @attrs.frozen(kw_only=True)
 class MembersUpdate:
-    """Members that joined or changed, and the ids of those that left."""
+    """Members that joined or changed, and the ids of those that left.
+
+    Attributes
+    ----------
+    revision
+        Revision of the member list after this update; it grows with each change.
+    complete
+        Whether ``changed`` is the whole member list.
+    """
 
     changed: tuple[Member, ...] = ()
     left: tuple[str, ...] = ()
     complete: bool = False
+    revision: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -123,9 +146,17 @@
 
 @attrs.frozen(kw_only=True)
 class LeaseGrant:
-    """The member's lease, counted from when it sent its last heartbeat."""
+    """The member's lease, counted from when it sent the heartbeat ``number``.
+
+    Attributes
+    ----------
+    heartbeat_ms
+        How often the member sends heartbeats.
+    """
 
     lease_ms: float
+    number: int = 0
+    heartbeat_ms: float = 1_000.0
 
 
 @attrs.frozen(kw_only=True)
@@ -138,6 +169,8 @@
         Whether a quorum backed that this is the newest state.
     drain
         Whether the member is ordered to drain.
+    left
+        Whether the member's leave has been accepted; the last message.
     """
 
     lease: LeaseGrant | None = None
@@ -146,3 +179,4 @@
     registrars: RegistrarGroup | None = None
     current: bool = True
     drain: bool = False
+    left: bool = False
