Add the administration's HTTP to the control instance

Cause: operators need to read and change sections, members and the audit trail. Ruled out: checking tokens against the state at hand, which an isolated instance may hold for long; a read barrier comes before each check. Change: litestar routes, problem details with findings and run, bearer tokens compared with every known digest. Conclusion: one instance serves its operators; replication follows.

--- /dev/null
+++ b/src/verbenaplank/control/administration.py
@@ -0,0 +1,246 @@
+"""What operators ask of a control instance, over the replicated log."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from grpclib.exceptions import GRPCError
+
+from verbenaplank.configuration.audit import BrokenTrailError
+from verbenaplank.configuration.audit import verify
+from verbenaplank.configuration.commands import Origin
+from verbenaplank.control.bodies import AuditBody
+from verbenaplank.control.bodies import DocumentBody
+from verbenaplank.control.bodies import HistoryBody
+from verbenaplank.control.bodies import MembersBody
+from verbenaplank.control.bodies import MemberVersion
+from verbenaplank.control.bodies import OutcomeBody
+from verbenaplank.control.bodies import SectionBody
+from verbenaplank.control.bodies import StatusBody
+from verbenaplank.control.commands import ControlCommand
+from verbenaplank.control.commands import decode_result
+from verbenaplank.control.commands import encode
+from verbenaplank.control.credentials import identify
+from verbenaplank.control.problem import problem
+from verbenaplank.control.problem import refusal
+from verbenaplank.control.replication import NoQuorumError
+from verbenaplank.control.replication import NotAcceptedError
+from verbenaplank.control.replication import OutcomeUnknownError
+from verbenaplank.membership.renewals import LEASES
+from verbenaplank.membership.renewals import LeasesRequest
+from verbenaplank.outcome.failure import Run
+from verbenaplank.rpc.endpoint import connect
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from verbenaplank.clock.sources import WallClock
+    from verbenaplank.configuration.sections import Section
+    from verbenaplank.control.commands import OperatorCommand
+    from verbenaplank.control.lease_keeper import LeaseKeeper
+    from verbenaplank.control.machine import ControlMachine
+    from verbenaplank.control.replication import ReplicatedLog
+    from verbenaplank.control.replication import SharedBarrier
+    from verbenaplank.membership.renewals import LeaseReport
+    from verbenaplank.membership.renewals import LeasesReply
+    from verbenaplank.rpc.address import Address
+    from verbenaplank.settings.common import TlsSettings
+
+PROPOSAL_TIMEOUT_S = 5.0
+LEASES_TIMEOUT_S = 2.0
+
+
+class Administration:
+    """Answers operators; every answer is backed by a quorum."""
+
+    def __init__(
+        self,
+        *,
+        log: ReplicatedLog,
+        machine: ControlMachine,
+        barrier: SharedBarrier,
+        keeper: LeaseKeeper,
+        addresses: Mapping[str, Address],
+        tls: TlsSettings | None,
+        administrator_sha256: str,
+        wall_clock: WallClock,
+    ) -> None:
+        self._log = log
+        self._machine = machine
+        self._barrier = barrier
+        self._keeper = keeper
+        self._addresses = addresses
+        self._tls = tls
+        self._administrator_sha256 = administrator_sha256
+        self._wall_clock = wall_clock
+
+    async def origin(self, token: str, command_id: str) -> Origin:
+        """Return whose token it is, by the newest owners.
+
+        Raises
+        ------
+        ProblemError
+            If nobody has the token, or no quorum can be reached.
+        """
+        await self.wait_newest()
+        operator = identify(
+            token, self._administrator_sha256, self._machine.configuration.tokens_sha256
+        )
+        if operator is None:
+            raise problem(HTTPStatus.UNAUTHORIZED, "nobody has this token")
+        return Origin(
+            command_id=command_id,
+            sent_at_ms=self._wall_clock(),
+            team=operator.team,
+            administrator=operator.administrator,
+        )
+
+    async def propose(self, command: OperatorCommand) -> OutcomeBody:
+        """Carry out a command.
+
+        Raises
+        ------
+        ProblemError
+            If the command is refused, or its outcome is not known.
+        """
+        data = encode(ControlCommand(operator=command))
+        try:
+            result = await self._log.propose(data, PROPOSAL_TIMEOUT_S)
+        except NotAcceptedError as error:
+            detail = f"the command was not accepted and never will be: {error}"
+            raise problem(HTTPStatus.SERVICE_UNAVAILABLE, detail) from error
+        except OutcomeUnknownError as error:
+            detail = "the outcome is not known; send the same command id again"
+            unavailable = HTTPStatus.SERVICE_UNAVAILABLE
+            raise problem(unavailable, detail, run=Run.MAY_HAVE_RUN) from error
+        outcome = decode_result(result).outcome
+        if outcome is None:
+            raise problem(HTTPStatus.INTERNAL_SERVER_ERROR, "no outcome")
+        if not outcome.accepted:
+            raise refusal(outcome)
+        return OutcomeBody(
+            verdict=outcome.verdict,
+            section=outcome.section,
+            section_version=outcome.section_version,
+            document_version=outcome.document_version,
+        )
+
+    async def wait_newest(self) -> None:
+        """Wait until all that was committed before is applied here.
+
+        Raises
+        ------
+        ProblemError
+            If no quorum can be reached.
+        """
+        try:
+            await self._barrier.wait()
+        except NoQuorumError as error:
+            detail = "this instance cannot reach a quorum; nothing was run"
+            raise problem(HTTPStatus.SERVICE_UNAVAILABLE, detail) from error
+
+    async def document(self) -> DocumentBody:
+        """Return the whole document."""
+        await self.wait_newest()
+        configuration = self._machine.configuration
+        sections = sorted(configuration.sections.values(), key=lambda s: s.name)
+        return DocumentBody(
+            version=configuration.version,
+            sections=tuple(map(_section_body, sections)),
+        )
+
+    async def section(self, name: str) -> SectionBody:
+        """Return one section."""
+        return _section_body(await self._section(name))
+
+    async def history(self, name: str) -> HistoryBody:
+        """Return the versions of a section that are kept."""
+        section = await self._section(name)
+        return HistoryBody(
+            section=name, version=section.version, versions=section.history
+        )
+
+    async def members(self) -> MembersBody:
+        """Return the member list."""
+        await self.wait_newest()
+        membership = self._machine.membership
+        update = membership.changes_since(-1)
+        members = sorted(update.changed, key=lambda member: member.member_id)
+        return MembersBody(
+            revision=membership.revision,
+            members=tuple(members),
+            ordered_drains=tuple(sorted(membership.ordered_drains)),
+        )
+
+    async def audit(self, after: int, limit: int) -> AuditBody:
+        """Return records of the audit trail after a sequence number."""
+        await self.wait_newest()
+        trail = self._machine.audit
+        try:
+            verify(trail.records, trail.anchor)
+            verified = True
+        except BrokenTrailError:
+            verified = False
+        records = [r for r in trail.records if r.sequence > after][:limit]
+        return AuditBody(anchor=trail.anchor, verified=verified, records=tuple(records))
+
+    async def status(self) -> StatusBody:
+        """Return which members have which configuration in force."""
+        await self.wait_newest()
+        reply = await self._leases()
+        leases = {lease.member_id: lease for lease in reply.leases}
+        version = self._machine.configuration.version
+        members = [
+            self._member_version(member_id, leases.get(member_id))
+            for member_id in sorted(self._machine.membership.members)
+        ]
+        behind = [m for m in members if m.version is None or m.version < version]
+        return StatusBody(
+            version=version,
+            in_force_everywhere=not behind,
+            behind=tuple(behind),
+            members=tuple(members),
+        )
+
+    async def _section(self, name: str) -> Section:
+        await self.wait_newest()
+        section = self._machine.configuration.sections.get(name)
+        if section is None:
+            raise problem(HTTPStatus.NOT_FOUND, f"there is no section {name}")
+        return section
+
+    async def _leases(self) -> LeasesReply:
+        reply = self._keeper.report()
+        leader_id = self._log.leader_id
+        if reply.leads or leader_id is None:
+            return reply
+        try:
+            with connect(self._addresses[leader_id], self._tls) as channel:
+                return await LEASES.call(channel, LeasesRequest(), LEASES_TIMEOUT_S)
+        except (OSError, GRPCError) as error:
+            detail = f"the leader does not answer: {error!r}"
+            raise problem(HTTPStatus.SERVICE_UNAVAILABLE, detail) from error
+
+    def _member_version(
+        self, member_id: str, lease: LeaseReport | None
+    ) -> MemberVersion:
+        member = self._machine.membership.members[member_id]
+        return MemberVersion(
+            member_id=member_id,
+            role=member.role,
+            data_centre=member.data_centre,
+            version=lease.configuration_version if lease else None,
+            renewed_ago_ms=lease.renewed_ago_ms if lease else None,
+        )
+
+
+def _section_body(section: Section) -> SectionBody:
+    return SectionBody(
+        name=section.name,
+        team=section.team,
+        version=section.version,
+        grants=section.grants,
+        changed_at=section.changed_at,
+        text=section.text,
+    )
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -14,9 +14,12 @@
 
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.clock.sources import wall_clock_ms
+from verbenaplank.control.administration import Administration
 from verbenaplank.control.bootstrap import bootstrap
 from verbenaplank.control.currency import Currency
 from verbenaplank.control.first_document import load_first_document
+from verbenaplank.control.http import http_application
+from verbenaplank.control.http_server import serve_http
 from verbenaplank.control.join_service import JoinService
 from verbenaplank.control.join_session import SessionContext
 from verbenaplank.control.lease_keeper import LeaseKeeper
@@ -25,6 +28,7 @@
 from verbenaplank.control.replication import LocalLog
 from verbenaplank.control.replication import ReplicatedLog
 from verbenaplank.control.replication import SharedBarrier
+from verbenaplank.observability.metrics import Metrics
 from verbenaplank.rpc.endpoint import serve
 
 if TYPE_CHECKING:
@@ -62,6 +66,7 @@
         self._settings = settings
         self._clock = clock
         self._wall_clock = wall_clock
+        self._metrics = Metrics(settings.instance_id, settings.data_centre)
         self._random = generator or random.Random()
         self._stack = AsyncExitStack()
         self.machine = ControlMachine(self._on_change)
@@ -78,7 +83,18 @@
             self.log, self.keeper, self._addresses, settings.tls, self._deliver
         )
         self._members = JoinService(self._session_context())
+        self._administration = Administration(
+            log=self.log,
+            machine=self.machine,
+            barrier=self._barrier,
+            keeper=self.keeper,
+            addresses=self._addresses,
+            tls=settings.tls,
+            administrator_sha256=settings.administration.token_sha256,
+            wall_clock=wall_clock,
+        )
         self.rpc_address = settings.rpc.address
+        self.http_address = settings.http.address
 
     async def __aenter__(self) -> ControlInstance:
         """Start to serve."""
@@ -98,14 +114,30 @@
                 self.log, self.machine, document, self._peers(), self._wall_clock
             )
             await stack.enter_async_context(_running(first))
+            http = http_application(
+                self._administration, self._is_ready, self._metrics.render
+            )
+            listening = serve_http(http, self._settings.http.address)
+            self.http_address = await stack.enter_async_context(listening)
             self._stack = stack.pop_all()
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        """Hand leadership over and stop serving."""
-        await self.log.hand_over()
+        """Stop serving, after :meth:`drain`."""
+        await self.drain()
         await self._stack.aclose()
 
+    async def drain(self) -> None:
+        """Send the members on to other instances and hand leadership over."""
+        if self._currency.is_retired:
+            return
+        self._currency.retire()
+        self._members.wake()
+        await self.log.hand_over()
+
+    def _is_ready(self) -> bool:
+        return self._currency.is_current() and not self._currency.is_retired
+
     def _session_context(self) -> SessionContext:
         return SessionContext(
             machine=self.machine,
--- a/src/verbenaplank/control/currency.py
+++ b/src/verbenaplank/control/currency.py
@@ -26,6 +26,16 @@
         self._grace_s = election_timeout_s * GIVE_UP_ELECTION_TIMEOUTS
         self._current_s = clock()
         self._last = (True, False)
+        self._is_retired = False
+
+    @property
+    def is_retired(self) -> bool:
+        """Return whether the instance is about to stop."""
+        return self._is_retired
+
+    def retire(self) -> None:
+        """Let the members move on from now on."""
+        self._is_retired = True
 
     def is_current(self) -> bool:
         """Return whether a quorum backs this instance now."""
@@ -37,6 +47,8 @@
 
     def is_given_up(self) -> bool:
         """Return whether the members are to move on."""
+        if self._is_retired:
+            return True
         return not self.is_current() and self._clock() > self._current_s + self._grace_s
 
     def has_turned(self) -> bool:
--- /dev/null
+++ b/src/verbenaplank/control/http.py
@@ -0,0 +1,191 @@
+"""The administration's HTTP: configuration, members, audit trail, health."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from litestar import Litestar
+from litestar import MediaType
+from litestar import Request
+from litestar import Response
+from litestar import delete
+from litestar import get
+from litestar import post
+from litestar import put
+from litestar.exceptions import HTTPException
+from litestar.openapi import OpenAPIConfig
+from litestar.params import FromPath
+from litestar.params import FromQuery
+
+from verbenaplank.configuration.commands import ApplySection
+from verbenaplank.configuration.commands import AssignOwner
+from verbenaplank.configuration.commands import RemoveSection
+from verbenaplank.configuration.schema import MAX_TEXT_BYTES
+from verbenaplank.control.bodies import ApplyBody
+from verbenaplank.control.bodies import CommandBody
+from verbenaplank.control.bodies import OwnerBody
+from verbenaplank.control.bodies import RemoveBody
+from verbenaplank.control.bodies import parse_body
+from verbenaplank.control.commands import OperatorCommand
+from verbenaplank.control.credentials import bearer_token
+from verbenaplank.control.problem import ProblemError
+from verbenaplank.control.problem import problem
+from verbenaplank.membership.commands import OrderDrain
+
+if TYPE_CHECKING:
+    from verbenaplank.control.administration import Administration
+
+JsonRequest = Request[Any, Any, Any]
+PathText = FromPath[str]
+QueryNumber = FromQuery[int]
+Metrics = Callable[[], tuple[bytes, str]]
+"""Returns the metrics as text and their media type."""
+
+MAX_BODY_BYTES = 4 * MAX_TEXT_BYTES
+MAX_AUDIT_RECORDS = 1_000
+PROBLEM_MEDIA_TYPE = "application/problem+json"
+
+
+def http_application(
+    administration: Administration, is_ready: Callable[[], bool], metrics: Metrics
+) -> Litestar:
+    """Return the ASGI application."""
+    return Litestar(
+        route_handlers=[
+            *_reading_routes(administration),
+            *_section_routes(administration),
+            *_member_routes(administration),
+            *_operations_routes(is_ready, metrics),
+        ],
+        request_max_body_size=MAX_BODY_BYTES,
+        exception_handlers={ProblemError: _answer, HTTPException: _answer_http},
+        openapi_config=OpenAPIConfig(title="verbenaplank control", version="1"),
+        logging_config=None,
+    )
+
+
+def _reading_routes(administration: Administration) -> list[Any]:
+    @get("/v1/configuration")
+    async def document() -> Response[bytes]:
+        return _json(await administration.document())
+
+    @get("/v1/configuration/status")
+    async def status() -> Response[bytes]:
+        return _json(await administration.status())
+
+    @get("/v1/configuration/sections/{name:str}")
+    async def section(name: PathText) -> Response[bytes]:
+        return _json(await administration.section(name))
+
+    @get("/v1/configuration/sections/{name:str}/history")
+    async def history(name: PathText) -> Response[bytes]:
+        return _json(await administration.history(name))
+
+    @get("/v1/audit")
+    async def audit(
+        after: QueryNumber = 0, limit: QueryNumber = MAX_AUDIT_RECORDS
+    ) -> Response[bytes]:
+        return _json(await administration.audit(after, min(limit, MAX_AUDIT_RECORDS)))
+
+    return [document, status, section, history, audit]
+
+
+def _section_routes(administration: Administration) -> list[Any]:
+    @put("/v1/configuration/sections/{name:str}")
+    async def apply(name: PathText, request: JsonRequest) -> Response[bytes]:
+        body = parse_body(await request.body(), ApplyBody)
+        change = ApplySection(
+            section=name, expected_version=body.expected_version, text=body.text
+        )
+        origin = await administration.origin(_token(request), body.command_id)
+        command = OperatorCommand(origin=origin, apply=change)
+        return _json(await administration.propose(command))
+
+    @delete("/v1/configuration/sections/{name:str}", status_code=HTTPStatus.OK)
+    async def remove(name: PathText, request: JsonRequest) -> Response[bytes]:
+        body = parse_body(await request.body(), RemoveBody)
+        change = RemoveSection(section=name, expected_version=body.expected_version)
+        origin = await administration.origin(_token(request), body.command_id)
+        command = OperatorCommand(origin=origin, remove=change)
+        return _json(await administration.propose(command))
+
+    @put("/v1/configuration/owners/{name:str}")
+    async def assign(name: PathText, request: JsonRequest) -> Response[bytes]:
+        body = parse_body(await request.body(), OwnerBody)
+        change = AssignOwner(
+            section=name,
+            team=body.team,
+            token_sha256=body.token_sha256,
+            grants=body.grants,
+        )
+        origin = await administration.origin(_token(request), body.command_id)
+        command = OperatorCommand(origin=origin, assign=change)
+        return _json(await administration.propose(command))
+
+    return [apply, remove, assign]
+
+
+def _member_routes(administration: Administration) -> list[Any]:
+    @get("/v1/members")
+    async def members() -> Response[bytes]:
+        return _json(await administration.members())
+
+    @post("/v1/members/{member_id:str}/drain", status_code=HTTPStatus.OK)
+    async def drain(member_id: PathText, request: JsonRequest) -> Response[bytes]:
+        return await order(OrderDrain(member_id=member_id, drain=True), request)
+
+    @post("/v1/members/{member_id:str}/undrain", status_code=HTTPStatus.OK)
+    async def undrain(member_id: PathText, request: JsonRequest) -> Response[bytes]:
+        return await order(OrderDrain(member_id=member_id, drain=False), request)
+
+    async def order(change: OrderDrain, request: JsonRequest) -> Response[bytes]:
+        body = parse_body(await request.body(), CommandBody)
+        origin = await administration.origin(_token(request), body.command_id)
+        command = OperatorCommand(origin=origin, drain=change)
+        return _json(await administration.propose(command))
+
+    return [members, drain, undrain]
+
+
+def _operations_routes(is_ready: Callable[[], bool], metrics: Metrics) -> list[Any]:
+    @get("/healthz", media_type=MediaType.TEXT)
+    async def health() -> str:
+        return "ok\n"
+
+    @get("/readyz", media_type=MediaType.TEXT)
+    async def readiness() -> Response[str]:
+        if is_ready():
+            return Response("ready\n")
+        return Response("not ready\n", status_code=HTTPStatus.SERVICE_UNAVAILABLE)
+
+    @get("/metrics")
+    async def metrics_text() -> Response[bytes]:
+        text, media_type = metrics()
+        return Response(text, media_type=media_type)
+
+    return [health, readiness, metrics_text]
+
+
+def _token(request: JsonRequest) -> str:
+    return bearer_token(request.headers.get("authorization", ""))
+
+
+def _json(content: object) -> Response[bytes]:
+    return Response(msgspec.json.encode(content), media_type=MediaType.JSON)
+
+
+def _answer(request: JsonRequest, error: ProblemError) -> Response[bytes]:
+    del request
+    return Response(
+        msgspec.json.encode(error.problem),
+        status_code=error.problem.status,
+        media_type=PROBLEM_MEDIA_TYPE,
+    )
+
+
+def _answer_http(request: JsonRequest, error: HTTPException) -> Response[bytes]:
+    return _answer(request, problem(HTTPStatus(error.status_code), error.detail))
--- /dev/null
+++ b/tests/control/test_administration.py
@@ -0,0 +1,178 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import httpx
+import pytest
+from control_helpers import ADMINISTRATOR_TOKEN
+from control_helpers import FIXTURES_TOKEN
+from control_helpers import agent
+from control_helpers import control_settings
+from control_helpers import eventually
+from control_helpers import link_to
+from control_helpers import sha256
+
+from verbenaplank.control.application import ControlInstance
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+SECTION = "/v1/configuration/sections/fixtures"
+NEW_TEXT = "[services.draw]\nrun_time_ms = 99\n"
+
+
+@pytest.fixture
+async def control(tmp_path: Path) -> AsyncIterator[ControlInstance]:
+    async with ControlInstance(control_settings(tmp_path)) as instance:
+        await eventually(lambda: instance.machine.configuration.version == 1)
+        yield instance
+
+
+@pytest.fixture
+async def http(control: ControlInstance) -> AsyncIterator[httpx.AsyncClient]:
+    base_url = f"http://{control.http_address}"
+    async with httpx.AsyncClient(base_url=base_url, trust_env=False) as client:
+        yield client
+
+
+def apply_body(command_id: str, expected_version: int = 1) -> dict[str, Any]:
+    return {
+        "text": NEW_TEXT,
+        "expected_version": expected_version,
+        "command_id": command_id,
+    }
+
+
+def bearer(token: str) -> dict[str, str]:
+    return {"Authorization": f"Bearer {token}"}
+
+
+async def test_apply_is_versioned_idempotent_and_audited(
+    http: httpx.AsyncClient,
+) -> None:
+    first = await http.put(
+        SECTION, json=apply_body("c1"), headers=bearer(FIXTURES_TOKEN)
+    )
+    again = await http.put(
+        SECTION, json=apply_body("c1"), headers=bearer(FIXTURES_TOKEN)
+    )
+    racer = await http.put(
+        SECTION, json=apply_body("c2"), headers=bearer(FIXTURES_TOKEN)
+    )
+    document = (await http.get("/v1/configuration")).json()
+    history = (await http.get(f"{SECTION}/history")).json()
+    audit = (await http.get("/v1/audit")).json()
+
+    assert first.status_code == 200
+    assert again.json() == first.json()
+    assert racer.status_code == 409
+    assert racer.headers["content-type"] == "application/problem+json"
+    assert racer.json()["section_version"] == 2
+    assert racer.json()["run"] == "not_run"
+    assert document["version"] == 2
+    assert [version["version"] for version in history["versions"]] == [1, 2]
+    assert history["versions"][-1]["text"] == NEW_TEXT
+    assert audit["verified"]
+    applied = [r for r in audit["records"] if r["action"] == "apply"]
+    assert [(r["command_id"], r["outcome"]) for r in applied] == [
+        ("c1", "accepted"),
+        ("c2", "conflict"),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("token", "status"),
+    [("?", 401), ("wrong", 401), ("on-call-token", 403), (ADMINISTRATOR_TOKEN, 200)],
+)
+async def test_only_the_owner_and_administrators_change_a_section(
+    http: httpx.AsyncClient, token: str, status: int
+) -> None:
+    reply = await http.put(SECTION, json=apply_body("c1"), headers=bearer(token))
+
+    assert reply.status_code == status
+
+
+@pytest.mark.parametrize(
+    ("body", "place"),
+    [
+        (b"{", "body"),
+        (b'{"text": 1, "expected_version": 1, "command_id": "c"}', "text"),
+        (b'{"text": "", "expected_version": 1, "command_id": ""}', "command_id"),
+    ],
+)
+async def test_faulty_body_is_refused_with_its_place(
+    http: httpx.AsyncClient, body: bytes, place: str
+) -> None:
+    reply = await http.put(SECTION, content=body, headers=bearer(FIXTURES_TOKEN))
+
+    assert reply.status_code == 400
+    assert reply.json()["findings"][0]["place"] == place
+
+
+async def test_faulty_text_is_refused_with_every_finding(
+    http: httpx.AsyncClient,
+) -> None:
+    text = "[services.draw]\nmax_runs = 0\nzz = 1\n[teams.fixtures]\n"
+    body = {**apply_body("c1"), "text": text}
+    reply = await http.put(SECTION, json=body, headers=bearer(FIXTURES_TOKEN))
+
+    assert reply.status_code == 422
+    assert len(reply.json()["findings"]) == 4
+
+
+async def test_administrator_creates_and_removes_a_section(
+    http: httpx.AsyncClient,
+) -> None:
+    owner = {"team": "enrolment", "token_sha256": sha256("e"), "command_id": "c1"}
+    section = "/v1/configuration/sections/enrolment"
+    admin = bearer(ADMINISTRATOR_TOKEN)
+    text = {"text": "", "expected_version": 1, "command_id": "c2"}
+    removal = {"expected_version": 2, "command_id": "c3"}
+
+    created = await http.put(
+        "/v1/configuration/owners/enrolment", json=owner, headers=admin
+    )
+    applied = await http.put(section, json=text, headers=bearer("e"))
+    removed = await http.request("DELETE", section, json=removal, headers=admin)
+
+    assert [r.status_code for r in (created, applied, removed)] == [200, 200, 200]
+    assert (await http.get(section)).status_code == 404
+
+
+async def test_drain_order_reaches_the_member_and_is_taken_back(
+    http: httpx.AsyncClient, control: ControlInstance
+) -> None:
+    async with link_to(agent(), control) as link:
+        await link.wait_ready()
+        for action, drained in (("drain", True), ("undrain", False)):
+            reply = await http.post(
+                f"/v1/members/agent-1/{action}",
+                json={"command_id": action},
+                headers=bearer("on-call-token"),
+            )
+            assert reply.status_code == 200
+            await eventually(lambda drained=drained: link.drain_ordered is drained)
+        unknown = await http.post(
+            "/v1/members/nobody/drain",
+            json={"command_id": "c9"},
+            headers=bearer("on-call-token"),
+        )
+
+    assert unknown.status_code == 404
+
+
+async def test_status_names_the_members_that_lag_behind(
+    http: httpx.AsyncClient, control: ControlInstance
+) -> None:
+    async with link_to(agent(), control) as link:
+        await link.wait_ready()
+        versions: list[int | None] = [None]
+        while versions != [1]:
+            status = (await http.get("/v1/configuration/status")).json()
+            versions = [member["version"] for member in status["members"]]
+            assert status["in_force_everywhere"] is (versions == [1])
+
+    assert (await http.get("/readyz")).status_code == 200
+    assert (await http.get("/v1/nothing")).json()["status"] == 404
