Run the control instance on the replicated log

Cause: one instance's memory survives nothing. Ruled out: keeping the log in memory as a second implementation; one instance alone is a replicated log of one. Change: ControlInstance owns a ConsensusNode; errors come from the consensus package; an entry that cannot be decoded has no effect.

--- a/src/verbenaplank/control/administration.py
+++ b/src/verbenaplank/control/administration.py
@@ -10,6 +10,9 @@
 from verbenaplank.configuration.audit import BrokenTrailError
 from verbenaplank.configuration.audit import verify
 from verbenaplank.configuration.commands import Origin
+from verbenaplank.consensus.errors import NoQuorumError
+from verbenaplank.consensus.errors import NotAcceptedError
+from verbenaplank.consensus.errors import OutcomeUnknownError
 from verbenaplank.control.bodies import AuditBody
 from verbenaplank.control.bodies import DocumentBody
 from verbenaplank.control.bodies import HistoryBody
@@ -24,9 +27,6 @@
 from verbenaplank.control.credentials import identify
 from verbenaplank.control.problem import problem
 from verbenaplank.control.problem import refusal
-from verbenaplank.control.replication import NoQuorumError
-from verbenaplank.control.replication import NotAcceptedError
-from verbenaplank.control.replication import OutcomeUnknownError
 from verbenaplank.membership.renewals import LEASES
 from verbenaplank.membership.renewals import LeasesRequest
 from verbenaplank.outcome.failure import Run
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -14,6 +14,7 @@
 
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.clock.sources import wall_clock_ms
+from verbenaplank.consensus.node import ConsensusNode
 from verbenaplank.control.administration import Administration
 from verbenaplank.control.bootstrap import bootstrap
 from verbenaplank.control.currency import Currency
@@ -25,8 +26,6 @@
 from verbenaplank.control.lease_keeper import LeaseKeeper
 from verbenaplank.control.machine import ControlMachine
 from verbenaplank.control.renewal_forwarder import RenewalForwarder
-from verbenaplank.control.replication import LocalLog
-from verbenaplank.control.replication import ReplicatedLog
 from verbenaplank.control.replication import SharedBarrier
 from verbenaplank.observability.metrics import Metrics
 from verbenaplank.rpc.endpoint import serve
@@ -70,7 +69,7 @@
         self._random = generator or random.Random()
         self._stack = AsyncExitStack()
         self.machine = ControlMachine(self._on_change)
-        self.log: ReplicatedLog = LocalLog(settings.instance_id, self.machine)
+        self.log = ConsensusNode(settings, self.machine, clock, self._random)
         self._barrier = SharedBarrier(self.log, BARRIER_TIMEOUT_S)
         self._currency = Currency(
             self.log, clock, settings.consensus.election_timeout_ms / 1_000
@@ -101,6 +100,7 @@
         path = self._settings.administration.document_path
         document = load_first_document(Path(path)) if path else None
         async with AsyncExitStack() as stack:
+            await stack.enter_async_context(self.log)
             services = [
                 *self.log.services(),
                 *self.keeper.services(),
--- a/src/verbenaplank/control/bootstrap.py
+++ b/src/verbenaplank/control/bootstrap.py
@@ -8,14 +8,14 @@
 
 from verbenaplank.configuration.commands import LoadDocument
 from verbenaplank.configuration.commands import Origin
+from verbenaplank.consensus.errors import NoQuorumError
+from verbenaplank.consensus.errors import NotAcceptedError
+from verbenaplank.consensus.errors import OutcomeUnknownError
 from verbenaplank.control.commands import ControlCommand
 from verbenaplank.control.commands import OperatorCommand
 from verbenaplank.control.commands import decode_result
 from verbenaplank.control.commands import encode
 from verbenaplank.control.first_document import FIRST_COMMAND_ID
-from verbenaplank.control.replication import NoQuorumError
-from verbenaplank.control.replication import NotAcceptedError
-from verbenaplank.control.replication import OutcomeUnknownError
 from verbenaplank.membership.commands import SetRegistrars
 from verbenaplank.protocol.membership import Registrar
 
--- a/src/verbenaplank/control/join_session.py
+++ b/src/verbenaplank/control/join_session.py
@@ -11,13 +11,13 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
+from verbenaplank.consensus.errors import NoQuorumError
+from verbenaplank.consensus.errors import NotAcceptedError
+from verbenaplank.consensus.errors import OutcomeUnknownError
 from verbenaplank.control.commands import ControlCommand
 from verbenaplank.control.commands import decode_result
 from verbenaplank.control.commands import encode
 from verbenaplank.control.machine import ControlMachine
-from verbenaplank.control.replication import NoQuorumError
-from verbenaplank.control.replication import NotAcceptedError
-from verbenaplank.control.replication import OutcomeUnknownError
 from verbenaplank.control.replication import ReplicatedLog
 from verbenaplank.control.replication import SharedBarrier
 from verbenaplank.membership.commands import Announce
--- a/src/verbenaplank/control/lease_keeper.py
+++ b/src/verbenaplank/control/lease_keeper.py
@@ -6,10 +6,10 @@
 import logging
 from typing import TYPE_CHECKING
 
+from verbenaplank.consensus.errors import NotAcceptedError
+from verbenaplank.consensus.errors import OutcomeUnknownError
 from verbenaplank.control.commands import ControlCommand
 from verbenaplank.control.commands import encode
-from verbenaplank.control.replication import NotAcceptedError
-from verbenaplank.control.replication import OutcomeUnknownError
 from verbenaplank.membership.commands import Leave
 from verbenaplank.membership.leases import LeaseTable
 from verbenaplank.membership.renewals import LEASES
--- a/src/verbenaplank/control/machine.py
+++ b/src/verbenaplank/control/machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 import attrs
@@ -22,6 +23,7 @@
 from verbenaplank.configuration.state import ConfigurationSnapshot
 from verbenaplank.configuration.state import ConfigurationState
 from verbenaplank.configuration.state import actor_of
+from verbenaplank.control.commands import ControlCommand
 from verbenaplank.control.commands import ControlResult
 from verbenaplank.control.commands import OperatorCommand
 from verbenaplank.control.commands import decode_command
@@ -33,10 +35,11 @@
     from collections.abc import Callable
 
     from verbenaplank.configuration.commands import Change
-    from verbenaplank.control.commands import ControlCommand
     from verbenaplank.membership.commands import OrderDrain
     from verbenaplank.membership.commands import SetRegistrars
 
+logger = logging.getLogger(__name__)
+
 _NO_ORIGIN = Origin(command_id="", sent_at_ms=0)
 
 
@@ -68,7 +71,7 @@
         """Apply one entry of the log and return its encoded result."""
         del index
         before = self._stamp()
-        result = self._apply(decode_command(command))
+        result = self._apply(_decoded(command))
         if before[0] != self.configuration.version:
             self._refresh_effective()
         if before != self._stamp():
@@ -207,6 +210,15 @@
         )
 
 
+def _decoded(command: bytes) -> ControlCommand:
+    """Decode an entry; one of another release's making has no effect here."""
+    try:
+        return decode_command(command)
+    except msgspec.MsgspecError:
+        logger.exception("unreadable entry in the log")
+        return ControlCommand()
+
+
 def action_of(command: OperatorCommand) -> str:
     """Return the name under which the audit trail knows a command."""
     if command.drain is not None:
--- a/src/verbenaplank/control/replication.py
+++ b/src/verbenaplank/control/replication.py
@@ -9,22 +9,9 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from verbenaplank.control.machine import ControlMachine
     from verbenaplank.rpc.method import Service
 
 
-class NotAcceptedError(Exception):
-    """The command is surely not in the log and never will be."""
-
-
-class OutcomeUnknownError(Exception):
-    """The command may or may not be in the log, now or later."""
-
-
-class NoQuorumError(Exception):
-    """No quorum backed the newest state in time."""
-
-
 class ReplicatedLog(Protocol):
     """A log that every control instance applies in the same order."""
 
@@ -74,38 +61,6 @@
         """Let another instance lead."""
 
 
-class LocalLog:
-    """A log of one instance, in memory."""
-
-    def __init__(self, instance_id: str, machine: ControlMachine) -> None:
-        self._machine = machine
-        self.is_leader = True
-        self.leader_id: str | None = instance_id
-        self.term = 1
-        self.commit_index = 0
-
-    def services(self) -> Sequence[Service]:
-        """Return nothing: there is no other instance."""
-        return ()
-
-    async def propose(self, command: bytes, timeout_s: float) -> bytes:
-        """Apply a command at once."""
-        del timeout_s
-        self.commit_index += 1
-        return self._machine.apply(self.commit_index, command)
-
-    async def read_barrier(self, timeout_s: float) -> None:
-        """Return at once: all is applied."""
-
-    def is_current(self, now_s: float) -> bool:
-        """Return true: there is no other instance."""
-        del now_s
-        return True
-
-    async def hand_over(self) -> None:
-        """Return at once: there is no other instance."""
-
-
 class SharedBarrier:
     """Read barriers that callers share when they come at the same time."""
 
