--- /dev/null
+++ b/src/verbenaplank/history/json_lines.py
@@ -0,0 +1,86 @@
+"""Files of events, one JSON object a line."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import BinaryIO
+
+import attrs
+import msgspec
+
+from verbenaplank.history.event import Event
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+    from types import TracebackType
+    from typing import Self
+
+
+class InvalidHistoryError(ValueError):
+    """A line of a history file is not an event."""
+
+
+@attrs.frozen
+class PlacedEvent:
+    """An event with the place it was read from, such as ``agent.jsonl:7``."""
+
+    place: str
+    event: Event
+
+
+class EventWriter:
+    """Appends events to a file; each line is handed to the system at once."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._encoder = msgspec.json.Encoder()
+        self._file: BinaryIO | None = None
+
+    def __enter__(self) -> Self:
+        self._file = self._path.open("ab", buffering=0)
+        return self
+
+    def __exit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._file is not None:
+            self._file.close()
+
+    def write(self, event: Event) -> None:
+        """Append one event.
+
+        Raises
+        ------
+        RuntimeError
+            If the writer has not been entered.
+        OSError
+            If the file cannot be written.
+        """
+        if self._file is None:
+            raise RuntimeError("the writer is not open")
+        self._file.write(self._encoder.encode(event) + b"\n")
+
+
+def read_events(path: Path) -> Iterator[PlacedEvent]:
+    """Read the events of one file in order.
+
+    Raises
+    ------
+    InvalidHistoryError
+        If a whole line is not an event; a cut last line is left out, as a
+        process may be killed while it writes.
+    OSError
+        If the file cannot be read.
+    """
+    decoder = msgspec.json.Decoder(Event)
+    lines = path.read_bytes().split(b"\n")
+    for number, line in enumerate(lines[:-1], start=1):
+        place = f"{path.name}:{number}"
+        try:
+            yield PlacedEvent(place, decoder.decode(line))
+        except msgspec.MsgspecError as error:
+            raise InvalidHistoryError(f"{place}: {error}") from error
