--- a/src/verbenaplank/claims/decision.py
+++ b/src/verbenaplank/claims/decision.py
@@ -22,9 +22,17 @@
 
 @attrs.frozen(kw_only=True)
 class ClaimDecision:
-    """The end of a claim, with the owner when it is another entry."""
+    """The end of a claim, with the owner when it is another entry.
+
+    Attributes
+    ----------
+    may_have_run
+        On ``UNAVAILABLE``: a registrar no longer knows whether it granted the
+        identifier before, so that an earlier submission may have run.
+    """
 
     state: ClaimState
     owner_entry_id: str = ""
     owner_incarnation: str = ""
     owner_address: str = ""
+    may_have_run: bool = False
--- /dev/null
+++ b/src/verbenaplank/claims/link.py
@@ -0,0 +1,134 @@
+"""A claimant's stream to one registrar, opened again whenever it breaks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import StreamTerminatedError
+
+from verbenaplank.protocol.claims import Claim
+from verbenaplank.protocol.claims import ClaimRelease
+from verbenaplank.protocol.claims import ToRegistrar
+from verbenaplank.rpc.address import parse_address
+from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.outbox import Outbox
+from verbenaplank.rpc.services import CLAIM
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from grpclib.client import Stream
+
+    from verbenaplank.protocol.claims import ClaimReply
+    from verbenaplank.protocol.claims import FromRegistrar
+    from verbenaplank.protocol.membership import Registrar
+    from verbenaplank.settings.common import TlsSettings
+
+CONNECT_TIMEOUT_S = 1.0
+RECONNECT_MIN_S = 0.05
+RECONNECT_MAX_S = 1.0
+
+
+class RegistrarLink:
+    """Carries claims and releases; its owner opens and closes it.
+
+    A release is kept until the registrar has handled it and is sent again on
+    the next stream, so that no grant outlives its attempt.
+
+    Attributes
+    ----------
+    connected
+        Whether a stream is open.
+    """
+
+    def __init__(
+        self,
+        registrar: Registrar,
+        tls: TlsSettings | None,
+        random: random.Random,
+        on_reply: Callable[[str, ClaimReply], None],
+        on_unreachable: Callable[[str], None],
+    ) -> None:
+        self.connected = False
+        self._registrar = registrar
+        self._tls = tls
+        self._random = random
+        self._on_reply = on_reply
+        self._on_unreachable = on_unreachable
+        self._outbox: Outbox[Claim | ClaimRelease] = Outbox()
+        self._unhandled: deque[ClaimRelease] = deque()
+        self._running: asyncio.Task[None] | None = None
+
+    def open(self) -> None:
+        """Start connecting; the event loop must be running."""
+        self._running = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Close the stream and stop connecting."""
+        if self._running is not None:
+            self._running.cancel()
+            await asyncio.gather(self._running, return_exceptions=True)
+
+    def send_claim(self, claim: Claim) -> None:
+        """Send a claim on the open stream."""
+        self._outbox.put(claim)
+
+    def send_release(self, release: ClaimRelease) -> None:
+        """Send a release, on the next stream too if this one breaks."""
+        self._unhandled.append(release)
+        self._outbox.put(release)
+
+    async def _run(self) -> None:
+        delay_s = RECONNECT_MIN_S
+        while True:
+            with suppress(GRPCError, StreamTerminatedError, OSError, TimeoutError):
+                await self._serve_one_stream()
+            delay_s = RECONNECT_MIN_S if self.connected else delay_s * 2
+            delay_s = min(RECONNECT_MAX_S, delay_s)
+            self.connected = False
+            self._on_unreachable(self._registrar.instance_id)
+            await asyncio.sleep(delay_s * self._random.uniform(0.5, 1.0))
+
+    async def _serve_one_stream(self) -> None:
+        address = parse_address(self._registrar.address)
+        with connect(address, self._tls) as channel:
+            async with CLAIM.open(channel) as stream:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await stream.send_request()
+                self._start_outbox()
+                sender = asyncio.create_task(_send(stream, self._outbox))
+                try:
+                    await self._receive(stream)
+                finally:
+                    sender.cancel()
+                    await asyncio.gather(sender, return_exceptions=True)
+
+    def _start_outbox(self) -> None:
+        self._outbox = Outbox()
+        for release in self._unhandled:
+            self._outbox.put(release)
+        self.connected = True
+
+    async def _receive(self, stream: Stream[ToRegistrar, FromRegistrar]) -> None:
+        handled = 0
+        async for message in stream:
+            for _ in range(message.releases_handled - handled):
+                self._unhandled.popleft()
+            handled = message.releases_handled
+            for reply in message.replies:
+                self._on_reply(self._registrar.instance_id, reply)
+
+
+async def _send(
+    stream: Stream[ToRegistrar, FromRegistrar], outbox: Outbox[Claim | ClaimRelease]
+) -> None:
+    while True:
+        items = await outbox.take()
+        claims = tuple(item for item in items if isinstance(item, Claim))
+        releases = tuple(item for item in items if isinstance(item, ClaimRelease))
+        await stream.send_message(ToRegistrar(claims=claims, releases=releases))
--- a/src/verbenaplank/protocol/claims.py
+++ b/src/verbenaplank/protocol/claims.py
@@ -63,7 +63,14 @@
 
 @attrs.frozen(kw_only=True)
 class ClaimReply:
-    """Answers a claim; names the owner when the identifier is taken."""
+    """Answers a claim; names the owner when the identifier is taken.
+
+    Attributes
+    ----------
+    may_have_granted
+        On ``ABSTAINED``: whether the registrar may have granted the identifier
+        before and no longer knows.
+    """
 
     job_id: str
     attempt: int
@@ -72,10 +79,18 @@
     owner_incarnation: str = ""
     owner_address: str = ""
     epoch: int = 0
+    may_have_granted: bool = False
 
 
 @attrs.frozen(kw_only=True)
 class FromRegistrar:
-    """Envelope from a registrar to an entry."""
+    """Envelope from a registrar to an entry.
+
+    Attributes
+    ----------
+    releases_handled
+        How many releases of this stream the registrar has handled so far.
+    """
 
     replies: tuple[ClaimReply, ...] = ()
+    releases_handled: int = 0
--- /dev/null
+++ b/tests/claims/test_client.py
@@ -0,0 +1,119 @@
+from __future__ import annotations
+
+import random
+from contextlib import AsyncExitStack
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.claims.client import ClaimClient
+from verbenaplank.claims.decision import ClaimState
+from verbenaplank.claims.registrar import Registrar
+from verbenaplank.claims.registrar import RegistrarLimits
+from verbenaplank.claims.service import registrar_service
+from verbenaplank.clock.sources import monotonic_s
+from verbenaplank.clock.sources import wall_clock_ms
+from verbenaplank.identifiers.job_id import new_job_id
+from verbenaplank.protocol.membership import Registrar as RegistrarAddress
+from verbenaplank.protocol.membership import RegistrarGroup
+from verbenaplank.rpc.address import Address
+from verbenaplank.rpc.endpoint import serve
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+LIMITS = RegistrarLimits(retention_ms=300_000, max_clock_skew_ms=5_000)
+UNREACHABLE = RegistrarAddress(
+    instance_id="gone", address="127.0.0.1:1", data_centre="d"
+)
+TIMEOUT_S = 5.0
+SHORT_TIMEOUT_S = 0.1
+
+
+@attrs.frozen
+class Site:
+    group: RegistrarGroup
+    registrars: list[Registrar]
+    resources: AsyncExitStack
+
+    async def client(self, name: str) -> ClaimClient:
+        client = ClaimClient(
+            name, "1", f"{name}:1", None, monotonic_s, random.Random(1)
+        )
+        await self.resources.enter_async_context(client)
+        client.set_registrars(self.group)
+        return client
+
+
+@asynccontextmanager
+async def _site(running: int, gone: int = 0) -> AsyncIterator[Site]:
+    registrars = [Registrar(LIMITS, 1, amnesia_ms=0) for _ in range(running)]
+    addresses = [attrs.evolve(UNREACHABLE, instance_id=f"gone{n}") for n in range(gone)]
+    async with AsyncExitStack() as resources:
+        for number, registrar in enumerate(registrars):
+            service = registrar_service(registrar, wall_clock_ms)
+            serving = serve([service], Address("127.0.0.1", 0))
+            address = await resources.enter_async_context(serving)
+            addresses.append(
+                RegistrarAddress(
+                    instance_id=f"r{number}", address=str(address), data_centre="d"
+                )
+            )
+        group = RegistrarGroup(epoch=1, registrars=tuple(addresses))
+        async with AsyncExitStack() as clients:
+            yield Site(group, registrars, clients)
+
+
+async def test_group_of_one_grants() -> None:
+    async with _site(running=1) as site:
+        client = await site.client("e1")
+        decision = await client.claim(new_job_id(), b"d", TIMEOUT_S)
+
+    assert decision.state is ClaimState.OWNED_HERE
+
+
+async def test_second_claimant_learns_the_owner_and_a_conflict() -> None:
+    job_id = new_job_id()
+    async with _site(running=3) as site:
+        first = await site.client("e1")
+        second = await site.client("e2")
+        won = await first.claim(job_id, b"d", TIMEOUT_S)
+        lost = await second.claim(job_id, b"d", TIMEOUT_S)
+        conflict = await second.claim(job_id, b"other", TIMEOUT_S)
+
+    assert won.state is ClaimState.OWNED_HERE
+    assert lost.state is ClaimState.OWNED_ELSEWHERE
+    assert (lost.owner_entry_id, lost.owner_address) == ("e1", "e1:1")
+    assert conflict.state is ClaimState.CONFLICT
+
+
+async def test_own_identifier_is_not_granted_a_second_time() -> None:
+    job_id = new_job_id()
+    async with _site(running=3) as site:
+        client = await site.client("e1")
+        await client.claim(job_id, b"d", TIMEOUT_S)
+        again = await client.claim(job_id, b"d", TIMEOUT_S)
+
+    assert again.state is ClaimState.OWNED_ELSEWHERE
+
+
+async def test_one_unreachable_registrar_of_three_is_tolerated() -> None:
+    async with _site(running=2, gone=1) as site:
+        client = await site.client("e1")
+        decision = await client.claim(new_job_id(), b"d", TIMEOUT_S)
+
+    assert decision.state is ClaimState.OWNED_HERE
+
+
+async def test_claim_without_a_majority_is_unavailable_and_released() -> None:
+    job_id = new_job_id()
+    async with _site(running=1, gone=2) as site:
+        client = await site.client("e1")
+        decision = await client.claim(job_id, b"d", SHORT_TIMEOUT_S)
+        other = await site.client("e2")
+        later = await other.claim(job_id, b"d", SHORT_TIMEOUT_S)
+
+    assert decision.state is ClaimState.UNAVAILABLE
+    assert not decision.may_have_run
+    assert later.state is ClaimState.UNAVAILABLE
