Add the agent's gate: starts each task once or refuses its dispatch for good

Cause: an entry may resend, revoke or freeze; a task may start only once here. Change: a core without I/O with urgent before routine, budgets and leases checked at the start, bounded memory of starts, refusals and results.

--- /dev/null
+++ b/src/verbenaplank/agent/gate.py
@@ -0,0 +1,293 @@
+"""The gate: starts each task once, or refuses its dispatch for good.
+
+A core without I/O.  Every method takes the monotonic time ``now_s``, read by
+the caller after its last wait, and returns the effects to carry out.
+"""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.agent.effects import Effect
+from verbenaplank.agent.effects import EntryKey
+from verbenaplank.agent.effects import Reply
+from verbenaplank.agent.effects import StartRun
+from verbenaplank.agent.effects import StopRun
+from verbenaplank.agent.effects import task_id_of
+from verbenaplank.agent.memory import ResultMemory
+from verbenaplank.agent.memory import StartedBy
+from verbenaplank.agent.memory import StartMemory
+from verbenaplank.agent.replies import lost_result_reply
+from verbenaplank.agent.replies import refusal_reply
+from verbenaplank.agent.replies import revocation_reply
+from verbenaplank.agent.waiting import Entry
+from verbenaplank.agent.waiting import Waiting
+from verbenaplank.agent.waiting import WaitingQueue
+from verbenaplank.protocol.work import Dispatch
+from verbenaplank.protocol.work import LoadReport
+from verbenaplank.protocol.work import RefusalReason
+from verbenaplank.protocol.work import RevocationState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenaplank.protocol.work import Revoke
+    from verbenaplank.protocol.work import Stop
+    from verbenaplank.protocol.work import TaskResult
+
+FIRST_LEASE_S = 2.0
+"""Lease of an entry from its hello until its first renewal."""
+
+ENTRY_MEMORY_S = 86_400.0
+"""How long an entry that is gone is remembered."""
+
+
+@attrs.frozen(kw_only=True)
+class GateLimits:
+    """Limits of a gate.
+
+    Attributes
+    ----------
+    slots
+        How many tasks run at a time.
+    retention_s
+        How long a start is remembered and a result kept.
+    """
+
+    slots: int
+    max_queued_tasks: int
+    retention_s: float
+
+
+@attrs.define
+class _Running:
+    entry: Entry
+    dispatch: Dispatch
+    stopping: bool = False
+
+
+class Gate:
+    """Decides which dispatches start, when, and which never do."""
+
+    def __init__(
+        self, incarnation: str, services: frozenset[str], limits: GateLimits
+    ) -> None:
+        self._incarnation = incarnation
+        self._services = services
+        self._limits = limits
+        self._draining = False
+        self._entries: dict[EntryKey, Entry] = {}
+        self._entry_numbers = itertools.count(1)
+        self._waiting = WaitingQueue()
+        self._running: dict[str, _Running] = {}
+        self._starts = StartMemory(limits.retention_s)
+        self._results = ResultMemory(limits.retention_s)
+
+    @property
+    def draining(self) -> bool:
+        """Whether every new dispatch is refused."""
+        return self._draining
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing runs and nothing waits."""
+        return not self._running and not self._waiting
+
+    def load(self) -> LoadReport:
+        """Return what the agent has of all entries together."""
+        return LoadReport(
+            running=len(self._running),
+            queued=len(self._waiting),
+            draining=self._draining,
+        )
+
+    def on_hello(self, key: EntryKey, now_s: float) -> None:
+        """Take in that an entry opened a stream."""
+        entry = self._entries.get(key)
+        if entry is None:
+            number = next(self._entry_numbers)
+            entry = self._entries[key] = Entry(key, number, now_s)
+        entry.connected = True
+        entry.lease_until_s = max(entry.lease_until_s, now_s + FIRST_LEASE_S)
+
+    def on_renewal(self, key: EntryKey, lease_s: float, now_s: float) -> None:
+        """Renew the lease of everything that an entry has here."""
+        entry = self._entries[key]
+        entry.lease_until_s = max(entry.lease_until_s, now_s + lease_s)
+
+    def on_disconnect(self, key: EntryKey, now_s: float) -> list[Effect]:
+        """Refuse what an entry has waiting, as its stream is gone."""
+        entry = self._entries[key]
+        entry.connected = False
+        return self._refuse_waiting(
+            lambda waiting: waiting.entry is entry, RefusalReason.LEASE_EXPIRED
+        )
+
+    def on_dispatch(
+        self, key: EntryKey, dispatch: Dispatch, now_s: float
+    ) -> list[Effect]:
+        """Queue a dispatch or refuse it; one that is here already is ignored."""
+        entry = self._entries[key]
+        task_id = task_id_of(dispatch.job_id, dispatch.task_index, dispatch.attempt)
+        waiting = Waiting(entry, task_id, dispatch, now_s)
+        if dispatch.dispatch_id in entry.closed:
+            return [refusal_reply(waiting, RefusalReason.REVOKED)]
+        if self._waiting.holds(entry, dispatch.dispatch_id):
+            return []
+        if self._starts.get(task_id) == StartedBy(entry.number, dispatch.dispatch_id):
+            return self._result_again(entry, task_id)
+        reason = self._reason_to_refuse(waiting, now_s) or self._reason_not_to_queue()
+        if reason is not None:
+            return self._refuse(waiting, reason)
+        self._waiting.append(waiting)
+        return []
+
+    def on_revoke(self, key: EntryKey, revoke: Revoke, now_s: float) -> list[Effect]:
+        """Make sure that a dispatch never starts, or tell that it has."""
+        entry = self._entries[key]
+        task_id = task_id_of(revoke.job_id, revoke.task_index, revoke.attempt)
+        if self._was_started(entry, task_id, revoke.dispatch_id):
+            return self._answer_started(entry, task_id, revoke)
+        self._waiting.remove(entry, revoke.dispatch_id)
+        entry.closed.add(revoke.dispatch_id)
+        return [revocation_reply(key, revoke, RevocationState.REVOKED)]
+
+    def on_stop(self, key: EntryKey, stop: Stop) -> list[Effect]:
+        """Refuse a waiting dispatch, or stop the run that it started."""
+        entry = self._entries[key]
+        waiting = self._waiting.remove(entry, stop.dispatch_id)
+        if waiting is not None:
+            return self._refuse(waiting, RefusalReason.REVOKED)
+        for task_id, running in self._running.items():
+            is_it = running.dispatch.dispatch_id == stop.dispatch_id
+            if is_it and running.entry is entry:
+                return _stop(task_id, running)
+        return []
+
+    def on_finished(
+        self, task_id: str, result: TaskResult, now_s: float
+    ) -> list[Effect]:
+        """Free the slot of a run, keep its result and send it to the owner."""
+        running = self._running.pop(task_id)
+        self._results.keep(task_id, result, now_s)
+        return [Reply(running.entry.key, result)]
+
+    def on_received(self, task_id: str) -> None:
+        """Drop the result of a task, as its owner has received it."""
+        self._results.drop(task_id)
+
+    def start_ready(self, now_s: float) -> list[Effect]:
+        """Start what the slots allow, urgent dispatches first."""
+        effects: list[Effect] = []
+        while self._waiting and len(self._running) < self._limits.slots:
+            effects.extend(self._start_or_refuse(self._waiting.pop(), now_s))
+        return effects
+
+    def drain(self) -> list[Effect]:
+        """Refuse what waits and every later dispatch; what runs goes on."""
+        self._draining = True
+        return self._refuse_waiting(lambda _: True, RefusalReason.DRAINING)
+
+    def expire(self, now_s: float) -> list[Effect]:
+        """Act on leases and budgets that ran out, and forget what is too old."""
+        self._starts.expire(now_s)
+        self._results.expire(now_s)
+        effects = self._refuse_waiting(
+            lambda waiting: waiting.entry.lease_until_s < now_s,
+            RefusalReason.LEASE_EXPIRED,
+        )
+        effects += self._refuse_waiting(
+            lambda waiting: waiting.is_late(now_s), RefusalReason.BUDGET_SPENT
+        )
+        for task_id, running in self._running.items():
+            if running.entry.lease_until_s < now_s:
+                effects += _stop(task_id, running)
+        self._forget_entries(now_s)
+        return effects
+
+    def _start_or_refuse(self, waiting: Waiting, now_s: float) -> list[Effect]:
+        reason = self._reason_to_refuse(waiting, now_s)
+        if reason is not None:
+            return self._refuse(waiting, reason)
+        entry, dispatch = waiting.entry, waiting.dispatch
+        self._starts.add(waiting.task_id, entry.number, dispatch.dispatch_id, now_s)
+        self._running[waiting.task_id] = _Running(entry, dispatch)
+        return [StartRun(waiting.task_id, dispatch, now_s - waiting.received_s)]
+
+    def _reason_to_refuse(self, waiting: Waiting, now_s: float) -> RefusalReason | None:
+        if self._draining:
+            return RefusalReason.DRAINING
+        if waiting.dispatch.agent_incarnation != self._incarnation:
+            return RefusalReason.WRONG_INCARNATION
+        if waiting.dispatch.service not in self._services:
+            return RefusalReason.UNKNOWN_SERVICE
+        if waiting.entry.lease_until_s < now_s:
+            return RefusalReason.LEASE_EXPIRED
+        if waiting.is_late(now_s):
+            return RefusalReason.BUDGET_SPENT
+        if self._may_have_started(waiting):
+            return RefusalReason.ALREADY_STARTED
+        return None
+
+    def _may_have_started(self, waiting: Waiting) -> bool:
+        if self._starts.get(waiting.task_id) is not None:
+            return True
+        dispatch_id = waiting.dispatch.dispatch_id
+        return self._starts.may_have_forgotten(waiting.entry.number, dispatch_id)
+
+    def _reason_not_to_queue(self) -> RefusalReason | None:
+        free_slots = self._limits.slots - len(self._running)
+        is_full = len(self._waiting) >= self._limits.max_queued_tasks + free_slots
+        return RefusalReason.FULL if is_full else None
+
+    def _refuse(self, waiting: Waiting, reason: RefusalReason) -> list[Effect]:
+        waiting.entry.closed.add(waiting.dispatch.dispatch_id)
+        return [refusal_reply(waiting, reason)]
+
+    def _refuse_waiting(
+        self, condition: Callable[[Waiting], bool], reason: RefusalReason
+    ) -> list[Effect]:
+        effects: list[Effect] = []
+        for waiting in self._waiting.remove_where(condition):
+            effects.extend(self._refuse(waiting, reason))
+        return effects
+
+    def _was_started(self, entry: Entry, task_id: str, dispatch_id: int) -> bool:
+        if dispatch_id in entry.closed or self._waiting.holds(entry, dispatch_id):
+            return False
+        started = self._starts.get(task_id)
+        if started is not None:
+            return started == StartedBy(entry.number, dispatch_id)
+        return self._starts.may_have_forgotten(entry.number, dispatch_id)
+
+    def _answer_started(
+        self, entry: Entry, task_id: str, revoke: Revoke
+    ) -> list[Effect]:
+        if task_id in self._running:
+            return [revocation_reply(entry.key, revoke, RevocationState.STARTED)]
+        revocation = revocation_reply(entry.key, revoke, RevocationState.FINISHED)
+        again = self._result_again(entry, task_id)
+        return [revocation, *(again or [lost_result_reply(entry.key, revoke)])]
+
+    def _result_again(self, entry: Entry, task_id: str) -> list[Effect]:
+        result = self._results.get(task_id)
+        return [] if result is None else [Reply(entry.key, result)]
+
+    def _forget_entries(self, now_s: float) -> None:
+        forgotten = [
+            entry.key
+            for entry in self._entries.values()
+            if not entry.connected and entry.lease_until_s + ENTRY_MEMORY_S < now_s
+        ]
+        for key in forgotten:
+            del self._entries[key]
+
+
+def _stop(task_id: str, running: _Running) -> list[Effect]:
+    if running.stopping:
+        return []
+    running.stopping = True
+    return [StopRun(task_id)]
--- /dev/null
+++ b/src/verbenaplank/agent/waiting.py
@@ -0,0 +1,102 @@
+"""Dispatches that wait for a slot, urgent before routine."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.agent.effects import EntryKey
+from verbenaplank.agent.memory import ClosedDispatches
+from verbenaplank.protocol.work import Dispatch
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MS_PER_S = 1_000.0
+
+
+@attrs.define
+class Entry:
+    """An entry that has, or had, a stream to this agent.
+
+    Attributes
+    ----------
+    number
+        Stands for ``key`` where memory is short.
+    closed
+        The entry's dispatches that were refused or revoked.
+    """
+
+    key: EntryKey
+    number: int
+    lease_until_s: float
+    connected: bool = True
+    closed: ClosedDispatches = attrs.field(factory=ClosedDispatches)
+
+
+@attrs.frozen
+class Waiting:
+    """A dispatch that has been received and not been started."""
+
+    entry: Entry
+    task_id: str
+    dispatch: Dispatch
+    received_s: float
+
+    def is_late(self, now_s: float) -> bool:
+        """Return whether the start budget is spent."""
+        waited_ms = (now_s - self.received_s) * MS_PER_S
+        return waited_ms > self.dispatch.start_budget_ms
+
+
+@attrs.frozen
+class _Key:
+    entry_number: int
+    dispatch_id: int
+
+
+class WaitingQueue:
+    """First in, first out within each priority."""
+
+    def __init__(self) -> None:
+        self._urgent: OrderedDict[_Key, Waiting] = OrderedDict()
+        self._routine: OrderedDict[_Key, Waiting] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._urgent) + len(self._routine)
+
+    def append(self, waiting: Waiting) -> None:
+        """Queue a dispatch behind those of its priority."""
+        queue = self._urgent if waiting.dispatch.urgent else self._routine
+        queue[_Key(waiting.entry.number, waiting.dispatch.dispatch_id)] = waiting
+
+    def pop(self) -> Waiting:
+        """Remove and return the next dispatch.
+
+        Raises
+        ------
+        KeyError
+            If none waits.
+        """
+        _, waiting = (self._urgent or self._routine).popitem(last=False)
+        return waiting
+
+    def holds(self, entry: Entry, dispatch_id: int) -> bool:
+        """Return whether a dispatch waits."""
+        key = _Key(entry.number, dispatch_id)
+        return key in self._urgent or key in self._routine
+
+    def remove(self, entry: Entry, dispatch_id: int) -> Waiting | None:
+        """Remove a dispatch and return it, or ``None`` if it does not wait."""
+        key = _Key(entry.number, dispatch_id)
+        return self._urgent.pop(key, None) or self._routine.pop(key, None)
+
+    def remove_where(self, condition: Callable[[Waiting], bool]) -> list[Waiting]:
+        """Remove and return the dispatches that fulfil a condition."""
+        queued = [*self._urgent.values(), *self._routine.values()]
+        removed = [waiting for waiting in queued if condition(waiting)]
+        for waiting in removed:
+            self.remove(waiting.entry, waiting.dispatch.dispatch_id)
+        return removed
--- a/src/verbenaplank/protocol/work.py
+++ b/src/verbenaplank/protocol/work.py
@@ -118,13 +118,21 @@
 
 @attrs.frozen(kw_only=True)
 class ToAgent:
-    """Envelope from an entry to an agent."""
+    """Envelope from an entry to an agent.
+
+    Attributes
+    ----------
+    results_received
+        How many results the entry has received on this stream so far; the
+        agent need not keep them any longer.
+    """
 
     hello: EntryHello | None = None
     dispatches: tuple[Dispatch, ...] = ()
     revokes: tuple[Revoke, ...] = ()
     stops: tuple[Stop, ...] = ()
     renewal: LeaseRenewal | None = None
+    results_received: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/tests/agent/test_gate.py
@@ -0,0 +1,248 @@
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from verbenaplank.agent.effects import Effect
+from verbenaplank.agent.effects import EntryKey
+from verbenaplank.agent.effects import Reply
+from verbenaplank.agent.effects import StartRun
+from verbenaplank.agent.effects import StopRun
+from verbenaplank.agent.gate import FIRST_LEASE_S
+from verbenaplank.agent.gate import Gate
+from verbenaplank.agent.gate import GateLimits
+from verbenaplank.protocol.work import Dispatch
+from verbenaplank.protocol.work import DispatchRefusal
+from verbenaplank.protocol.work import RefusalReason
+from verbenaplank.protocol.work import Revocation
+from verbenaplank.protocol.work import RevocationState
+from verbenaplank.protocol.work import Revoke
+from verbenaplank.protocol.work import Stop
+from verbenaplank.protocol.work import TaskOutcome
+from verbenaplank.protocol.work import TaskResult
+
+ENTRY = EntryKey("e1", "1")
+OTHER = EntryKey("e2", "1")
+LIMITS = GateLimits(slots=1, max_queued_tasks=2, retention_s=300.0)
+BUDGET_S = 1.0
+
+
+def _dispatch(number: int, index: int = 0, *, urgent: bool = False) -> Dispatch:
+    return Dispatch(
+        job_id="job",
+        task_index=index,
+        dispatch_id=number,
+        agent_incarnation="a1",
+        service="draw",
+        payload=b"{}",
+        start_budget_ms=BUDGET_S * 1_000,
+        run_budget_ms=1_000.0,
+        urgent=urgent,
+    )
+
+
+def _revoke(number: int, index: int = 0) -> Revoke:
+    return Revoke(dispatch_id=number, job_id="job", task_index=index)
+
+
+def _result(number: int, index: int = 0) -> TaskResult:
+    return TaskResult(
+        job_id="job",
+        task_index=index,
+        dispatch_id=number,
+        outcome=TaskOutcome.SUCCEEDED,
+        output=b"1",
+    )
+
+
+def _gate(slots: int = 1) -> Gate:
+    gate = Gate("a1", frozenset({"draw"}), attrs.evolve(LIMITS, slots=slots))
+    gate.on_hello(ENTRY, 0.0)
+    gate.on_hello(OTHER, 0.0)
+    return gate
+
+
+def _reasons(effects: list[Effect]) -> list[RefusalReason]:
+    items = [effect.item for effect in effects if isinstance(effect, Reply)]
+    return [item.reason for item in items if isinstance(item, DispatchRefusal)]
+
+
+def _states(effects: list[Effect]) -> list[RevocationState]:
+    items = [effect.item for effect in effects if isinstance(effect, Reply)]
+    return [item.state for item in items if isinstance(item, Revocation)]
+
+
+def _started(effects: list[Effect]) -> list[int]:
+    starts = [effect for effect in effects if isinstance(effect, StartRun)]
+    return [start.dispatch.dispatch_id for start in starts]
+
+
+def test_urgent_dispatch_starts_before_routine_ones() -> None:
+    gate = _gate(slots=2)
+    gate.on_dispatch(ENTRY, _dispatch(1, 0), 0.0)
+    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
+    gate.on_dispatch(ENTRY, _dispatch(3, 2, urgent=True), 0.0)
+
+    assert _started(gate.start_ready(0.0)) == [3, 1]
+    assert gate.load().queued == 1
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ({"agent_incarnation": "a0"}, RefusalReason.WRONG_INCARNATION),
+        ({"service": "other"}, RefusalReason.UNKNOWN_SERVICE),
+        ({"start_budget_ms": -1.0}, RefusalReason.BUDGET_SPENT),
+    ],
+)
+def test_unfit_dispatch_is_refused_for_good(
+    change: dict[str, object], reason: RefusalReason
+) -> None:
+    gate = _gate()
+    refused = gate.on_dispatch(ENTRY, attrs.evolve(_dispatch(1), **change), 0.0)
+    again = gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+
+    assert _reasons(refused) == [reason]
+    assert _reasons(again) == [RefusalReason.REVOKED]
+    assert gate.start_ready(0.0) == []
+
+
+def test_dispatch_beyond_the_queue_is_refused() -> None:
+    gate = _gate()
+    effects = [gate.on_dispatch(ENTRY, _dispatch(n, n), 0.0) for n in range(4)]
+
+    assert [_reasons(each) for each in effects] == [[], [], [], [RefusalReason.FULL]]
+
+
+def test_budget_is_checked_after_the_wait() -> None:
+    gate = _gate()
+    gate.on_renewal(ENTRY, 60.0, 0.0)
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+
+    assert _reasons(gate.start_ready(BUDGET_S + 0.1)) == [RefusalReason.BUDGET_SPENT]
+
+
+def test_lease_is_checked_after_the_wait() -> None:
+    gate = _gate()
+    patient = attrs.evolve(_dispatch(1), start_budget_ms=1e9)
+    gate.on_dispatch(ENTRY, patient, 0.0)
+
+    late_s = FIRST_LEASE_S + 0.1
+    assert _reasons(gate.start_ready(late_s)) == [RefusalReason.LEASE_EXPIRED]
+    assert _reasons(gate.on_dispatch(ENTRY, _dispatch(2, 1), late_s)) == [
+        RefusalReason.LEASE_EXPIRED
+    ]
+
+
+def test_second_dispatch_of_a_started_task_is_refused() -> None:
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    gate.start_ready(0.0)
+    by_other = gate.on_dispatch(OTHER, _dispatch(1), 0.0)
+    gate.on_finished("job/0/1", _result(1), 0.0)
+    later = gate.on_dispatch(ENTRY, _dispatch(2), 1.0)
+
+    assert _reasons(by_other) == [RefusalReason.ALREADY_STARTED]
+    assert _reasons(later) == [RefusalReason.ALREADY_STARTED]
+    assert gate.start_ready(1.0) == []
+
+
+def test_dispatch_sent_twice_starts_once_and_its_result_is_sent_again() -> None:
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    assert _started(gate.start_ready(0.0)) == [1]
+    gate.on_finished("job/0/1", _result(1), 0.0)
+
+    again = gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    assert again == [Reply(ENTRY, _result(1))]
+
+
+def test_revocation_tells_whether_the_task_started() -> None:
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
+    gate.start_ready(0.0)
+
+    started = gate.on_revoke(ENTRY, _revoke(1), 0.0)
+    revoked = gate.on_revoke(ENTRY, _revoke(2, 1), 0.0)
+    gate.on_finished("job/0/1", _result(1), 0.0)
+    finished = gate.on_revoke(ENTRY, _revoke(1), 0.0)
+
+    assert _states(started) == [RevocationState.STARTED]
+    assert _states(revoked) == [RevocationState.REVOKED]
+    assert _states(finished) == [RevocationState.FINISHED]
+    assert finished[1:] == [Reply(ENTRY, _result(1))]
+    assert gate.start_ready(0.0) == []
+
+
+def test_dispatch_that_arrives_after_its_revocation_never_starts() -> None:
+    gate = _gate()
+    gate.on_revoke(ENTRY, _revoke(1), 0.0)
+
+    assert _reasons(gate.on_dispatch(ENTRY, _dispatch(1), 0.0)) == [
+        RefusalReason.REVOKED
+    ]
+
+
+def test_start_older_than_the_retention_is_not_reported_as_revoked() -> None:
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    gate.start_ready(0.0)
+    gate.on_finished("job/0/1", _result(1), 0.0)
+    gate.expire(1_000.0)
+
+    assert _states(gate.on_revoke(ENTRY, _revoke(1), 1_000.0)) == [
+        RevocationState.FINISHED
+    ]
+
+
+def test_lost_stream_drops_what_waits_and_lets_run_what_runs() -> None:
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
+    gate.start_ready(0.0)
+
+    assert _reasons(gate.on_disconnect(ENTRY, 0.5)) == [RefusalReason.LEASE_EXPIRED]
+    assert gate.load().running == 1
+    gate.on_finished("job/0/1", _result(1), 1.0)
+    gate.on_hello(ENTRY, 1.0)
+    assert _states(gate.on_revoke(ENTRY, _revoke(2, 1), 1.0)) == [
+        RevocationState.REVOKED
+    ]
+
+
+def test_lapsed_lease_stops_each_run_once() -> None:
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    gate.start_ready(0.0)
+
+    assert gate.expire(FIRST_LEASE_S + 0.1) == [StopRun("job/0/1")]
+    assert gate.expire(FIRST_LEASE_S + 0.2) == []
+
+
+def test_drain_refuses_what_waits_and_what_comes() -> None:
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
+    gate.start_ready(0.0)
+
+    assert _reasons(gate.drain()) == [RefusalReason.DRAINING]
+    assert _reasons(gate.on_dispatch(ENTRY, _dispatch(3, 2), 0.0)) == [
+        RefusalReason.DRAINING
+    ]
+    assert not gate.idle
+    gate.on_finished("job/0/1", _result(1), 0.0)
+    assert gate.idle
+
+
+def test_stop_refuses_a_waiting_dispatch_and_stops_a_running_one() -> None:
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
+    gate.start_ready(0.0)
+
+    waiting = gate.on_stop(ENTRY, Stop(dispatch_id=2, job_id="job", task_index=1))
+    running = gate.on_stop(ENTRY, Stop(dispatch_id=1, job_id="job", task_index=0))
+    assert _reasons(waiting) == [RefusalReason.REVOKED]
+    assert running == [StopRun("job/0/1")]
