Gate: begin a run only once its connection stands

Cause: connecting to the backend server is a wait; budgets, leases and revocations have to be checked after it, and a backend server that cannot be reached has surely not started the task. Change: a slot is reserved first, begin() checks again, abandon() refuses.

--- a/src/verbenaplank/agent/effects.py
+++ b/src/verbenaplank/agent/effects.py
@@ -22,7 +22,7 @@
 
 @attrs.frozen
 class StartRun:
-    """Start a task on the backend server now."""
+    """Connect to the backend server, then ask the gate to begin the run."""
 
     task_id: str
     dispatch: Dispatch
@@ -44,6 +44,14 @@
     item: ReplyItem
 
 
+@attrs.frozen
+class Begin:
+    """Whether a run may begin now; if not, ``effects`` tells its entry."""
+
+    allowed: bool
+    effects: tuple[Reply, ...] = ()
+
+
 Effect = StartRun | StopRun | Reply
 
 
--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from verbenaplank.agent.effects import Begin
 from verbenaplank.agent.effects import Effect
 from verbenaplank.agent.effects import EntryKey
 from verbenaplank.agent.effects import Reply
@@ -82,6 +83,7 @@
         self._entries: dict[EntryKey, Entry] = {}
         self._entry_numbers = itertools.count(1)
         self._waiting = WaitingQueue()
+        self._reserved: dict[str, Waiting] = {}
         self._running: dict[str, _Running] = {}
         self._starts = StartMemory(limits.retention_s)
         self._results = ResultMemory(limits.retention_s)
@@ -94,12 +96,12 @@
     @property
     def idle(self) -> bool:
         """Whether nothing runs and nothing waits."""
-        return not self._running and not self._waiting
+        return not (self._running or self._reserved or self._waiting)
 
     def load(self) -> LoadReport:
         """Return what the agent has of all entries together."""
         return LoadReport(
-            running=len(self._running),
+            running=self._slots_taken(),
             queued=len(self._waiting),
             draining=self._draining,
         )
@@ -135,13 +137,13 @@
         waiting = Waiting(entry, task_id, dispatch, now_s)
         if dispatch.dispatch_id in entry.closed:
             return [refusal_reply(waiting, RefusalReason.REVOKED)]
-        if self._waiting.holds(entry, dispatch.dispatch_id):
+        if self._holds(entry, task_id, dispatch.dispatch_id):
             return []
         if self._starts.get(task_id) == StartedBy(entry.number, dispatch.dispatch_id):
             return self._result_again(entry, task_id)
         reason = self._reason_to_refuse(waiting, now_s) or self._reason_not_to_queue()
         if reason is not None:
-            return self._refuse(waiting, reason)
+            return [*self._refuse(waiting, reason)]
         self._waiting.append(waiting)
         return []
 
@@ -151,21 +153,21 @@
         task_id = task_id_of(revoke.job_id, revoke.task_index, revoke.attempt)
         if self._was_started(entry, task_id, revoke.dispatch_id):
             return self._answer_started(entry, task_id, revoke)
-        self._waiting.remove(entry, revoke.dispatch_id)
+        self._remove(entry, task_id, revoke.dispatch_id)
         entry.closed.add(revoke.dispatch_id)
         return [revocation_reply(key, revoke, RevocationState.REVOKED)]
 
     def on_stop(self, key: EntryKey, stop: Stop) -> list[Effect]:
         """Refuse a waiting dispatch, or stop the run that it started."""
         entry = self._entries[key]
-        waiting = self._waiting.remove(entry, stop.dispatch_id)
+        task_id = task_id_of(stop.job_id, stop.task_index, stop.attempt)
+        waiting = self._remove(entry, task_id, stop.dispatch_id)
         if waiting is not None:
-            return self._refuse(waiting, RefusalReason.REVOKED)
-        for task_id, running in self._running.items():
-            is_it = running.dispatch.dispatch_id == stop.dispatch_id
-            if is_it and running.entry is entry:
-                return _stop(task_id, running)
-        return []
+            return [*self._refuse(waiting, RefusalReason.REVOKED)]
+        running = self._running.get(task_id)
+        if running is None or running.entry is not entry:
+            return []
+        return _stop(task_id, running)
 
     def on_finished(
         self, task_id: str, result: TaskResult, now_s: float
@@ -180,12 +182,39 @@
         self._results.drop(task_id)
 
     def start_ready(self, now_s: float) -> list[Effect]:
-        """Start what the slots allow, urgent dispatches first."""
+        """Give free slots to what waits, urgent dispatches first."""
         effects: list[Effect] = []
-        while self._waiting and len(self._running) < self._limits.slots:
-            effects.extend(self._start_or_refuse(self._waiting.pop(), now_s))
+        while self._waiting and self._slots_taken() < self._limits.slots:
+            waiting = self._waiting.pop()
+            reason = self._reason_to_refuse(waiting, now_s)
+            if reason is not None:
+                effects += self._refuse(waiting, reason)
+                continue
+            self._reserved[waiting.task_id] = waiting
+            waited_s = now_s - waiting.received_s
+            effects.append(StartRun(waiting.task_id, waiting.dispatch, waited_s))
         return effects
 
+    def begin(self, task_id: str, now_s: float) -> Begin:
+        """Begin a run whose connection stands, unless that is now refused."""
+        waiting = self._reserved.pop(task_id, None)
+        if waiting is None:
+            return Begin(allowed=False)
+        reason = self._reason_to_refuse(waiting, now_s)
+        if reason is not None:
+            return Begin(False, tuple(self._refuse(waiting, reason)))
+        entry, dispatch = waiting.entry, waiting.dispatch
+        self._starts.add(task_id, entry.number, dispatch.dispatch_id, now_s)
+        self._running[task_id] = _Running(entry, dispatch)
+        return Begin(allowed=True)
+
+    def abandon(self, task_id: str) -> list[Reply]:
+        """Refuse a dispatch, as the backend server cannot be reached."""
+        waiting = self._reserved.pop(task_id, None)
+        if waiting is None:
+            return []
+        return self._refuse(waiting, RefusalReason.BACKEND_SERVER_DOWN)
+
     def drain(self) -> list[Effect]:
         """Refuse what waits and every later dispatch; what runs goes on."""
         self._draining = True
@@ -208,14 +237,8 @@
         self._forget_entries(now_s)
         return effects
 
-    def _start_or_refuse(self, waiting: Waiting, now_s: float) -> list[Effect]:
-        reason = self._reason_to_refuse(waiting, now_s)
-        if reason is not None:
-            return self._refuse(waiting, reason)
-        entry, dispatch = waiting.entry, waiting.dispatch
-        self._starts.add(waiting.task_id, entry.number, dispatch.dispatch_id, now_s)
-        self._running[waiting.task_id] = _Running(entry, dispatch)
-        return [StartRun(waiting.task_id, dispatch, now_s - waiting.received_s)]
+    def _slots_taken(self) -> int:
+        return len(self._running) + len(self._reserved)
 
     def _reason_to_refuse(self, waiting: Waiting, now_s: float) -> RefusalReason | None:
         if self._draining:
@@ -224,7 +247,7 @@
             return RefusalReason.WRONG_INCARNATION
         if waiting.dispatch.service not in self._services:
             return RefusalReason.UNKNOWN_SERVICE
-        if waiting.entry.lease_until_s < now_s:
+        if not waiting.entry.connected or waiting.entry.lease_until_s < now_s:
             return RefusalReason.LEASE_EXPIRED
         if waiting.is_late(now_s):
             return RefusalReason.BUDGET_SPENT
@@ -233,17 +256,17 @@
         return None
 
     def _may_have_started(self, waiting: Waiting) -> bool:
-        if self._starts.get(waiting.task_id) is not None:
+        if self._starts.get(waiting.task_id) or waiting.task_id in self._reserved:
             return True
         dispatch_id = waiting.dispatch.dispatch_id
         return self._starts.may_have_forgotten(waiting.entry.number, dispatch_id)
 
     def _reason_not_to_queue(self) -> RefusalReason | None:
-        free_slots = self._limits.slots - len(self._running)
+        free_slots = self._limits.slots - self._slots_taken()
         is_full = len(self._waiting) >= self._limits.max_queued_tasks + free_slots
         return RefusalReason.FULL if is_full else None
 
-    def _refuse(self, waiting: Waiting, reason: RefusalReason) -> list[Effect]:
+    def _refuse(self, waiting: Waiting, reason: RefusalReason) -> list[Reply]:
         waiting.entry.closed.add(waiting.dispatch.dispatch_id)
         return [refusal_reply(waiting, reason)]
 
@@ -255,8 +278,19 @@
             effects.extend(self._refuse(waiting, reason))
         return effects
 
+    def _holds(self, entry: Entry, task_id: str, dispatch_id: int) -> bool:
+        reserved = self._reserved.get(task_id)
+        is_reserved = reserved is not None and reserved.is_from(entry, dispatch_id)
+        return is_reserved or self._waiting.holds(entry, dispatch_id)
+
+    def _remove(self, entry: Entry, task_id: str, dispatch_id: int) -> Waiting | None:
+        reserved = self._reserved.get(task_id)
+        if reserved is not None and reserved.is_from(entry, dispatch_id):
+            return self._reserved.pop(task_id)
+        return self._waiting.remove(entry, dispatch_id)
+
     def _was_started(self, entry: Entry, task_id: str, dispatch_id: int) -> bool:
-        if dispatch_id in entry.closed or self._waiting.holds(entry, dispatch_id):
+        if dispatch_id in entry.closed or self._holds(entry, task_id, dispatch_id):
             return False
         started = self._starts.get(task_id)
         if started is not None:
--- a/src/verbenaplank/agent/replies.py
+++ b/src/verbenaplank/agent/replies.py
@@ -48,5 +48,6 @@
         dispatch_id=revoke.dispatch_id,
         outcome=TaskOutcome.CONNECTION_LOST,
         error="the result is no longer kept",
+        attempt=revoke.attempt,
     )
     return Reply(key, result)
--- a/src/verbenaplank/agent/waiting.py
+++ b/src/verbenaplank/agent/waiting.py
@@ -45,6 +45,10 @@
     dispatch: Dispatch
     received_s: float
 
+    def is_from(self, entry: Entry, dispatch_id: int) -> bool:
+        """Return whether this is a given dispatch of a given entry."""
+        return self.entry is entry and self.dispatch.dispatch_id == dispatch_id
+
     def is_late(self, now_s: float) -> bool:
         """Return whether the start budget is spent."""
         waited_ms = (now_s - self.received_s) * MS_PER_S
--- a/src/verbenaplank/protocol/work.py
+++ b/src/verbenaplank/protocol/work.py
@@ -28,6 +28,7 @@
     LEASE_EXPIRED = "lease_expired"
     UNKNOWN_SERVICE = "unknown_service"
     FULL = "full"
+    BACKEND_SERVER_DOWN = "backend_server_down"
 
 
 class RevocationState(StrEnum):
@@ -107,6 +108,7 @@
     dispatch_id: int
     job_id: str
     task_index: int
+    attempt: int = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -147,6 +149,7 @@
     error: str = ""
     run_time_ms: float = 0.0
     wait_time_ms: float = 0.0
+    attempt: int = 1
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/agent/test_gate.py
+++ b/tests/agent/test_gate.py
@@ -72,8 +72,10 @@
     return [item.state for item in items if isinstance(item, Revocation)]
 
 
-def _started(effects: list[Effect]) -> list[int]:
+def _start(gate: Gate, now_s: float = 0.0) -> list[int]:
+    effects = gate.start_ready(now_s)
     starts = [effect for effect in effects if isinstance(effect, StartRun)]
+    assert all(gate.begin(start.task_id, now_s).allowed for start in starts)
     return [start.dispatch.dispatch_id for start in starts]
 
 
@@ -83,7 +85,7 @@
     gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
     gate.on_dispatch(ENTRY, _dispatch(3, 2, urgent=True), 0.0)
 
-    assert _started(gate.start_ready(0.0)) == [3, 1]
+    assert _start(gate) == [3, 1]
     assert gate.load().queued == 1
 
 
@@ -137,7 +139,7 @@
 def test_second_dispatch_of_a_started_task_is_refused() -> None:
     gate = _gate()
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.start_ready(0.0)
+    _start(gate)
     by_other = gate.on_dispatch(OTHER, _dispatch(1), 0.0)
     gate.on_finished("job/0/1", _result(1), 0.0)
     later = gate.on_dispatch(ENTRY, _dispatch(2), 1.0)
@@ -151,7 +153,7 @@
     gate = _gate()
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    assert _started(gate.start_ready(0.0)) == [1]
+    assert _start(gate) == [1]
     gate.on_finished("job/0/1", _result(1), 0.0)
 
     again = gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
@@ -162,7 +164,7 @@
     gate = _gate()
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
     gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    gate.start_ready(0.0)
+    _start(gate)
 
     started = gate.on_revoke(ENTRY, _revoke(1), 0.0)
     revoked = gate.on_revoke(ENTRY, _revoke(2, 1), 0.0)
@@ -188,7 +190,7 @@
 def test_start_older_than_the_retention_is_not_reported_as_revoked() -> None:
     gate = _gate()
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.start_ready(0.0)
+    _start(gate)
     gate.on_finished("job/0/1", _result(1), 0.0)
     gate.expire(1_000.0)
 
@@ -201,7 +203,7 @@
     gate = _gate()
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
     gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    gate.start_ready(0.0)
+    _start(gate)
 
     assert _reasons(gate.on_disconnect(ENTRY, 0.5)) == [RefusalReason.LEASE_EXPIRED]
     assert gate.load().running == 1
@@ -215,7 +217,7 @@
 def test_lapsed_lease_stops_each_run_once() -> None:
     gate = _gate()
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.start_ready(0.0)
+    _start(gate)
 
     assert gate.expire(FIRST_LEASE_S + 0.1) == [StopRun("job/0/1")]
     assert gate.expire(FIRST_LEASE_S + 0.2) == []
@@ -225,7 +227,7 @@
     gate = _gate()
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
     gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    gate.start_ready(0.0)
+    _start(gate)
 
     assert _reasons(gate.drain()) == [RefusalReason.DRAINING]
     assert _reasons(gate.on_dispatch(ENTRY, _dispatch(3, 2), 0.0)) == [
@@ -240,9 +242,40 @@
     gate = _gate()
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
     gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    gate.start_ready(0.0)
+    _start(gate)
 
     waiting = gate.on_stop(ENTRY, Stop(dispatch_id=2, job_id="job", task_index=1))
     running = gate.on_stop(ENTRY, Stop(dispatch_id=1, job_id="job", task_index=0))
     assert _reasons(waiting) == [RefusalReason.REVOKED]
     assert running == [StopRun("job/0/1")]
+
+
+def test_revoke_between_reservation_and_connection_prevents_the_start() -> None:
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    gate.start_ready(0.0)
+
+    assert _states(gate.on_revoke(ENTRY, _revoke(1), 0.0)) == [RevocationState.REVOKED]
+    assert not gate.begin("job/0/1", 0.0).allowed
+
+
+def test_budget_and_lease_are_checked_once_the_connection_stands() -> None:
+    gate = _gate(slots=2)
+    gate.on_dispatch(ENTRY, attrs.evolve(_dispatch(1), start_budget_ms=1e9), 0.0)
+    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
+    gate.start_ready(0.0)
+
+    late = gate.begin("job/1/1", BUDGET_S + 0.1)
+    lapsed = gate.begin("job/0/1", FIRST_LEASE_S + 0.1)
+    assert _reasons([*late.effects]) == [RefusalReason.BUDGET_SPENT]
+    assert _reasons([*lapsed.effects]) == [RefusalReason.LEASE_EXPIRED]
+
+
+def test_unreachable_backend_server_refuses_without_a_start() -> None:
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    gate.start_ready(0.0)
+
+    assert _reasons([*gate.abandon("job/0/1")]) == [RefusalReason.BACKEND_SERVER_DOWN]
+    gate.on_dispatch(ENTRY, _dispatch(2), 0.0)
+    assert _start(gate) == [2]
