--- /dev/null
+++ b/src/verbenaplank/agent/runner.py
@@ -0,0 +1,221 @@
+"""Carries out what the gate decides: runs, stops and replies."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from verbenaplank.agent.backend import BackendServerDownError
+from verbenaplank.agent.backend import RunReport
+from verbenaplank.agent.effects import EntryKey
+from verbenaplank.agent.effects import Reply
+from verbenaplank.agent.effects import ReplyItem
+from verbenaplank.agent.effects import StartRun
+from verbenaplank.agent.effects import StopRun
+from verbenaplank.history.event import Event
+from verbenaplank.history.event import EventHook
+from verbenaplank.history.event import EventKind
+from verbenaplank.history.event import event_time_s
+from verbenaplank.protocol.work import Dispatch
+from verbenaplank.protocol.work import DispatchRefusal
+from verbenaplank.protocol.work import LoadReport
+from verbenaplank.protocol.work import TaskOutcome
+from verbenaplank.protocol.work import TaskResult
+from verbenaplank.rpc.outbox import Outbox
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from collections.abc import Iterable
+    from types import TracebackType
+    from typing import Any
+    from typing import Self
+
+    from verbenaplank.agent.backend import BackendClient
+    from verbenaplank.agent.connection import Connection
+    from verbenaplank.agent.effects import Effect
+    from verbenaplank.agent.gate import Gate
+    from verbenaplank.clock.sources import MonotonicClock
+
+EXPIRY_PERIOD_S = 0.25
+MS_PER_S = 1_000.0
+
+ReplyOutbox = Outbox[ReplyItem | LoadReport]
+
+
+class TaskRunner:
+    """Joins the gate, the backend server and the entries' outboxes.
+
+    An async context manager; its end cancels what still runs.
+    """
+
+    def __init__(
+        self,
+        agent_id: str,
+        gate: Gate,
+        backend: BackendClient,
+        clock: MonotonicClock,
+        record: EventHook,
+    ) -> None:
+        self.gate = gate
+        self.clock = clock
+        self._agent_id = agent_id
+        self._backend = backend
+        self._record = record
+        self._outboxes: dict[EntryKey, ReplyOutbox] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopped: set[str] = set()
+        self._changed = asyncio.Event()
+
+    async def __aenter__(self) -> Self:
+        self._spawn(self._expire_periodically())
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def attach(self, key: EntryKey, outbox: ReplyOutbox) -> None:
+        """Send replies for an entry to an outbox from now on."""
+        self._outboxes[key] = outbox
+        self.gate.on_hello(key, self.clock())
+
+    def detach(self, key: EntryKey, outbox: ReplyOutbox) -> None:
+        """End an outbox; what its entry has waiting is refused."""
+        if self._outboxes.get(key) is not outbox:
+            return
+        del self._outboxes[key]
+        self.carry_out(self.gate.on_disconnect(key, self.clock()))
+
+    def drain(self) -> None:
+        """Refuse what has not started, and tell every entry."""
+        self.carry_out(self.gate.drain())
+        for outbox in self._outboxes.values():
+            outbox.put(self.gate.load())
+
+    async def wait_idle(self) -> None:
+        """Wait until nothing runs and nothing waits."""
+        while not self.gate.idle:
+            self._changed.clear()
+            await self._changed.wait()
+
+    def carry_out(self, effects: Iterable[Effect]) -> None:
+        """Carry out effects, and those of the slots that became free."""
+        self._perform(effects)
+        self._perform(self.gate.start_ready(self.clock()))
+        self._changed.set()
+
+    def _perform(self, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Reply):
+                self._reply(effect)
+            elif isinstance(effect, StartRun):
+                self._spawn(self._run(effect))
+            else:
+                self._stop(effect)
+
+    def _reply(self, reply: Reply) -> None:
+        if isinstance(reply.item, DispatchRefusal):
+            self._record(self._refused_event(reply.item))
+        outbox = self._outboxes.get(reply.entry)
+        if outbox is not None:
+            outbox.put(reply.item)
+
+    def _stop(self, effect: StopRun) -> None:
+        if not self._backend.can_stop:
+            return
+        self._stopped.add(effect.task_id)
+        self._spawn(self._backend.stop(effect.task_id))
+
+    async def _run(self, start: StartRun) -> None:
+        try:
+            connection = await self._backend.connect()
+        except BackendServerDownError:
+            self.carry_out(self.gate.abandon(start.task_id))
+            return
+        try:
+            await self._run_on(connection, start)
+        finally:
+            self._backend.give_back(connection)
+
+    async def _run_on(self, connection: Connection, start: StartRun) -> None:
+        began_s = self.clock()
+        begin = self.gate.begin(start.task_id, began_s)
+        if not begin.allowed:
+            self.carry_out(begin.effects)
+            return
+        dispatch = start.dispatch
+        self._record(self._event(EventKind.STARTED, dispatch))
+        report = await self._backend.run(
+            connection,
+            start.task_id,
+            dispatch.service,
+            dispatch.payload,
+            dispatch.run_budget_ms / MS_PER_S,
+        )
+        report = self._with_stop(start.task_id, report)
+        now_s = self.clock()
+        self._record(self._event(EventKind.ENDED, dispatch, report.outcome))
+        result = _result(start, report, now_s - began_s)
+        self.carry_out(self.gate.on_finished(start.task_id, result, now_s))
+
+    def _with_stop(self, task_id: str, report: RunReport) -> RunReport:
+        """Return the report, as stopped if a stop made the run fail."""
+        was_stopped = task_id in self._stopped
+        self._stopped.discard(task_id)
+        if report.outcome is TaskOutcome.TIMED_OUT:
+            self._stop(StopRun(task_id))
+            self._stopped.discard(task_id)
+        if was_stopped and report.outcome is TaskOutcome.FAILED:
+            return RunReport(TaskOutcome.STOPPED, error=report.error)
+        return report
+
+    async def _expire_periodically(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_PERIOD_S)
+            self.carry_out(self.gate.expire(self.clock()))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _event(self, kind: EventKind, dispatch: Dispatch, detail: str = "") -> Event:
+        return Event(
+            kind=kind,
+            time_s=event_time_s(),
+            process=self._agent_id,
+            job_id=dispatch.job_id,
+            task_index=dispatch.task_index,
+            attempt=dispatch.attempt,
+            detail=detail,
+        )
+
+    def _refused_event(self, refusal: DispatchRefusal) -> Event:
+        return Event(
+            kind=EventKind.REFUSED,
+            time_s=event_time_s(),
+            process=self._agent_id,
+            job_id=refusal.job_id,
+            task_index=refusal.task_index,
+            detail=refusal.reason,
+        )
+
+
+def _result(start: StartRun, report: RunReport, run_time_s: float) -> TaskResult:
+    return TaskResult(
+        job_id=start.dispatch.job_id,
+        task_index=start.dispatch.task_index,
+        dispatch_id=start.dispatch.dispatch_id,
+        outcome=report.outcome,
+        output=report.output,
+        error=report.error,
+        run_time_ms=run_time_s * MS_PER_S,
+        wait_time_ms=start.waited_s * MS_PER_S,
+        attempt=start.dispatch.attempt,
+    )
