Place tasks by least expected completion; queue, quotas and budgets

Cause: the entry needs a choice of backend server and an order of waiting tasks before a request can be served end to end.

Change: Fleet learns run times per service and slowness per backend server, counts other entries' tasks from the lagging load reports plus what was started since, holds tasks at the entry while every slot and a small lead is taken, and quarantines by evidence per job. Quotas, start budgets and the deadline estimate need no message.

Ruled out: holding a task for a fast slot whatever waits behind it, since the slow slots would then stay idle under load; the number that waits at the entry is an argument of choose for that reason.

--- /dev/null
+++ b/src/verbenaplank/admission/shares.py
@@ -0,0 +1,69 @@
+"""Fair order among teams: each gets starts in proportion to its weight."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MIN_WEIGHT = 1e-3
+
+
+class FairShares:
+    """Virtual time of each team; it grows with every start by 1 / weight."""
+
+    def __init__(self, weight_of: Callable[[str], float]) -> None:
+        self._weight_of = weight_of
+        self._virtual_times: dict[str, float] = {}
+        self._clock = 0.0
+
+    def enter(self, team: str) -> None:
+        """Note that a team has work again; an idle time earns nothing."""
+        known = self._virtual_times.get(team, 0.0)
+        self._virtual_times[team] = max(known, self._clock)
+
+    def charge(self, team: str, cost: float) -> None:
+        """Charge a team for one start."""
+        before = self._virtual_times.get(team, self._clock)
+        self._clock = max(self._clock, before)
+        weight = max(self._weight_of(team), MIN_WEIGHT)
+        self._virtual_times[team] = before + cost / weight
+
+    def virtual_time(self, team: str) -> float:
+        """Return a team's virtual time; the lowest goes first."""
+        return self._virtual_times.get(team, self._clock)
+
+
+class TeamOrder:
+    """A heap of the teams that wait, lowest virtual time first."""
+
+    def __init__(self, shares: FairShares) -> None:
+        self._shares = shares
+        self._heap: list[tuple[float, str]] = []
+        self._members: set[str] = set()
+
+    def add(self, team: str) -> None:
+        """Add a team unless it is already there."""
+        if team in self._members:
+            return
+        self._members.add(team)
+        heapq.heappush(self._heap, (self._shares.virtual_time(team), team))
+
+    def discard(self, team: str) -> None:
+        """Remove a team; its heap item is dropped when it comes up."""
+        self._members.discard(team)
+
+    def first(self) -> str | None:
+        """Return the team whose turn it is."""
+        while self._heap:
+            virtual_time, team = self._heap[0]
+            current = self._shares.virtual_time(team)
+            if team not in self._members:
+                heapq.heappop(self._heap)
+            elif current > virtual_time:
+                heapq.heapreplace(self._heap, (current, team))
+            else:
+                return team
+        return None
--- /dev/null
+++ b/src/verbenaplank/placement/backend_server.py
@@ -0,0 +1,170 @@
+"""What one entry knows of one backend server."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.placement.task import Needs
+from verbenaplank.protocol.membership import Member
+
+if TYPE_CHECKING:
+    from verbenaplank.placement.task import TaskRequest
+    from verbenaplank.protocol.work import LoadReport
+
+TaskKey = tuple[str, int, int]
+"""Job identifier, task index and attempt."""
+
+NO_NEEDS = Needs()
+SLOWNESS_GAIN = 0.05
+MAX_LOG_ERROR = math.log(8.0)
+
+
+def task_key(task: TaskRequest) -> TaskKey:
+    """Return what identifies one run of a task."""
+    return (task.job_id, task.task_index, task.attempt)
+
+
+def fits(needs: Needs, size: Needs) -> bool:
+    """Return whether a worker of this size can hold a task with these needs."""
+    return (
+        needs.cores <= size.cores
+        and needs.memory_mb <= size.memory_mb
+        and needs.accelerators <= size.accelerators
+    )
+
+
+@attrs.define(eq=False)
+class BackendServer:
+    """State of one backend server, from this entry's own tasks and its reports.
+
+    Attributes
+    ----------
+    outstanding
+        When each task that this entry has there was dispatched, oldest first.
+    others
+        Tasks of other entries there, by the last report.
+    log_slowness
+        Natural logarithm of its run times over those of the whole fleet.
+    quiet_since_s
+        When a task last finished there, or when the oldest outstanding one was
+        dispatched to an idle backend server.
+    suspected_jobs
+        Failures here by job since the last success here.
+    failure_share
+        Moving average of failures among the results from here.
+    """
+
+    member: Member
+    round_trip_s: float
+    connected: bool = False
+    drained: bool = False
+    incarnation: str = ""
+    slots: int = 0
+    outstanding: dict[TaskKey, float] = attrs.field(factory=dict)
+    held: dict[TaskKey, Needs] = attrs.field(factory=dict)
+    others: float = 0.0
+    reported_s: float = -math.inf
+    report_draining: bool = False
+    cores_of_others: float = 0.0
+    memory_of_others_mb: float = 0.0
+    log_slowness: float = 0.0
+    slowness: float = 1.0
+    slowness_samples: int = 0
+    quiet_since_s: float = 0.0
+    suspected_jobs: dict[str, int] = attrs.field(factory=dict)
+    failure_share: float = 0.0
+    quarantined_until_s: float = -math.inf
+    quarantine_s: float = 0.0
+    on_trial: bool = False
+    trial_successes: int = 0
+
+    @property
+    def member_id(self) -> str:
+        """Return the agent's identifier."""
+        return self.member.member_id
+
+    @property
+    def open_for_work(self) -> bool:
+        """Return whether it may get new tasks as far as membership tells."""
+        return self.connected and not (
+            self.drained or self.member.draining or self.report_draining
+        )
+
+    def start(self, task: TaskRequest, now_s: float) -> None:
+        """Record a dispatch."""
+        if not self.outstanding:
+            self.quiet_since_s = now_s
+        key = task_key(task)
+        self.outstanding[key] = now_s
+        if task.needs != NO_NEEDS:
+            self.held[key] = task.needs
+
+    def end(self, task: TaskRequest) -> bool:
+        """Forget a dispatch; return whether it was known."""
+        key = task_key(task)
+        self.held.pop(key, None)
+        return self.outstanding.pop(key, None) is not None
+
+    def clear(self) -> None:
+        """Forget the connection and everything that was dispatched over it."""
+        self.connected = False
+        self.outstanding.clear()
+        self.held.clear()
+        self.others = 0.0
+        self.reported_s = -math.inf
+
+    def take_report(self, report: LoadReport, now_s: float) -> None:
+        """Take a load report, which is half a round trip old."""
+        seen = self._dispatched_before(now_s - self.round_trip_s)
+        self.others = max(0.0, float(report.running + report.queued - seen))
+        self.reported_s = now_s
+        self.report_draining = report.draining
+        mine = self.needs_held()
+        self.cores_of_others = max(0.0, report.cores_used - mine.cores)
+        self.memory_of_others_mb = max(0.0, report.memory_used_mb - mine.memory_mb)
+
+    def learn_slowness(self, log_error: float) -> None:
+        """Move the learned slowness towards one run's deviation."""
+        self.slowness_samples += 1
+        gain = max(1.0 / (self.slowness_samples + 1), SLOWNESS_GAIN)
+        error = log_error - self.log_slowness
+        clamped = max(-MAX_LOG_ERROR, min(MAX_LOG_ERROR, error))
+        self.log_slowness += gain * clamped
+        self.slowness = math.exp(self.log_slowness)
+
+    def needs_held(self) -> Needs:
+        """Return what this entry's tasks there need together."""
+        if not self.held:
+            return NO_NEEDS
+        held = self.held.values()
+        return Needs(
+            cores=sum(needs.cores for needs in held),
+            memory_mb=sum(needs.memory_mb for needs in held),
+            accelerators=sum(needs.accelerators for needs in held),
+        )
+
+    def has_room_for(self, needs: Needs) -> bool:
+        """Return whether the worker's free part holds a task with these needs."""
+        if needs == NO_NEEDS:
+            return True
+        mine = self.needs_held()
+        size = self.member.worker
+        free = Needs(
+            cores=size.cores - mine.cores - math.ceil(self.cores_of_others),
+            memory_mb=size.memory_mb
+            - mine.memory_mb
+            - math.ceil(self.memory_of_others_mb),
+            accelerators=size.accelerators - mine.accelerators,
+        )
+        return fits(needs, free)
+
+    def _dispatched_before(self, limit_s: float) -> int:
+        count = len(self.outstanding)
+        for dispatched_s in reversed(self.outstanding.values()):
+            if dispatched_s <= limit_s:
+                break
+            count -= 1
+        return count
--- /dev/null
+++ b/src/verbenaplank/placement/fleet.py
@@ -0,0 +1,268 @@
+"""The backend servers as one entry knows them, and the choice among them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from verbenaplank.placement.backend_server import BackendServer
+from verbenaplank.placement.backend_server import fits
+from verbenaplank.placement.health import Health
+from verbenaplank.placement.jobs import JobRacks
+from verbenaplank.placement.load import PlacementContext
+from verbenaplank.placement.possibility import Possibility
+from verbenaplank.placement.run_time import RunTimes
+from verbenaplank.placement.settings import PlacementSettings
+from verbenaplank.placement.task import Needs
+from verbenaplank.protocol.membership import MemberRole
+from verbenaplank.protocol.work import TaskOutcome
+
+if TYPE_CHECKING:
+    import random
+
+    from verbenaplank.placement.policy import Policy
+    from verbenaplank.placement.task import TaskRequest
+    from verbenaplank.protocol.membership import Member
+    from verbenaplank.protocol.work import LoadReport
+
+USUAL_SHARE_GAIN = 0.02
+FAILURES = frozenset(
+    {TaskOutcome.FAILED, TaskOutcome.TIMED_OUT, TaskOutcome.CONNECTION_LOST}
+)
+
+
+class Fleet:
+    """State of all backend servers; every event carries its own time.
+
+    Results that arrive together with a load report are passed on first, the
+    report afterwards, since the report no longer counts them.
+    """
+
+    def __init__(
+        self,
+        policy: Policy,
+        random: random.Random,
+        own_data_centre: str,
+        settings: PlacementSettings | None = None,
+    ) -> None:
+        self._policy = policy
+        self._random = random
+        self._own_data_centre = own_data_centre
+        self._settings = settings or PlacementSettings()
+        self._servers: dict[str, BackendServer] = {}
+        self._services: dict[str, list[BackendServer]] = {}
+        self._drained: frozenset[str] = frozenset()
+        self._run_times = RunTimes()
+        self._health = Health(self._settings.health)
+        self._racks = JobRacks()
+        self._usual_share_of_others = 0.0
+
+    def join(self, member: Member, now_s: float) -> None:
+        """Take in a backend server that is new or whose announcement changed."""
+        if member.role is not MemberRole.AGENT:
+            return
+        server = self._servers.get(member.member_id)
+        if server is None:
+            server = BackendServer(member, self._round_trip_s(member))
+            server.quiet_since_s = now_s
+            server.drained = member.member_id in self._drained
+            self._servers[member.member_id] = server
+        elif server.member.incarnation != member.incarnation:
+            self._forget_outstanding(server)
+        self._remove_from_services(server)
+        server.member = member
+        for service in member.services:
+            self._services.setdefault(service, []).append(server)
+
+    def leave(self, member_id: str, now_s: float) -> None:
+        """Forget a backend server that left."""
+        server = self._servers.pop(member_id, None)
+        if server is None:
+            return
+        self._forget_outstanding(server)
+        self._remove_from_services(server)
+
+    def connected(
+        self, member_id: str, incarnation: str, slots: int, now_s: float
+    ) -> None:
+        """Record that the agent's stream is open."""
+        server = self._servers.get(member_id)
+        if server is None:
+            return
+        server.connected = True
+        server.incarnation = incarnation
+        server.slots = slots
+        server.report_draining = False
+        server.quiet_since_s = now_s
+
+    def disconnected(self, member_id: str, now_s: float) -> None:
+        """Record that the agent's stream is closed; its tasks are forgotten."""
+        server = self._servers.get(member_id)
+        if server is not None:
+            self._forget_outstanding(server)
+
+    def load_reported(self, member_id: str, report: LoadReport, now_s: float) -> None:
+        """Take a load report that came along with replies."""
+        server = self._servers.get(member_id)
+        if server is None:
+            return
+        server.take_report(report, now_s)
+        share = server.others / max(server.slots, 1)
+        error = share - self._usual_share_of_others
+        self._usual_share_of_others += USUAL_SHARE_GAIN * error
+
+    def choose(self, task: TaskRequest, now_s: float, waiting: int = 1) -> str | None:
+        """Return the agent for a task, or ``None`` to hold it at the entry.
+
+        Parameters
+        ----------
+        task
+            The task to place.
+        now_s
+            The monotonic time, in seconds.
+        waiting
+            Tasks that wait at this entry, this one included.
+        """
+        usable = self._usable(task, now_s)
+        if not usable:
+            return None
+        context = PlacementContext(
+            task=task,
+            now_s=now_s,
+            run_time_s=self._run_times.expected_s(task),
+            waiting=waiting,
+            usual_share_of_others=self._usual_share_of_others,
+            rack_tasks=self._racks.of(task.job_id),
+            settings=self._settings,
+        )
+        chosen = self._policy(usable, context, self._random)
+        return None if chosen is None else chosen.member_id
+
+    def dispatched(self, member_id: str, task: TaskRequest, now_s: float) -> None:
+        """Record that a task was sent to an agent."""
+        server = self._servers.get(member_id)
+        if server is None:
+            return
+        server.start(task, now_s)
+        self._racks.add(task.job_id, server)
+        self._health.job_started(task.job_id)
+
+    def finished(
+        self,
+        member_id: str,
+        task: TaskRequest,
+        outcome: TaskOutcome,
+        run_time_s: float,
+        now_s: float,
+    ) -> None:
+        """Record the end of a task's run."""
+        server = self._servers.get(member_id)
+        if server is None or not self._end(server, task):
+            return
+        server.quiet_since_s = now_s
+        if outcome is TaskOutcome.SUCCEEDED:
+            self._run_times.learn(task.service, server, run_time_s)
+            self._health.succeeded(server, task)
+        elif outcome in FAILURES:
+            peers = self._services.get(task.service, [])
+            self._health.failed(server, task, peers, now_s)
+
+    def released(self, member_id: str, task: TaskRequest, now_s: float) -> None:
+        """Record that a dispatched task was refused or revoked."""
+        server = self._servers.get(member_id)
+        if server is not None:
+            self._end(server, task)
+
+    def possibility(self, service: str, needs: Needs) -> Possibility:
+        """Return whether any announced worker could ever run such a task."""
+        servers = self._services.get(service)
+        if not servers:
+            return Possibility.NO_SERVICE
+        for server in servers:
+            worker = server.member.worker
+            size = Needs(
+                cores=worker.cores,
+                memory_mb=worker.memory_mb,
+                accelerators=worker.accelerators,
+            )
+            if fits(needs, size):
+                return Possibility.POSSIBLE
+        return Possibility.IMPOSSIBLE_NEEDS
+
+    def set_drained(self, member_ids: frozenset[str]) -> None:
+        """Set the backend servers that the configuration drains."""
+        self._drained = member_ids
+        for member_id, server in self._servers.items():
+            server.drained = member_id in member_ids
+
+    def expected_run_time_s(self, task: TaskRequest) -> float:
+        """Return the learned run time of a task on an average backend server."""
+        return self._run_times.expected_s(task)
+
+    def quarantined(self, now_s: float) -> list[str]:
+        """Return the agents in quarantine."""
+        return [
+            member_id
+            for member_id, server in self._servers.items()
+            if now_s < server.quarantined_until_s
+        ]
+
+    def stalled(self, now_s: float) -> list[str]:
+        """Return the agents that have tasks but finished none for too long."""
+        return [
+            member_id
+            for member_id, server in self._servers.items()
+            if server.outstanding and self._is_overdue(server, now_s)
+        ]
+
+    def slots_of(self, service: str) -> int:
+        """Return the slots of the service's connected backend servers."""
+        servers = self._services.get(service, ())
+        return sum(server.slots for server in servers if server.open_for_work)
+
+    def _usable(self, task: TaskRequest, now_s: float) -> list[BackendServer]:
+        usable = [
+            server
+            for server in self._sample(task.service)
+            if server.open_for_work
+            and self._health.is_usable(server, now_s)
+            and server.has_room_for(task.needs)
+        ]
+        preferred = [
+            server for server in usable if not self._health.avoids(task, server)
+        ]
+        return preferred or usable
+
+    def _sample(self, service: str) -> list[BackendServer]:
+        servers = self._services.get(service, [])
+        limit = self._settings.max_candidates
+        if len(servers) <= limit:
+            return servers
+        return self._random.sample(servers, limit)
+
+    def _is_overdue(self, server: BackendServer, now_s: float) -> bool:
+        usual_s = self._run_times.longest_s(server.member.services) * server.slowness
+        return now_s - server.quiet_since_s > self._settings.stall_factor * usual_s
+
+    def _round_trip_s(self, member: Member) -> float:
+        if member.data_centre == self._own_data_centre:
+            return self._settings.own_round_trip_s
+        return self._settings.other_round_trip_s
+
+    def _end(self, server: BackendServer, task: TaskRequest) -> bool:
+        if not server.end(task):
+            return False
+        self._racks.remove(task.job_id, server)
+        return True
+
+    def _forget_outstanding(self, server: BackendServer) -> None:
+        for job_id, _, _ in server.outstanding:
+            self._racks.remove(job_id, server)
+        server.clear()
+
+    def _remove_from_services(self, server: BackendServer) -> None:
+        for service in server.member.services:
+            servers = self._services.get(service, [])
+            if server in servers:
+                servers.remove(server)
+            if not servers:
+                self._services.pop(service, None)
--- /dev/null
+++ b/src/verbenaplank/placement/jobs.py
@@ -0,0 +1,40 @@
+"""Where the tasks of each job in progress run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from verbenaplank.placement.backend_server import BackendServer
+
+
+class JobRacks:
+    """Counts each job's outstanding tasks by rack."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, dict[str, int]] = {}
+
+    def of(self, job_id: str) -> dict[str, int]:
+        """Return a job's outstanding tasks by rack; not to be changed."""
+        return self._counts.get(job_id, NO_RACKS)
+
+    def add(self, job_id: str, server: BackendServer) -> None:
+        """Count one more task of a job."""
+        counts = self._counts.setdefault(job_id, {})
+        rack = server.member.rack
+        counts[rack] = counts.get(rack, 0) + 1
+
+    def remove(self, job_id: str, server: BackendServer) -> None:
+        """Count one task less; a job without any is forgotten."""
+        counts = self._counts.get(job_id)
+        rack = server.member.rack
+        if counts is None or rack not in counts:
+            return
+        counts[rack] -= 1
+        if counts[rack] == 0:
+            del counts[rack]
+        if not counts:
+            del self._counts[job_id]
+
+
+NO_RACKS: dict[str, int] = {}
--- /dev/null
+++ b/src/verbenaplank/placement/load.py
@@ -0,0 +1,93 @@
+"""Estimates of a backend server's load and of when it would finish a task."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.placement.settings import PlacementSettings
+from verbenaplank.placement.task import TaskRequest
+
+if TYPE_CHECKING:
+    from verbenaplank.placement.backend_server import BackendServer
+
+
+@attrs.frozen(kw_only=True)
+class PlacementContext:
+    """What a policy knows besides the backend servers.
+
+    Attributes
+    ----------
+    run_time_s
+        Expected run time of the task on a backend server of slowness 1.
+    waiting
+        Tasks that wait at this entry, the one to place included.
+    usual_share_of_others
+        Usual number of other entries' tasks per slot.
+    rack_tasks
+        Tasks of the same job by rack.
+    """
+
+    task: TaskRequest
+    now_s: float
+    run_time_s: float
+    waiting: int
+    usual_share_of_others: float
+    rack_tasks: dict[str, int]
+    settings: PlacementSettings
+
+
+def others_estimate(server: BackendServer, context: PlacementContext) -> float:
+    """Return the estimated tasks of other entries; an old report counts less."""
+    age_s = context.now_s - server.reported_s
+    validity_s = context.settings.report_validity_s
+    if age_s <= 0.0:
+        return server.others
+    usual = context.usual_share_of_others * server.slots
+    if age_s >= validity_s:
+        return usual
+    weight = 1.0 - age_s / validity_s
+    return weight * server.others + (1.0 - weight) * usual
+
+
+def load_estimate(server: BackendServer, context: PlacementContext) -> float:
+    """Return the estimated tasks of all entries at a backend server."""
+    return len(server.outstanding) + others_estimate(server, context)
+
+
+def run_time_s(server: BackendServer, context: PlacementContext) -> float:
+    """Return the expected run time there, in seconds."""
+    return context.run_time_s * server.slowness
+
+
+def lead(server: BackendServer, context: PlacementContext) -> int:
+    """Return how many tasks may wait there, to bridge one round trip."""
+    needed = server.slots * server.round_trip_s / run_time_s(server, context)
+    return max(context.settings.minimum_lead, min(server.slots, math.ceil(needed)))
+
+
+def has_room(server: BackendServer, load: float, context: PlacementContext) -> bool:
+    """Return whether the slots and the lead there are not yet taken."""
+    if len(server.outstanding) < context.settings.guaranteed_tasks:
+        return True
+    return load < server.slots + lead(server, context)
+
+
+def silence_s(server: BackendServer, context: PlacementContext) -> float:
+    """Return by how long its next finished task is overdue, in seconds."""
+    if not server.outstanding:
+        return 0.0
+    allowed_s = context.settings.stall_factor * run_time_s(server, context)
+    return max(0.0, context.now_s - server.quiet_since_s - allowed_s)
+
+
+def expected_completion_s(
+    server: BackendServer, load: float, context: PlacementContext
+) -> float:
+    """Return in how many seconds a task dispatched now would be answered."""
+    run_s = run_time_s(server, context)
+    ahead = max(0.0, load - server.slots + 1.0)
+    wait_s = run_s * ahead / max(server.slots, 1)
+    return server.round_trip_s + wait_s + run_s + silence_s(server, context)
--- /dev/null
+++ b/src/verbenaplank/placement/policy.py
@@ -0,0 +1,136 @@
+"""Policies: plain functions that choose a backend server for one task."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from verbenaplank.placement.backend_server import BackendServer
+from verbenaplank.placement.load import PlacementContext
+from verbenaplank.placement.load import expected_completion_s
+from verbenaplank.placement.load import has_room
+from verbenaplank.placement.load import load_estimate
+from verbenaplank.placement.load import run_time_s
+
+Policy = Callable[
+    [Sequence[BackendServer], PlacementContext, random.Random], BackendServer | None
+]
+"""Chooses among the usable backend servers; ``None`` holds the task."""
+
+
+def least_expected_completion(
+    servers: Sequence[BackendServer],
+    context: PlacementContext,
+    random_source: random.Random,
+) -> BackendServer | None:
+    """Choose the earliest expected completion; hold while all are full.
+
+    A task is also held when the faster backend servers, although full, are
+    expected to take all that waits here before the best free one is done.
+    """
+    free: list[tuple[float, BackendServer]] = []
+    full: list[BackendServer] = []
+    for server in servers:
+        load = load_estimate(server, context)
+        if has_room(server, load, context):
+            free.append((expected_completion_s(server, load, context), server))
+        else:
+            full.append(server)
+    if not free:
+        return None
+    best_s = min(completion_s for completion_s, _ in free)
+    if full and _held_completion_s(full, context) < best_s:
+        return None
+    tolerance_s = context.settings.tie_share * context.run_time_s
+    tied = [server for end_s, server in free if end_s <= best_s + tolerance_s]
+    return _nearest_of_fewest_in_rack(tied, context)
+
+
+def random_choice(
+    servers: Sequence[BackendServer],
+    context: PlacementContext,
+    random_source: random.Random,
+) -> BackendServer | None:
+    """Choose at random."""
+    return random_source.choice(servers) if servers else None
+
+
+def least_outstanding(
+    servers: Sequence[BackendServer],
+    context: PlacementContext,
+    random_source: random.Random,
+) -> BackendServer | None:
+    """Choose the one with the fewest tasks of this entry."""
+    if not servers:
+        return None
+    fewest = min(len(server.outstanding) for server in servers)
+    tied = [server for server in servers if len(server.outstanding) == fewest]
+    return random_source.choice(tied)
+
+
+def power_of_two(
+    servers: Sequence[BackendServer],
+    context: PlacementContext,
+    random_source: random.Random,
+) -> BackendServer | None:
+    """Choose the less loaded of two random ones."""
+    if not servers:
+        return None
+    first = random_source.choice(servers)
+    second = random_source.choice(servers)
+    if load_estimate(first, context) <= load_estimate(second, context):
+        return first
+    return second
+
+
+def slot_credits(
+    servers: Sequence[BackendServer],
+    context: PlacementContext,
+    random_source: random.Random,
+) -> BackendServer | None:
+    """Choose the one with the most credits left; hold while there are none."""
+    granted = context.settings.credits_per_entry
+    credited = [server for server in servers if len(server.outstanding) < granted]
+    return least_outstanding(credited, context, random_source)
+
+
+POLICIES: Mapping[str, Policy] = {
+    "least_expected_completion": least_expected_completion,
+    "random": random_choice,
+    "least_outstanding": least_outstanding,
+    "power_of_two": power_of_two,
+    "slot_credits": slot_credits,
+}
+
+
+def _held_completion_s(
+    full: Sequence[BackendServer], context: PlacementContext
+) -> float:
+    """Return when the full backend servers would have done all that waits here."""
+    rate_per_s = 0.0
+    for server in full:
+        mine = len(server.outstanding)
+        share = mine / max(load_estimate(server, context), 1.0)
+        rate_per_s += share * server.slots / run_time_s(server, context)
+    if rate_per_s <= 0.0:
+        return float("inf")
+    fastest = min(full, key=lambda server: server.slowness)
+    run_s = run_time_s(fastest, context)
+    return fastest.round_trip_s + context.waiting / rate_per_s + run_s
+
+
+def _nearest_of_fewest_in_rack(
+    servers: Sequence[BackendServer], context: PlacementContext
+) -> BackendServer:
+    if len(servers) == 1:
+        return servers[0]
+    counts = context.rack_tasks
+
+    def rank(server: BackendServer) -> tuple[float, int, float]:
+        rack_tasks = counts.get(server.member.rack, 0)
+        used_share = len(server.outstanding) / max(server.slots, 1)
+        return (server.round_trip_s, rack_tasks, used_share)
+
+    return min(servers, key=rank)
--- /dev/null
+++ b/tests/admission/test_limits.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+import pytest
+
+from verbenaplank.admission.budget import StartBudget
+from verbenaplank.admission.budget import hedge_budget
+from verbenaplank.admission.estimate import StartRate
+from verbenaplank.admission.estimate import estimate
+from verbenaplank.admission.quota import QuotaState
+from verbenaplank.admission.quota import TeamQuotas
+from verbenaplank.configuration.effective import TeamRules
+
+
+def quotas(entries: int = 1, **limits: float) -> TeamQuotas:
+    team_quotas = TeamQuotas()
+    rules = TeamRules(name="kayal", **limits)
+    team_quotas.configure({"kayal": rules}, entries)
+    return team_quotas
+
+
+def test_starts_beyond_the_rate_are_refused_until_the_bucket_refills() -> None:
+    limited = quotas(max_starts_per_s=100.0)
+    assert limited.admit("kayal", 100, 0.0).state is QuotaState.WITHIN
+
+    refused = limited.admit("kayal", 50, 0.0)
+
+    assert refused.state is QuotaState.TOO_MANY_STARTS
+    assert refused.retry_after_s == pytest.approx(0.5)
+    assert limited.admit("kayal", 50, 0.4).state is QuotaState.TOO_MANY_STARTS
+    assert limited.admit("kayal", 50, 0.5).state is QuotaState.WITHIN
+
+
+def test_a_job_larger_than_the_burst_waits_but_is_never_shut_out() -> None:
+    limited = quotas(max_starts_per_s=10.0)
+
+    assert limited.admit("kayal", 350, 0.0).state is QuotaState.WITHIN
+    assert limited.admit("kayal", 1, 30.0).state is QuotaState.TOO_MANY_STARTS
+    assert limited.admit("kayal", 1, 34.2).state is QuotaState.WITHIN
+
+
+def test_tasks_in_progress_are_limited_until_they_end() -> None:
+    limited = quotas(max_in_progress=10)
+    assert limited.admit("kayal", 10, 0.0).state is QuotaState.WITHIN
+    assert limited.admit("kayal", 1, 1.0).state is QuotaState.TOO_MANY_IN_PROGRESS
+
+    limited.ended("kayal", 1)
+
+    assert limited.admit("kayal", 1, 1.0).state is QuotaState.WITHIN
+
+
+def test_an_entry_enforces_its_part_of_a_quota() -> None:
+    limited = quotas(entries=4, max_starts_per_s=100.0)
+
+    assert limited.admit("kayal", 25, 0.0).state is QuotaState.WITHIN
+    assert limited.admit("kayal", 1, 0.0).state is QuotaState.TOO_MANY_STARTS
+
+
+def test_an_unknown_team_is_named_as_such() -> None:
+    assert quotas().admit("nobody", 1, 0.0).state is QuotaState.UNKNOWN_TEAM
+
+
+def test_retries_stay_a_share_of_the_starts() -> None:
+    budget = StartBudget(share=0.1, max_saved=5.0)
+    assert sum(budget.take() for _ in range(20)) == 5
+
+    budget.started(tasks=30)
+
+    assert sum(budget.take() for _ in range(20)) == 3
+    budget.started(tasks=1_000_000)
+    assert sum(budget.take() for _ in range(20)) == 5
+    assert hedge_budget().take()
+
+
+def test_a_request_that_cannot_meet_its_deadline_is_infeasible() -> None:
+    facts = {"tasks": 8, "start_rate_per_s": 100.0, "slots": 8, "run_time_s": 0.2}
+    behind = estimate(waiting_before=500, remaining_s=2.0, **facts)
+    early = estimate(waiting_before=100, remaining_s=2.0, **facts)
+
+    assert not behind.feasible
+    assert behind.retry_after_s == pytest.approx(3.2)
+    assert early.feasible
+    assert early.expected_s == pytest.approx(1.2)
+
+
+def test_the_start_rate_follows_recent_starts() -> None:
+    rate = StartRate()
+    for step in range(500):
+        rate.started(step * 0.01)
+
+    assert rate.per_s(5.0) == pytest.approx(100.0, rel=0.05)
+    assert rate.per_s(15.0) < 1.0
--- /dev/null
+++ b/tests/placement/test_health.py
@@ -0,0 +1,118 @@
+from __future__ import annotations
+
+import random
+
+from tests.placement.fleet_driver import FleetDriver
+from tests.placement.fleet_driver import task
+
+from verbenaplank.placement.settings import HealthSettings
+from verbenaplank.protocol.work import TaskOutcome
+
+NAMES = tuple(f"server-{index}" for index in range(11))
+FAILED = TaskOutcome.FAILED
+GOAL_FAILED_TASKS = 8
+
+
+def test_a_server_that_fails_everything_is_quarantined_within_the_goal(
+    driver: FleetDriver,
+) -> None:
+    driver.add(*NAMES)
+
+    failed = 0
+    for number in range(400):
+        request = task(f"job-{number // 4}", number)
+        name = driver.place(request)
+        assert name is not None
+        bad = name == NAMES[0]
+        failed += bad
+        driver.finish(name, request, FAILED if bad else TaskOutcome.SUCCEEDED)
+        if driver.fleet.quarantined(driver.now_s):
+            break
+
+    assert driver.fleet.quarantined(driver.now_s) == [NAMES[0]]
+    assert failed <= GOAL_FAILED_TASKS
+
+
+def test_one_job_that_can_never_run_quarantines_none(driver: FleetDriver) -> None:
+    driver.add(*NAMES)
+
+    for index in range(350):
+        request = task("poison", index)
+        name = driver.place(request)
+        assert name is not None
+        driver.finish(name, request, FAILED)
+
+    assert driver.fleet.quarantined(driver.now_s) == []
+
+
+def test_a_stream_of_jobs_that_can_never_run_quarantines_none(
+    driver: FleetDriver,
+) -> None:
+    driver.add(*NAMES)
+    source = random.Random(3)
+
+    for number in range(4_000):
+        request = task(f"job-{number}")
+        name = driver.place(request)
+        assert name is not None
+        poisonous = source.random() < 0.2
+        driver.finish(name, request, FAILED if poisonous else TaskOutcome.SUCCEEDED)
+        driver.now_s += 0.01
+
+    assert driver.fleet.quarantined(driver.now_s) == []
+
+
+def test_a_job_does_not_return_to_where_it_failed(driver: FleetDriver) -> None:
+    driver.add("a", "b")
+    driver.run("a", task("job", 0), outcome=FAILED)
+
+    assert [driver.place(task("job", index)) for index in range(1, 5)] == ["b"] * 4
+
+
+def quarantine(driver: FleetDriver, name: str) -> None:
+    for number in range(GOAL_FAILED_TASKS):
+        driver.run(name, task(f"evidence-{number}"), outcome=FAILED)
+    assert name in driver.fleet.quarantined(driver.now_s)
+
+
+def test_return_is_by_one_task_at_a_time(driver: FleetDriver) -> None:
+    driver.add(*NAMES)
+    quarantine(driver, "server-0")
+    driver.fleet.set_drained(frozenset(NAMES[1:]))
+    assert driver.place(task()) is None
+
+    driver.now_s += HealthSettings().first_quarantine_s
+    trial = task("trial")
+    assert driver.place(trial) == "server-0"
+    assert driver.place(task("second")) is None
+
+    driver.finish("server-0", trial)
+    for number in range(HealthSettings().successes_to_return - 1):
+        driver.run("server-0", task(f"trial-{number}"))
+    assert driver.place(task("second")) == "server-0"
+    assert driver.place(task("third")) == "server-0"
+
+
+def test_a_relapse_doubles_the_quarantine(driver: FleetDriver) -> None:
+    driver.add(*NAMES)
+    quarantine(driver, "server-0")
+    first_s = HealthSettings().first_quarantine_s
+    driver.now_s += first_s
+
+    driver.run("server-0", task("trial"), outcome=FAILED)
+    driver.now_s += first_s
+
+    assert driver.fleet.quarantined(driver.now_s) == ["server-0"]
+    driver.now_s += first_s
+    assert driver.fleet.quarantined(driver.now_s) == []
+
+
+def test_the_quarantined_share_is_capped(driver: FleetDriver) -> None:
+    driver.add(*NAMES)
+
+    for number in range(50):
+        for name in NAMES[:8]:
+            driver.run(name, task(f"job-{name}-{number}"), outcome=FAILED)
+    share = len(driver.fleet.quarantined(driver.now_s)) / len(NAMES)
+
+    assert share <= HealthSettings().max_quarantined_share
