--- /dev/null
+++ b/src/verbenaplank/entry/agent_link.py
@@ -0,0 +1,204 @@
+"""The long-lived stream to one agent."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import attrs
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import StreamTerminatedError
+
+from verbenaplank.protocol.work import Dispatch
+from verbenaplank.protocol.work import LeaseRenewal
+from verbenaplank.protocol.work import Revoke
+from verbenaplank.protocol.work import Stop
+from verbenaplank.protocol.work import ToAgent
+from verbenaplank.rpc.address import parse_address
+from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.outbox import Outbox
+from verbenaplank.rpc.services import WORK
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from grpclib.client import Stream
+
+    from verbenaplank.entry.effects import ToAgentItem
+    from verbenaplank.protocol.membership import Member
+    from verbenaplank.protocol.work import AgentWelcome
+    from verbenaplank.protocol.work import EntryHello
+    from verbenaplank.protocol.work import FromAgent
+    from verbenaplank.settings.common import TlsSettings
+
+FIRST_RECONNECT_PAUSE_S = 0.05
+MAX_RECONNECT_PAUSE_S = 1.0
+CONNECT_TIMEOUT_S = 3.0
+MAX_PAYLOAD_BYTES_PER_MESSAGE = 1024 * 1024
+TASK_LEASE_MS = 3_000.0
+RENEWAL_PERIOD_S = 1.0
+
+BROKEN = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
+
+OutboxItem = Dispatch | Revoke | Stop | LeaseRenewal
+
+
+class AgentListener(Protocol):
+    """Hears of an agent's stream."""
+
+    def agent_connected(self, welcome: AgentWelcome) -> None:
+        """Take in the start of a stream."""
+
+    def agent_message(self, agent_id: str, message: FromAgent) -> None:
+        """Take in a message."""
+
+    def agent_disconnected(self, agent_id: str) -> None:
+        """Take in the end of a stream."""
+
+
+class AgentLink:
+    """Keeps one stream to an agent open, and opens it again when it breaks.
+
+    What is sent while the stream is down is dropped: once it is open again,
+    the engine asks about every dispatch that is still open.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        hello: EntryHello,
+        listener: AgentListener,
+        tls: TlsSettings | None,
+    ) -> None:
+        self._member = member
+        self._hello = hello
+        self._listener = listener
+        self._tls = tls
+        self._outbox: Outbox[OutboxItem] | None = None
+        self._retired = False
+
+    def send(self, item: OutboxItem) -> None:
+        """Send an item with what else is ready."""
+        if self._outbox is not None:
+            self._outbox.put(item)
+
+    def retire(self) -> None:
+        """Let the stream serve until it breaks, and do not open it again."""
+        self._retired = True
+
+    def revive(self, member: Member) -> None:
+        """Open the stream again when it breaks."""
+        self._member = member
+        self._retired = False
+
+    async def run(self) -> None:
+        """Keep the stream open until cancelled or retired."""
+        pause_s = FIRST_RECONNECT_PAUSE_S
+        while not self._retired:
+            if await self._serve_one_stream():
+                pause_s = FIRST_RECONNECT_PAUSE_S
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, MAX_RECONNECT_PAUSE_S)
+
+    async def _serve_one_stream(self) -> bool:
+        """Open the stream and serve it; tell whether it was open."""
+        try:
+            with connect(parse_address(self._member.address), self._tls) as channel:
+                async with WORK.open(channel) as stream:
+                    async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                        welcome = await self._greet(stream)
+                    if welcome is None or welcome.agent_id != self._member.member_id:
+                        return False
+                    await self._serve(stream, welcome)
+                    return True
+        except BROKEN:
+            return False
+
+    async def _greet(self, stream: Stream[ToAgent, FromAgent]) -> AgentWelcome | None:
+        await stream.send_message(ToAgent(hello=self._hello))
+        message = await stream.recv_message()
+        return message.welcome if message is not None else None
+
+    async def _serve(
+        self, stream: Stream[ToAgent, FromAgent], welcome: AgentWelcome
+    ) -> None:
+        outbox: Outbox[OutboxItem] = Outbox()
+        self._outbox = outbox
+        self._listener.agent_connected(welcome)
+        directions = {
+            asyncio.create_task(self._receive(stream)),
+            asyncio.create_task(_send_forever(stream, outbox)),
+            asyncio.create_task(_renew_forever(outbox)),
+        }
+        try:
+            await asyncio.wait(directions, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self._outbox = None
+            for direction in directions:
+                direction.cancel()
+            await asyncio.gather(*directions, return_exceptions=True)
+            self._listener.agent_disconnected(welcome.agent_id)
+
+    async def _receive(self, stream: Stream[ToAgent, FromAgent]) -> None:
+        agent_id = self._member.member_id
+        async for message in stream:
+            self._listener.agent_message(agent_id, message)
+
+
+async def _renew_forever(outbox: Outbox[OutboxItem]) -> None:
+    while True:
+        outbox.put(LeaseRenewal(lease_ms=TASK_LEASE_MS))
+        await asyncio.sleep(RENEWAL_PERIOD_S)
+
+
+async def _send_forever(
+    stream: Stream[ToAgent, FromAgent], outbox: Outbox[OutboxItem]
+) -> None:
+    while True:
+        for message in envelopes(await outbox.take()):
+            await stream.send_message(message)
+
+
+def envelopes(items: Iterable[OutboxItem]) -> Iterator[ToAgent]:
+    """Pack items into messages, each well under the largest message."""
+    pack = _Pack()
+    for item in items:
+        if isinstance(item, Dispatch) and pack.is_full_for(item):
+            yield pack.message()
+            pack = _Pack()
+        pack.add(item)
+    yield pack.message()
+
+
+@attrs.define
+class _Pack:
+    dispatches: list[Dispatch] = attrs.field(factory=list)
+    revokes: list[Revoke] = attrs.field(factory=list)
+    stops: list[Stop] = attrs.field(factory=list)
+    renewal: LeaseRenewal | None = None
+    payload_bytes: int = 0
+
+    def is_full_for(self, dispatch: Dispatch) -> bool:
+        size_bytes = self.payload_bytes + len(dispatch.payload)
+        return bool(self.dispatches) and size_bytes > MAX_PAYLOAD_BYTES_PER_MESSAGE
+
+    def add(self, item: ToAgentItem | LeaseRenewal) -> None:
+        if isinstance(item, Dispatch):
+            self.dispatches.append(item)
+            self.payload_bytes += len(item.payload)
+        elif isinstance(item, Revoke):
+            self.revokes.append(item)
+        elif isinstance(item, Stop):
+            self.stops.append(item)
+        else:
+            self.renewal = item
+
+    def message(self) -> ToAgent:
+        return ToAgent(
+            dispatches=tuple(self.dispatches),
+            revokes=tuple(self.revokes),
+            stops=tuple(self.stops),
+            renewal=self.renewal,
+        )
--- /dev/null
+++ b/src/verbenaplank/entry/agent_links.py
@@ -0,0 +1,100 @@
+"""The streams to all agents, following the membership."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Self
+
+from verbenaplank.entry.agent_link import AgentLink
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.entry.effects import ToAgentItem
+    from verbenaplank.entry.runner import EngineRunner
+    from verbenaplank.protocol.membership import Member
+    from verbenaplank.protocol.work import AgentWelcome
+    from verbenaplank.protocol.work import EntryHello
+    from verbenaplank.protocol.work import FromAgent
+    from verbenaplank.settings.common import TlsSettings
+
+
+class EngineListener:
+    """Passes what agents say to the engine."""
+
+    def __init__(self, runner: EngineRunner, clock: MonotonicClock) -> None:
+        self._runner = runner
+        self._clock = clock
+
+    def agent_connected(self, welcome: AgentWelcome) -> None:
+        """Take in the start of a stream."""
+        self._runner.engine.agent_connected(welcome, self._clock())
+        self._runner.flush_soon()
+
+    def agent_message(self, agent_id: str, message: FromAgent) -> None:
+        """Take in a message."""
+        self._runner.engine.agent_message(agent_id, message, self._clock())
+        self._runner.flush_soon()
+
+    def agent_disconnected(self, agent_id: str) -> None:
+        """Take in the end of a stream."""
+        self._runner.engine.agent_disconnected(agent_id, self._clock())
+        self._runner.flush_soon()
+
+
+class AgentLinks:
+    """One link to each agent; closes them at the end of its context."""
+
+    def __init__(
+        self, hello: EntryHello, listener: EngineListener, tls: TlsSettings | None
+    ) -> None:
+        self._hello = hello
+        self._listener = listener
+        self._tls = tls
+        self._links: dict[str, AgentLink] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        tasks = tuple(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def send(self, agent_id: str, item: ToAgentItem) -> None:
+        """Send an item to an agent, if its stream is open."""
+        link = self._links.get(agent_id)
+        if link is not None:
+            link.send(item)
+
+    def joined(self, member: Member) -> None:
+        """Open a stream to an agent that joined or changed."""
+        link = self._links.get(member.member_id)
+        if link is not None:
+            link.revive(member)
+            return
+        link = AgentLink(member, self._hello, self._listener, self._tls)
+        self._links[member.member_id] = link
+        task = asyncio.get_running_loop().create_task(link.run())
+        self._tasks[member.member_id] = task
+        task.add_done_callback(lambda _: self._forget(member.member_id, link))
+
+    def left(self, agent_id: str) -> None:
+        """Keep an agent's stream only until it breaks."""
+        link = self._links.get(agent_id)
+        if link is not None:
+            link.retire()
+
+    def _forget(self, agent_id: str, link: AgentLink) -> None:
+        if self._links.get(agent_id) is link:
+            del self._links[agent_id]
+            del self._tasks[agent_id]
--- /dev/null
+++ b/src/verbenaplank/entry/answer.py
@@ -0,0 +1,101 @@
+"""The answer stage: the exact bytes that a caller receives."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from verbenaplank.outcome.failure import FailureKind
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from verbenaplank.outcome.failure import Failure
+
+JSON_MEDIA_TYPE = "application/json"
+PROBLEM_MEDIA_TYPE = "application/problem+json"
+PROBLEM_TYPE_PREFIX = "urn:verbenaplank:problem:"
+
+STATUS_BY_KIND = {
+    FailureKind.INVALID: HTTPStatus.BAD_REQUEST,
+    FailureKind.UNAUTHORIZED: HTTPStatus.UNAUTHORIZED,
+    FailureKind.UNKNOWN_SERVICE: HTTPStatus.UNPROCESSABLE_ENTITY,
+    FailureKind.UNKNOWN_TEAM: HTTPStatus.UNPROCESSABLE_ENTITY,
+    FailureKind.UNKNOWN_JOB: HTTPStatus.NOT_FOUND,
+    FailureKind.IMPOSSIBLE_NEEDS: HTTPStatus.UNPROCESSABLE_ENTITY,
+    FailureKind.ID_REUSED: HTTPStatus.CONFLICT,
+    FailureKind.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    FailureKind.OVER_QUOTA: HTTPStatus.TOO_MANY_REQUESTS,
+    FailureKind.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
+    FailureKind.NO_QUORUM: HTTPStatus.SERVICE_UNAVAILABLE,
+    FailureKind.NOT_READY: HTTPStatus.SERVICE_UNAVAILABLE,
+    FailureKind.DEADLINE_EXCEEDED: HTTPStatus.GATEWAY_TIMEOUT,
+    FailureKind.CANCELLED: HTTPStatus.CONFLICT,
+    FailureKind.TASK_FAILED: HTTPStatus.BAD_GATEWAY,
+    FailureKind.OUTCOME_UNKNOWN: HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """Status and body of an HTTP response.
+
+    Attributes
+    ----------
+    retry_after_s
+        Value of the ``Retry-After`` header, or ``None`` for no such header.
+    """
+
+    status: int
+    body: bytes
+    retry_after_s: float | None = None
+
+    @property
+    def media_type(self) -> str:
+        """Return the media type of the body."""
+        if self.status == HTTPStatus.OK:
+            return JSON_MEDIA_TYPE
+        return PROBLEM_MEDIA_TYPE
+
+
+def job_answer(job_id: str, results: Sequence[bytes]) -> Answer:
+    """Return the answer of a job whose tasks all succeeded."""
+    document = {
+        "id": job_id,
+        "state": "complete",
+        "results": [msgspec.Raw(result) for result in results],
+    }
+    return Answer(status=HTTPStatus.OK, body=msgspec.json.encode(document))
+
+
+def request_answer(job_id: str, result: bytes) -> Answer:
+    """Return the answer of a single call that succeeded."""
+    document = {"id": job_id, "state": "complete", "result": msgspec.Raw(result)}
+    return Answer(status=HTTPStatus.OK, body=msgspec.json.encode(document))
+
+
+def failure_answer(failure: Failure, job_id: str = "") -> Answer:
+    """Return the problem document (RFC 9457) of a failure."""
+    status = STATUS_BY_KIND[failure.kind]
+    document: dict[str, object] = {
+        "type": PROBLEM_TYPE_PREFIX + failure.kind,
+        "title": failure.kind.replace("_", " ").capitalize(),
+        "status": int(status),
+        "detail": failure.detail,
+        "kind": failure.kind,
+        "run": failure.run,
+    }
+    if job_id:
+        document["id"] = job_id
+    if failure.findings:
+        document["findings"] = failure.findings
+    if failure.retry_after_s is not None:
+        document["retry_after_s"] = failure.retry_after_s
+    return Answer(
+        status=status,
+        body=msgspec.json.encode(document),
+        retry_after_s=failure.retry_after_s,
+    )
--- /dev/null
+++ b/src/verbenaplank/entry/book.py
@@ -0,0 +1,231 @@
+"""The dispatch book: the one place that says what of a request has run.
+
+Every failure that an entry answers is made here.  ``not_run`` is said only
+of a sealed job none of whose dispatches has started or can still start; a
+sealed job takes no further dispatch.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.outcome.failure import Failure
+from verbenaplank.outcome.failure import FailureKind
+from verbenaplank.outcome.failure import Run
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from verbenaplank.outcome.rejection import Rejection
+    from verbenaplank.placement.task import TaskRequest
+
+
+class DispatchState(StrEnum):
+    """What is known of a dispatch.
+
+    ``OUTSTANDING`` may start at any time.  ``STARTED`` is known to have
+    started.  The others are final: ``NEVER_STARTED`` was refused or revoked,
+    ``FINISHED`` has ended, ``LOST`` may have started on an agent that is gone.
+    """
+
+    OUTSTANDING = "outstanding"
+    STARTED = "started"
+    FINISHED = "finished"
+    NEVER_STARTED = "never_started"
+    LOST = "lost"
+
+
+OPEN_STATES = frozenset({DispatchState.OUTSTANDING, DispatchState.STARTED})
+
+
+class SealedJobError(RuntimeError):
+    """A dispatch was to be recorded for a job that takes none any more."""
+
+
+@attrs.define(kw_only=True)
+class DispatchRecord:
+    """One dispatch and what is known of it.
+
+    Attributes
+    ----------
+    sent_s
+        Monotonic time at which it was handed to the agent's stream.
+    """
+
+    dispatch_id: int
+    task: TaskRequest
+    agent_id: str
+    agent_incarnation: str
+    sent_s: float
+    state: DispatchState = DispatchState.OUTSTANDING
+
+
+@attrs.define
+class _JobCounts:
+    sealed: bool = False
+    answered: bool = False
+    outstanding: int = 0
+    started: int = 0
+    lost: int = 0
+
+
+class DispatchBook:
+    """Records every dispatch of one entry incarnation.
+
+    A record stays until its state is final, also after its job was answered,
+    so that late messages find it.  Counts of a job stay until it is forgotten.
+    """
+
+    def __init__(self) -> None:
+        self._next_id = 1
+        self._open: dict[int, DispatchRecord] = {}
+        self._by_agent: dict[str, dict[int, DispatchRecord]] = defaultdict(dict)
+        self._by_job: dict[str, dict[int, DispatchRecord]] = {}
+        self._counts: dict[str, _JobCounts] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def open_job(self, job_id: str) -> None:
+        """Start to count the dispatches of a job."""
+        self._counts[job_id] = _JobCounts()
+        self._by_job[job_id] = {}
+
+    def record(
+        self, task: TaskRequest, agent_id: str, agent_incarnation: str, now_s: float
+    ) -> DispatchRecord:
+        """Record a dispatch before it is sent.
+
+        Raises
+        ------
+        SealedJobError
+            If the job was sealed.
+        """
+        counts = self._counts.get(task.job_id)
+        if counts is None or counts.sealed:
+            raise SealedJobError(task.job_id)
+        record = DispatchRecord(
+            dispatch_id=self._next_id,
+            task=task,
+            agent_id=agent_id,
+            agent_incarnation=agent_incarnation,
+            sent_s=now_s,
+        )
+        self._next_id += 1
+        counts.outstanding += 1
+        self._open[record.dispatch_id] = record
+        self._by_agent[agent_id][record.dispatch_id] = record
+        self._by_job[task.job_id][record.dispatch_id] = record
+        return record
+
+    def find(self, dispatch_id: int, agent_id: str) -> DispatchRecord | None:
+        """Return an open dispatch of an agent, or ``None``."""
+        record = self._open.get(dispatch_id)
+        if record is None or record.agent_id != agent_id:
+            return None
+        return record
+
+    def started(self, record: DispatchRecord) -> None:
+        """Note that a dispatch is known to have started."""
+        if record.state is not DispatchState.OUTSTANDING:
+            return
+        record.state = DispatchState.STARTED
+        counts = self._counts_of(record)
+        counts.outstanding -= 1
+        counts.started += 1
+
+    def finished(self, record: DispatchRecord) -> None:
+        """Note that a dispatch started and ended."""
+        self.started(record)
+        self._close(record, DispatchState.FINISHED)
+
+    def never_started(self, record: DispatchRecord) -> None:
+        """Note that a dispatch was refused or revoked and can never start."""
+        counts = self._counts_of(record)
+        if record.state is DispatchState.STARTED:
+            raise ValueError(f"dispatch {record.dispatch_id} has started")
+        counts.outstanding -= 1
+        self._close(record, DispatchState.NEVER_STARTED)
+
+    def lost(self, record: DispatchRecord) -> None:
+        """Note that the outcome of a dispatch will never be known."""
+        self.started(record)
+        self._counts_of(record).lost += 1
+        self._close(record, DispatchState.LOST)
+
+    def of_agent(self, agent_id: str) -> tuple[DispatchRecord, ...]:
+        """Return the open dispatches of an agent, oldest first."""
+        return tuple(self._by_agent.get(agent_id, {}).values())
+
+    def of_job(self, job_id: str) -> tuple[DispatchRecord, ...]:
+        """Return the open dispatches of a job, oldest first."""
+        return tuple(self._by_job.get(job_id, {}).values())
+
+    def of_task(self, job_id: str, task_index: int) -> tuple[DispatchRecord, ...]:
+        """Return the open dispatches of a task, oldest first."""
+        records: Iterable[DispatchRecord] = self._by_job.get(job_id, {}).values()
+        return tuple(r for r in records if r.task.task_index == task_index)
+
+    def busy_agents(self) -> tuple[str, ...]:
+        """Return the agents that have open dispatches."""
+        return tuple(agent for agent, records in self._by_agent.items() if records)
+
+    def seal(self, job_id: str) -> None:
+        """Let no further dispatch of a job be recorded."""
+        if job_id in self._counts:
+            self._counts[job_id].sealed = True
+
+    def may_still_start(self, job_id: str) -> bool:
+        """Tell whether a dispatch of a job is not known to have started or not."""
+        counts = self._counts.get(job_id)
+        return counts is not None and counts.outstanding > 0
+
+    def fail(self, rejection: Rejection, job_id: str = "") -> Failure:
+        """Seal a job and return its failure, with what is known to have run.
+
+        A request that never got as far as a job has no dispatches.
+        """
+        self.seal(job_id)
+        return Failure(
+            kind=rejection.kind,
+            detail=rejection.detail,
+            run=self._run(rejection.kind, self._counts.get(job_id)),
+            findings=rejection.findings,
+            retry_after_s=rejection.retry_after_s,
+        )
+
+    def answered(self, job_id: str) -> None:
+        """Seal a job and drop its counts once no dispatch of it is open."""
+        self.seal(job_id)
+        if job_id in self._counts:
+            self._counts[job_id].answered = True
+            self._drop_if_done(job_id)
+
+    def _run(self, kind: FailureKind, counts: _JobCounts | None) -> Run:
+        if kind in (FailureKind.OUTCOME_UNKNOWN, FailureKind.UNKNOWN_JOB):
+            return Run.MAY_HAVE_RUN
+        if counts is None:
+            return Run.NOT_RUN
+        if counts.outstanding or counts.lost:
+            return Run.MAY_HAVE_RUN
+        return Run.RAN if counts.started else Run.NOT_RUN
+
+    def _counts_of(self, record: DispatchRecord) -> _JobCounts:
+        return self._counts[record.task.job_id]
+
+    def _close(self, record: DispatchRecord, state: DispatchState) -> None:
+        record.state = state
+        job_id = record.task.job_id
+        del self._open[record.dispatch_id]
+        del self._by_agent[record.agent_id][record.dispatch_id]
+        del self._by_job[job_id][record.dispatch_id]
+        self._drop_if_done(job_id)
+
+    def _drop_if_done(self, job_id: str) -> None:
+        if self._counts[job_id].answered and not self._by_job[job_id]:
+            del self._counts[job_id]
+            del self._by_job[job_id]
--- /dev/null
+++ b/src/verbenaplank/entry/decode.py
@@ -0,0 +1,123 @@
+"""The decode stage: from the bytes of a request body to a draft."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from verbenaplank.entry.draft import Draft
+from verbenaplank.entry.fields import FieldReader
+from verbenaplank.entry.fields import Object
+from verbenaplank.outcome.finding import Finding
+from verbenaplank.placement.task import Needs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+PRIORITIES = ("routine", "urgent")
+MAX_DEADLINE_MS = 3_600_000
+MAX_RUNS = 100
+MAX_NEED = 2**31 - 1
+
+_COMMON_FIELDS = frozenset(
+    {"id", "service", "team", "priority", "deadline_ms", "needs"}
+)
+_JOB_FIELDS = _COMMON_FIELDS | {"tasks"}
+_REQUEST_FIELDS = _COMMON_FIELDS | {"payload", "idempotent", "max_runs"}
+_NEEDS_FIELDS = frozenset({"cores", "memory_mb", "accelerators"})
+_TASK_FIELDS = frozenset({"payload"})
+
+_BODY = msgspec.json.Decoder(Object)
+
+
+def decode_job(body: bytes) -> Draft:
+    """Read the body of ``POST /v1/jobs``."""
+    return _decode(body, _read_job, single=False)
+
+
+def decode_request(body: bytes) -> Draft:
+    """Read the body of ``POST /v1/requests``."""
+    return _decode(body, _read_request, single=True)
+
+
+def _decode(
+    body: bytes,
+    read: Callable[[FieldReader, list[Finding]], Draft],
+    *,
+    single: bool,
+) -> Draft:
+    findings: list[Finding] = []
+    try:
+        body.decode("utf-8")
+        fields = _BODY.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Draft(single=single, findings=(Finding("body", str(error)),))
+    return read(FieldReader(fields, findings), findings)
+
+
+def _read_job(reader: FieldReader, findings: list[Finding]) -> Draft:
+    reader.only(_JOB_FIELDS)
+    job_id = reader.text("id", required=True)
+    tasks = reader.objects("tasks")
+    for task in tasks:
+        task.only(_TASK_FIELDS)
+    return _draft(
+        reader,
+        findings,
+        single=False,
+        job_id=job_id,
+        payloads=tuple(task.raw("payload") for task in tasks),
+    )
+
+
+def _read_request(reader: FieldReader, findings: list[Finding]) -> Draft:
+    reader.only(_REQUEST_FIELDS)
+    return _draft(
+        reader,
+        findings,
+        single=True,
+        job_id=reader.text("id"),
+        payloads=(reader.raw("payload"),),
+        idempotent=reader.boolean("idempotent"),
+        max_runs=reader.integer("max_runs", low=1, high=MAX_RUNS),
+    )
+
+
+def _draft(
+    reader: FieldReader,
+    findings: list[Finding],
+    *,
+    single: bool,
+    job_id: str,
+    payloads: tuple[bytes, ...],
+    idempotent: bool = False,
+    max_runs: int | None = None,
+) -> Draft:
+    service = reader.text("service", required=True)
+    team = reader.text("team", required=True)
+    urgent = reader.choice("priority", PRIORITIES) == "urgent"
+    deadline_ms = reader.integer("deadline_ms", low=1, high=MAX_DEADLINE_MS)
+    needs = _read_needs(reader.nested("needs"))
+    return Draft(
+        single=single,
+        job_id=job_id,
+        service=service,
+        team=team,
+        urgent=urgent,
+        deadline_ms=deadline_ms,
+        needs=needs,
+        payloads=payloads,
+        idempotent=idempotent,
+        max_runs=max_runs,
+        findings=tuple(findings),
+    )
+
+
+def _read_needs(reader: FieldReader) -> Needs:
+    reader.only(_NEEDS_FIELDS)
+    return Needs(
+        cores=reader.integer("cores", low=0, high=MAX_NEED) or 0,
+        memory_mb=reader.integer("memory_mb", low=0, high=MAX_NEED) or 0,
+        accelerators=reader.integer("accelerators", low=0, high=MAX_NEED) or 0,
+    )
--- /dev/null
+++ b/src/verbenaplank/entry/engine.py
@@ -0,0 +1,201 @@
+"""The decisions of an entry, from admitted requests to answers, without I/O.
+
+Each method takes one event and the time; what is to be done about it stands
+in ``effects`` afterwards.  The adapters call :meth:`Engine.flush` once after
+a batch of events and carry the effects out in order.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from verbenaplank.entry.book import DispatchBook
+from verbenaplank.entry.collect import Collector
+from verbenaplank.entry.jobs import JobTable
+from verbenaplank.entry.place import Placer
+from verbenaplank.entry.retry import Retries
+from verbenaplank.entry.timetable import Timetable
+from verbenaplank.outcome.failure import FailureKind
+from verbenaplank.outcome.rejection import Rejection
+from verbenaplank.protocol.work import LoadReport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenaplank.entry.effects import Effect
+    from verbenaplank.entry.ports import Placement
+    from verbenaplank.entry.ports import WaitingTasks
+    from verbenaplank.entry.retry import Budget
+    from verbenaplank.entry.submission import Submission
+    from verbenaplank.placement.task import TaskRequest
+    from verbenaplank.protocol.membership import Member
+    from verbenaplank.protocol.work import AgentWelcome
+    from verbenaplank.protocol.work import FromAgent
+
+CANCELLED = Rejection(kind=FailureKind.CANCELLED, detail="cancelled by the caller")
+DEADLINE_EXCEEDED = Rejection(
+    kind=FailureKind.DEADLINE_EXCEEDED, detail="the deadline passed"
+)
+LEASE_LAPSED = Rejection(
+    kind=FailureKind.OUTCOME_UNKNOWN,
+    detail="this entry lost its lease while the request was in progress",
+)
+STOPPED = Rejection(
+    kind=FailureKind.CANCELLED, detail="the entry stopped before the request ended"
+)
+
+
+def ignore_dispatch(task: TaskRequest, agent_id: str) -> None:
+    """Record nothing of a dispatch."""
+
+
+class Engine:
+    """All jobs of one entry incarnation.
+
+    Attributes
+    ----------
+    effects
+        What the adapters have still to do.
+    book
+        Makes every failure.
+    jobs
+        The jobs in progress.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Placement,
+        queue: WaitingTasks,
+        retry_budget: Budget,
+        lease_valid: Callable[[float], bool],
+        on_dispatch: Callable[[TaskRequest, str], None] = ignore_dispatch,
+    ) -> None:
+        self.effects: list[Effect] = []
+        self.book = DispatchBook()
+        self.jobs = JobTable(self.book, queue, self.effects)
+        self._fleet = fleet
+        self._queue = queue
+        self._lease_valid = lease_valid
+        self._deadlines = Timetable()
+        self._members: dict[str, Member] = {}
+        self._connected: dict[str, AgentWelcome] = {}
+        retries = Retries(book=self.book, queue=queue, budget=retry_budget)
+        self._collector = Collector(
+            jobs=self.jobs, book=self.book, fleet=fleet, retries=retries
+        )
+        self._placer = Placer(
+            jobs=self.jobs,
+            book=self.book,
+            queue=queue,
+            fleet=fleet,
+            effects=self.effects,
+            on_dispatch=on_dispatch,
+        )
+        self.counts = self._collector.counts
+
+    def submit(self, submission: Submission, now_s: float) -> None:
+        """Take in a request whose id, if it needs a claim, is owned here."""
+        self.jobs.open(submission, now_s)
+        self._deadlines.add(submission.job_id, submission.deadline_s)
+
+    def cancel(self, job_id: str, now_s: float) -> bool:
+        """Cancel a job; tell whether it was in progress."""
+        return self._fail(job_id, CANCELLED, now_s)
+
+    def member_joined(self, member: Member, now_s: float) -> None:
+        """Take in an agent that joined or changed."""
+        agent_id = member.member_id
+        self._members[agent_id] = member
+        self._fleet.join(member, now_s)
+        welcome = self._connected.get(agent_id)
+        if welcome is not None and not self._placer.is_connected(agent_id):
+            self._use(welcome, now_s)
+
+    def member_left(self, agent_id: str, now_s: float) -> None:
+        """Dispatch nothing more to an agent that left.
+
+        While its stream stands, the results of what it runs still count.
+        """
+        self._members.pop(agent_id, None)
+        self._fleet.leave(agent_id, now_s)
+        self._placer.disconnected(agent_id)
+        if agent_id not in self._connected:
+            self._collector.agent_lost(agent_id, now_s)
+
+    def agent_connected(self, welcome: AgentWelcome, now_s: float) -> None:
+        """Take in the start of an agent's stream."""
+        agent_id = welcome.agent_id
+        self._connected[agent_id] = welcome
+        self._collector.connected(agent_id, welcome.incarnation, now_s)
+        if agent_id in self._members:
+            self._use(welcome, now_s)
+
+    def agent_disconnected(self, agent_id: str, now_s: float) -> None:
+        """Take in the end of an agent's stream."""
+        self._connected.pop(agent_id, None)
+        self._placer.disconnected(agent_id)
+        self._fleet.disconnected(agent_id, now_s)
+        if agent_id not in self._members:
+            self._collector.agent_lost(agent_id, now_s)
+
+    def agent_message(self, agent_id: str, message: FromAgent, now_s: float) -> None:
+        """Take in what an agent sent."""
+        self._check_lease(now_s)
+        for revocation in message.revocations:
+            self._collector.revocation(agent_id, revocation, now_s)
+        for refusal in message.refusals:
+            self._collector.refusal(agent_id, refusal, now_s)
+        for result in message.results:
+            self._collector.result(agent_id, result, now_s)
+        if message.load is not None:
+            self._fleet.load_reported(agent_id, message.load, now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Take in that time has passed."""
+        self._check_lease(now_s)
+        for job_id in self._deadlines.take_due(now_s):
+            self._fail(job_id, DEADLINE_EXCEEDED, now_s)
+        self.jobs.settle_all(now_s)
+
+    def stop(self, now_s: float) -> None:
+        """Fail every job that is still in progress."""
+        for job in self.jobs:
+            self.jobs.fail(job, STOPPED, now_s)
+
+    def flush(self, now_s: float) -> list[Effect]:
+        """Place what can be placed and hand over the effects."""
+        self._check_lease(now_s)
+        self._placer.place_all(now_s)
+        effects = self.effects.copy()
+        self.effects.clear()
+        return effects
+
+    def _use(self, welcome: AgentWelcome, now_s: float) -> None:
+        agent_id = welcome.agent_id
+        if welcome.incarnation != self._members[agent_id].incarnation:
+            return
+        slots = welcome.slots
+        self._fleet.connected(agent_id, welcome.incarnation, slots, now_s)
+        if welcome.draining:
+            load = LoadReport(running=0, queued=0, draining=True)
+            self._fleet.load_reported(agent_id, load, now_s)
+        self._placer.connected(agent_id, welcome.incarnation)
+
+    def _fail(self, job_id: str, rejection: Rejection, now_s: float) -> bool:
+        job = self.jobs.running(job_id)
+        if job is None:
+            return False
+        self.jobs.fail(job, rejection, now_s)
+        return True
+
+    def _check_lease(self, now_s: float) -> None:
+        """Answer the claimed jobs as unknown once the lease has run out.
+
+        Another entry may have told a caller so already.
+        """
+        if self._lease_valid(now_s):
+            return
+        for job in self.jobs:
+            if job.submission.claimed:
+                self.jobs.fail_at_once(job, LEASE_LAPSED, now_s)
--- /dev/null
+++ b/src/verbenaplank/entry/http.py
@@ -0,0 +1,172 @@
+"""The HTTP interface for callers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+from typing import Any
+
+import attrs
+from litestar import Litestar
+from litestar import MediaType
+from litestar import Request
+from litestar import Response
+from litestar import delete
+from litestar import get
+from litestar import post
+from litestar.exceptions import HTTPException
+from litestar.openapi import OpenAPIConfig
+
+from verbenaplank.entry.answer import failure_answer
+from verbenaplank.identifiers.job_id import InvalidJobIdError
+from verbenaplank.identifiers.job_id import parse_job_id
+from verbenaplank.outcome.failure import FailureKind
+from verbenaplank.outcome.finding import Finding
+from verbenaplank.outcome.rejection import Rejection
+
+if TYPE_CHECKING:
+    from verbenaplank.entry.answer import Answer
+    from verbenaplank.entry.pipeline import Pipeline
+
+Metrics = Callable[[], tuple[bytes, str]]
+"""Returns the metrics as text and their media type."""
+
+BEARER = "bearer "
+
+
+@attrs.frozen(kw_only=True)
+class HttpParts:
+    """What the routes work with.
+
+    Attributes
+    ----------
+    ready
+        Returns whether the entry takes requests on.
+    """
+
+    pipeline: Pipeline
+    ready: Callable[[], bool]
+    metrics: Metrics
+    max_body_bytes: int
+
+
+def no_metrics() -> tuple[bytes, str]:
+    """Return an empty text."""
+    return b"", MediaType.TEXT
+
+
+def http_application(parts: HttpParts) -> Litestar:
+    """Return the ASGI application."""
+    return Litestar(
+        route_handlers=[*_job_routes(parts), *_operations_routes(parts)],
+        request_max_body_size=parts.max_body_bytes,
+        exception_handlers={HTTPException: _problem_handler(parts)},
+        openapi_config=OpenAPIConfig(title="verbenaplank entry", version="1"),
+        logging_config=None,
+    )
+
+
+def _job_routes(parts: HttpParts) -> list[Any]:
+    pipeline = parts.pipeline
+
+    @post("/v1/jobs", status_code=HTTPStatus.OK)
+    async def submit_job(request: Request[Any, Any, Any]) -> Response[bytes]:
+        body = await request.body()
+        return _response(await pipeline.submit(body, _token(request), single=False))
+
+    @post("/v1/requests", status_code=HTTPStatus.OK)
+    async def submit_request(request: Request[Any, Any, Any]) -> Response[bytes]:
+        body = await request.body()
+        return _response(await pipeline.submit(body, _token(request), single=True))
+
+    @get("/v1/jobs/{job_id:str}")
+    async def attach(job_id: str) -> Response[bytes]:
+        try:
+            return _response(await pipeline.attach(parse_job_id(job_id)))
+        except InvalidJobIdError as error:
+            return _response(pipeline.refuse(_bad_id(error)))
+
+    @delete("/v1/jobs/{job_id:str}", status_code=HTTPStatus.OK)
+    async def cancel(job_id: str) -> Response[bytes]:
+        try:
+            return _response(await pipeline.cancel(parse_job_id(job_id)))
+        except InvalidJobIdError as error:
+            return _response(pipeline.refuse(_bad_id(error)))
+
+    return [submit_job, submit_request, attach, cancel]
+
+
+def _operations_routes(parts: HttpParts) -> list[Any]:
+    @get("/healthz", media_type=MediaType.TEXT)
+    async def health() -> str:
+        return "ok\n"
+
+    @get("/readyz", media_type=MediaType.TEXT)
+    async def readiness() -> Response[str]:
+        if parts.ready():
+            return Response("ready\n")
+        return Response("not ready\n", status_code=HTTPStatus.SERVICE_UNAVAILABLE)
+
+    @get("/metrics")
+    async def metrics() -> Response[bytes]:
+        text, media_type = parts.metrics()
+        return Response(text, media_type=media_type)
+
+    return [health, readiness, metrics]
+
+
+def _problem_handler(
+    parts: HttpParts,
+) -> Callable[[Request[Any, Any, Any], HTTPException], Response[bytes]]:
+    def handle(
+        request: Request[Any, Any, Any], error: HTTPException
+    ) -> Response[bytes]:
+        rejection = _rejection(error, parts.max_body_bytes)
+        answer = parts.pipeline.refuse(rejection)
+        if error.status_code in _KEPT_STATUSES:
+            answer = attrs.evolve(answer, status=error.status_code)
+        return _response(answer)
+
+    return handle
+
+
+_KEPT_STATUSES = frozenset({HTTPStatus.NOT_FOUND, HTTPStatus.METHOD_NOT_ALLOWED})
+
+
+def _rejection(error: HTTPException, max_body_bytes: int) -> Rejection:
+    if error.status_code == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+        message = f"more than the limit of {max_body_bytes} bytes"
+        return Rejection(
+            kind=FailureKind.TOO_LARGE,
+            detail="the request body is too large",
+            findings=(Finding("body", message),),
+        )
+    return Rejection(kind=FailureKind.INVALID, detail=error.detail)
+
+
+def _bad_id(error: InvalidJobIdError) -> Rejection:
+    return Rejection(
+        kind=FailureKind.INVALID,
+        detail="the path names no job",
+        findings=(Finding("id", str(error)),),
+    )
+
+
+def _token(request: Request[Any, Any, Any]) -> str:
+    value = request.headers.get("authorization", "")
+    if value[: len(BEARER)].lower() != BEARER:
+        return ""
+    return value[len(BEARER) :].strip()
+
+
+def _response(answer: Answer) -> Response[bytes]:
+    headers = {}
+    if answer.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, round(answer.retry_after_s)))
+    return Response(
+        answer.body,
+        status_code=answer.status,
+        media_type=answer.media_type,
+        headers=headers,
+    )
--- /dev/null
+++ b/src/verbenaplank/entry/http_server.py
@@ -0,0 +1,82 @@
+"""Runs the HTTP interface in the event loop of the entry."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+from typing import Self
+
+import uvicorn
+
+from verbenaplank.rpc.address import Address
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from litestar import Litestar
+
+BACKLOG = 2048
+KEEP_ALIVE_S = 75
+
+
+class HttpServer:
+    """Serves an ASGI application for as long as its context lasts.
+
+    The end of the context accepts no further connection and waits until the
+    requests in progress are answered.
+
+    Attributes
+    ----------
+    address
+        Where it listens; a port 0 has been replaced by the chosen one.
+    """
+
+    def __init__(
+        self, application: Litestar, address: Address, stop_timeout_s: float
+    ) -> None:
+        config = uvicorn.Config(
+            application,
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            backlog=BACKLOG,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=max(1, round(stop_timeout_s)),
+        )
+        self.address = address
+        self._server = uvicorn.Server(config)
+        self._serving: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        listener = _listen(self.address)
+        self.address = Address(self.address.host, listener.getsockname()[1])
+        # ``Server.serve`` installs signal handlers, which belong to the program.
+        serving = self._server._serve(sockets=[listener])
+        self._serving = asyncio.create_task(serving)
+        while not self._server.started:
+            if self._serving.done():
+                await self._serving
+                raise OSError("the HTTP server did not start")
+            await asyncio.sleep(0)
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._server.should_exit = True
+        if self._serving is not None:
+            await self._serving
+
+
+def _listen(address: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address.host, address.port))
+    listener.setblocking(False)
+    return listener
--- /dev/null
+++ b/src/verbenaplank/entry/jobs.py
@@ -0,0 +1,199 @@
+"""The jobs in progress: complete or failed as a whole, never in part."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.entry.book import DispatchState
+from verbenaplank.entry.effects import Effect
+from verbenaplank.entry.effects import JobCompleted
+from verbenaplank.entry.effects import JobFailed
+from verbenaplank.entry.effects import Send
+from verbenaplank.placement.task import TaskRequest
+from verbenaplank.protocol.work import Revoke
+from verbenaplank.protocol.work import Stop
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from verbenaplank.entry.book import DispatchBook
+    from verbenaplank.entry.book import DispatchRecord
+    from verbenaplank.entry.ports import WaitingTasks
+    from verbenaplank.entry.submission import Submission
+    from verbenaplank.outcome.rejection import Rejection
+
+REVOCATION_WAIT_S = 0.5
+"""How long a failed job's answer waits to learn what of it has started."""
+
+
+@attrs.define
+class Job:
+    """A job that is not answered yet.
+
+    Attributes
+    ----------
+    results
+        Output of each task, or ``None``.
+    remaining
+        How many tasks have no output.
+    runs
+        How many runs have been allowed to the tasks of a single call.
+    rejection
+        Why the job fails, once it does.
+    answer_by_s
+        Monotonic time at which a failed job is answered at the latest.
+    """
+
+    submission: Submission
+    results: list[bytes | None]
+    remaining: int
+    runs: int = 1
+    rejection: Rejection | None = None
+    answer_by_s: float = float("inf")
+
+
+class JobTable:
+    """State of the jobs in progress; every answer leaves through it once."""
+
+    def __init__(
+        self, book: DispatchBook, queue: WaitingTasks, effects: list[Effect]
+    ) -> None:
+        self._book = book
+        self._queue = queue
+        self._effects = effects
+        self._jobs: dict[str, Job] = {}
+        self._failing: dict[str, Job] = {}
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def __iter__(self) -> Iterator[Job]:
+        return iter(tuple(self._jobs.values()))
+
+    def find(self, job_id: str) -> Job | None:
+        """Return a job that is not answered yet."""
+        return self._jobs.get(job_id)
+
+    def running(self, job_id: str) -> Job | None:
+        """Return a job that is neither answered nor about to fail."""
+        job = self._jobs.get(job_id)
+        return job if job is not None and job.rejection is None else None
+
+    def open(self, submission: Submission, now_s: float) -> None:
+        """Take in a job and queue its tasks."""
+        count = len(submission.payloads)
+        job = Job(submission, results=[None] * count, remaining=count)
+        self._jobs[submission.job_id] = job
+        self._book.open_job(submission.job_id)
+        for index in range(count):
+            self._queue.push(task_request(submission, index), now_s)
+
+    def succeed(self, job: Job, task_index: int, output: bytes) -> None:
+        """Keep a task's output; the last one completes the job."""
+        if job.results[task_index] is not None:
+            return
+        job.results[task_index] = output
+        job.remaining -= 1
+        if job.remaining:
+            return
+        results = tuple(result for result in job.results if result is not None)
+        job_id = job.submission.job_id
+        if job.submission.max_runs > 1:
+            self._queue.remove_job(job_id)
+            self._end_open_dispatches(job_id)
+        self._close(job_id)
+        self._effects.append(JobCompleted(job_id, results))
+
+    def fail(self, job: Job, rejection: Rejection, now_s: float) -> None:
+        """Let a job fail: nothing of it starts any more.
+
+        The answer waits, within bounds, for the agents to say which of the
+        job's dispatches have started.
+        """
+        if job.rejection is not None:
+            return
+        job_id = job.submission.job_id
+        job.rejection = rejection
+        job.answer_by_s = now_s + REVOCATION_WAIT_S
+        self._failing[job_id] = job
+        self._book.seal(job_id)
+        self._queue.remove_job(job_id)
+        self._end_open_dispatches(job_id)
+        self.settle(job_id, now_s)
+
+    def fail_at_once(self, job: Job, rejection: Rejection, now_s: float) -> None:
+        """Let a job fail and answer it without waiting for the agents."""
+        self.fail(job, rejection, now_s)
+        if job.submission.job_id in self._jobs:
+            self._answer_failure(job)
+
+    def settle(self, job_id: str, now_s: float) -> None:
+        """Answer a failing job when its outcome is known or its wait is over."""
+        job = self._failing.get(job_id)
+        if job is None:
+            return
+        if self._book.may_still_start(job_id) and now_s < job.answer_by_s:
+            return
+        self._answer_failure(job)
+
+    def settle_all(self, now_s: float) -> None:
+        """Settle every failing job."""
+        for job_id in tuple(self._failing):
+            self.settle(job_id, now_s)
+
+    def stop(self, record: DispatchRecord) -> None:
+        """Ask an agent to stop what runs for nobody."""
+        task = record.task
+        stop = Stop(
+            dispatch_id=record.dispatch_id,
+            job_id=task.job_id,
+            task_index=task.task_index,
+        )
+        self._effects.append(Send(record.agent_id, stop))
+
+    def revoke(self, record: DispatchRecord) -> None:
+        """Ask an agent never to start a dispatch, if it has not started."""
+        task = record.task
+        revoke = Revoke(
+            dispatch_id=record.dispatch_id,
+            job_id=task.job_id,
+            task_index=task.task_index,
+            attempt=task.attempt,
+        )
+        self._effects.append(Send(record.agent_id, revoke))
+
+    def _end_open_dispatches(self, job_id: str) -> None:
+        for record in self._book.of_job(job_id):
+            if record.state is DispatchState.STARTED:
+                self.stop(record)
+            else:
+                self.revoke(record)
+
+    def _answer_failure(self, job: Job) -> None:
+        if job.rejection is None:
+            raise ValueError("the job does not fail")
+        job_id = job.submission.job_id
+        failure = self._book.fail(job.rejection, job_id)
+        self._close(job_id)
+        self._effects.append(JobFailed(job_id, failure))
+
+    def _close(self, job_id: str) -> None:
+        self._book.answered(job_id)
+        self._failing.pop(job_id, None)
+        del self._jobs[job_id]
+
+
+def task_request(submission: Submission, index: int) -> TaskRequest:
+    """Return the first attempt of a task as placement sees it."""
+    return TaskRequest(
+        job_id=submission.job_id,
+        task_index=index,
+        service=submission.service,
+        team=submission.team,
+        urgent=submission.urgent,
+        needs=submission.needs,
+        declared_run_time_s=submission.declared_run_time_s,
+        deadline_s=submission.deadline_s,
+    )
--- /dev/null
+++ b/src/verbenaplank/entry/peer_client.py
@@ -0,0 +1,170 @@
+"""Attaching to a job that another entry owns."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import StreamTerminatedError
+
+from verbenaplank.entry.answer import Answer
+from verbenaplank.entry.answer import failure_answer
+from verbenaplank.outcome.failure import FailureKind
+from verbenaplank.outcome.rejection import Rejection
+from verbenaplank.protocol.membership import MemberRole
+from verbenaplank.protocol.peer import AttachRequest
+from verbenaplank.protocol.peer import AttachState
+from verbenaplank.protocol.peer import CancelRequest
+from verbenaplank.rpc.address import parse_address
+from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.services import ATTACH
+from verbenaplank.rpc.services import CANCEL
+
+if TYPE_CHECKING:
+    from grpclib.client import Channel
+
+    from verbenaplank.claims.decision import ClaimDecision
+    from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.entry.book import DispatchBook
+    from verbenaplank.entry.ports import Membership
+    from verbenaplank.entry.submission import Submission
+    from verbenaplank.protocol.membership import Member
+    from verbenaplank.protocol.peer import AttachReply
+    from verbenaplank.settings.common import TlsSettings
+
+WAIT_MS = 2_000.0
+CALL_TIMEOUT_S = 5.0
+RETRY_PAUSE_S = 0.1
+ANSWER_GRACE_S = 2.0
+"""How long after its deadline the owner's answer is still waited for."""
+
+UNREACHABLE = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
+
+OWNER_GONE = Rejection(
+    kind=FailureKind.OUTCOME_UNKNOWN, detail="the entry that owns the job is gone"
+)
+OWNER_LATE = Rejection(
+    kind=FailureKind.OUTCOME_UNKNOWN,
+    detail="the entry that owns the job gave no answer in time",
+)
+CONFLICT = Rejection(
+    kind=FailureKind.ID_REUSED, detail="the id belongs to a request of other content"
+)
+
+
+@attrs.frozen(kw_only=True)
+class PeerClient:
+    """Asks other entries about their jobs.
+
+    Attributes
+    ----------
+    member
+        This entry itself.
+    """
+
+    member: Member
+    membership: Membership
+    book: DispatchBook
+    clock: MonotonicClock
+    tls: TlsSettings | None = None
+
+    async def attach(self, submission: Submission, decision: ClaimDecision) -> Answer:
+        """Wait for the owner's answer to a resubmission."""
+        if self._is_self(decision):
+            return self._failed(OWNER_GONE, submission.job_id)
+        give_up_s = submission.deadline_s + ANSWER_GRACE_S
+        request = AttachRequest(
+            job_id=submission.job_id, digest=submission.digest, wait_ms=WAIT_MS
+        )
+        while self.clock() < give_up_s:
+            try:
+                reply = await self._ask(decision.owner_address, request)
+            except UNREACHABLE:
+                if not self._is_member(decision):
+                    return self._failed(OWNER_GONE, submission.job_id)
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            if reply.state is AttachState.ANSWERED:
+                return Answer(status=reply.status, body=reply.body)
+            if reply.state is AttachState.CONFLICT:
+                return self._failed(CONFLICT, submission.job_id)
+            if reply.state is AttachState.UNKNOWN:
+                return self._failed(OWNER_GONE, submission.job_id)
+        return self._failed(OWNER_LATE, submission.job_id)
+
+    async def ask_all(self, job_id: str) -> Answer | None:
+        """Wait for the answer of whichever entry knows a job."""
+        asked = [self._ask_one(peer, job_id) for peer in self._peers()]
+        for answer in asyncio.as_completed(asked):
+            found = await answer
+            if found is not None:
+                return found
+        return None
+
+    async def cancel_everywhere(self, job_id: str) -> None:
+        """Ask the other entries to cancel a job."""
+        peers = self._peers()
+        await asyncio.gather(*(self._cancel_at(peer, job_id) for peer in peers))
+
+    async def _ask_one(self, peer: Member, job_id: str) -> Answer | None:
+        request = AttachRequest(job_id=job_id, wait_ms=WAIT_MS)
+        while True:
+            try:
+                reply = await self._ask(peer.address, request)
+            except UNREACHABLE:
+                return None
+            if reply.state is AttachState.ANSWERED:
+                return Answer(status=reply.status, body=reply.body)
+            if reply.state is not AttachState.PENDING:
+                return None
+
+    async def _cancel_at(self, peer: Member, job_id: str) -> None:
+        try:
+            with connect(parse_address(peer.address), self.tls) as channel:
+                request = CancelRequest(job_id=job_id)
+                await CANCEL.call(channel, request, CALL_TIMEOUT_S)
+        except UNREACHABLE:
+            return
+
+    async def _ask(self, address: str, request: AttachRequest) -> AttachReply:
+        with connect(parse_address(address), self.tls) as channel:
+            reply = await ATTACH.call(channel, request, CALL_TIMEOUT_S)
+            return await _whole(channel, request, reply)
+
+    def _peers(self) -> list[Member]:
+        return [
+            member
+            for member in self.membership.members.values()
+            if member.role is MemberRole.ENTRY
+            and member.member_id != self.member.member_id
+        ]
+
+    def _is_self(self, decision: ClaimDecision) -> bool:
+        """Tell whether an earlier incarnation of this entry is the owner."""
+        return (
+            decision.owner_entry_id == self.member.member_id
+            or decision.owner_address == self.member.address
+        )
+
+    def _is_member(self, decision: ClaimDecision) -> bool:
+        member = self.membership.members.get(decision.owner_entry_id)
+        return member is not None and member.incarnation == decision.owner_incarnation
+
+    def _failed(self, rejection: Rejection, job_id: str) -> Answer:
+        return failure_answer(self.book.fail(rejection), job_id)
+
+
+async def _whole(
+    channel: Channel, request: AttachRequest, reply: AttachReply
+) -> AttachReply:
+    """Fetch the parts of the body that did not fit into the first reply."""
+    parts = [reply.body]
+    size_bytes = len(reply.body)
+    while reply.state is AttachState.ANSWERED and size_bytes < reply.size_bytes:
+        next_request = attrs.evolve(request, offset_bytes=size_bytes)
+        reply = await ATTACH.call(channel, next_request, CALL_TIMEOUT_S)
+        parts.append(reply.body)
+        size_bytes += len(reply.body)
+    return attrs.evolve(reply, body=b"".join(parts))
--- /dev/null
+++ b/src/verbenaplank/entry/pipeline.py
@@ -0,0 +1,217 @@
+"""A request's way: decode, check, admit, claim, run, answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.claims.decision import ClaimState
+from verbenaplank.entry.admit import admit
+from verbenaplank.entry.answer import failure_answer
+from verbenaplank.entry.check import CheckContext
+from verbenaplank.entry.check import check
+from verbenaplank.entry.decode import decode_job
+from verbenaplank.entry.decode import decode_request
+from verbenaplank.identifiers.job_id import job_timestamp_ms
+from verbenaplank.outcome.failure import FailureKind
+from verbenaplank.outcome.rejection import Rejection
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenaplank.claims.decision import ClaimDecision
+    from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.clock.sources import WallClock
+    from verbenaplank.entry.admit import EntryCondition
+    from verbenaplank.entry.answer import Answer
+    from verbenaplank.entry.draft import Draft
+    from verbenaplank.entry.peer_client import PeerClient
+    from verbenaplank.entry.ports import Claims
+    from verbenaplank.entry.ports import Membership
+    from verbenaplank.entry.registry import RequestRecord
+    from verbenaplank.entry.registry import RequestRegistry
+    from verbenaplank.entry.runner import EngineRunner
+    from verbenaplank.entry.submission import Submission
+    from verbenaplank.settings.entry import EntryLimits
+
+LOGGER = logging.getLogger(__name__)
+
+CLAIM_TIMEOUT_S = 2.0
+RETRY_AFTER_S = 1.0
+
+ID_REUSED = Rejection(
+    kind=FailureKind.ID_REUSED, detail="the id belongs to a request of other content"
+)
+NO_QUORUM = Rejection(
+    kind=FailureKind.NO_QUORUM,
+    detail="no majority of registrars granted the id",
+    retry_after_s=RETRY_AFTER_S,
+)
+LATE_AFTER_CLAIM = Rejection(
+    kind=FailureKind.DEADLINE_EXCEEDED,
+    detail="the deadline passed while the id was claimed",
+)
+LEASE_LAPSED = Rejection(
+    kind=FailureKind.OUTCOME_UNKNOWN,
+    detail="this entry lost its lease while the id was claimed",
+)
+ANSWER_DROPPED = Rejection(
+    kind=FailureKind.OUTCOME_UNKNOWN, detail="the answer is no longer kept"
+)
+FAULT_WITHIN = Rejection(
+    kind=FailureKind.OUTCOME_UNKNOWN, detail="a fault within the entry"
+)
+UNKNOWN_JOB = Rejection(
+    kind=FailureKind.UNKNOWN_JOB, detail="no entry in reach knows the job"
+)
+
+
+@attrs.frozen(kw_only=True)
+class PipelineParts:
+    """What the pipeline works with."""
+
+    limits: EntryLimits
+    membership: Membership
+    claims: Claims
+    peers: PeerClient
+    registry: RequestRegistry
+    runner: EngineRunner
+    clock: MonotonicClock
+    wall_clock: WallClock
+    condition: Callable[[Submission], EntryCondition]
+
+
+class Pipeline:
+    """Takes requests to their answers.
+
+    A request goes on when its caller hangs up; the answer is then kept.
+    """
+
+    def __init__(self, parts: PipelineParts) -> None:
+        self._parts = parts
+        self._book = parts.runner.engine.book
+        self._in_progress: set[asyncio.Task[None]] = set()
+
+    async def submit(self, body: bytes, token: str, *, single: bool) -> Answer:
+        """Answer ``POST /v1/jobs`` or, if ``single``, ``POST /v1/requests``."""
+        draft = decode_request(body) if single else decode_job(body)
+        checked = check(draft, self._context(token))
+        if checked.is_error():
+            return self.refuse(checked.error, draft.job_id)
+        submission = checked.ok
+        record = self._parts.registry.find(submission.job_id)
+        while record is not None:
+            if record.digest == submission.digest:
+                return await self._answer_of(record)
+            await record.decided.wait()
+            if record.owned:
+                return self.refuse(ID_REUSED, submission.job_id)
+            record = self._parts.registry.find(submission.job_id)
+        rejection = admit(submission, self._parts.condition(submission))
+        if rejection is not None:
+            return self.refuse(rejection, submission.job_id)
+        return await self._answer_of(self._start(submission))
+
+    async def attach(self, job_id: str) -> Answer:
+        """Wait for the answer of a job that is known here or at a peer."""
+        record = self._parts.registry.find(job_id)
+        if record is not None:
+            return await self._answer_of(record)
+        answer = await self._parts.peers.ask_all(job_id)
+        return answer or self.refuse(UNKNOWN_JOB, job_id)
+
+    async def cancel(self, job_id: str) -> Answer:
+        """Cancel a job that is known here or at a peer, and return its answer."""
+        self.cancel_here(job_id)
+        if self._parts.registry.find(job_id) is None:
+            await self._parts.peers.cancel_everywhere(job_id)
+        return await self.attach(job_id)
+
+    def cancel_here(self, job_id: str) -> bool:
+        """Cancel a job that is in progress here."""
+        runner = self._parts.runner
+        cancelled = runner.engine.cancel(job_id, self._parts.clock())
+        runner.flush_soon()
+        return cancelled
+
+    async def join(self) -> None:
+        """Wait until no request is in progress."""
+        while self._in_progress:
+            await asyncio.wait(set(self._in_progress))
+
+    def refuse(self, rejection: Rejection, job_id: str = "") -> Answer:
+        """Return the answer of a request that goes no further."""
+        return failure_answer(self._book.fail(rejection), job_id)
+
+    def _context(self, token: str) -> CheckContext:
+        parts = self._parts
+        return CheckContext(
+            configuration=parts.membership.configuration,
+            limits=parts.limits,
+            token=token,
+            wall_ms=parts.wall_clock(),
+            now_s=parts.clock(),
+        )
+
+    async def _answer_of(self, record: RequestRecord) -> Answer:
+        await record.answered.wait()
+        return record.answer or self.refuse(ANSWER_DROPPED, record.job_id)
+
+    def _start(self, submission: Submission) -> RequestRecord:
+        record = self._parts.registry.open(submission, self._expiry(submission))
+        task = asyncio.get_running_loop().create_task(self._run(record, submission))
+        self._in_progress.add(task)
+        task.add_done_callback(self._in_progress.discard)
+        return record
+
+    def _expiry(self, submission: Submission) -> float:
+        """Return when the check stage begins to refuse an id as too old."""
+        parts = self._parts
+        stamp_ms = job_timestamp_ms(submission.job_id)
+        ahead_s = (stamp_ms - parts.wall_clock()) / 1000
+        skew_s = parts.limits.max_clock_skew_s
+        return parts.clock() + max(0.0, ahead_s) + parts.limits.retention_s + skew_s
+
+    async def _run(self, record: RequestRecord, submission: Submission) -> None:
+        try:
+            answer = await self._claim_and_run(record, submission)
+        except Exception:
+            LOGGER.exception("a request failed within", extra=_log_fields(submission))
+            answer = self.refuse(FAULT_WITHIN, submission.job_id)
+        self._parts.registry.settle(record, answer)
+
+    async def _claim_and_run(
+        self, record: RequestRecord, submission: Submission
+    ) -> Answer:
+        if not submission.claimed:
+            return await self._run_here(record, submission)
+        decision = await self._claim(submission)
+        if decision.state is ClaimState.OWNED_HERE:
+            return await self._run_here(record, submission)
+        if decision.state is ClaimState.OWNED_ELSEWHERE:
+            return await self._parts.peers.attach(submission, decision)
+        if decision.state is ClaimState.CONFLICT:
+            return self.refuse(ID_REUSED, submission.job_id)
+        return self.refuse(NO_QUORUM, submission.job_id)
+
+    async def _claim(self, submission: Submission) -> ClaimDecision:
+        left_s = submission.deadline_s - self._parts.clock()
+        timeout_s = min(CLAIM_TIMEOUT_S, left_s)
+        claims = self._parts.claims
+        return await claims.claim(submission.job_id, submission.digest, timeout_s)
+
+    async def _run_here(self, record: RequestRecord, submission: Submission) -> Answer:
+        self._parts.registry.own(record)
+        now_s = self._parts.clock()
+        if submission.claimed and not self._parts.membership.lease_valid(now_s):
+            return self.refuse(LEASE_LAPSED, submission.job_id)
+        if now_s >= submission.deadline_s:
+            return self.refuse(LATE_AFTER_CLAIM, submission.job_id)
+        return await self._parts.runner.run(submission)
+
+
+def _log_fields(submission: Submission) -> dict[str, str]:
+    return {"job_id": submission.job_id}
--- /dev/null
+++ b/src/verbenaplank/entry/runner.py
@@ -0,0 +1,89 @@
+"""Carries the engine's effects out and gives it events."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from verbenaplank.entry.answer import failure_answer
+from verbenaplank.entry.answer import job_answer
+from verbenaplank.entry.answer import request_answer
+from verbenaplank.entry.effects import JobCompleted
+from verbenaplank.entry.effects import Send
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.entry.answer import Answer
+    from verbenaplank.entry.effects import Effect
+    from verbenaplank.entry.effects import ToAgentItem
+    from verbenaplank.entry.engine import Engine
+    from verbenaplank.entry.submission import Submission
+
+TICK_PERIOD_S = 0.02
+
+
+class EngineRunner:
+    """Runs an engine in the event loop.
+
+    Events of one turn of the event loop are followed by one flush, so that
+    what they cause leaves together.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        clock: MonotonicClock,
+        send: Callable[[str, ToAgentItem], None],
+    ) -> None:
+        self.engine = engine
+        self._clock = clock
+        self._send = send
+        self._waiting: dict[str, tuple[Submission, asyncio.Future[Answer]]] = {}
+        self._flush_due = False
+
+    async def run(self, submission: Submission) -> Answer:
+        """Run a request and return its answer."""
+        answer = asyncio.get_running_loop().create_future()
+        self._waiting[submission.job_id] = (submission, answer)
+        self.engine.submit(submission, self._clock())
+        self.flush_soon()
+        return await answer
+
+    def flush_soon(self) -> None:
+        """Carry effects out once the events at hand have been taken in."""
+        if not self._flush_due:
+            self._flush_due = True
+            asyncio.get_running_loop().call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Carry effects out now."""
+        self._flush_due = False
+        for effect in self.engine.flush(self._clock()):
+            self._carry_out(effect)
+
+    async def tick_forever(self) -> None:
+        """Tell the engine the time until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_PERIOD_S)
+            self.engine.tick(self._clock())
+            self.flush()
+
+    def _carry_out(self, effect: Effect) -> None:
+        if isinstance(effect, Send):
+            self._send(effect.agent_id, effect.item)
+            return
+        submission, waiting = self._waiting.pop(effect.job_id)
+        if isinstance(effect, JobCompleted):
+            answer = _completed(submission, effect)
+        else:
+            answer = failure_answer(effect.failure, effect.job_id)
+        if not waiting.done():
+            waiting.set_result(answer)
+
+
+def _completed(submission: Submission, effect: JobCompleted) -> Answer:
+    if submission.single:
+        return request_answer(effect.job_id, effect.results[0])
+    return job_answer(effect.job_id, effect.results)
