--- a/src/verbenaplank/entry/admit.py
+++ b/src/verbenaplank/entry/admit.py
@@ -6,60 +6,150 @@
 
 import attrs
 
+from verbenaplank.admission.estimate import StartRate
+from verbenaplank.admission.estimate import estimate
+from verbenaplank.admission.quota import QuotaState
+from verbenaplank.admission.quota import TeamQuotas
+from verbenaplank.entry.jobs import task_request
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.finding import Finding
 from verbenaplank.outcome.rejection import Rejection
+from verbenaplank.placement.possibility import Possibility
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from verbenaplank.admission.queue import TaskQueue
+    from verbenaplank.configuration.effective import TeamRules
     from verbenaplank.entry.submission import Submission
+    from verbenaplank.placement.fleet import Fleet
 
 RETRY_AFTER_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
 class EntryCondition:
-    """What the entry can take on.
+    """Whether the entry itself can take requests on.
 
     Attributes
     ----------
-    ready
-        Whether what the entry knows is backed by a quorum and its lease runs.
-    possible
-        Whether a known worker could ever hold the request's needs.
-    offered
-        Whether a known backend server offers the request's service.
+    current
+        Whether what the entry knows was backed by a quorum since its start.
+    leased
+        Whether the entry's lease runs, which requests with a claim need.
     """
 
-    ready: bool
+    current: bool
+    leased: bool
     draining: bool
     registry_full: bool
-    queued_tasks: int
-    max_queued_tasks: int
-    possible: bool
-    offered: bool
 
 
-def admit(submission: Submission, condition: EntryCondition) -> Rejection | None:
-    """Return why a request is not taken on, or ``None`` if it is."""
+class Admission:
+    """Bounds what the entry takes on; quotas count until a request has ended."""
+
+    def __init__(self, fleet: Fleet, queue: TaskQueue, max_queued_tasks: int) -> None:
+        self._fleet = fleet
+        self._queue = queue
+        self._max_queued_tasks = max_queued_tasks
+        self._quotas = TeamQuotas()
+        self._rate = StartRate()
+        self._entries = 1
+
+    def configure(self, teams: Mapping[str, TeamRules], entries: int) -> None:
+        """Take the teams' rules and the number of entries that share them."""
+        self._entries = max(1, entries)
+        self._quotas.configure(teams, self._entries)
+
+    def dispatched(self, now_s: float) -> None:
+        """Count a dispatch."""
+        self._rate.started(now_s)
+
+    def admit(
+        self, submission: Submission, condition: EntryCondition, now_s: float
+    ) -> Rejection | None:
+        """Return why a request is not taken on, or ``None`` if it is."""
+        return (
+            _entry_fault(submission, condition)
+            or self._fleet_fault(submission)
+            or self._load_fault(submission, now_s)
+            or self._quota_fault(submission, now_s)
+        )
+
+    def ended(self, submission: Submission) -> None:
+        """Note that a request that was taken on is no longer in progress."""
+        self._quotas.ended(submission.team, len(submission.payloads))
+
+    def _fleet_fault(self, submission: Submission) -> Rejection | None:
+        possibility = self._fleet.possibility(submission.service, submission.needs)
+        if possibility is Possibility.NO_SERVICE:
+            detail = f"no backend server offers {submission.service!r} now"
+            return _later(FailureKind.NOT_READY, detail)
+        if possibility is Possibility.IMPOSSIBLE_NEEDS:
+            return _impossible_needs(submission)
+        return None
+
+    def _load_fault(self, submission: Submission, now_s: float) -> Rejection | None:
+        count = len(submission.payloads)
+        if len(self._queue) + count > self._max_queued_tasks:
+            return _later(FailureKind.OVERLOADED, "too many tasks wait at the entry")
+        waiting = self._queue.waiting_before(submission.urgent)
+        if not waiting:
+            return None
+        task = task_request(submission, 0)
+        slots = self._fleet.slots_of(submission.service)
+        run_time_s = self._fleet.expected_run_time_s(task)
+        expected = estimate(
+            tasks=count,
+            waiting_before=waiting,
+            start_rate_per_s=self._start_rate_per_s(slots, run_time_s, now_s),
+            slots=slots,
+            run_time_s=run_time_s,
+            remaining_s=submission.deadline_s - now_s,
+        )
+        if expected.feasible:
+            return None
+        return _later(
+            FailureKind.OVERLOADED,
+            "the deadline cannot be met with what waits at the entry",
+            expected.retry_after_s,
+        )
+
+    def _start_rate_per_s(self, slots: int, run_time_s: float, now_s: float) -> float:
+        """Return the starts a second that this entry can count on."""
+        share_per_s = slots / run_time_s / self._entries
+        return max(self._rate.per_s(now_s), share_per_s)
+
+    def _quota_fault(self, submission: Submission, now_s: float) -> Rejection | None:
+        count = len(submission.payloads)
+        decision = self._quotas.admit(submission.team, count, now_s)
+        if decision.state is QuotaState.WITHIN:
+            return None
+        detail = f"team {submission.team!r} is over its quota: {decision.state}"
+        return _later(FailureKind.OVER_QUOTA, detail, decision.retry_after_s)
+
+
+def waiting_weight(teams: Mapping[str, TeamRules], team: str) -> float:
+    """Return the weight of a team's share of the starts."""
+    rules = teams.get(team)
+    return rules.weight if rules is not None else 1.0
+
+
+def _entry_fault(
+    submission: Submission, condition: EntryCondition
+) -> Rejection | None:
     if condition.draining:
         return _later(FailureKind.NOT_READY, "the entry is stopping")
-    if not condition.ready:
+    if not condition.current:
         return _later(FailureKind.NOT_READY, "the entry is not ready")
-    if not condition.offered:
-        detail = f"no backend server offers {submission.service!r} now"
-        return _later(FailureKind.NOT_READY, detail)
-    if not condition.possible:
-        return impossible_needs(submission)
-    count = len(submission.payloads)
-    if condition.queued_tasks + count > condition.max_queued_tasks:
-        return _later(FailureKind.OVERLOADED, "too many tasks wait at the entry")
+    if submission.claimed and not condition.leased:
+        return _later(FailureKind.NOT_READY, "the entry holds no lease")
     if condition.registry_full:
         return _later(FailureKind.OVERLOADED, "the entry holds too many requests")
     return None
 
 
-def impossible_needs(submission: Submission) -> Rejection:
-    """Return the rejection of needs that no known worker could ever hold."""
+def _impossible_needs(submission: Submission) -> Rejection:
     needs = submission.needs
     message = (
         f"no worker that offers {submission.service!r} holds {needs.cores} cores, "
@@ -72,5 +162,7 @@
     )
 
 
-def _later(kind: FailureKind, detail: str) -> Rejection:
-    return Rejection(kind=kind, detail=detail, retry_after_s=RETRY_AFTER_S)
+def _later(
+    kind: FailureKind, detail: str, retry_after_s: float = RETRY_AFTER_S
+) -> Rejection:
+    return Rejection(kind=kind, detail=detail, retry_after_s=retry_after_s)
--- /dev/null
+++ b/src/verbenaplank/entry/application.py
@@ -0,0 +1,334 @@
+"""One entry instance: all its parts, from its settings to its stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random as random_module
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+from typing import Self
+from uuid import uuid4
+
+import attrs
+
+from verbenaplank.admission.budget import retry_budget
+from verbenaplank.admission.queue import TaskQueue
+from verbenaplank.claims.client import ClaimClient
+from verbenaplank.clock.sources import monotonic_s
+from verbenaplank.clock.sources import wall_clock_ms
+from verbenaplank.entry.admit import Admission
+from verbenaplank.entry.admit import EntryCondition
+from verbenaplank.entry.admit import waiting_weight
+from verbenaplank.entry.agent_links import AgentLinks
+from verbenaplank.entry.agent_links import EngineListener
+from verbenaplank.entry.engine import Engine
+from verbenaplank.entry.follow import Follower
+from verbenaplank.entry.http import HttpParts
+from verbenaplank.entry.http import http_application
+from verbenaplank.entry.http import no_metrics
+from verbenaplank.entry.http_server import HttpServer
+from verbenaplank.entry.peer_client import PeerClient
+from verbenaplank.entry.peer_service import PeerService
+from verbenaplank.entry.pipeline import Pipeline
+from verbenaplank.entry.pipeline import PipelineParts
+from verbenaplank.entry.registry import RequestRegistry
+from verbenaplank.entry.runner import EngineRunner
+from verbenaplank.history.event import Event
+from verbenaplank.history.event import EventHook
+from verbenaplank.history.event import EventKind
+from verbenaplank.history.event import ignore_event
+from verbenaplank.membership.link import MemberLink
+from verbenaplank.placement.fleet import Fleet
+from verbenaplank.placement.policy import least_expected_completion
+from verbenaplank.protocol.membership import Member
+from verbenaplank.protocol.membership import MemberRole
+from verbenaplank.protocol.work import EntryHello
+from verbenaplank.rpc.address import Address
+from verbenaplank.rpc.endpoint import serve
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from contextlib import AbstractAsyncContextManager
+    from types import TracebackType
+
+    from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.clock.sources import WallClock
+    from verbenaplank.entry.http import Metrics
+    from verbenaplank.entry.ports import Claims
+    from verbenaplank.entry.ports import ClaimsFactory
+    from verbenaplank.entry.ports import Membership
+    from verbenaplank.entry.ports import MembershipFactory
+    from verbenaplank.placement.policy import Policy
+    from verbenaplank.placement.task import TaskRequest
+    from verbenaplank.settings.entry import EntrySettings
+
+MAX_RECORDS = 1_000_000
+MAX_ANSWER_BYTES = 256 * 1024 * 1024
+STOP_GRACE_S = 1.0
+"""How long a stop waits further for jobs that it has let fail."""
+
+PEER_GRACE_S = 0.05
+EXPIRY_PERIOD_S = 1.0
+
+
+class EntryInstance:
+    """An entry, for as long as its context lasts.
+
+    Entering it starts to serve; it is ready once a quorum has told it the
+    newest state.  Call :meth:`drain` before leaving for a graceful stop.
+
+    Attributes
+    ----------
+    http_address, rpc_address
+        Where it listens; a port 0 has been replaced by the chosen one.
+    engine
+        The decisions, with counts for metrics.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        *,
+        metrics: Metrics = no_metrics,
+        record: EventHook = ignore_event,
+        policy: Policy = least_expected_completion,
+        clock: MonotonicClock = monotonic_s,
+        wall_clock: WallClock = wall_clock_ms,
+        random: random_module.Random | None = None,
+        open_membership: MembershipFactory | None = None,
+        open_claims: ClaimsFactory | None = None,
+    ) -> None:
+        self.http_address: Address = settings.http.address
+        self.rpc_address: Address = settings.rpc.address
+        self._settings = settings
+        self._metrics = metrics
+        self._record = record
+        self._clock = clock
+        self._wall_clock = never_back(wall_clock)
+        self._random = random or random_module.Random()
+        self._open_membership = open_membership or self._member_link
+        self._open_claims = open_claims or self._claim_client
+        self._incarnation = uuid4().hex
+        self._draining = False
+        self._resources = AsyncExitStack()
+        self._membership: Membership | None = None
+        limits = settings.limits
+        self._fleet = Fleet(policy, self._random, settings.data_centre)
+        self._queue = TaskQueue(self._weight_of, self._fleet.expected_run_time_s)
+        self._admission = Admission(self._fleet, self._queue, limits.max_queued_tasks)
+        self._retry_budget = retry_budget()
+        self.engine = Engine(
+            fleet=self._fleet,
+            queue=self._queue,
+            retry_budget=self._retry_budget,
+            lease_since=self._lease_since,
+            on_dispatch=self._on_dispatch,
+            first_dispatch_id=self._random.getrandbits(48),
+        )
+        self._registry = RequestRegistry(
+            max_records=MAX_RECORDS, max_answer_bytes=MAX_ANSWER_BYTES
+        )
+        self._runner = EngineRunner(self.engine, clock)
+        self._peer_service = PeerService(self._registry, self._runner.cancel)
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests are taken on."""
+        condition = self._condition()
+        return condition.current and condition.leased and not condition.draining
+
+    async def __aenter__(self) -> Self:
+        async with AsyncExitStack() as stack:
+            await self._start(stack)
+            self._resources = stack.pop_all()
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._resources.aclose()
+
+    async def drain(self) -> None:
+        """Stop gracefully: refuse new requests and answer those in progress.
+
+        Requests that are not answered within the settings' time are failed.
+        """
+        self._draining = True
+        membership = self._membership_in_force()
+        membership.update(self._member(draining=True))
+        try:
+            async with asyncio.timeout(self._settings.limits.drain_timeout_s):
+                await self._pipeline.join()
+        except TimeoutError:
+            self._runner.stop()
+            await asyncio.wait((self._joining(),), timeout=STOP_GRACE_S)
+        await self._peer_service.join()
+        await asyncio.sleep(PEER_GRACE_S)
+        await self._http_server.close()
+        await membership.leave()
+
+    async def _start(self, stack: AsyncExitStack) -> None:
+        settings = self._settings
+        server = serve(self._peer_service.services(), self.rpc_address, settings.tls)
+        self.rpc_address = await stack.enter_async_context(server)
+        hello = EntryHello(
+            entry_id=settings.instance_id,
+            incarnation=self._incarnation,
+            data_centre=settings.data_centre,
+        )
+        listener = EngineListener(self._runner, self._clock)
+        links = AgentLinks(hello, listener, settings.tls)
+        await stack.enter_async_context(links)
+        self._runner.use(links.send)
+        claims = await stack.enter_async_context(self._open_claims(self._member()))
+        follower = Follower(
+            runner=self._runner,
+            links=links,
+            admission=self._admission,
+            fleet=self._fleet,
+            clock=self._clock,
+        )
+
+        def follow(event: object) -> None:
+            if self._membership is not None:
+                follower.follow(self._membership, claims)
+
+        opened = self._open_membership(self._member(), follow)
+        self._membership = await stack.enter_async_context(opened)
+        follow(None)
+        await self._start_http(stack, self._membership, claims)
+        for run in (self._runner.tick_forever, self._expire_forever):
+            task = asyncio.create_task(run())
+            stack.callback(task.cancel)
+
+    async def _start_http(
+        self, stack: AsyncExitStack, membership: Membership, claims: Claims
+    ) -> None:
+        settings = self._settings
+        peers = PeerClient(
+            member=self._member(),
+            membership=membership,
+            book=self.engine.book,
+            clock=self._clock,
+            tls=settings.tls,
+        )
+        parts = PipelineParts(
+            limits=settings.limits,
+            membership=membership,
+            claims=claims,
+            peers=peers,
+            registry=self._registry,
+            runner=self._runner,
+            clock=self._clock,
+            wall_clock=self._wall_clock,
+            admission=self._admission,
+            condition=self._condition,
+        )
+        self._pipeline = Pipeline(parts)
+        application = http_application(
+            HttpParts(
+                pipeline=self._pipeline,
+                ready=lambda: self.ready,
+                metrics=self._metrics,
+                max_body_bytes=settings.limits.max_body_bytes,
+            )
+        )
+        timeout_s = settings.limits.drain_timeout_s
+        server = HttpServer(application, self.http_address, timeout_s)
+        self._http_server = await stack.enter_async_context(server)
+        self.http_address = server.address
+
+    def _condition(self) -> EntryCondition:
+        membership = self._membership
+        return EntryCondition(
+            current=membership is not None and membership.ready,
+            leased=membership is not None and membership.lease_valid(self._clock()),
+            draining=self._draining,
+            registry_full=self._registry.full,
+        )
+
+    def _lease_since(self, now_s: float) -> float:
+        membership = self._membership
+        if membership is None or not membership.lease_valid(now_s):
+            return float("inf")
+        return membership.lease_since_s
+
+    def _weight_of(self, team: str) -> float:
+        if self._membership is None:
+            return 1.0
+        return waiting_weight(self._membership.configuration.teams, team)
+
+    def _on_dispatch(self, task: TaskRequest, agent_id: str) -> None:
+        now_s = self._clock()
+        self._admission.dispatched(now_s)
+        if task.attempt == 1:
+            self._retry_budget.started()
+        if self._record is ignore_event:
+            return
+        self._record(
+            Event(
+                kind=EventKind.DISPATCHED,
+                time_s=now_s,
+                process=self._settings.instance_id,
+                job_id=task.job_id,
+                task_index=task.task_index,
+                attempt=task.attempt,
+                detail=agent_id,
+            )
+        )
+
+    def _member(self, *, draining: bool = False) -> Member:
+        return Member(
+            member_id=self._settings.instance_id,
+            role=MemberRole.ENTRY,
+            incarnation=self._incarnation,
+            data_centre=self._settings.data_centre,
+            address=str(self.rpc_address),
+            draining=draining,
+        )
+
+    def _member_link(
+        self, member: Member, listener: Callable[[object], None]
+    ) -> AbstractAsyncContextManager[Membership]:
+        settings = self._settings
+        return MemberLink(
+            member, settings.control, settings.tls, self._clock, listener
+        )
+
+    def _claim_client(self, member: Member) -> AbstractAsyncContextManager[Claims]:
+        return ClaimClient(
+            member.member_id,
+            member.incarnation,
+            member.address,
+            self._settings.tls,
+            self._clock,
+            self._random,
+        )
+
+    def _membership_in_force(self) -> Membership:
+        if self._membership is None:
+            raise RuntimeError("the entry has not been entered")
+        return self._membership
+
+    def _joining(self) -> asyncio.Task[None]:
+        return asyncio.create_task(self._pipeline.join())
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_PERIOD_S)
+            self._registry.expire(self._clock())
+
+
+def never_back(wall_clock: WallClock) -> WallClock:
+    """Return a wall clock that stands still while the given one is set back."""
+    latest_ms = 0
+
+    def read_ms() -> int:
+        nonlocal latest_ms
+        latest_ms = max(latest_ms, wall_clock())
+        return latest_ms
+
+    return read_ms
--- a/src/verbenaplank/entry/collect.py
+++ b/src/verbenaplank/entry/collect.py
@@ -18,7 +18,7 @@
     from verbenaplank.entry.book import DispatchBook
     from verbenaplank.entry.book import DispatchRecord
     from verbenaplank.entry.jobs import JobTable
-    from verbenaplank.entry.ports import Placement
+    from verbenaplank.placement.fleet import Fleet
     from verbenaplank.entry.retry import Retries
     from verbenaplank.protocol.work import DispatchRefusal
     from verbenaplank.protocol.work import Revocation
@@ -53,7 +53,7 @@
     """
 
     def __init__(
-        self, *, jobs: JobTable, book: DispatchBook, fleet: Placement, retries: Retries
+        self, *, jobs: JobTable, book: DispatchBook, fleet: Fleet, retries: Retries
     ) -> None:
         self.counts = CollectCounts()
         self._jobs = jobs
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -22,10 +22,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from verbenaplank.admission.budget import StartBudget
     from verbenaplank.entry.effects import Effect
-    from verbenaplank.entry.ports import Placement
-    from verbenaplank.entry.ports import WaitingTasks
-    from verbenaplank.entry.retry import Budget
+    from verbenaplank.placement.fleet import Fleet
+    from verbenaplank.admission.queue import TaskQueue
     from verbenaplank.entry.submission import Submission
     from verbenaplank.placement.task import TaskRequest
     from verbenaplank.protocol.membership import Member
@@ -52,6 +52,12 @@
 class Engine:
     """All jobs of one entry incarnation.
 
+    Parameters
+    ----------
+    lease_since
+        Returns since when the entry's lease has run without a gap at a
+        monotonic time, or infinity if it has run out.
+
     Attributes
     ----------
     effects
@@ -65,10 +71,10 @@
     def __init__(
         self,
         *,
-        fleet: Placement,
-        queue: WaitingTasks,
-        retry_budget: Budget,
-        lease_valid: Callable[[float], bool],
+        fleet: Fleet,
+        queue: TaskQueue,
+        retry_budget: StartBudget,
+        lease_since: Callable[[float], float],
         on_dispatch: Callable[[TaskRequest, str], None] = ignore_dispatch,
     ) -> None:
         self.effects: list[Effect] = []
@@ -76,13 +82,14 @@
         self.jobs = JobTable(self.book, queue, self.effects)
         self._fleet = fleet
         self._queue = queue
-        self._lease_valid = lease_valid
-        self._deadlines = Timetable()
+        self._lease_since = lease_since
+        self._checked_since_s = float("-inf")
+        self._deadlines: Timetable[str] = Timetable()
         self._members: dict[str, Member] = {}
         self._connected: dict[str, AgentWelcome] = {}
-        retries = Retries(book=self.book, queue=queue, budget=retry_budget)
+        self._retries = Retries(book=self.book, queue=queue, budget=retry_budget)
         self._collector = Collector(
-            jobs=self.jobs, book=self.book, fleet=fleet, retries=retries
+            jobs=self.jobs, book=self.book, fleet=fleet, retries=self._retries
         )
         self._placer = Placer(
             jobs=self.jobs,
@@ -95,9 +102,17 @@
         self.counts = self._collector.counts
 
     def submit(self, submission: Submission, now_s: float) -> None:
-        """Take in a request whose id, if it needs a claim, is owned here."""
+        """Take in a request whose id, if it needs a claim, is owned here.
+
+        The claim took time: the lease must have run all the while, and the
+        deadline must lie ahead.
+        """
         self.jobs.open(submission, now_s)
         self._deadlines.add(submission.job_id, submission.deadline_s)
+        if submission.claimed and submission.received_s < self._lease_since(now_s):
+            self._fail(submission.job_id, LEASE_LAPSED, now_s)
+        elif now_s >= submission.deadline_s:
+            self._fail(submission.job_id, DEADLINE_EXCEEDED, now_s)
 
     def cancel(self, job_id: str, now_s: float) -> bool:
         """Cancel a job; tell whether it was in progress."""
@@ -156,6 +171,7 @@
         self._check_lease(now_s)
         for job_id in self._deadlines.take_due(now_s):
             self._fail(job_id, DEADLINE_EXCEEDED, now_s)
+        self._retries.queue_due(now_s)
         self.jobs.settle_all(now_s)
 
     def stop(self, now_s: float) -> None:
@@ -194,8 +210,10 @@
 
         Another entry may have told a caller so already.
         """
-        if self._lease_valid(now_s):
+        since_s = self._lease_since(now_s)
+        if since_s == self._checked_since_s:
             return
+        self._checked_since_s = since_s
         for job in self.jobs:
-            if job.submission.claimed:
+            if job.submission.claimed and job.submission.received_s < since_s:
                 self.jobs.fail_at_once(job, LEASE_LAPSED, now_s)
--- /dev/null
+++ b/src/verbenaplank/entry/follow.py
@@ -0,0 +1,61 @@
+"""Follows the membership and the configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.entry.admit import Admission
+    from verbenaplank.entry.agent_links import AgentLinks
+    from verbenaplank.entry.ports import Claims
+    from verbenaplank.entry.ports import Membership
+    from verbenaplank.entry.runner import EngineRunner
+    from verbenaplank.placement.fleet import Fleet
+    from verbenaplank.protocol.membership import Member
+
+
+class Follower:
+    """Tells the parts of the entry what changed in its membership."""
+
+    def __init__(
+        self,
+        *,
+        runner: EngineRunner,
+        links: AgentLinks,
+        admission: Admission,
+        fleet: Fleet,
+        clock: MonotonicClock,
+    ) -> None:
+        self._runner = runner
+        self._links = links
+        self._admission = admission
+        self._fleet = fleet
+        self._clock = clock
+        self._agents: dict[str, Member] = {}
+
+    def follow(self, membership: Membership, claims: Claims) -> None:
+        """Take over the newest state."""
+        now_s = self._clock()
+        configuration = membership.configuration
+        entries = len(membership.entries)
+        self._admission.configure(configuration.teams, entries)
+        if membership.registrars is not None:
+            claims.set_registrars(membership.registrars)
+        for agent_id in self._agents.keys() - membership.members.keys():
+            self._leave(agent_id, now_s)
+        for member in membership.members.values():
+            if self._agents.get(member.member_id) != member:
+                self._join(member, now_s)
+        self._fleet.set_drained(configuration.drained_backend_servers)
+        self._runner.flush_soon()
+
+    def _join(self, member: Member, now_s: float) -> None:
+        self._agents[member.member_id] = member
+        self._runner.engine.member_joined(member, now_s)
+        self._links.joined(member)
+
+    def _leave(self, agent_id: str, now_s: float) -> None:
+        del self._agents[agent_id]
+        self._runner.engine.member_left(agent_id, now_s)
+        self._links.left(agent_id)
--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -20,7 +20,7 @@
 
     from verbenaplank.entry.book import DispatchBook
     from verbenaplank.entry.book import DispatchRecord
-    from verbenaplank.entry.ports import WaitingTasks
+    from verbenaplank.admission.queue import TaskQueue
     from verbenaplank.entry.submission import Submission
     from verbenaplank.outcome.rejection import Rejection
 
@@ -58,7 +58,7 @@
     """State of the jobs in progress; every answer leaves through it once."""
 
     def __init__(
-        self, book: DispatchBook, queue: WaitingTasks, effects: list[Effect]
+        self, book: DispatchBook, queue: TaskQueue, effects: list[Effect]
     ) -> None:
         self._book = book
         self._queue = queue
--- a/src/verbenaplank/entry/peer_client.py
+++ b/src/verbenaplank/entry/peer_client.py
@@ -13,7 +13,6 @@
 from verbenaplank.entry.answer import failure_answer
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
-from verbenaplank.protocol.membership import MemberRole
 from verbenaplank.protocol.peer import AttachRequest
 from verbenaplank.protocol.peer import AttachState
 from verbenaplank.protocol.peer import CancelRequest
@@ -136,9 +135,8 @@
     def _peers(self) -> list[Member]:
         return [
             member
-            for member in self.membership.members.values()
-            if member.role is MemberRole.ENTRY
-            and member.member_id != self.member.member_id
+            for member in self.membership.entries.values()
+            if member.member_id != self.member.member_id
         ]
 
     def _is_self(self, decision: ClaimDecision) -> bool:
@@ -149,7 +147,7 @@
         )
 
     def _is_member(self, decision: ClaimDecision) -> bool:
-        member = self.membership.members.get(decision.owner_entry_id)
+        member = self.membership.entries.get(decision.owner_entry_id)
         return member is not None and member.incarnation == decision.owner_incarnation
 
     def _failed(self, rejection: Rejection, job_id: str) -> Answer:
--- a/src/verbenaplank/entry/peer_service.py
+++ b/src/verbenaplank/entry/peer_service.py
@@ -12,11 +12,9 @@
 from verbenaplank.rpc.services import CANCEL
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from verbenaplank.entry.answer import Answer
-    from verbenaplank.entry.pipeline import Pipeline
     from verbenaplank.entry.registry import RequestRegistry
     from verbenaplank.protocol.peer import AttachRequest
     from verbenaplank.protocol.peer import CancelRequest
@@ -27,22 +25,43 @@
 MILLISECONDS_PER_SECOND = 1000
 
 
-def peer_services(pipeline: Pipeline, registry: RequestRegistry) -> list[Service]:
-    """Return the services that an entry offers to other entries."""
+class PeerService:
+    """The services that an entry offers to other entries."""
 
-    async def cancel(request: CancelRequest) -> CancelReply:
-        return CancelReply(cancelled=pipeline.cancel_here(request.job_id))
+    def __init__(
+        self, registry: RequestRegistry, cancel: Callable[[str], bool]
+    ) -> None:
+        self._registry = registry
+        self._cancel = cancel
+        self._attached = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
 
-    return [ATTACH.handler(attach_handler(registry)), CANCEL.handler(cancel)]
+    def services(self) -> list[Service]:
+        """Return the services for a gRPC server."""
+        return [ATTACH.handler(self.attach), CANCEL.handler(self.cancel)]
 
+    async def join(self) -> None:
+        """Wait until no other entry waits for an answer."""
+        await self._idle.wait()
 
-def attach_handler(
-    registry: RequestRegistry,
-) -> Callable[[AttachRequest], Awaitable[AttachReply]]:
-    """Return a function that answers attach requests."""
+    async def cancel(self, request: CancelRequest) -> CancelReply:
+        """Cancel a job for another entry."""
+        return CancelReply(cancelled=self._cancel(request.job_id))
 
-    async def attach(request: AttachRequest) -> AttachReply:
-        record = registry.find(request.job_id)
+    async def attach(self, request: AttachRequest) -> AttachReply:
+        """Wait for a job's answer for another entry."""
+        self._attached += 1
+        self._idle.clear()
+        try:
+            return await self._attach(request)
+        finally:
+            self._attached -= 1
+            if not self._attached:
+                self._idle.set()
+
+    async def _attach(self, request: AttachRequest) -> AttachReply:
+        record = self._registry.find(request.job_id)
         if record is None:
             return AttachReply(state=AttachState.UNKNOWN)
         wait_s = min(request.wait_ms, MAX_WAIT_MS) / MILLISECONDS_PER_SECOND
@@ -58,8 +77,6 @@
             return AttachReply(state=AttachState.PENDING)
         return _answered(request, record.answer)
 
-    return attach
-
 
 def _answered(request: AttachRequest, answer: Answer | None) -> AttachReply:
     if answer is None:
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -9,7 +9,6 @@
 import attrs
 
 from verbenaplank.claims.decision import ClaimState
-from verbenaplank.entry.admit import admit
 from verbenaplank.entry.answer import failure_answer
 from verbenaplank.entry.check import CheckContext
 from verbenaplank.entry.check import check
@@ -25,6 +24,7 @@
     from verbenaplank.claims.decision import ClaimDecision
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
+    from verbenaplank.entry.admit import Admission
     from verbenaplank.entry.admit import EntryCondition
     from verbenaplank.entry.answer import Answer
     from verbenaplank.entry.draft import Draft
@@ -50,14 +50,6 @@
     detail="no majority of registrars granted the id",
     retry_after_s=RETRY_AFTER_S,
 )
-LATE_AFTER_CLAIM = Rejection(
-    kind=FailureKind.DEADLINE_EXCEEDED,
-    detail="the deadline passed while the id was claimed",
-)
-LEASE_LAPSED = Rejection(
-    kind=FailureKind.OUTCOME_UNKNOWN,
-    detail="this entry lost its lease while the id was claimed",
-)
 ANSWER_DROPPED = Rejection(
     kind=FailureKind.OUTCOME_UNKNOWN, detail="the answer is no longer kept"
 )
@@ -81,7 +73,8 @@
     runner: EngineRunner
     clock: MonotonicClock
     wall_clock: WallClock
-    condition: Callable[[Submission], EntryCondition]
+    admission: Admission
+    condition: Callable[[], EntryCondition]
 
 
 class Pipeline:
@@ -110,7 +103,9 @@
             if record.owned:
                 return self.refuse(ID_REUSED, submission.job_id)
             record = self._parts.registry.find(submission.job_id)
-        rejection = admit(submission, self._parts.condition(submission))
+        rejection = self._parts.admission.admit(
+            submission, self._parts.condition(), self._parts.clock()
+        )
         if rejection is not None:
             return self.refuse(rejection, submission.job_id)
         return await self._answer_of(self._start(submission))
@@ -125,18 +120,10 @@
 
     async def cancel(self, job_id: str) -> Answer:
         """Cancel a job that is known here or at a peer, and return its answer."""
-        self.cancel_here(job_id)
-        if self._parts.registry.find(job_id) is None:
+        if not self._parts.runner.cancel(job_id):
             await self._parts.peers.cancel_everywhere(job_id)
         return await self.attach(job_id)
 
-    def cancel_here(self, job_id: str) -> bool:
-        """Cancel a job that is in progress here."""
-        runner = self._parts.runner
-        cancelled = runner.engine.cancel(job_id, self._parts.clock())
-        runner.flush_soon()
-        return cancelled
-
     async def join(self) -> None:
         """Wait until no request is in progress."""
         while self._in_progress:
@@ -181,6 +168,7 @@
         except Exception:
             LOGGER.exception("a request failed within", extra=_log_fields(submission))
             answer = self.refuse(FAULT_WITHIN, submission.job_id)
+        self._parts.admission.ended(submission)
         self._parts.registry.settle(record, answer)
 
     async def _claim_and_run(
@@ -205,11 +193,6 @@
 
     async def _run_here(self, record: RequestRecord, submission: Submission) -> Answer:
         self._parts.registry.own(record)
-        now_s = self._parts.clock()
-        if submission.claimed and not self._parts.membership.lease_valid(now_s):
-            return self.refuse(LEASE_LAPSED, submission.job_id)
-        if now_s >= submission.deadline_s:
-            return self.refuse(LATE_AFTER_CLAIM, submission.job_id)
         return await self._parts.runner.run(submission)
 
 
--- a/src/verbenaplank/entry/place.py
+++ b/src/verbenaplank/entry/place.py
@@ -15,8 +15,8 @@
 
     from verbenaplank.entry.book import DispatchBook
     from verbenaplank.entry.jobs import JobTable
-    from verbenaplank.entry.ports import Placement
-    from verbenaplank.entry.ports import WaitingTasks
+    from verbenaplank.placement.fleet import Fleet
+    from verbenaplank.admission.queue import TaskQueue
     from verbenaplank.entry.submission import Submission
     from verbenaplank.placement.task import TaskRequest
 
@@ -31,8 +31,8 @@
         *,
         jobs: JobTable,
         book: DispatchBook,
-        queue: WaitingTasks,
-        fleet: Placement,
+        queue: TaskQueue,
+        fleet: Fleet,
         effects: list[Effect],
         on_dispatch: Callable[[TaskRequest, str], None],
     ) -> None:
@@ -86,7 +86,7 @@
         return placeable
 
     def _choose(self, task: TaskRequest, now_s: float) -> str | None:
-        agent_id = self._fleet.choose(task, now_s)
+        agent_id = self._fleet.choose(task, now_s, len(self._queue))
         return agent_id if agent_id in self._incarnations else None
 
     def _dispatch(self, task: TaskRequest, agent_id: str, now_s: float) -> None:
--- a/src/verbenaplank/entry/ports.py
+++ b/src/verbenaplank/entry/ports.py
@@ -8,15 +8,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
+    from contextlib import AbstractAsyncContextManager
 
     from verbenaplank.claims.decision import ClaimDecision
     from verbenaplank.configuration.effective import EffectiveConfiguration
-    from verbenaplank.placement.task import Needs
-    from verbenaplank.placement.task import TaskRequest
     from verbenaplank.protocol.membership import Member
     from verbenaplank.protocol.membership import RegistrarGroup
-    from verbenaplank.protocol.work import LoadReport
-    from verbenaplank.protocol.work import TaskOutcome
 
 
 class Membership(Protocol):
@@ -28,7 +25,15 @@
 
     @property
     def members(self) -> Mapping[str, Member]:
-        """All members by their id."""
+        """The agents by their id."""
+
+    @property
+    def entries(self) -> Mapping[str, Member]:
+        """The entries by their id, this one included."""
+
+    @property
+    def lease_since_s(self) -> float:
+        """When the lease began that has been held without a gap."""
 
     @property
     def registrars(self) -> RegistrarGroup | None:
@@ -63,66 +68,17 @@
         """Claim an identifier for this entry."""
 
 
-class Placement(Protocol):
-    """Chooses the agent of a task."""
-
-    def join(self, member: Member, now_s: float) -> None:
-        """Take in a member that joined or changed."""
-
-    def leave(self, member_id: str, now_s: float) -> None:
-        """Drop a member."""
-
-    def connected(
-        self, member_id: str, incarnation: str, slots: int, now_s: float
-    ) -> None:
-        """Note that dispatches can reach an agent."""
-
-    def disconnected(self, member_id: str, now_s: float) -> None:
-        """Note that no dispatch can reach an agent."""
-
-    def load_reported(self, member_id: str, report: LoadReport, now_s: float) -> None:
-        """Take in what an agent says of its load."""
-
-    def choose(self, task: TaskRequest, now_s: float) -> str | None:
-        """Return an agent's id, or ``None`` to hold the task at the entry."""
-
-    def dispatched(self, member_id: str, task: TaskRequest, now_s: float) -> None:
-        """Note a dispatch."""
-
-    def finished(
-        self,
-        member_id: str,
-        task: TaskRequest,
-        outcome: TaskOutcome,
-        run_time_s: float,
-        now_s: float,
-    ) -> None:
-        """Note the end of a run."""
-
-    def released(self, member_id: str, task: TaskRequest, now_s: float) -> None:
-        """Note that a dispatch never started."""
-
-
-class WaitingTasks(Protocol):
-    """Tasks that wait at the entry, in the order in which they should start."""
-
-    def __len__(self) -> int:
-        """Return how many tasks wait."""
-
-    def push(self, task: TaskRequest, now_s: float) -> None:
-        """Add a task."""
-
-    def pop(
-        self, now_s: float, placeable: Callable[[TaskRequest], bool]
-    ) -> TaskRequest | None:
-        """Take the next task that is placeable, or ``None``."""
+class MembershipFactory(Protocol):
+    """Opens the membership of an entry for as long as a context lasts."""
 
-    def remove_job(self, job_id: str) -> list[TaskRequest]:
-        """Remove the tasks of a job."""
+    def __call__(
+        self, member: Member, listener: Callable[[object], None]
+    ) -> AbstractAsyncContextManager[Membership]:
+        """Announce a member; the listener hears of each change."""
 
 
-class Possibilities(Protocol):
-    """Tells what could ever run."""
+class ClaimsFactory(Protocol):
+    """Opens the claims of an entry for as long as a context lasts."""
 
-    def possibility(self, service: str, needs: Needs) -> object:
-        """Tell whether a known agent could ever run such a task."""
+    def __call__(self, member: Member) -> AbstractAsyncContextManager[Claims]:
+        """Claim identifiers for a member."""
--- a/src/verbenaplank/entry/retry.py
+++ b/src/verbenaplank/entry/retry.py
@@ -3,33 +3,33 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import Protocol
 
 import attrs
 
+from verbenaplank.entry.timetable import Timetable
+
 if TYPE_CHECKING:
+    from verbenaplank.admission.budget import StartBudget
     from verbenaplank.entry.book import DispatchBook
     from verbenaplank.entry.book import DispatchRecord
     from verbenaplank.entry.jobs import Job
-    from verbenaplank.entry.ports import WaitingTasks
-
-
-class Budget(Protocol):
-    """Bounds how much work is added to what callers asked for."""
+    from verbenaplank.placement.task import TaskRequest
+    from verbenaplank.admission.queue import TaskQueue
 
-    def spend(self, now_s: float) -> bool:
-        """Take one unit, if there is one."""
+REFUSAL_PAUSE_S = 0.05
+"""How long a task waits after an agent refused it a second time."""
 
 
 class Retries:
     """Queues tasks again, where that cannot run one more often than allowed."""
 
     def __init__(
-        self, *, book: DispatchBook, queue: WaitingTasks, budget: Budget
+        self, *, book: DispatchBook, queue: TaskQueue, budget: StartBudget
     ) -> None:
         self._book = book
         self._queue = queue
         self._budget = budget
+        self._pauses: Timetable[TaskRequest] = Timetable()
 
     def place_elsewhere(self, job: Job, record: DispatchRecord, now_s: float) -> None:
         """Queue a task whose dispatch never started; its attempt is unused."""
@@ -38,7 +38,16 @@
             job.runs -= 1
             return
         avoided = task.avoided_members | {record.agent_id}
-        self._queue.push(attrs.evolve(task, avoided_members=avoided), now_s)
+        again = attrs.evolve(task, avoided_members=avoided)
+        if record.agent_id in task.avoided_members:
+            self._pauses.add(again, now_s + REFUSAL_PAUSE_S)
+            return
+        self._queue.push(again, now_s)
+
+    def queue_due(self, now_s: float) -> None:
+        """Queue the tasks whose pause is over."""
+        for task in self._pauses.take_due(now_s):
+            self._queue.push(task, now_s)
 
     def run_again(self, job: Job, record: DispatchRecord, now_s: float) -> bool:
         """Allow a task one more run, if its caller and the budget permit it.
@@ -53,7 +62,7 @@
             return True
         if job.runs >= job.submission.max_runs or now_s >= task.deadline_s:
             return False
-        if not self._budget.spend(now_s):
+        if not self._budget.take():
             return False
         job.runs += 1
         avoided = task.avoided_members | {record.agent_id}
--- a/src/verbenaplank/entry/runner.py
+++ b/src/verbenaplank/entry/runner.py
@@ -51,6 +51,12 @@
         self.flush_soon()
         return await answer
 
+    def cancel(self, job_id: str) -> bool:
+        """Cancel a request; tell whether it was in progress."""
+        cancelled = self.engine.cancel(job_id, self._clock())
+        self.flush_soon()
+        return cancelled
+
     def flush_soon(self) -> None:
         """Carry effects out once the events at hand have been taken in."""
         if not self._flush_due:
--- a/src/verbenaplank/entry/timetable.py
+++ b/src/verbenaplank/entry/timetable.py
@@ -1,26 +1,32 @@
-"""Names that fall due at a time."""
+"""Items that fall due at a time."""
 
 from __future__ import annotations
 
 import heapq
+import itertools
+from typing import Generic
+from typing import TypeVar
 
+Item = TypeVar("Item")
 
-class Timetable:
-    """Holds names with the monotonic time at which each falls due."""
+
+class Timetable(Generic[Item]):
+    """Holds items with the monotonic time at which each falls due."""
 
     def __init__(self) -> None:
-        self._heap: list[tuple[float, str]] = []
+        self._heap: list[tuple[float, int, Item]] = []
+        self._sequence = itertools.count()
 
     def __len__(self) -> int:
         return len(self._heap)
 
-    def add(self, name: str, due_s: float) -> None:
-        """Add a name."""
-        heapq.heappush(self._heap, (due_s, name))
+    def add(self, item: Item, due_s: float) -> None:
+        """Add an item."""
+        heapq.heappush(self._heap, (due_s, next(self._sequence), item))
 
-    def take_due(self, now_s: float) -> list[str]:
-        """Remove and return the names that are due, earliest first."""
-        due: list[str] = []
+    def take_due(self, now_s: float) -> list[Item]:
+        """Remove and return the items that are due, earliest first."""
+        due: list[Item] = []
         while self._heap and self._heap[0][0] <= now_s:
-            due.append(heapq.heappop(self._heap)[1])
+            due.append(heapq.heappop(self._heap)[2])
         return due
