--- a/src/verbenaplank/entry/admit.py
+++ b/src/verbenaplank/entry/admit.py
@@ -135,9 +135,7 @@
     return rules.weight if rules is not None else 1.0
 
 
-def _entry_fault(
-    submission: Submission, condition: EntryCondition
-) -> Rejection | None:
+def _entry_fault(submission: Submission, condition: EntryCondition) -> Rejection | None:
     if condition.draining:
         return _later(FailureKind.NOT_READY, "the entry is stopping")
     if not condition.current:
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -9,8 +9,6 @@
 from typing import Self
 from uuid import uuid4
 
-import attrs
-
 from verbenaplank.admission.budget import retry_budget
 from verbenaplank.admission.queue import TaskQueue
 from verbenaplank.claims.client import ClaimClient
@@ -43,7 +41,6 @@
 from verbenaplank.protocol.membership import Member
 from verbenaplank.protocol.membership import MemberRole
 from verbenaplank.protocol.work import EntryHello
-from verbenaplank.rpc.address import Address
 from verbenaplank.rpc.endpoint import serve
 
 if TYPE_CHECKING:
@@ -60,6 +57,7 @@
     from verbenaplank.entry.ports import MembershipFactory
     from verbenaplank.placement.policy import Policy
     from verbenaplank.placement.task import TaskRequest
+    from verbenaplank.rpc.address import Address
     from verbenaplank.settings.entry import EntrySettings
 
 MAX_RECORDS = 1_000_000
@@ -294,9 +292,7 @@
         self, member: Member, listener: Callable[[object], None]
     ) -> AbstractAsyncContextManager[Membership]:
         settings = self._settings
-        return MemberLink(
-            member, settings.control, settings.tls, self._clock, listener
-        )
+        return MemberLink(member, settings.control, settings.tls, self._clock, listener)
 
     def _claim_client(self, member: Member) -> AbstractAsyncContextManager[Claims]:
         return ClaimClient(
--- a/src/verbenaplank/entry/book.py
+++ b/src/verbenaplank/entry/book.py
@@ -16,12 +16,12 @@
 from verbenaplank.outcome.failure import Failure
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.failure import Run
+from verbenaplank.placement.task import TaskRequest
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from verbenaplank.outcome.rejection import Rejection
-    from verbenaplank.placement.task import TaskRequest
 
 
 class DispatchState(StrEnum):
@@ -80,8 +80,8 @@
     so that late messages find it.  Counts of a job stay until it is forgotten.
     """
 
-    def __init__(self) -> None:
-        self._next_id = 1
+    def __init__(self, first_dispatch_id: int = 1) -> None:
+        self._next_id = first_dispatch_id
         self._open: dict[int, DispatchRecord] = {}
         self._by_agent: dict[str, dict[int, DispatchRecord]] = defaultdict(dict)
         self._by_job: dict[str, dict[int, DispatchRecord]] = {}
--- a/src/verbenaplank/entry/check.py
+++ b/src/verbenaplank/entry/check.py
@@ -12,6 +12,7 @@
 from expression import Ok
 from expression import Result
 
+from verbenaplank.configuration.effective import EffectiveConfiguration
 from verbenaplank.configuration.effective import ServiceRules
 from verbenaplank.entry.submission import Submission
 from verbenaplank.identifiers.job_id import InvalidJobIdError
@@ -21,13 +22,12 @@
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.finding import Finding
 from verbenaplank.outcome.rejection import Rejection
+from verbenaplank.settings.entry import EntryLimits
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from verbenaplank.configuration.effective import EffectiveConfiguration
     from verbenaplank.entry.draft import Draft
-    from verbenaplank.settings.entry import EntryLimits
 
 PRECEDENCE = (
     FailureKind.UNAUTHORIZED,
--- a/src/verbenaplank/entry/collect.py
+++ b/src/verbenaplank/entry/collect.py
@@ -18,8 +18,8 @@
     from verbenaplank.entry.book import DispatchBook
     from verbenaplank.entry.book import DispatchRecord
     from verbenaplank.entry.jobs import JobTable
-    from verbenaplank.placement.fleet import Fleet
     from verbenaplank.entry.retry import Retries
+    from verbenaplank.placement.fleet import Fleet
     from verbenaplank.protocol.work import DispatchRefusal
     from verbenaplank.protocol.work import Revocation
     from verbenaplank.protocol.work import TaskResult
--- a/src/verbenaplank/entry/draft.py
+++ b/src/verbenaplank/entry/draft.py
@@ -32,7 +32,7 @@
     team: str = ""
     urgent: bool = False
     deadline_ms: int | None = None
-    needs: Needs = Needs()
+    needs: Needs = attrs.field(factory=Needs)
     payloads: tuple[bytes, ...] = ()
     idempotent: bool = False
     max_runs: int | None = None
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -23,10 +23,10 @@
     from collections.abc import Callable
 
     from verbenaplank.admission.budget import StartBudget
-    from verbenaplank.entry.effects import Effect
-    from verbenaplank.placement.fleet import Fleet
     from verbenaplank.admission.queue import TaskQueue
+    from verbenaplank.entry.effects import Effect
     from verbenaplank.entry.submission import Submission
+    from verbenaplank.placement.fleet import Fleet
     from verbenaplank.placement.task import TaskRequest
     from verbenaplank.protocol.membership import Member
     from verbenaplank.protocol.work import AgentWelcome
@@ -76,9 +76,10 @@
         retry_budget: StartBudget,
         lease_since: Callable[[float], float],
         on_dispatch: Callable[[TaskRequest, str], None] = ignore_dispatch,
+        first_dispatch_id: int = 1,
     ) -> None:
         self.effects: list[Effect] = []
-        self.book = DispatchBook()
+        self.book = DispatchBook(first_dispatch_id)
         self.jobs = JobTable(self.book, queue, self.effects)
         self._fleet = fleet
         self._queue = queue
--- a/src/verbenaplank/entry/fields.py
+++ b/src/verbenaplank/entry/fields.py
@@ -25,7 +25,9 @@
     one pass finds all faults.
     """
 
-    def __init__(self, fields: Object, findings: list[Finding], place: str = "") -> None:
+    def __init__(
+        self, fields: Object, findings: list[Finding], place: str = ""
+    ) -> None:
         self._fields = fields
         self._findings = findings
         self._place = place
--- a/src/verbenaplank/entry/http.py
+++ b/src/verbenaplank/entry/http.py
@@ -18,7 +18,7 @@
 from litestar.exceptions import HTTPException
 from litestar.openapi import OpenAPIConfig
 
-from verbenaplank.entry.answer import failure_answer
+from verbenaplank.entry.pipeline import Pipeline
 from verbenaplank.identifiers.job_id import InvalidJobIdError
 from verbenaplank.identifiers.job_id import parse_job_id
 from verbenaplank.outcome.failure import FailureKind
@@ -26,8 +26,9 @@
 from verbenaplank.outcome.rejection import Rejection
 
 if TYPE_CHECKING:
+    from litestar.params import FromPath
+
     from verbenaplank.entry.answer import Answer
-    from verbenaplank.entry.pipeline import Pipeline
 
 Metrics = Callable[[], tuple[bytes, str]]
 """Returns the metrics as text and their media type."""
@@ -81,14 +82,14 @@
         return _response(await pipeline.submit(body, _token(request), single=True))
 
     @get("/v1/jobs/{job_id:str}")
-    async def attach(job_id: str) -> Response[bytes]:
+    async def attach(job_id: FromPath[str]) -> Response[bytes]:
         try:
             return _response(await pipeline.attach(parse_job_id(job_id)))
         except InvalidJobIdError as error:
             return _response(pipeline.refuse(_bad_id(error)))
 
     @delete("/v1/jobs/{job_id:str}", status_code=HTTPStatus.OK)
-    async def cancel(job_id: str) -> Response[bytes]:
+    async def cancel(job_id: FromPath[str]) -> Response[bytes]:
         try:
             return _response(await pipeline.cancel(parse_job_id(job_id)))
         except InvalidJobIdError as error:
--- a/src/verbenaplank/entry/http_server.py
+++ b/src/verbenaplank/entry/http_server.py
@@ -68,6 +68,10 @@
         exception: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Accept no further connection; wait for the requests in progress."""
         self._server.should_exit = True
         if self._serving is not None:
             await self._serving
--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -11,6 +11,8 @@
 from verbenaplank.entry.effects import JobCompleted
 from verbenaplank.entry.effects import JobFailed
 from verbenaplank.entry.effects import Send
+from verbenaplank.entry.submission import Submission
+from verbenaplank.outcome.rejection import Rejection
 from verbenaplank.placement.task import TaskRequest
 from verbenaplank.protocol.work import Revoke
 from verbenaplank.protocol.work import Stop
@@ -18,11 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from verbenaplank.admission.queue import TaskQueue
     from verbenaplank.entry.book import DispatchBook
     from verbenaplank.entry.book import DispatchRecord
-    from verbenaplank.admission.queue import TaskQueue
-    from verbenaplank.entry.submission import Submission
-    from verbenaplank.outcome.rejection import Rejection
 
 REVOCATION_WAIT_S = 0.5
 """How long a failed job's answer waits to learn what of it has started."""
--- a/src/verbenaplank/entry/peer_client.py
+++ b/src/verbenaplank/entry/peer_client.py
@@ -9,10 +9,14 @@
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
+from verbenaplank.clock.sources import MonotonicClock
 from verbenaplank.entry.answer import Answer
 from verbenaplank.entry.answer import failure_answer
+from verbenaplank.entry.book import DispatchBook
+from verbenaplank.entry.ports import Membership
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
+from verbenaplank.protocol.membership import Member
 from verbenaplank.protocol.peer import AttachRequest
 from verbenaplank.protocol.peer import AttachState
 from verbenaplank.protocol.peer import CancelRequest
@@ -20,18 +24,14 @@
 from verbenaplank.rpc.endpoint import connect
 from verbenaplank.rpc.services import ATTACH
 from verbenaplank.rpc.services import CANCEL
+from verbenaplank.settings.common import TlsSettings
 
 if TYPE_CHECKING:
     from grpclib.client import Channel
 
     from verbenaplank.claims.decision import ClaimDecision
-    from verbenaplank.clock.sources import MonotonicClock
-    from verbenaplank.entry.book import DispatchBook
-    from verbenaplank.entry.ports import Membership
     from verbenaplank.entry.submission import Submission
-    from verbenaplank.protocol.membership import Member
     from verbenaplank.protocol.peer import AttachReply
-    from verbenaplank.settings.common import TlsSettings
 
 WAIT_MS = 2_000.0
 CALL_TIMEOUT_S = 5.0
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -4,38 +4,36 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import attrs
 
 from verbenaplank.claims.decision import ClaimState
+from verbenaplank.clock.sources import MonotonicClock
+from verbenaplank.clock.sources import WallClock
+from verbenaplank.entry.admit import Admission
+from verbenaplank.entry.admit import EntryCondition
 from verbenaplank.entry.answer import failure_answer
 from verbenaplank.entry.check import CheckContext
 from verbenaplank.entry.check import check
 from verbenaplank.entry.decode import decode_job
 from verbenaplank.entry.decode import decode_request
+from verbenaplank.entry.peer_client import PeerClient
+from verbenaplank.entry.ports import Claims
+from verbenaplank.entry.ports import Membership
+from verbenaplank.entry.registry import RequestRegistry
+from verbenaplank.entry.runner import EngineRunner
 from verbenaplank.identifiers.job_id import job_timestamp_ms
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
+from verbenaplank.settings.entry import EntryLimits
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from verbenaplank.claims.decision import ClaimDecision
-    from verbenaplank.clock.sources import MonotonicClock
-    from verbenaplank.clock.sources import WallClock
-    from verbenaplank.entry.admit import Admission
-    from verbenaplank.entry.admit import EntryCondition
     from verbenaplank.entry.answer import Answer
-    from verbenaplank.entry.draft import Draft
-    from verbenaplank.entry.peer_client import PeerClient
-    from verbenaplank.entry.ports import Claims
-    from verbenaplank.entry.ports import Membership
     from verbenaplank.entry.registry import RequestRecord
-    from verbenaplank.entry.registry import RequestRegistry
-    from verbenaplank.entry.runner import EngineRunner
     from verbenaplank.entry.submission import Submission
-    from verbenaplank.settings.entry import EntryLimits
 
 LOGGER = logging.getLogger(__name__)
 
--- a/src/verbenaplank/entry/place.py
+++ b/src/verbenaplank/entry/place.py
@@ -13,11 +13,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from verbenaplank.admission.queue import TaskQueue
     from verbenaplank.entry.book import DispatchBook
     from verbenaplank.entry.jobs import JobTable
-    from verbenaplank.placement.fleet import Fleet
-    from verbenaplank.admission.queue import TaskQueue
     from verbenaplank.entry.submission import Submission
+    from verbenaplank.placement.fleet import Fleet
     from verbenaplank.placement.task import TaskRequest
 
 MILLISECONDS_PER_SECOND = 1000
--- a/src/verbenaplank/entry/registry.py
+++ b/src/verbenaplank/entry/registry.py
@@ -13,8 +13,9 @@
 
 import attrs
 
+from verbenaplank.entry.answer import Answer
+
 if TYPE_CHECKING:
-    from verbenaplank.entry.answer import Answer
     from verbenaplank.entry.submission import Submission
 
 
--- a/src/verbenaplank/entry/retry.py
+++ b/src/verbenaplank/entry/retry.py
@@ -10,11 +10,11 @@
 
 if TYPE_CHECKING:
     from verbenaplank.admission.budget import StartBudget
+    from verbenaplank.admission.queue import TaskQueue
     from verbenaplank.entry.book import DispatchBook
     from verbenaplank.entry.book import DispatchRecord
     from verbenaplank.entry.jobs import Job
     from verbenaplank.placement.task import TaskRequest
-    from verbenaplank.admission.queue import TaskQueue
 
 REFUSAL_PAUSE_S = 0.05
 """How long a task waits after an agent refused it a second time."""
--- a/src/verbenaplank/entry/runner.py
+++ b/src/verbenaplank/entry/runner.py
@@ -31,21 +31,20 @@
     what they cause leaves together.
     """
 
-    def __init__(
-        self,
-        engine: Engine,
-        clock: MonotonicClock,
-        send: Callable[[str, ToAgentItem], None],
-    ) -> None:
+    def __init__(self, engine: Engine, clock: MonotonicClock) -> None:
         self.engine = engine
         self._clock = clock
-        self._send = send
+        self._send: Callable[[str, ToAgentItem], None] = _drop
         self._waiting: dict[str, tuple[Submission, asyncio.Future[Answer]]] = {}
         self._flush_due = False
 
+    def use(self, send: Callable[[str, ToAgentItem], None]) -> None:
+        """Hand items for agents to ``send`` from now on."""
+        self._send = send
+
     async def run(self, submission: Submission) -> Answer:
         """Run a request and return its answer."""
-        answer = asyncio.get_running_loop().create_future()
+        answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self._waiting[submission.job_id] = (submission, answer)
         self.engine.submit(submission, self._clock())
         self.flush_soon()
@@ -57,6 +56,11 @@
         self.flush_soon()
         return cancelled
 
+    def stop(self) -> None:
+        """Fail every request that is still in progress."""
+        self.engine.stop(self._clock())
+        self.flush_soon()
+
     def flush_soon(self) -> None:
         """Carry effects out once the events at hand have been taken in."""
         if not self._flush_due:
@@ -93,3 +97,7 @@
     if submission.single:
         return request_answer(effect.job_id, effect.results[0])
     return job_answer(effect.job_id, effect.results)
+
+
+def _drop(agent_id: str, item: ToAgentItem) -> None:
+    """Send nothing, as no stream is open yet."""
--- a/src/verbenaplank/entry/submission.py
+++ b/src/verbenaplank/entry/submission.py
@@ -38,6 +38,6 @@
     urgent: bool = False
     claimed: bool = True
     max_runs: int = 1
-    needs: Needs = Needs()
+    needs: Needs = attrs.field(factory=Needs)
     declared_run_time_s: float = 0.2
     run_timeout_ms: float = 30_000.0
--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
--- /dev/null
+++ b/tests/entry/fakes.py
@@ -0,0 +1,227 @@
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from verbenaplank.claims.decision import ClaimDecision
+from verbenaplank.claims.decision import ClaimState
+from verbenaplank.configuration.effective import EffectiveConfiguration
+from verbenaplank.configuration.effective import ServiceRules
+from verbenaplank.configuration.effective import TeamRules
+from verbenaplank.protocol.membership import Member
+from verbenaplank.protocol.membership import MemberRole
+from verbenaplank.protocol.work import AgentWelcome
+from verbenaplank.protocol.work import FromAgent
+from verbenaplank.protocol.work import Revocation
+from verbenaplank.protocol.work import RevocationState
+from verbenaplank.protocol.work import TaskOutcome
+from verbenaplank.protocol.work import TaskResult
+from verbenaplank.rpc.address import Address
+from verbenaplank.rpc.endpoint import serve
+from verbenaplank.rpc.services import WORK
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+    from grpclib.server import Stream
+
+    from verbenaplank.protocol.membership import RegistrarGroup
+    from verbenaplank.protocol.work import Dispatch
+    from verbenaplank.protocol.work import ToAgent
+
+ANY_PORT = Address("127.0.0.1", 0)
+SERVICE = "draw"
+TEAM = "fixtures"
+TOKEN_TEAM = "enrolment"
+TOKEN = "three seats"
+TOKEN_SHA256 = hashlib.sha256(TOKEN.encode()).hexdigest()
+
+
+def configuration() -> EffectiveConfiguration:
+    return EffectiveConfiguration(
+        version=1,
+        services={SERVICE: ServiceRules(name=SERVICE, team=TEAM, run_time_ms=1.0)},
+        teams={
+            TEAM: TeamRules(name=TEAM),
+            TOKEN_TEAM: TeamRules(name=TOKEN_TEAM, token_sha256=TOKEN_SHA256),
+        },
+    )
+
+
+class FakeMembership:
+    """A membership whose state the test sets."""
+
+    def __init__(self) -> None:
+        self.configuration = configuration()
+        self.members: dict[str, Member] = {}
+        self.entries: dict[str, Member] = {}
+        self.registrars: RegistrarGroup | None = None
+        self.ready = True
+        self.lease_since_s = float("-inf")
+        self.has_left = False
+        self.listeners: list[Callable[[object], None]] = []
+
+    @asynccontextmanager
+    async def open(
+        self, member: Member, listener: Callable[[object], None]
+    ) -> AsyncIterator[FakeMembership]:
+        self.listeners.append(listener)
+        self.entries[member.member_id] = member
+        yield self
+
+    def changed(self) -> None:
+        for listener in self.listeners:
+            listener(None)
+
+    def join(self, *members: Member) -> None:
+        self.members.update({member.member_id: member for member in members})
+        self.changed()
+
+    def lose(self, member_id: str) -> None:
+        del self.members[member_id]
+        self.changed()
+
+    async def wait_ready(self) -> None:
+        return
+
+    def lease_valid(self, now_s: float) -> bool:
+        return now_s >= self.lease_since_s
+
+    def update(self, member: Member) -> None:
+        self.entries[member.member_id] = member
+
+    async def leave(self) -> None:
+        self.has_left = True
+
+
+class FakeRegistrars:
+    """Claims in memory, shared by the entries of a test."""
+
+    def __init__(self) -> None:
+        self.owners: dict[str, tuple[Member, bytes]] = {}
+        self.available = True
+        self.gate = asyncio.Event()
+        self.gate.set()
+
+    @asynccontextmanager
+    async def open(self, member: Member) -> AsyncIterator[FakeClaims]:
+        yield FakeClaims(self, member)
+
+
+@attrs.frozen
+class FakeClaims:
+    registrars: FakeRegistrars
+    member: Member
+
+    def set_registrars(self, group: RegistrarGroup) -> None:
+        return
+
+    async def claim(
+        self, job_id: str, digest: bytes, timeout_s: float
+    ) -> ClaimDecision:
+        await self.registrars.gate.wait()
+        if not self.registrars.available:
+            return ClaimDecision(state=ClaimState.UNAVAILABLE)
+        owner, known = self.registrars.owners.setdefault(job_id, (self.member, digest))
+        if known != digest:
+            return ClaimDecision(state=ClaimState.CONFLICT)
+        if owner == self.member:
+            return ClaimDecision(state=ClaimState.OWNED_HERE)
+        return ClaimDecision(
+            state=ClaimState.OWNED_ELSEWHERE,
+            owner_entry_id=owner.member_id,
+            owner_incarnation=owner.incarnation,
+            owner_address=owner.address,
+        )
+
+
+class FakeAgent:
+    """Serves the work stream; answers at once, or as the test tells it."""
+
+    def __init__(self, agent_id: str, *, incarnation: str = "1", slots: int = 8):
+        self.agent_id = agent_id
+        self.incarnation = incarnation
+        self.slots = slots
+        self.automatic = True
+        self.starts: list[Dispatch] = []
+        self.messages = 0
+        self.streams: list[Stream[ToAgent, FromAgent]] = []
+        self.changed = asyncio.Condition()
+        self.address = ANY_PORT
+
+    @asynccontextmanager
+    async def serve(self) -> AsyncIterator[FakeAgent]:
+        async with serve([WORK.handler(self._work)], self.address) as address:
+            self.address = address
+            yield self
+
+    def member(self) -> Member:
+        return Member(
+            member_id=self.agent_id,
+            role=MemberRole.AGENT,
+            incarnation=self.incarnation,
+            data_centre="Kochi",
+            address=str(self.address),
+            services=(SERVICE,),
+            slots=self.slots,
+        )
+
+    async def _work(self, stream: Stream[ToAgent, FromAgent]) -> None:
+        await stream.recv_message()
+        welcome = AgentWelcome(
+            agent_id=self.agent_id, incarnation=self.incarnation, slots=self.slots
+        )
+        await stream.send_message(FromAgent(welcome=welcome))
+        self.streams.append(stream)
+        async for message in stream:
+            self.messages += 1
+            await self._take(stream, message)
+
+    async def _take(self, stream: Stream[ToAgent, FromAgent], message: ToAgent) -> None:
+        async with self.changed:
+            self.starts.extend(message.dispatches)
+            self.changed.notify_all()
+        started = {dispatch.dispatch_id for dispatch in self.starts}
+        revocations = tuple(
+            Revocation(
+                job_id=revoke.job_id,
+                task_index=revoke.task_index,
+                dispatch_id=revoke.dispatch_id,
+                state=RevocationState.STARTED
+                if revoke.dispatch_id in started
+                else RevocationState.REVOKED,
+            )
+            for revoke in message.revokes
+        )
+        results = tuple(echo(dispatch) for dispatch in message.dispatches)
+        if revocations or (results and self.automatic):
+            reply = FromAgent(
+                revocations=revocations, results=results if self.automatic else ()
+            )
+            await stream.send_message(reply)
+
+    async def wait_started(self, count: int) -> None:
+        async with self.changed:
+            await self.changed.wait_for(lambda: len(self.starts) >= count)
+
+    async def finish(self, *dispatches: Dispatch) -> None:
+        results = tuple(echo(dispatch) for dispatch in dispatches)
+        await self.streams[-1].send_message(FromAgent(results=results))
+
+
+def echo(dispatch: Dispatch) -> TaskResult:
+    output = msgspec.json.encode({"echo": msgspec.Raw(dispatch.payload)})
+    return TaskResult(
+        job_id=dispatch.job_id,
+        task_index=dispatch.task_index,
+        dispatch_id=dispatch.dispatch_id,
+        outcome=TaskOutcome.SUCCEEDED,
+        output=output,
+        run_time_ms=1.0,
+    )
