--- a/src/verbenaplank/console/application.py
+++ b/src/verbenaplank/console/application.py
@@ -4,7 +4,10 @@
 
 import typer
 
+from verbenaplank.console.commands import audit
 from verbenaplank.console.commands import cancel
+from verbenaplank.console.commands import config
+from verbenaplank.console.commands import members
 from verbenaplank.console.commands import request
 from verbenaplank.console.commands import settings
 from verbenaplank.console.commands import status
@@ -17,6 +20,11 @@
 application.command()(request.request)
 application.command()(status.status)
 application.command()(cancel.cancel)
+application.command()(members.members)
+application.command()(members.drain)
+application.command()(members.undrain)
+application.command()(audit.audit)
+application.add_typer(config.application, name="config")
 application.add_typer(settings.application, name="settings")
 
 
--- /dev/null
+++ b/src/verbenaplank/console/commands/members.py
@@ -0,0 +1,94 @@
+"""``verbena members``, ``drain`` and ``undrain``: who is there, who leaves."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import typer
+from uuid6 import uuid7
+
+from verbenaplank.console.options import DEFAULT_CONTROL_URL
+from verbenaplank.console.options import AsJson
+from verbenaplank.console.options import CommandId
+from verbenaplank.console.options import ControlUrls
+from verbenaplank.console.options import Token
+from verbenaplank.console.output import print_json
+from verbenaplank.console.output import print_table
+from verbenaplank.console.requests import send_or_exit
+
+MEMBERS = "/v1/members"
+
+MemberId = Annotated[str, typer.Argument(help="Name of an agent's instance.")]
+
+
+def members(
+    control: ControlUrls = [DEFAULT_CONTROL_URL],  # noqa: B006
+    as_json: AsJson = False,
+) -> None:
+    """List the entries and agents."""
+    content = send_or_exit(control, "", "GET", MEMBERS, None, as_json).content
+    if as_json:
+        print_json(content)
+        return
+    ordered = set(content["ordered_drains"])
+    print_table(
+        "members",
+        ("member", "role", "data centre", "rack", "address", "slots", "state"),
+        [
+            (
+                each["member_id"],
+                each["role"],
+                each["data_centre"],
+                each["rack"],
+                each["address"],
+                each["slots"],
+                _state(each["draining"], each["member_id"] in ordered),
+            )
+            for each in content["members"]
+        ],
+    )
+
+
+def drain(
+    member_id: MemberId,
+    command_id: CommandId = "",
+    control: ControlUrls = [DEFAULT_CONTROL_URL],  # noqa: B006
+    token: Token = "",
+    as_json: AsJson = False,
+) -> None:
+    """Order an agent to take no new work and finish what it has."""
+    _order(control, token, member_id, "drain", command_id, as_json)
+
+
+def undrain(
+    member_id: MemberId,
+    command_id: CommandId = "",
+    control: ControlUrls = [DEFAULT_CONTROL_URL],  # noqa: B006
+    token: Token = "",
+    as_json: AsJson = False,
+) -> None:
+    """Take back the order to drain."""
+    _order(control, token, member_id, "undrain", command_id, as_json)
+
+
+def _order(
+    urls: list[str],
+    token: str,
+    member_id: str,
+    action: str,
+    command_id: str,
+    as_json: bool,
+) -> None:
+    body = {"command_id": command_id or str(uuid7())}
+    path = f"{MEMBERS}/{member_id}/{action}"
+    content = send_or_exit(urls, token, "POST", path, body, as_json).content
+    if as_json:
+        print_json(content)
+        return
+    typer.echo(f"{content['verdict']}: {action} {member_id}")
+
+
+def _state(draining: bool, ordered: bool) -> str:
+    if draining:
+        return "draining"
+    return "ordered to drain" if ordered else "serving"
--- a/src/verbenaplank/console/options.py
+++ b/src/verbenaplank/console/options.py
@@ -36,3 +36,6 @@
     str,
     typer.Option("--id", help="UUIDv7 of an earlier submission of the same content."),
 ]
+CommandId = Annotated[
+    str, typer.Option(help="Id of a command that is sent again; a new one if empty.")
+]
--- a/src/verbenaplank/console/output.py
+++ b/src/verbenaplank/console/output.py
@@ -5,6 +5,8 @@
 import json
 from collections.abc import Iterable
 from collections.abc import Sequence
+from datetime import UTC
+from datetime import datetime
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NoReturn
@@ -21,6 +23,12 @@
 if TYPE_CHECKING:
     from verbenaplank.console.client import Reply
 
+MILLISECONDS_PER_SECOND = 1000
+BAD_INPUT_STATUSES = {
+    httpx.codes.BAD_REQUEST,
+    httpx.codes.REQUEST_ENTITY_TOO_LARGE,
+    httpx.codes.UNPROCESSABLE_ENTITY,
+}
 RUN_SENTENCES = {
     Run.NOT_RUN: "Nothing was run.",
     Run.MAY_HAVE_RUN: "Some tasks may have run.",
@@ -46,6 +54,12 @@
     console.print(table)
 
 
+def local_time(at_ms: int) -> str:
+    """Return a wall time in milliseconds as local time, to the second."""
+    moment = datetime.fromtimestamp(at_ms / MILLISECONDS_PER_SECOND, tz=UTC)
+    return moment.astimezone().isoformat(sep=" ", timespec="seconds")
+
+
 def exit_with_problem(reply: Reply, as_json: bool) -> NoReturn:
     """Print a refusal or failure on standard error and exit with its code.
 
@@ -96,7 +110,7 @@
 def _exit_code(reply: Reply) -> ExitCode:
     if reply.status == httpx.codes.CONFLICT:
         return ExitCode.CONFLICT
-    if reply.status == httpx.codes.BAD_REQUEST:
+    if reply.status in BAD_INPUT_STATUSES:
         return ExitCode.USAGE
     if reply.surely_not_run:
         return ExitCode.NOT_RUN
--- a/src/verbenaplank/console/requests.py
+++ b/src/verbenaplank/console/requests.py
@@ -12,13 +12,13 @@
 from verbenaplank.console.client import Client
 from verbenaplank.console.client import Reply
 from verbenaplank.console.client import UnreachableError
+from verbenaplank.console.output import MILLISECONDS_PER_SECOND
 from verbenaplank.console.output import console
 from verbenaplank.console.output import error_console
 from verbenaplank.console.output import exit_unreachable
 from verbenaplank.console.output import exit_with_problem
 from verbenaplank.console.output import print_json
 
-MILLISECONDS_PER_SECOND = 1000
 SHOWN_RESULTS = 10
 
 
