Test the configuration over three control instances and partitions

Cause: racers, lost answers, isolation and restarts must be shown, not argued. Ruled out: closing sockets to isolate an instance; a relay that falls silent is what a partition looks like. Change: relays between three instances of one event loop; seven tests. A read barrier's timeout follows the election timeout.

--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -40,7 +40,9 @@
     from verbenaplank.settings.common import ControlPeer
     from verbenaplank.settings.control import ControlSettings
 
-BARRIER_TIMEOUT_S = 2.0
+BARRIER_ELECTION_TIMEOUTS = 2.0
+"""A read barrier may take so many election timeouts, so that it outlives one."""
+
 TICK_S = 0.05
 
 
@@ -70,10 +72,11 @@
         self._stack = AsyncExitStack()
         self.machine = ControlMachine(self._on_change)
         self.log = ConsensusNode(settings, self.machine, clock, self._random)
-        self._barrier = SharedBarrier(self.log, BARRIER_TIMEOUT_S)
-        self._currency = Currency(
-            self.log, clock, settings.consensus.election_timeout_ms / 1_000
+        election_timeout_s = settings.consensus.election_timeout_ms / 1_000
+        self._barrier = SharedBarrier(
+            self.log, election_timeout_s * BARRIER_ELECTION_TIMEOUTS
         )
+        self._currency = Currency(self.log, clock, election_timeout_s)
         self.keeper = LeaseKeeper(
             self.log, self.machine, settings.membership.lease_ms / 1_000, clock
         )
--- a/src/verbenaplank/control/bootstrap.py
+++ b/src/verbenaplank/control/bootstrap.py
@@ -8,6 +8,7 @@
 
 from verbenaplank.configuration.commands import LoadDocument
 from verbenaplank.configuration.commands import Origin
+from verbenaplank.configuration.commands import Verdict
 from verbenaplank.consensus.errors import NoQuorumError
 from verbenaplank.consensus.errors import NotAcceptedError
 from verbenaplank.consensus.errors import OutcomeUnknownError
@@ -91,7 +92,6 @@
 async def _propose(log: ReplicatedLog, command: OperatorCommand) -> None:
     data = encode(ControlCommand(operator=command))
     outcome = decode_result(await log.propose(data, PROPOSAL_TIMEOUT_S)).outcome
-    if outcome is None or outcome.accepted:
-        return
-    findings = "; ".join(map(str, outcome.findings))
-    logger.error("first state refused: %s %s", outcome.detail, findings)
+    if outcome is not None and outcome.verdict is Verdict.INVALID:
+        findings = "; ".join(map(str, outcome.findings))
+        logger.error("first state refused: %s: %s", outcome.detail, findings)
--- /dev/null
+++ b/tests/control/test_replicated_configuration.py
@@ -0,0 +1,248 @@
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import suppress
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+from control_cluster import Cluster
+from control_helpers import FIXTURES_TOKEN
+from control_helpers import agent
+from control_helpers import entry
+from control_helpers import eventually
+from control_helpers import link_to
+
+from verbenaplank.configuration.audit import verify
+from verbenaplank.configuration.commands import ApplySection
+from verbenaplank.configuration.commands import AssignOwner
+from verbenaplank.configuration.commands import Origin
+from verbenaplank.consensus.errors import OutcomeUnknownError
+from verbenaplank.control.commands import ControlCommand
+from verbenaplank.control.commands import OperatorCommand
+from verbenaplank.control.commands import decode_result
+from verbenaplank.control.commands import encode
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+    import httpx
+
+    from verbenaplank.consensus.node import ConsensusNode
+    from verbenaplank.membership.link import MemberLink
+
+SECTION = "/v1/configuration/sections/fixtures"
+
+
+@pytest.fixture
+async def cluster(tmp_path: Path) -> AsyncIterator[Cluster]:
+    async with Cluster(tmp_path) as instances:
+        yield instances
+
+
+async def apply(
+    cluster: Cluster, index: int, command_id: str, expected_version: int
+) -> httpx.Response:
+    async with cluster.http(index) as http:
+        return await http.put(
+            SECTION,
+            json=apply_body(command_id, expected_version),
+            headers={"Authorization": f"Bearer {FIXTURES_TOKEN}"},
+        )
+
+
+def apply_body(command_id: str, expected_version: int) -> dict[str, Any]:
+    return {
+        "text": f"[services.draw]\nrun_time_ms = {expected_version + 1}\n",
+        "expected_version": expected_version,
+        "command_id": command_id,
+    }
+
+
+def applied(section: str, expected_version: int, command_id: str) -> bytes:
+    change = ApplySection(
+        section=section,
+        expected_version=expected_version,
+        text=f"[services.{section}]\nrun_time_ms = {expected_version}\n",
+    )
+    origin = Origin(command_id=command_id, sent_at_ms=1, administrator=True)
+    return encode(ControlCommand(operator=OperatorCommand(origin=origin, apply=change)))
+
+
+def assigned(section: str) -> bytes:
+    change = AssignOwner(section=section, team=section)
+    origin = Origin(command_id=f"create-{section}", sent_at_ms=1, administrator=True)
+    command = OperatorCommand(origin=origin, assign=change)
+    return encode(ControlCommand(operator=command))
+
+
+def audited(cluster: Cluster, index: int, command_id: str) -> list[str]:
+    trail = cluster.instances[index].machine.audit
+    return [r.outcome for r in trail.records if r.command_id == command_id]
+
+
+def configuration_version(link: MemberLink) -> int:
+    return link.configuration.version
+
+
+async def test_one_of_the_racers_with_equal_versions_wins(cluster: Cluster) -> None:
+    replies = await asyncio.gather(
+        *(apply(cluster, n % 3, f"racer-{n}", 1) for n in range(9))
+    )
+
+    assert sorted(reply.status_code for reply in replies) == [200, *[409] * 8]
+    losers = [reply.json() for reply in replies if reply.status_code == 409]
+    assert {loser["section_version"] for loser in losers} == {2}
+
+
+async def test_command_whose_answer_was_lost_with_its_leader_takes_effect_once(
+    cluster: Cluster,
+) -> None:
+    leader = cluster.leader()
+    assert leader is not None
+    asked, other = cluster.followers()
+    # The leader replicates to the other follower; its answer is lost.
+    cluster.silence(leader, asked)
+    log = cluster.instances[asked].log
+    first = asyncio.create_task(log.propose(applied("fixtures", 1, "c1"), 1.0))
+    machine = cluster.instances[other].machine
+    await eventually(lambda: machine.configuration.version == 2)
+    cluster.isolate(leader)
+    with pytest.raises(OutcomeUnknownError):
+        await first
+    again = await log.propose(applied("fixtures", 1, "c1"), 5.0)
+
+    outcome = decode_result(again).outcome
+    assert outcome is not None
+    assert outcome.accepted
+    assert outcome.section_version == 2
+    assert audited(cluster, asked, "c1") == ["accepted"]
+
+
+async def test_isolated_instance_serves_nothing_as_current(cluster: Cluster) -> None:
+    isolated, other = cluster.followers()
+    instances = cluster.instances
+    async with link_to(agent(), instances[isolated], instances[other]) as link:
+        await link.wait_ready()
+        cluster.isolate(isolated)
+        await apply(cluster, other, "c1", 1)
+        await eventually(lambda: configuration_version(link) == 2)
+        read = await _get(cluster, isolated, "/v1/configuration")
+        write = await apply(cluster, isolated, "c2", 2)
+        ready = await _get(cluster, isolated, "/readyz")
+
+    assert instances[isolated].machine.configuration.version == 1
+    assert read.status_code == 503
+    assert write.status_code == 503
+    assert write.json()["run"] == "not_run"
+    assert ready.status_code == 503
+
+
+async def test_process_that_reaches_only_the_isolated_instance_is_not_ready(
+    cluster: Cluster,
+) -> None:
+    isolated, other = cluster.followers()
+    cluster.isolate(isolated)
+    await apply(cluster, other, "c1", 1)
+    async with link_to(entry(), cluster.instances[isolated]) as link:
+        still_stale = asyncio.create_task(link.wait_ready())
+        refused = await _get(cluster, isolated, "/v1/configuration")
+        assert refused.status_code == 503
+        assert not still_stale.done()
+        assert link.configuration.version == 0
+        assert not link.lease_valid(time.monotonic())
+
+        cluster.isolate(isolated, silent=False)
+        await still_stale
+        assert link.configuration.version == 2
+
+
+async def test_member_never_sees_an_older_version_over_restarts_and_partitions(
+    cluster: Cluster,
+) -> None:
+    seen = [0]
+    instances = cluster.instances
+    for round_number in range(1, 4):
+        cut, *others = cluster.followers()
+        cluster.isolate(cut)
+        reply = await apply(cluster, others[0], f"c{round_number}", round_number)
+        assert reply.status_code == 200
+        peers = [instances[index] for index in (cut, *others)]
+        async with link_to(agent(incarnation=str(round_number)), *peers) as link:
+            await link.wait_ready()
+            seen.append(link.configuration.version)
+        cluster.isolate(cut, silent=False)
+        await eventually(
+            lambda n=round_number: all(
+                i.machine.configuration.version == n + 1 for i in instances.values()
+            )
+        )
+
+    assert seen == [0, 2, 3, 4]
+
+
+async def test_everything_restarts_after_500_changes(tmp_path: Path) -> None:
+    consensus = {
+        "heartbeat_ms": 20.0,
+        "election_timeout_ms": 400.0,
+        "snapshot_every_entries": 100,
+    }
+    async with Cluster(tmp_path, consensus=consensus) as cluster:
+        await asyncio.gather(*(_change_50_times(cluster, n) for n in range(10)))
+        before = await _get(cluster, 0, "/v1/configuration")
+        await cluster.stop_all()
+        await cluster.start_all()
+        after = await _get(cluster, 1, "/v1/configuration")
+        trail = cluster.instances[1].machine.audit
+        log = cluster.instances[2].log
+        resent = decode_result(await log.propose(assigned("section-0"), 5.0)).outcome
+
+    assert before.json()["version"] == 1 + 10 * 50
+    assert after.json() == before.json()
+    assert resent is not None
+    assert resent.section_version == 1
+    verify(trail.records, trail.anchor)
+    assert trail.records[-1].sequence >= 10 * 50
+
+
+async def test_new_leader_grants_every_lease_a_fresh_term(tmp_path: Path) -> None:
+    membership = {"heartbeat_ms": 50.0, "lease_ms": 1_500.0}
+    async with Cluster(tmp_path, membership=membership) as cluster:
+        old = cluster.leader()
+        assert old is not None
+        followers = cluster.followers()
+        peers = [cluster.instances[index] for index in followers]
+        async with link_to(entry(), *peers) as link:
+            await eventually(lambda: link.lease_valid(time.monotonic()))
+            cluster.isolate(old)
+            await eventually(lambda: cluster.leader() not in (None, old))
+            since_s = link.lease_since_s
+            renewed_s = time.monotonic()
+            await eventually(lambda: link.lease_valid(renewed_s + 1.6))
+
+            assert link.lease_since_s == since_s
+
+
+async def _change_50_times(cluster: Cluster, number: int) -> None:
+    log = cluster.instances[number % 3].log
+    name = f"section-{number}"
+    await log.propose(assigned(name), 5.0)
+    for version in range(1, 50):
+        await _propose_until_known(log, applied(name, version, f"{name}-{version}"))
+
+
+async def _propose_until_known(log: ConsensusNode, command: bytes) -> None:
+    result = None
+    while result is None:
+        with suppress(OutcomeUnknownError):
+            result = await log.propose(command, 5.0)
+    outcome = decode_result(result).outcome
+    assert outcome is not None
+    assert outcome.accepted
+
+
+async def _get(cluster: Cluster, index: int, path: str) -> httpx.Response:
+    async with cluster.http(index) as http:
+        return await http.get(path)
