Keep the settings converter, which was compiled for each document

Cause: cattrs compiles a converter's code anew for each converter, and each section of the configuration is a document. Change: one converter for the process.

--- a/src/verbenaplank/settings/checker.py
+++ b/src/verbenaplank/settings/checker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tomllib
+from functools import cache
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -113,6 +114,7 @@
     return next(filter(attrs.has, get_args(annotation)), None)
 
 
+@cache
 def _strict_converter() -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True)
     for primitive in (str, int, float, bool):
