--- a/src/verbenaplank/agent/connection.py
+++ b/src/verbenaplank/agent/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from typing import TYPE_CHECKING
 
 import attrs
@@ -52,9 +53,19 @@
 
     @property
     def reusable(self) -> bool:
-        """Whether another request may be sent."""
-        is_idle = self._http.our_state is h11.IDLE
-        return is_idle and not (self._reader.at_eof() or self._writer.is_closing())
+        """Whether another request may be sent.
+
+        An idle connection that has something to read was closed by the other
+        side or has spoken out of turn.
+        """
+        if self._http.our_state is not h11.IDLE or self._writer.is_closing():
+            return False
+        return not (self._reader.at_eof() or self._readable())
+
+    def _readable(self) -> bool:
+        poll = select.poll()
+        poll.register(self._writer.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
 
     def close(self) -> None:
         """Close the connection without waiting."""
--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -220,6 +220,10 @@
         self._draining = True
         return self._refuse_waiting(lambda _: True, RefusalReason.DRAINING)
 
+    def resume(self) -> None:
+        """Accept dispatches again after a drain."""
+        self._draining = False
+
     def expire(self, now_s: float) -> list[Effect]:
         """Act on leases and budgets that ran out, and forget what is too old."""
         self._starts.expire(now_s)
--- a/src/verbenaplank/agent/runner.py
+++ b/src/verbenaplank/agent/runner.py
@@ -95,8 +95,12 @@
     def drain(self) -> None:
         """Refuse what has not started, and tell every entry."""
         self.carry_out(self.gate.drain())
-        for outbox in self._outboxes.values():
-            outbox.put(self.gate.load())
+        self._tell_load()
+
+    def resume(self) -> None:
+        """Accept dispatches again, and tell every entry."""
+        self.gate.resume()
+        self._tell_load()
 
     async def wait_idle(self) -> None:
         """Wait until nothing runs and nothing waits."""
@@ -110,6 +114,10 @@
         self._perform(self.gate.start_ready(self.clock()))
         self._changed.set()
 
+    def _tell_load(self) -> None:
+        for outbox in self._outboxes.values():
+            outbox.put(self.gate.load())
+
     def _perform(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
             if isinstance(effect, Reply):
--- /dev/null
+++ b/tests/agent/test_work_service.py
@@ -0,0 +1,158 @@
+from __future__ import annotations
+
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+from grpclib.exceptions import GRPCError
+
+from agent.agent_helpers import HELLO
+from agent.agent_helpers import agent_site
+from agent.agent_helpers import dispatch
+from agent.agent_helpers import receive
+from verbenaplank.agent.effects import EntryKey
+from verbenaplank.agent.work_service import MAX_ENVELOPE_OUTPUT_BYTES
+from verbenaplank.agent.work_service import _parts
+from verbenaplank.history.event import EventKind
+from verbenaplank.protocol.work import FromAgent
+from verbenaplank.protocol.work import RefusalReason
+from verbenaplank.protocol.work import RevocationState
+from verbenaplank.protocol.work import Revoke
+from verbenaplank.protocol.work import Stop
+from verbenaplank.protocol.work import TaskOutcome
+from verbenaplank.protocol.work import TaskResult
+from verbenaplank.protocol.work import ToAgent
+from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.services import WORK
+
+if TYPE_CHECKING:
+    from agent.agent_helpers import WorkStream
+    from verbenaplank.rpc.address import Address
+
+LONG_MS = 60_000.0
+KEY = EntryKey(HELLO.entry_id, HELLO.incarnation)
+
+
+async def _until(stream: WorkStream, field: str) -> FromAgent:
+    """Receive until a message has something in a field."""
+    while not getattr(message := await receive(stream), field):
+        pass
+    return message
+
+
+async def test_dispatches_of_one_message_run_and_answer() -> None:
+    async with agent_site() as site, site.entry() as stream:
+        batch = tuple(dispatch(number) for number in range(5))
+        await stream.send_message(ToAgent(dispatches=batch))
+        results: list[TaskResult] = []
+        while len(results) < len(batch):
+            results.extend((await receive(stream)).results)
+
+    assert sorted(result.task_index for result in results) == [0, 1, 2, 3, 4]
+    assert {result.outcome for result in results} == {TaskOutcome.SUCCEEDED}
+    assert msgspec.json.decode(results[0].output)["server"] == "b1"
+    starts = [event for event in site.events if event.kind is EventKind.STARTED]
+    assert len(starts) == len(batch)
+
+
+async def _send_without_hello(address: Address) -> None:
+    with connect(address) as channel:
+        async with WORK.open(channel) as stream:
+            await stream.send_message(ToAgent(dispatches=(dispatch(0),)))
+            await stream.recv_message()
+
+
+async def test_stream_that_does_not_begin_with_a_hello_is_refused() -> None:
+    async with agent_site() as site:
+        with pytest.raises(GRPCError, match="hello"):
+            await _send_without_hello(site.address)
+
+
+async def test_reconnected_entry_learns_by_revoking_what_became_of_its_tasks() -> None:
+    async with agent_site(slots=1) as site:
+        async with site.entry() as stream:
+            batch = (dispatch(0, run_time_ms=1.0), dispatch(1))
+            await stream.send_message(ToAgent(dispatches=batch))
+            await site.started.wait()
+        await site.runner.wait_idle()
+        async with site.entry() as stream:
+            revokes = tuple(
+                Revoke(dispatch_id=number, job_id="job", task_index=number)
+                for number in range(2)
+            )
+            await stream.send_message(ToAgent(revokes=revokes))
+            reply = await _until(stream, "revocations")
+
+    states = {each.task_index: each.state for each in reply.revocations}
+    finished = {result.task_index for result in reply.results}
+    ended = {e.task_index for e in site.events if e.kind is EventKind.ENDED}
+    assert states[0] is RevocationState.FINISHED
+    assert (states[1] is RevocationState.FINISHED) == (1 in ended)
+    assert finished == ended
+
+
+async def test_drain_tells_the_entry_and_finishes_what_runs() -> None:
+    async with agent_site(slots=1) as site, site.entry() as stream:
+        batch = (dispatch(0, run_time_ms=50.0), dispatch(1))
+        await stream.send_message(ToAgent(dispatches=batch))
+        await site.started.wait()
+        site.runner.drain()
+        refused = await _until(stream, "refusals")
+        await site.runner.wait_idle()
+        await site.streams.wait_delivered()
+        finished = await _until(stream, "results")
+        await stream.send_message(ToAgent(dispatches=(dispatch(2),)))
+        later = await _until(stream, "refusals")
+
+    assert refused.load is not None
+    assert refused.load.draining
+    assert [each.task_index for each in refused.refusals] == [1]
+    assert finished.results[0].outcome is TaskOutcome.SUCCEEDED
+    assert later.refusals[0].reason is RefusalReason.DRAINING
+
+
+async def test_running_task_is_stopped_where_that_is_offered() -> None:
+    async with agent_site(stoppable=True) as site, site.entry() as stream:
+        await stream.send_message(ToAgent(dispatches=(dispatch(0, LONG_MS),)))
+        await site.started.wait()
+        stop = Stop(dispatch_id=0, job_id="job", task_index=0)
+        await stream.send_message(ToAgent(stops=(stop,)))
+        reply = await _until(stream, "results")
+
+    assert reply.results[0].outcome is TaskOutcome.STOPPED
+
+
+async def test_received_results_are_not_kept() -> None:
+    async with agent_site() as site, site.entry() as stream:
+        await stream.send_message(ToAgent(dispatches=(dispatch(0),)))
+        await _until(stream, "results")
+        await stream.send_message(ToAgent(results_received=1))
+        revoke = Revoke(dispatch_id=0, job_id="job", task_index=0)
+        await stream.send_message(ToAgent(revokes=(revoke,)))
+        reply = await _until(stream, "revocations")
+
+    assert reply.results[0].outcome is TaskOutcome.CONNECTION_LOST
+
+
+async def test_second_stream_of_an_entry_survives_the_end_of_the_first() -> None:
+    async with agent_site() as site, AsyncExitStack() as older:
+        await older.enter_async_context(site.entry())
+        async with site.entry() as newer:
+            await older.aclose()
+            await newer.send_message(ToAgent(dispatches=(dispatch(0),)))
+            reply = await _until(newer, "results")
+
+    assert reply.results[0].outcome is TaskOutcome.SUCCEEDED
+
+
+def test_large_results_are_divided_over_envelopes() -> None:
+    result = TaskResult(
+        job_id="job",
+        task_index=0,
+        dispatch_id=0,
+        outcome=TaskOutcome.SUCCEEDED,
+        output=b" " * (MAX_ENVELOPE_OUTPUT_BYTES // 2),
+    )
+
+    assert [len(part) for part in _parts([result] * 5)] == [2, 2, 1]
