--- a/tests/agent/test_work_service.py
+++ b/tests/agent/test_work_service.py
@@ -5,12 +5,12 @@
 
 import msgspec
 import pytest
+from agent_helpers import HELLO
+from agent_helpers import agent_site
+from agent_helpers import dispatch
+from agent_helpers import receive
 from grpclib.exceptions import GRPCError
 
-from agent.agent_helpers import HELLO
-from agent.agent_helpers import agent_site
-from agent.agent_helpers import dispatch
-from agent.agent_helpers import receive
 from verbenaplank.agent.effects import EntryKey
 from verbenaplank.agent.work_service import MAX_ENVELOPE_OUTPUT_BYTES
 from verbenaplank.agent.work_service import _parts
@@ -27,7 +27,8 @@
 from verbenaplank.rpc.services import WORK
 
 if TYPE_CHECKING:
-    from agent.agent_helpers import WorkStream
+    from agent_helpers import WorkStream
+
     from verbenaplank.rpc.address import Address
 
 LONG_MS = 60_000.0
