Compare the policies in a small model of the fleet

Cause: policies need figures on one trace. The model drives the product's Fleet and TaskQueue; network, agents and backend servers are modelled.

--- /dev/null
+++ b/src/verbenaplank/bench/compare.py
@@ -0,0 +1,144 @@
+"""Compares the policies on the same traces, in a small model of the fleet.
+
+The model runs the product's queue and placement decisions; only the entries'
+pumping, the agents, the network and the backend servers are modelled.
+"""
+
+from __future__ import annotations
+
+from concurrent.futures import ProcessPoolExecutor
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.bench.events import EventLoop
+from verbenaplank.bench.ideal import ideal_response_s
+from verbenaplank.bench.model_agent import ModelAgent
+from verbenaplank.bench.model_entry import DATA_CENTRES
+from verbenaplank.bench.model_entry import OWN_TRIP_S
+from verbenaplank.bench.model_entry import ModelEntry
+from verbenaplank.bench.model_entry import ModelResult
+from verbenaplank.bench.scenario import MODEL_LENGTH_S
+from verbenaplank.bench.scenario import SLOTS_PER_SERVER
+from verbenaplank.bench.scenario import SLOWNESS
+from verbenaplank.bench.scenario import Scenario
+from verbenaplank.bench.trace import make_trace
+from verbenaplank.bench.trace import mean_work_s
+from verbenaplank.placement.policy import POLICIES
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+SETTLING_S = 5.0
+DRAIN_S = 15.0
+ROUND_TRIP_S = 2.0 * OWN_TRIP_S
+MAX_PROCESSES = 3
+
+
+@attrs.frozen(kw_only=True)
+class Comparison:
+    """Figures of one policy under one scenario.
+
+    Attributes
+    ----------
+    median_ratio, p90_ratio, p99_ratio
+        Response time over the ideal, per job.
+    urgent_p99_ratio
+        The same for urgent jobs alone.
+    goodput_per_s
+        Tasks of jobs answered, a second.
+    messages_per_task, wasted_share
+        Messages per task answered, and the wasted ones over the useful.
+    """
+
+    scenario: str
+    policy: str
+    jobs: int
+    median_ratio: float
+    p90_ratio: float
+    p99_ratio: float
+    urgent_p99_ratio: float
+    goodput_per_s: float
+    messages_per_task: float
+    wasted_share: float
+    refused_jobs: int
+    failed_jobs: int
+    failed_runs: int
+
+
+def compare(
+    scenarios: Iterable[Scenario], policies: Iterable[str], seed: int
+) -> list[Comparison]:
+    """Run every policy under every scenario, in a few processes."""
+    names = list(policies)
+    runs = [(scenario, name, seed) for scenario in scenarios for name in names]
+    with ProcessPoolExecutor(MAX_PROCESSES) as executor:
+        return list(executor.map(run_model, *zip(*runs, strict=True)))
+
+
+def run_model(scenario: Scenario, policy: str, seed: int) -> Comparison:
+    """Run one policy under one scenario."""
+    loop = EventLoop()
+    result = ModelResult()
+    agents = [ModelAgent(index, scenario, loop) for index in range(len(SLOWNESS))]
+    service = scenario.workload.service
+    entries = [
+        ModelEntry(index, POLICIES[policy], agents, loop, result, service)
+        for index in range(len(DATA_CENTRES))
+    ]
+    work_per_s = sum(SLOTS_PER_SERVER / slowness for slowness in SLOWNESS)
+    rate_per_s = scenario.load * work_per_s / mean_work_s(scenario.workload)
+    trace = make_trace(
+        scenario.workload,
+        seed,
+        lambda now_s: rate_per_s * scenario.rate_factor(now_s),
+        rate_per_s * max(1.0, scenario.burst_factor),
+        MODEL_LENGTH_S,
+    )
+    for number, job in enumerate(trace):
+        entry = entries[number % len(entries)]
+        loop.after(job.arrival_s, lambda entry=entry, job=job: entry.submit(job))  # type: ignore[misc]
+    loop.run(MODEL_LENGTH_S + DRAIN_S)
+    return _summary(scenario, policy, result)
+
+
+def _summary(scenario: Scenario, policy: str, result: ModelResult) -> Comparison:
+    slots = sorted(SLOWNESS * SLOTS_PER_SERVER)
+    ratios = []
+    urgent_ratios = []
+    in_time_tasks = 0
+    for job, response_s in result.answers:
+        if job.arrival_s < SETTLING_S:
+            continue
+        ideal_s = ideal_response_s(job.run_times_s, slots, ROUND_TRIP_S)
+        ratios.append(response_s / ideal_s)
+        if job.urgent:
+            urgent_ratios.append(response_s / ideal_s)
+        if job.arrival_s + response_s <= MODEL_LENGTH_S:
+            in_time_tasks += len(job.run_times_s)
+    useful = max(result.counts["useful"], 1)
+    wasted = result.counts["wasted"]
+    return Comparison(
+        scenario=scenario.name,
+        policy=policy,
+        jobs=len(ratios),
+        median_ratio=percentile(ratios, 0.5),
+        p90_ratio=percentile(ratios, 0.9),
+        p99_ratio=percentile(ratios, 0.99),
+        urgent_p99_ratio=percentile(urgent_ratios, 0.99),
+        goodput_per_s=in_time_tasks / (MODEL_LENGTH_S - SETTLING_S),
+        messages_per_task=(useful + wasted) / (useful / 2),
+        wasted_share=wasted / useful,
+        refused_jobs=result.counts["refused_jobs"],
+        failed_jobs=result.counts["failed_jobs"],
+        failed_runs=result.counts["failed_runs"],
+    )
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Return the value below which a share of the values lies; NaN if none."""
+    if not values:
+        return float("nan")
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- /dev/null
+++ b/src/verbenaplank/bench/compare_main.py
@@ -0,0 +1,61 @@
+"""Prints the comparison: ``python -m verbenaplank.bench.compare_main``."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import attrs
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from verbenaplank.bench.compare import Comparison
+from verbenaplank.bench.compare import compare
+from verbenaplank.bench.scenario import SCENARIOS
+from verbenaplank.bench.trace import WORKLOADS
+from verbenaplank.placement.policy import POLICIES
+
+DEFAULT_SEED = 20_261_204
+TABLE_WIDTH = 132
+
+
+def main(
+    seed: int = DEFAULT_SEED,
+    workload: str = "bochas",
+    scenario: str = "",
+    policy: str = "",
+    json_path: str = "",
+) -> None:
+    """Compare the policies in the model of the fleet."""
+    scenarios = [
+        attrs.evolve(each, workload=WORKLOADS[workload])
+        for each in SCENARIOS
+        if not scenario or each.name == scenario
+    ]
+    policies = [policy] if policy else list(POLICIES)
+    comparisons = compare(scenarios, policies, seed)
+    Console(width=TABLE_WIDTH).print(comparison_table(comparisons))
+    if json_path:
+        rows = [attrs.asdict(comparison) for comparison in comparisons]
+        Path(json_path).write_text(json.dumps(rows, indent=1) + "\n")
+
+
+def comparison_table(comparisons: list[Comparison]) -> Table:
+    """Return the figures as a table, a row a scenario and policy."""
+    table = Table()
+    fields = [field.name for field in attrs.fields(Comparison)]
+    for name in fields:
+        table.add_column(name.replace("_", " "), overflow="fold")
+    for comparison in comparisons:
+        values = (getattr(comparison, name) for name in fields)
+        table.add_row(*(_cell(value) for value in values))
+    return table
+
+
+def _cell(value: object) -> str:
+    return f"{value:.3f}" if isinstance(value, float) else str(value)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/src/verbenaplank/bench/model_agent.py
@@ -0,0 +1,98 @@
+"""A small model of an agent with its backend server."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+import attrs
+
+from verbenaplank.bench.events import EventLoop
+from verbenaplank.bench.scenario import FAULT_AT_S
+from verbenaplank.bench.scenario import SLOTS_PER_SERVER
+from verbenaplank.bench.scenario import SLOWNESS
+from verbenaplank.bench.scenario import Scenario
+from verbenaplank.placement.task import TaskRequest
+from verbenaplank.protocol.work import LoadReport
+from verbenaplank.protocol.work import TaskOutcome
+
+FAILING_RUN_TIME_S = 0.002
+STALLED_RUN_TIME_S = 60.0
+SLOWED_FACTOR = 4.0
+MAX_QUEUED = 64
+
+
+@attrs.frozen(kw_only=True)
+class ModelDispatch:
+    """A dispatch on its way; ``reply`` takes the outcome and the run time."""
+
+    task: TaskRequest
+    run_time_s: float
+    reply: Callable[[TaskOutcome | None, float, LoadReport], None]
+
+
+@attrs.define(eq=False)
+class ModelAgent:
+    """Runs tasks in its slots, urgent ones first; refuses when its queue is full."""
+
+    index: int
+    scenario: Scenario
+    loop: EventLoop
+    running: int = 0
+    urgent: deque[ModelDispatch] = attrs.field(factory=deque)
+    routine: deque[ModelDispatch] = attrs.field(factory=deque)
+
+    @property
+    def agent_id(self) -> str:
+        """Return the agent's identifier."""
+        return f"agent-{self.index}"
+
+    def report(self) -> LoadReport:
+        """Return the load report that goes along with replies."""
+        queued = len(self.urgent) + len(self.routine)
+        return LoadReport(running=self.running, queued=queued)
+
+    def receive(self, dispatch: ModelDispatch) -> None:
+        """Take a dispatch, or refuse it."""
+        if self.report().queued >= MAX_QUEUED:
+            dispatch.reply(None, 0.0, self.report())
+            return
+        queue = self.urgent if dispatch.task.urgent else self.routine
+        queue.append(dispatch)
+        self._start_next()
+
+    def revoke(self, task: TaskRequest) -> bool:
+        """Remove a task that has not started; return whether it was there."""
+        for queue in (self.urgent, self.routine):
+            for dispatch in queue:
+                if dispatch.task is task:
+                    queue.remove(dispatch)
+                    return True
+        return False
+
+    def _start_next(self) -> None:
+        while self.running < SLOTS_PER_SERVER and (self.urgent or self.routine):
+            queue = self.urgent or self.routine
+            self._start(queue.popleft())
+
+    def _start(self, dispatch: ModelDispatch) -> None:
+        self.running += 1
+        outcome, run_s = self._run(dispatch.run_time_s)
+
+        def finish() -> None:
+            self.running -= 1
+            self._start_next()
+            dispatch.reply(outcome, run_s, self.report())
+
+        self.loop.after(run_s, finish)
+
+    def _run(self, run_time_s: float) -> tuple[TaskOutcome, float]:
+        run_s = run_time_s * SLOWNESS[self.index]
+        if self.loop.now_s < FAULT_AT_S:
+            return TaskOutcome.SUCCEEDED, run_s
+        if self.index in self.scenario.failing:
+            return TaskOutcome.FAILED, FAILING_RUN_TIME_S
+        if self.index in self.scenario.stalled:
+            return TaskOutcome.TIMED_OUT, STALLED_RUN_TIME_S
+        slowed = self.index in self.scenario.slowed
+        return TaskOutcome.SUCCEEDED, run_s * (SLOWED_FACTOR if slowed else 1.0)
--- a/src/verbenaplank/placement/policy.py
+++ b/src/verbenaplank/placement/policy.py
@@ -53,8 +53,9 @@
     context: PlacementContext,
     random_source: random.Random,
 ) -> BackendServer | None:
-    """Choose at random."""
-    return random_source.choice(servers) if servers else None
+    """Choose at random; hold only at the limit of an agent's queue."""
+    open_servers = _below_limit(servers, context)
+    return random_source.choice(open_servers) if open_servers else None
 
 
 def least_outstanding(
@@ -63,10 +64,11 @@
     random_source: random.Random,
 ) -> BackendServer | None:
     """Choose the one with the fewest tasks of this entry."""
-    if not servers:
+    open_servers = _below_limit(servers, context)
+    if not open_servers:
         return None
-    fewest = min(len(server.outstanding) for server in servers)
-    tied = [server for server in servers if len(server.outstanding) == fewest]
+    fewest = min(len(server.outstanding) for server in open_servers)
+    tied = [server for server in open_servers if len(server.outstanding) == fewest]
     return random_source.choice(tied)
 
 
@@ -76,10 +78,11 @@
     random_source: random.Random,
 ) -> BackendServer | None:
     """Choose the less loaded of two random ones."""
-    if not servers:
+    open_servers = _below_limit(servers, context)
+    if not open_servers:
         return None
-    first = random_source.choice(servers)
-    second = random_source.choice(servers)
+    first = random_source.choice(open_servers)
+    second = random_source.choice(open_servers)
     if load_estimate(first, context) <= load_estimate(second, context):
         return first
     return second
@@ -105,6 +108,13 @@
 }
 
 
+def _below_limit(
+    servers: Sequence[BackendServer], context: PlacementContext
+) -> list[BackendServer]:
+    limit = context.settings.max_outstanding_per_agent
+    return [server for server in servers if len(server.outstanding) < limit]
+
+
 def _held_completion_s(
     full: Sequence[BackendServer], context: PlacementContext
 ) -> float:
--- a/src/verbenaplank/placement/settings.py
+++ b/src/verbenaplank/placement/settings.py
@@ -53,6 +53,9 @@
     credits_per_entry
         Tasks that an agent grants to each entry under the ``slot_credits``
         policy.
+    max_outstanding_per_agent
+        Tasks that an entry has at an agent at most under the policies that
+        bind a task at once.
     max_candidates
         Backend servers compared for one task; a larger fleet is sampled.
     tie_share
@@ -68,6 +71,7 @@
     guaranteed_tasks: int = 1
     report_validity_s: float = 0.5
     credits_per_entry: int = 4
+    max_outstanding_per_agent: int = 24
     max_candidates: int = 32
     tie_share: float = 0.02
     stall_factor: float = 4.0
