--- a/src/verbenaplank/entry/admit.py
+++ b/src/verbenaplank/entry/admit.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from verbenaplank.admission.estimate import StartRate
 from verbenaplank.admission.estimate import estimate
 from verbenaplank.admission.quota import QuotaState
@@ -21,30 +19,13 @@
 
     from verbenaplank.admission.queue import TaskQueue
     from verbenaplank.configuration.effective import TeamRules
+    from verbenaplank.entry.standing import Condition
     from verbenaplank.entry.submission import Submission
     from verbenaplank.placement.fleet import Fleet
 
 RETRY_AFTER_S = 1.0
 
 
-@attrs.frozen(kw_only=True)
-class EntryCondition:
-    """Whether the entry itself can take requests on.
-
-    Attributes
-    ----------
-    current
-        Whether what the entry knows was backed by a quorum since its start.
-    leased
-        Whether the entry's lease runs, which requests with a claim need.
-    """
-
-    current: bool
-    leased: bool
-    draining: bool
-    registry_full: bool
-
-
 class Admission:
     """Bounds what the entry takes on; quotas count until a request has ended."""
 
@@ -66,7 +47,7 @@
         self._rate.started(now_s)
 
     def admit(
-        self, submission: Submission, condition: EntryCondition, now_s: float
+        self, submission: Submission, condition: Condition, now_s: float
     ) -> Rejection | None:
         """Return why a request is not taken on, or ``None`` if it is."""
         return (
@@ -129,21 +110,13 @@
         return _later(FailureKind.OVER_QUOTA, detail, decision.retry_after_s)
 
 
-def waiting_weight(teams: Mapping[str, TeamRules], team: str) -> float:
-    """Return the weight of a team's share of the starts."""
-    rules = teams.get(team)
-    return rules.weight if rules is not None else 1.0
-
-
-def _entry_fault(submission: Submission, condition: EntryCondition) -> Rejection | None:
+def _entry_fault(submission: Submission, condition: Condition) -> Rejection | None:
     if condition.draining:
         return _later(FailureKind.NOT_READY, "the entry is stopping")
     if not condition.current:
         return _later(FailureKind.NOT_READY, "the entry is not ready")
     if submission.claimed and not condition.leased:
         return _later(FailureKind.NOT_READY, "the entry holds no lease")
-    if condition.registry_full:
-        return _later(FailureKind.OVERLOADED, "the entry holds too many requests")
     return None
 
 
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -11,12 +11,9 @@
 
 from verbenaplank.admission.budget import retry_budget
 from verbenaplank.admission.queue import TaskQueue
-from verbenaplank.claims.client import ClaimClient
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.clock.sources import wall_clock_ms
 from verbenaplank.entry.admit import Admission
-from verbenaplank.entry.admit import EntryCondition
-from verbenaplank.entry.admit import waiting_weight
 from verbenaplank.entry.agent_links import AgentLinks
 from verbenaplank.entry.agent_links import EngineListener
 from verbenaplank.entry.engine import Engine
@@ -25,17 +22,19 @@
 from verbenaplank.entry.http import http_application
 from verbenaplank.entry.http import no_metrics
 from verbenaplank.entry.http_server import HttpServer
+from verbenaplank.entry.neighbours import claims_factory
+from verbenaplank.entry.neighbours import membership_factory
 from verbenaplank.entry.peer_client import PeerClient
 from verbenaplank.entry.peer_service import PeerService
 from verbenaplank.entry.pipeline import Pipeline
 from verbenaplank.entry.pipeline import PipelineParts
 from verbenaplank.entry.registry import RequestRegistry
 from verbenaplank.entry.runner import EngineRunner
+from verbenaplank.entry.standing import Standing
 from verbenaplank.history.event import Event
 from verbenaplank.history.event import EventHook
 from verbenaplank.history.event import EventKind
 from verbenaplank.history.event import ignore_event
-from verbenaplank.membership.link import MemberLink
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
 from verbenaplank.protocol.membership import Member
@@ -44,8 +43,6 @@
 from verbenaplank.rpc.endpoint import serve
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from contextlib import AbstractAsyncContextManager
     from types import TracebackType
 
     from verbenaplank.clock.sources import MonotonicClock
@@ -104,22 +101,23 @@
         self._clock = clock
         self._wall_clock = never_back(wall_clock)
         self._random = random or random_module.Random()
-        self._open_membership = open_membership or self._member_link
-        self._open_claims = open_claims or self._claim_client
+        self._open_membership = open_membership or membership_factory(settings, clock)
+        self._open_claims = open_claims or claims_factory(settings, clock, self._random)
         self._incarnation = uuid4().hex
-        self._draining = False
+        self._standing = Standing(clock)
         self._resources = AsyncExitStack()
-        self._membership: Membership | None = None
         limits = settings.limits
         self._fleet = Fleet(policy, self._random, settings.data_centre)
-        self._queue = TaskQueue(self._weight_of, self._fleet.expected_run_time_s)
+        self._queue = TaskQueue(
+            self._standing.weight_of, self._fleet.expected_run_time_s
+        )
         self._admission = Admission(self._fleet, self._queue, limits.max_queued_tasks)
         self._retry_budget = retry_budget()
         self.engine = Engine(
             fleet=self._fleet,
             queue=self._queue,
             retry_budget=self._retry_budget,
-            lease_since=self._lease_since,
+            lease_since=self._standing.lease_since,
             on_dispatch=self._on_dispatch,
             first_dispatch_id=self._random.getrandbits(48),
         )
@@ -132,8 +130,7 @@
     @property
     def ready(self) -> bool:
         """Whether requests are taken on."""
-        condition = self._condition()
-        return condition.current and condition.leased and not condition.draining
+        return self._standing.condition().ready
 
     async def __aenter__(self) -> Self:
         async with AsyncExitStack() as stack:
@@ -154,9 +151,8 @@
 
         Requests that are not answered within the settings' time are failed.
         """
-        self._draining = True
-        membership = self._membership_in_force()
-        membership.update(self._member(draining=True))
+        self._standing.draining = True
+        self._membership.update(self._member(draining=True))
         try:
             async with asyncio.timeout(self._settings.limits.drain_timeout_s):
                 await self._pipeline.join()
@@ -166,7 +162,7 @@
         await self._peer_service.join()
         await asyncio.sleep(PEER_GRACE_S)
         await self._http_server.close()
-        await membership.leave()
+        await self._membership.leave()
 
     async def _start(self, stack: AsyncExitStack) -> None:
         settings = self._settings
@@ -190,14 +186,12 @@
             clock=self._clock,
         )
 
-        def follow(event: object) -> None:
-            if self._membership is not None:
-                follower.follow(self._membership, claims)
-
-        opened = self._open_membership(self._member(), follow)
-        self._membership = await stack.enter_async_context(opened)
-        follow(None)
-        await self._start_http(stack, self._membership, claims)
+        opened = self._open_membership(self._member(), follower.changed)
+        membership = await stack.enter_async_context(opened)
+        follower.follow(membership, claims)
+        self._membership = membership
+        self._standing.use(membership)
+        await self._start_http(stack, membership, claims)
         for run in (self._runner.tick_forever, self._expire_forever):
             task = asyncio.create_task(run())
             stack.callback(task.cancel)
@@ -223,7 +217,7 @@
             clock=self._clock,
             wall_clock=self._wall_clock,
             admission=self._admission,
-            condition=self._condition,
+            condition=self._standing.condition,
         )
         self._pipeline = Pipeline(parts)
         application = http_application(
@@ -239,26 +233,6 @@
         self._http_server = await stack.enter_async_context(server)
         self.http_address = server.address
 
-    def _condition(self) -> EntryCondition:
-        membership = self._membership
-        return EntryCondition(
-            current=membership is not None and membership.ready,
-            leased=membership is not None and membership.lease_valid(self._clock()),
-            draining=self._draining,
-            registry_full=self._registry.full,
-        )
-
-    def _lease_since(self, now_s: float) -> float:
-        membership = self._membership
-        if membership is None or not membership.lease_valid(now_s):
-            return float("inf")
-        return membership.lease_since_s
-
-    def _weight_of(self, team: str) -> float:
-        if self._membership is None:
-            return 1.0
-        return waiting_weight(self._membership.configuration.teams, team)
-
     def _on_dispatch(self, task: TaskRequest, agent_id: str) -> None:
         now_s = self._clock()
         self._admission.dispatched(now_s)
@@ -288,27 +262,6 @@
             draining=draining,
         )
 
-    def _member_link(
-        self, member: Member, listener: Callable[[object], None]
-    ) -> AbstractAsyncContextManager[Membership]:
-        settings = self._settings
-        return MemberLink(member, settings.control, settings.tls, self._clock, listener)
-
-    def _claim_client(self, member: Member) -> AbstractAsyncContextManager[Claims]:
-        return ClaimClient(
-            member.member_id,
-            member.incarnation,
-            member.address,
-            self._settings.tls,
-            self._clock,
-            self._random,
-        )
-
-    def _membership_in_force(self) -> Membership:
-        if self._membership is None:
-            raise RuntimeError("the entry has not been entered")
-        return self._membership
-
     def _joining(self) -> asyncio.Task[None]:
         return asyncio.create_task(self._pipeline.join())
 
--- a/src/verbenaplank/entry/follow.py
+++ b/src/verbenaplank/entry/follow.py
@@ -33,9 +33,16 @@
         self._fleet = fleet
         self._clock = clock
         self._agents: dict[str, Member] = {}
+        self._followed: tuple[Membership, Claims] | None = None
+
+    def changed(self, event: object) -> None:
+        """Take over the newest state of what is followed, if anything is yet."""
+        if self._followed is not None:
+            self.follow(*self._followed)
 
     def follow(self, membership: Membership, claims: Claims) -> None:
-        """Take over the newest state."""
+        """Take over the newest state, and again after each change."""
+        self._followed = (membership, claims)
         now_s = self._clock()
         configuration = membership.configuration
         entries = len(membership.entries)
--- /dev/null
+++ b/src/verbenaplank/entry/neighbours.py
@@ -0,0 +1,52 @@
+"""The entry's links to control and to the registrars, as its settings say."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from verbenaplank.claims.client import ClaimClient
+from verbenaplank.membership.link import MemberLink
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from contextlib import AbstractAsyncContextManager
+    from random import Random
+
+    from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.entry.ports import Claims
+    from verbenaplank.entry.ports import ClaimsFactory
+    from verbenaplank.entry.ports import Membership
+    from verbenaplank.entry.ports import MembershipFactory
+    from verbenaplank.protocol.membership import Member
+    from verbenaplank.settings.entry import EntrySettings
+
+
+def membership_factory(
+    settings: EntrySettings, clock: MonotonicClock
+) -> MembershipFactory:
+    """Return a function that joins the control instances."""
+
+    def open_membership(
+        member: Member, listener: Callable[[object], None]
+    ) -> AbstractAsyncContextManager[Membership]:
+        return MemberLink(member, settings.control, settings.tls, clock, listener)
+
+    return open_membership
+
+
+def claims_factory(
+    settings: EntrySettings, clock: MonotonicClock, random: Random
+) -> ClaimsFactory:
+    """Return a function that opens the streams to the registrars."""
+
+    def open_claims(member: Member) -> AbstractAsyncContextManager[Claims]:
+        return ClaimClient(
+            member.member_id,
+            member.incarnation,
+            member.address,
+            settings.tls,
+            clock,
+            random,
+        )
+
+    return open_claims
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -13,7 +13,6 @@
 from verbenaplank.clock.sources import MonotonicClock
 from verbenaplank.clock.sources import WallClock
 from verbenaplank.entry.admit import Admission
-from verbenaplank.entry.admit import EntryCondition
 from verbenaplank.entry.answer import failure_answer
 from verbenaplank.entry.check import CheckContext
 from verbenaplank.entry.check import check
@@ -24,6 +23,7 @@
 from verbenaplank.entry.ports import Membership
 from verbenaplank.entry.registry import RequestRegistry
 from verbenaplank.entry.runner import EngineRunner
+from verbenaplank.entry.standing import Condition
 from verbenaplank.identifiers.job_id import job_timestamp_ms
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
@@ -43,6 +43,11 @@
 ID_REUSED = Rejection(
     kind=FailureKind.ID_REUSED, detail="the id belongs to a request of other content"
 )
+TOO_MANY_REQUESTS = Rejection(
+    kind=FailureKind.OVERLOADED,
+    detail="the entry holds too many requests",
+    retry_after_s=RETRY_AFTER_S,
+)
 NO_QUORUM = Rejection(
     kind=FailureKind.NO_QUORUM,
     detail="no majority of registrars granted the id",
@@ -72,7 +77,7 @@
     clock: MonotonicClock
     wall_clock: WallClock
     admission: Admission
-    condition: Callable[[], EntryCondition]
+    condition: Callable[[], Condition]
 
 
 class Pipeline:
@@ -101,9 +106,7 @@
             if record.owned:
                 return self.refuse(ID_REUSED, submission.job_id)
             record = self._parts.registry.find(submission.job_id)
-        rejection = self._parts.admission.admit(
-            submission, self._parts.condition(), self._parts.clock()
-        )
+        rejection = self._admit(submission)
         if rejection is not None:
             return self.refuse(rejection, submission.job_id)
         return await self._answer_of(self._start(submission))
@@ -141,6 +144,12 @@
             now_s=parts.clock(),
         )
 
+    def _admit(self, submission: Submission) -> Rejection | None:
+        parts = self._parts
+        if parts.registry.full:
+            return TOO_MANY_REQUESTS
+        return parts.admission.admit(submission, parts.condition(), parts.clock())
+
     async def _answer_of(self, record: RequestRecord) -> Answer:
         await record.answered.wait()
         return record.answer or self.refuse(ANSWER_DROPPED, record.job_id)
--- a/src/verbenaplank/entry/ports.py
+++ b/src/verbenaplank/entry/ports.py
@@ -43,6 +43,10 @@
     def ready(self) -> bool:
         """Whether a quorum backed what is known."""
 
+    @property
+    def drain_ordered(self) -> bool:
+        """Whether an operator ordered this entry to drain."""
+
     async def wait_ready(self) -> None:
         """Wait until ``ready``."""
 
--- /dev/null
+++ b/tests/entry/driver.py
@@ -0,0 +1,185 @@
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from entry.fakes import SERVICE
+from entry.fakes import TEAM
+from verbenaplank.admission.budget import StartBudget
+from verbenaplank.admission.queue import TaskQueue
+from verbenaplank.entry.effects import JobCompleted
+from verbenaplank.entry.effects import JobFailed
+from verbenaplank.entry.effects import Send
+from verbenaplank.entry.engine import Engine
+from verbenaplank.entry.submission import Submission
+from verbenaplank.placement.fleet import Fleet
+from verbenaplank.placement.policy import least_expected_completion
+from verbenaplank.protocol.membership import Member
+from verbenaplank.protocol.membership import MemberRole
+from verbenaplank.protocol.work import AgentWelcome
+from verbenaplank.protocol.work import Dispatch
+from verbenaplank.protocol.work import DispatchRefusal
+from verbenaplank.protocol.work import FromAgent
+from verbenaplank.protocol.work import RefusalReason
+from verbenaplank.protocol.work import Revocation
+from verbenaplank.protocol.work import RevocationState
+from verbenaplank.protocol.work import Revoke
+from verbenaplank.protocol.work import Stop
+from verbenaplank.protocol.work import TaskOutcome
+from verbenaplank.protocol.work import TaskResult
+
+if TYPE_CHECKING:
+    from verbenaplank.outcome.failure import Failure
+
+DEADLINE_S = 10.0
+
+
+def submission(job_id: str = "job", count: int = 1, **changes: object) -> Submission:
+    fields: dict[str, object] = {
+        "job_id": job_id,
+        "service": SERVICE,
+        "team": TEAM,
+        "digest": b"digest",
+        "payloads": tuple(b"%d" % index for index in range(count)),
+        "received_s": 0.0,
+        "deadline_s": DEADLINE_S,
+    }
+    return Submission(**(fields | changes))  # type: ignore[arg-type]
+
+
+def agent_member(agent_id: str, incarnation: str = "1", slots: int = 8) -> Member:
+    return Member(
+        member_id=agent_id,
+        role=MemberRole.AGENT,
+        incarnation=incarnation,
+        data_centre="Kochi",
+        address="127.0.0.1:1",
+        services=(SERVICE,),
+        slots=slots,
+    )
+
+
+class Driver:
+    """Feeds an engine with events and sorts its effects."""
+
+    def __init__(self, *agents: str, slots: int = 8, retry_share: float = 1.0) -> None:
+        self.now_s = 1.0
+        self.lease_since_s = float("-inf")
+        self.dispatches: list[tuple[str, Dispatch]] = []
+        self.revokes: list[tuple[str, Revoke]] = []
+        self.stops: list[tuple[str, Stop]] = []
+        self.completed: dict[str, tuple[bytes, ...]] = {}
+        self.failed: dict[str, Failure] = {}
+        fleet = Fleet(least_expected_completion, random.Random(1), "Kochi")
+        self.queue = TaskQueue()
+        self.engine = Engine(
+            fleet=fleet,
+            queue=self.queue,
+            retry_budget=StartBudget(retry_share, 3.0),
+            lease_since=lambda now_s: self.lease_since_s,
+        )
+        for agent_id in agents:
+            self.join(agent_id, slots=slots)
+
+    def join(self, agent_id: str, incarnation: str = "1", slots: int = 8) -> None:
+        member = agent_member(agent_id, incarnation, slots)
+        self.engine.member_joined(member, self.now_s)
+        self.connect(agent_id, incarnation, slots)
+
+    def connect(self, agent_id: str, incarnation: str = "1", slots: int = 8) -> None:
+        welcome = AgentWelcome(agent_id=agent_id, incarnation=incarnation, slots=slots)
+        self.engine.agent_connected(welcome, self.now_s)
+        self.flush()
+
+    def disconnect(self, agent_id: str) -> None:
+        self.engine.agent_disconnected(agent_id, self.now_s)
+        self.flush()
+
+    def leave(self, agent_id: str) -> None:
+        self.engine.member_left(agent_id, self.now_s)
+        self.flush()
+
+    def submit(self, job_id: str = "job", count: int = 1, **changes: object) -> None:
+        self.engine.submit(submission(job_id, count, **changes), self.now_s)
+        self.flush()
+
+    def cancel(self, job_id: str = "job") -> None:
+        self.engine.cancel(job_id, self.now_s)
+        self.flush()
+
+    def advance(self, seconds: float) -> None:
+        self.now_s += seconds
+        self.engine.tick(self.now_s)
+        self.flush()
+
+    def say(self, agent_id: str, message: FromAgent) -> None:
+        self.engine.agent_message(agent_id, message, self.now_s)
+        self.flush()
+
+    def finish(
+        self,
+        index: int,
+        outcome: TaskOutcome = TaskOutcome.SUCCEEDED,
+        output: bytes | None = None,
+    ) -> None:
+        """Let the agent report the end of the dispatch at an index."""
+        agent_id, dispatch = self.dispatches[index]
+        self.say(agent_id, FromAgent(results=(result(dispatch, outcome, output),)))
+
+    def refuse(
+        self, index: int, reason: RefusalReason = RefusalReason.DRAINING
+    ) -> None:
+        agent_id, dispatch = self.dispatches[index]
+        refusal = DispatchRefusal(
+            job_id=dispatch.job_id,
+            task_index=dispatch.task_index,
+            dispatch_id=dispatch.dispatch_id,
+            reason=reason,
+        )
+        self.say(agent_id, FromAgent(refusals=(refusal,)))
+
+    def answer_revoke(self, index: int, state: RevocationState) -> None:
+        """Let the agent answer the revocation of the dispatch at an index."""
+        agent_id, dispatch = self.dispatches[index]
+        revocation = Revocation(
+            job_id=dispatch.job_id,
+            task_index=dispatch.task_index,
+            dispatch_id=dispatch.dispatch_id,
+            state=state,
+        )
+        self.say(agent_id, FromAgent(revocations=(revocation,)))
+
+    def flush(self) -> None:
+        for effect in self.engine.flush(self.now_s):
+            if isinstance(effect, JobCompleted):
+                assert effect.job_id not in self.completed | self.failed
+                self.completed[effect.job_id] = effect.results
+            elif isinstance(effect, JobFailed):
+                assert effect.job_id not in self.completed | self.failed
+                self.failed[effect.job_id] = effect.failure
+            else:
+                self._sort(effect)
+
+    def _sort(self, effect: Send) -> None:
+        item = effect.item
+        if isinstance(item, Dispatch):
+            self.dispatches.append((effect.agent_id, item))
+        elif isinstance(item, Revoke):
+            self.revokes.append((effect.agent_id, item))
+        else:
+            self.stops.append((effect.agent_id, item))
+
+
+def result(
+    dispatch: Dispatch,
+    outcome: TaskOutcome = TaskOutcome.SUCCEEDED,
+    output: bytes | None = None,
+) -> TaskResult:
+    return TaskResult(
+        job_id=dispatch.job_id,
+        task_index=dispatch.task_index,
+        dispatch_id=dispatch.dispatch_id,
+        outcome=outcome,
+        output=b'"%d"' % dispatch.task_index if output is None else output,
+        run_time_ms=1.0,
+    )
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -63,6 +63,7 @@
         self.entries: dict[str, Member] = {}
         self.registrars: RegistrarGroup | None = None
         self.ready = True
+        self.drain_ordered = False
         self.lease_since_s = float("-inf")
         self.has_left = False
         self.listeners: list[Callable[[object], None]] = []
