Count the entry's messages and expose them at /metrics

Ruled out: counting in each decision; all traffic passes the streams, so one place sees it whole. Change: Traffic counts envelopes and items on the streams to agents; an observable counter each; every program has a registry of its own, so several roles in one process don't mix; priority defaults to routine.

--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,151 @@
+"""Runs the demonstration: a job of 350 tasks and a request, end to end."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import httpx
+import tomlkit
+
+from demo.cluster import BINARIES
+from demo.cluster import Processes
+from demo.documents import CARE_TOKEN
+from demo.documents import FIXTURES_TOKEN
+from demo.documents import SERVICES
+from demo.fleet import Fleet
+from demo.fleet import start_fleet
+from verbenaplank.bench.ideal import ideal_response_s
+
+CONTROL_COUNT = 3
+ENTRY_COUNT = 2
+SPEEDS = (1.0, 1.0, 0.8, 0.5)
+SLOTS = 8
+TASKS = 350
+RUN_TIME_MS = 100
+ROUND_TRIP_S = 0.001
+
+
+def main() -> int:
+    """Run the demonstration and return its exit code."""
+    with tempfile.TemporaryDirectory(prefix="verbenaplank-") as name:
+        folder = Path(name)
+        with Processes(folder) as processes:
+            say(f"starting {CONTROL_COUNT} control instances, {ENTRY_COUNT} entries,")
+            say(f"{len(SPEEDS)} agents and backend servers of speeds {SPEEDS}")
+            fleet = start_fleet(
+                processes, folder, first_document(), CONTROL_COUNT, ENTRY_COUNT, SPEEDS
+            )
+            wait_for_agents(fleet)
+            show(fleet)
+            return stop(processes, fleet)
+
+
+def first_document() -> str:
+    """Return the first configuration document as TOML text."""
+    services = {"services": {name: {"run_time_ms": RUN_TIME_MS} for name in SERVICES}}
+    sections = {
+        "fixtures": section("fixtures", FIXTURES_TOKEN, tomlkit.dumps(services)),
+        "care": {**section("care", CARE_TOKEN, ""), "grants": ["drains"]},
+    }
+    return tomlkit.dumps({"sections": sections})
+
+
+def section(team: str, token: str, text: str) -> dict[str, Any]:
+    """Return a section of the first document."""
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    return {"team": team, "token_sha256": digest, "text": text}
+
+
+def wait_for_agents(fleet: Fleet) -> None:
+    """Wait until every entry knows a route to the services."""
+    for url in fleet.entry_urls.values():
+        while not probe(url):
+            time.sleep(0.1)
+
+
+def probe(entry_url: str) -> bool:
+    """Return whether an entry can serve a small request."""
+    body = {
+        "service": SERVICES[0],
+        "team": "fixtures",
+        "payload": {"run_time_ms": 1},
+        "idempotent": True,
+        "priority": "routine",
+    }
+    response = httpx.post(f"{entry_url}/v1/requests", json=body, trust_env=False)
+    return response.status_code == httpx.codes.OK
+
+
+def show(fleet: Fleet) -> None:
+    """Submit a job and a request through the command line and print both."""
+    entry_url = next(iter(fleet.entry_urls.values()))
+    job = {
+        "service": SERVICES[0],
+        "team": "fixtures",
+        "tasks": [{"payload": {"run_time_ms": RUN_TIME_MS}} for _ in range(TASKS)],
+    }
+    path = fleet.folder / "job.json"
+    path.write_text(json.dumps(job))
+    before = messages(entry_url)
+    say(f"submitting a job of {TASKS} tasks of {RUN_TIME_MS} ms")
+    started_s = time.perf_counter()
+    verbena("submit", "--entry", entry_url, str(path))
+    elapsed_s = time.perf_counter() - started_s
+    print_figures(entry_url, before, elapsed_s)
+    say("sending one request")
+    payload = json.dumps({"run_time_ms": RUN_TIME_MS})
+    arguments = ("request", "--entry", entry_url, SERVICES[1], "fixtures", payload)
+    verbena(*arguments)
+    for url in fleet.control_urls.values():
+        verbena("members", "--control", url)
+        break
+
+
+def print_figures(entry_url: str, before: dict[str, float], elapsed_s: float) -> None:
+    """Print the response time over the ideal and the messages used."""
+    run_times_s = [RUN_TIME_MS / 1000] * TASKS
+    slowness = [1 / speed for speed in SPEEDS for _ in range(SLOTS)]
+    ideal_s = ideal_response_s(run_times_s, slowness, ROUND_TRIP_S)
+    say(f"command {elapsed_s:.3f} s, ideal response time {ideal_s:.3f} s")
+    for name, count in messages(entry_url).items():
+        say(f"{name}: {count - before.get(name, 0.0):.0f}")
+
+
+def messages(entry_url: str) -> dict[str, float]:
+    """Return an entry's counters of messages and tasks."""
+    text = httpx.get(f"{entry_url}/metrics", trust_env=False).text
+    lines = (line.rpartition(" ") for line in text.splitlines() if line[:1] != "#")
+    return {name: float(value) for name, _, value in lines if "verbenaplank" in name}
+
+
+def verbena(*arguments: str) -> None:
+    """Run the command line and show what it prints."""
+    say(f"$ verbena {' '.join(arguments)}")
+    subprocess.run([BINARIES / "verbena", *arguments], check=True)
+
+
+def stop(processes: Processes, fleet: Fleet) -> int:
+    """Stop everything in order and return 0 if all ended as asked."""
+    codes = processes.stop(*fleet.entry_urls)
+    codes |= processes.stop(*fleet.agents)
+    codes |= processes.stop(*fleet.control_urls)
+    processes.stop(*fleet.backend_servers)
+    failed = {name: code for name, code in codes.items() if code}
+    say(f"stopped {len(codes)} processes" + (f", failed: {failed}" if failed else ""))
+    return 1 if failed else 0
+
+
+def say(line: str) -> None:
+    """Print a line of progress at once."""
+    print(line, flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -99,7 +99,11 @@
     for index, speed in enumerate(speeds):
         name = f"backend-{index + 1}"
         ports[name] = free_port()
-        arguments = ("--port", str(ports[name]), "--speed", str(speed))
+        arguments = (
+            *("--port", str(ports[name])),
+            *("--speed", str(speed)),
+            *("--server-id", name),
+        )
         processes.start(name, sys.executable, "-m", STANDIN_MODULE, *arguments)
     return ports
 
--- a/src/verbenaplank/entry/agent_link.py
+++ b/src/verbenaplank/entry/agent_link.py
@@ -27,6 +27,7 @@
     from grpclib.client import Stream
 
     from verbenaplank.entry.effects import ToAgentItem
+    from verbenaplank.entry.traffic import Traffic
     from verbenaplank.protocol.membership import Member
     from verbenaplank.protocol.work import AgentWelcome
     from verbenaplank.protocol.work import EntryHello
@@ -71,7 +72,9 @@
         hello: EntryHello,
         listener: AgentListener,
         tls: TlsSettings | None,
+        traffic: Traffic,
     ) -> None:
+        self._traffic = traffic
         self._member = member
         self._hello = hello
         self._listener = listener
@@ -129,7 +132,7 @@
         self._listener.agent_connected(welcome)
         directions = {
             asyncio.create_task(self._receive(stream)),
-            asyncio.create_task(_send_forever(stream, outbox)),
+            asyncio.create_task(self._send_forever(stream, outbox)),
             asyncio.create_task(_renew_forever(outbox)),
         }
         try:
@@ -144,8 +147,17 @@
     async def _receive(self, stream: Stream[ToAgent, FromAgent]) -> None:
         agent_id = self._member.member_id
         async for message in stream:
+            self._traffic.received(message)
             self._listener.agent_message(agent_id, message)
 
+    async def _send_forever(
+        self, stream: Stream[ToAgent, FromAgent], outbox: Outbox[OutboxItem]
+    ) -> None:
+        while True:
+            for message in envelopes(await outbox.take()):
+                self._traffic.sent(message)
+                await stream.send_message(message)
+
 
 async def _renew_forever(outbox: Outbox[OutboxItem]) -> None:
     while True:
@@ -153,14 +165,6 @@
         await asyncio.sleep(RENEWAL_PERIOD_S)
 
 
-async def _send_forever(
-    stream: Stream[ToAgent, FromAgent], outbox: Outbox[OutboxItem]
-) -> None:
-    while True:
-        for message in envelopes(await outbox.take()):
-            await stream.send_message(message)
-
-
 def envelopes(items: Iterable[OutboxItem]) -> Iterator[ToAgent]:
     """Pack items into messages, each well under the largest message."""
     pack = _Pack()
--- a/src/verbenaplank/entry/agent_links.py
+++ b/src/verbenaplank/entry/agent_links.py
@@ -14,6 +14,7 @@
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.entry.effects import ToAgentItem
     from verbenaplank.entry.runner import EngineRunner
+    from verbenaplank.entry.traffic import Traffic
     from verbenaplank.protocol.membership import Member
     from verbenaplank.protocol.work import AgentWelcome
     from verbenaplank.protocol.work import EntryHello
@@ -48,8 +49,13 @@
     """One link to each agent; closes them at the end of its context."""
 
     def __init__(
-        self, hello: EntryHello, listener: EngineListener, tls: TlsSettings | None
+        self,
+        hello: EntryHello,
+        listener: EngineListener,
+        tls: TlsSettings | None,
+        traffic: Traffic,
     ) -> None:
+        self._traffic = traffic
         self._hello = hello
         self._listener = listener
         self._tls = tls
@@ -82,7 +88,7 @@
         if link is not None:
             link.revive(member)
             return
-        link = AgentLink(member, self._hello, self._listener, self._tls)
+        link = AgentLink(member, self._hello, self._listener, self._tls, self._traffic)
         self._links[member.member_id] = link
         task = asyncio.get_running_loop().create_task(link.run())
         self._tasks[member.member_id] = task
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -31,6 +31,7 @@
 from verbenaplank.entry.registry import RequestRegistry
 from verbenaplank.entry.runner import EngineRunner
 from verbenaplank.entry.standing import Standing
+from verbenaplank.entry.traffic import Traffic
 from verbenaplank.history.event import Event
 from verbenaplank.history.event import EventHook
 from verbenaplank.history.event import EventKind
@@ -78,6 +79,10 @@
         Where it listens; a port 0 has been replaced by the chosen one.
     engine
         The decisions, with counts for metrics.
+    queue
+        The tasks that wait for a backend server.
+    traffic
+        Counts of the messages to and from agents.
     """
 
     def __init__(
@@ -95,6 +100,7 @@
     ) -> None:
         self.http_address: Address = settings.http.address
         self.rpc_address: Address = settings.rpc.address
+        self.traffic = Traffic()
         self._settings = settings
         self._metrics = metrics
         self._record = record
@@ -108,14 +114,14 @@
         self._resources = AsyncExitStack()
         limits = settings.limits
         self._fleet = Fleet(policy, self._random, settings.data_centre)
-        self._queue = TaskQueue(
+        self.queue = TaskQueue(
             self._standing.weight_of, self._fleet.expected_run_time_s
         )
-        self._admission = Admission(self._fleet, self._queue, limits.max_queued_tasks)
+        self._admission = Admission(self._fleet, self.queue, limits.max_queued_tasks)
         self._retry_budget = retry_budget()
         self.engine = Engine(
             fleet=self._fleet,
-            queue=self._queue,
+            queue=self.queue,
             retry_budget=self._retry_budget,
             lease_since=self._standing.lease_since,
             on_dispatch=self._on_dispatch,
@@ -174,7 +180,7 @@
             data_centre=settings.data_centre,
         )
         listener = EngineListener(self._runner, self._clock)
-        links = AgentLinks(hello, listener, settings.tls)
+        links = AgentLinks(hello, listener, settings.tls, self.traffic)
         await stack.enter_async_context(links)
         self._runner.use(links.send)
         claims = await stack.enter_async_context(self._open_claims(self._member()))
--- a/src/verbenaplank/entry/fields.py
+++ b/src/verbenaplank/entry/fields.py
@@ -57,7 +57,7 @@
 
     def choice(self, name: str, choices: tuple[str, ...]) -> str:
         """Return one of several texts, or the first one."""
-        value = self._read(name, _TEXT, required=True)
+        value = self._read(name, _TEXT)
         if value is None:
             return choices[0]
         if value not in choices:
--- /dev/null
+++ b/src/verbenaplank/entry/traffic.py
@@ -0,0 +1,45 @@
+"""Counts of what an entry sends to agents and receives from them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from verbenaplank.protocol.work import FromAgent
+    from verbenaplank.protocol.work import ToAgent
+
+
+@attrs.define
+class Traffic:
+    """Messages and the items in them, since the entry started.
+
+    Attributes
+    ----------
+    sent_messages, received_messages
+        Messages on the streams, each with whatever was ready at the time.
+    """
+
+    sent_messages: int = 0
+    received_messages: int = 0
+    dispatches: int = 0
+    revokes: int = 0
+    stops: int = 0
+    renewals: int = 0
+    results: int = 0
+    refusals: int = 0
+
+    def sent(self, message: ToAgent) -> None:
+        """Count a message to an agent."""
+        self.sent_messages += 1
+        self.dispatches += len(message.dispatches)
+        self.revokes += len(message.revokes)
+        self.stops += len(message.stops)
+        self.renewals += message.renewal is not None
+
+    def received(self, message: FromAgent) -> None:
+        """Count a message from an agent."""
+        self.received_messages += 1
+        self.results += len(message.results)
+        self.refusals += len(message.refusals)
--- /dev/null
+++ b/src/verbenaplank/observability/entry_metrics.py
@@ -0,0 +1,55 @@
+"""Metrics of ``verbena-entry``."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.entry.application import EntryInstance
+from verbenaplank.entry.traffic import Traffic
+from verbenaplank.observability.metrics import Metrics
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+    from verbenaplank.settings.entry import EntrySettings
+
+
+@asynccontextmanager
+async def open_entry(settings: EntrySettings) -> AsyncIterator[EntryInstance]:
+    """Run an entry whose counts are readable at ``/metrics``."""
+    metrics = Metrics(settings.instance_id, settings.data_centre)
+    try:
+        async with EntryInstance(settings, metrics=metrics.render) as instance:
+            _register(metrics, instance)
+            yield instance
+    finally:
+        metrics.close()
+
+
+def _register(metrics: Metrics, instance: EntryInstance) -> None:
+    for field in attrs.fields(Traffic):
+        name = f"verbenaplank_entry_{field.name}"
+        read = _reader(instance.traffic, field.name)
+        metrics.count(name, f"{field.name} on the streams to agents", read)
+    for field in attrs.fields(type(instance.engine.counts)):
+        name = f"verbenaplank_entry_dispatches_{field.name}"
+        read = _reader(instance.engine.counts, field.name)
+        metrics.count(name, f"agents' messages counted as {field.name}", read)
+    metrics.gauge(
+        "verbenaplank_entry_queued_tasks",
+        "tasks that wait at the entry",
+        lambda: len(instance.queue),
+    )
+    metrics.gauge(
+        "verbenaplank_entry_jobs_in_progress",
+        "requests that are not answered yet",
+        lambda: len(instance.engine.jobs),
+    )
+
+
+def _reader(counts: object, name: str) -> Callable[[], float]:
+    return lambda: float(getattr(counts, name))
--- a/src/verbenaplank/observability/metrics.py
+++ b/src/verbenaplank/observability/metrics.py
@@ -5,14 +5,17 @@
 from typing import TYPE_CHECKING
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
-from prometheus_client import REGISTRY
 from prometheus_client import CollectorRegistry
 from prometheus_client import generate_latest
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from opentelemetry.metrics import Meter
 
 METER_NAME = "verbenaplank"
@@ -31,18 +34,37 @@
         resource = Resource.create(
             {"service.instance.id": instance_id, "cloud.region": data_centre}
         )
-        self._reader = PrometheusMetricReader()
+        self._registry = CollectorRegistry()
+        self._reader = PrometheusMetricReader(registry=self._registry)
         self._provider = MeterProvider([self._reader], resource)
         self.meter: Meter = self._provider.get_meter(METER_NAME)
 
     def render(self) -> tuple[bytes, str]:
         """Return the metrics as text, and the media type of that text."""
-        return generate_latest(_registry()), CONTENT_TYPE_LATEST
+        return generate_latest(self._registry), CONTENT_TYPE_LATEST
 
     def close(self) -> None:
         """Stop collecting."""
         self._provider.shutdown()
 
+    def count(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Add a counter whose value is read when the metrics are rendered."""
+        self.meter.create_observable_counter(
+            name, [_observe(read)], description=description
+        )
+
+    def gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Add a gauge whose value is read when the metrics are rendered."""
+        self.meter.create_observable_gauge(
+            name, [_observe(read)], description=description
+        )
+
+
+def _observe(
+    read: Callable[[], float],
+) -> Callable[[CallbackOptions], list[Observation]]:
+    def observe(options: CallbackOptions) -> list[Observation]:
+        del options
+        return [Observation(read())]
 
-def _registry() -> CollectorRegistry:
-    return REGISTRY
+    return observe
