Add verbena standalone: every role in one event loop

Cause: a newcomer wants to try the system with one command. Ruled out: starting child processes, which the programs must not do. Change: one control instance, one entry, agents and stand-in backend servers in one event loop, each with the code that the separate programs run.

--- a/src/verbenaplank/console/application.py
+++ b/src/verbenaplank/console/application.py
@@ -10,6 +10,7 @@
 from verbenaplank.console.commands import members
 from verbenaplank.console.commands import request
 from verbenaplank.console.commands import settings
+from verbenaplank.console.commands import standalone
 from verbenaplank.console.commands import status
 from verbenaplank.console.commands import submit
 
@@ -24,6 +25,7 @@
 application.command()(members.drain)
 application.command()(members.undrain)
 application.command()(audit.audit)
+application.command()(standalone.standalone)
 application.add_typer(config.application, name="config")
 application.add_typer(settings.application, name="settings")
 
--- a/src/verbenaplank/console/program.py
+++ b/src/verbenaplank/console/program.py
@@ -69,7 +69,7 @@
     configure_logging(
         settings.instance_id, settings.data_centre, settings.logging.level
     )
-    asyncio.run(_run_until_stopped(build(settings)))
+    asyncio.run(run_until_stopped(build(settings)))
 
 
 def load_or_exit(path: Path, settings_type: type[Settings]) -> Settings:
@@ -87,9 +87,10 @@
         raise typer.Exit(ExitCode.USAGE) from error
 
 
-async def _run_until_stopped(
+async def run_until_stopped(
     context: AbstractAsyncContextManager[Instance],
 ) -> None:
+    """Run an instance until a signal stops it, then drain it."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
--- a/src/verbenaplank/observability/metrics.py
+++ b/src/verbenaplank/observability/metrics.py
@@ -35,7 +35,9 @@
             {"service.instance.id": instance_id, "cloud.region": data_centre}
         )
         self._registry = CollectorRegistry()
-        self._reader = PrometheusMetricReader(registry=self._registry)
+        self._reader = PrometheusMetricReader(
+            scope_info_enabled=False, registry=self._registry
+        )
         self._provider = MeterProvider([self._reader], resource)
         self.meter: Meter = self._provider.get_meter(METER_NAME)
 
--- /dev/null
+++ b/src/verbenaplank/standalone/__init__.py
@@ -0,0 +1,3 @@
+"""All roles in one event loop, for trying the system out."""
+
+from __future__ import annotations
