Serve claims of the first registrar group; test the state machines

Cause: the path of a job needs registrars, and the state machines lacked tests of their own. Ruled out: granting as soon as a request comes after a restart; the registrar abstains on what it may have granted before. Conclusion: the change of a group is logged but not yet followed by the registrar, whose part comes from the claims package.

--- a/src/verbenaplank/control/administration.py
+++ b/src/verbenaplank/control/administration.py
@@ -21,6 +21,7 @@
 from verbenaplank.control.bodies import OutcomeBody
 from verbenaplank.control.bodies import SectionBody
 from verbenaplank.control.bodies import StatusBody
+from verbenaplank.control.bootstrap import describe_registrars
 from verbenaplank.control.commands import ControlCommand
 from verbenaplank.control.commands import decode_result
 from verbenaplank.control.commands import encode
@@ -30,10 +31,11 @@
 from verbenaplank.membership.renewals import LEASES
 from verbenaplank.membership.renewals import LeasesRequest
 from verbenaplank.outcome.failure import Run
+from verbenaplank.outcome.finding import Finding
 from verbenaplank.rpc.endpoint import connect
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from verbenaplank.clock.sources import WallClock
     from verbenaplank.configuration.sections import Section
@@ -42,9 +44,11 @@
     from verbenaplank.control.machine import ControlMachine
     from verbenaplank.control.replication import ReplicatedLog
     from verbenaplank.control.replication import SharedBarrier
+    from verbenaplank.membership.registrars import RegistrarChange
     from verbenaplank.membership.renewals import LeaseReport
     from verbenaplank.membership.renewals import LeasesReply
-    from verbenaplank.rpc.address import Address
+    from verbenaplank.protocol.membership import Registrar
+    from verbenaplank.settings.common import ControlPeer
     from verbenaplank.settings.common import TlsSettings
 
 PROPOSAL_TIMEOUT_S = 5.0
@@ -61,7 +65,7 @@
         machine: ControlMachine,
         barrier: SharedBarrier,
         keeper: LeaseKeeper,
-        addresses: Mapping[str, Address],
+        peers: Sequence[ControlPeer],
         tls: TlsSettings | None,
         administrator_sha256: str,
         wall_clock: WallClock,
@@ -70,7 +74,7 @@
         self._machine = machine
         self._barrier = barrier
         self._keeper = keeper
-        self._addresses = addresses
+        self._peers = {peer.instance_id: peer for peer in peers}
         self._tls = tls
         self._administrator_sha256 = administrator_sha256
         self._wall_clock = wall_clock
@@ -173,6 +177,33 @@
             ordered_drains=tuple(sorted(membership.ordered_drains)),
         )
 
+    async def registrars(self) -> RegistrarChange:
+        """Return the newest registrar group, open or not."""
+        await self.wait_newest()
+        return self._machine.membership.registrars.change
+
+    def describe_registrars(self, instance_ids: Sequence[str]) -> tuple[Registrar, ...]:
+        """Return control instances as registrars.
+
+        Raises
+        ------
+        ProblemError
+            If an id is unknown or named twice, or too few are named.
+        """
+        findings = [
+            Finding(f"instance_ids[{index}]", "there is no such control instance")
+            for index, instance_id in enumerate(instance_ids)
+            if instance_id not in self._peers
+        ]
+        if not instance_ids or len(set(instance_ids)) < len(instance_ids):
+            findings.append(Finding("instance_ids", "expected distinct instances"))
+        if findings:
+            detail = "the body has faults"
+            status = HTTPStatus.UNPROCESSABLE_ENTITY
+            raise problem(status, detail, findings=tuple(findings))
+        peers = [self._peers[instance_id] for instance_id in instance_ids]
+        return describe_registrars(peers, self._log.members)
+
     async def audit(self, after: int, limit: int) -> AuditBody:
         """Return records of the audit trail after a sequence number."""
         await self.wait_newest()
@@ -216,7 +247,7 @@
         if reply.leads or leader_id is None:
             return reply
         try:
-            with connect(self._addresses[leader_id], self._tls) as channel:
+            with connect(self._peers[leader_id].address, self._tls) as channel:
                 return await LEASES.call(channel, LeasesRequest(), LEASES_TIMEOUT_S)
         except (OSError, GRPCError) as error:
             detail = f"the leader does not answer: {error!r}"
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -25,6 +25,7 @@
 from verbenaplank.control.join_session import SessionContext
 from verbenaplank.control.lease_keeper import LeaseKeeper
 from verbenaplank.control.machine import ControlMachine
+from verbenaplank.control.registrar_host import first_group_service
 from verbenaplank.control.renewal_forwarder import RenewalForwarder
 from verbenaplank.control.replication import SharedBarrier
 from verbenaplank.observability.metrics import Metrics
@@ -90,7 +91,7 @@
             machine=self.machine,
             barrier=self._barrier,
             keeper=self.keeper,
-            addresses=self._addresses,
+            peers=settings.peers,
             tls=settings.tls,
             administrator_sha256=settings.administration.token_sha256,
             wall_clock=wall_clock,
@@ -103,11 +104,13 @@
         path = self._settings.administration.document_path
         document = load_first_document(Path(path)) if path else None
         async with AsyncExitStack() as stack:
+            registrar = first_group_service(self._settings, self._wall_clock)
             await stack.enter_async_context(self.log)
             services = [
                 *self.log.services(),
                 *self.keeper.services(),
                 self._members.service(),
+                registrar,
             ]
             listening = serve(services, self._settings.rpc.address, self._settings.tls)
             self.rpc_address = await stack.enter_async_context(listening)
--- a/src/verbenaplank/control/bootstrap.py
+++ b/src/verbenaplank/control/bootstrap.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from verbenaplank.configuration.commands import LoadDocument
@@ -26,6 +27,7 @@
     from verbenaplank.clock.sources import WallClock
     from verbenaplank.control.machine import ControlMachine
     from verbenaplank.control.replication import ReplicatedLog
+    from verbenaplank.protocol.consensus import Replica
     from verbenaplank.settings.common import ControlPeer
 
 REGISTRARS_PER_GROUP = 3
@@ -47,15 +49,14 @@
 
     Every instance does so; the command ids let only one proposal take effect.
     """
-    registrars = SetRegistrars(expected_epoch=0, registrars=choose_registrars(peers))
     while True:
         try:
             await log.read_barrier(PROPOSAL_TIMEOUT_S)
-            if machine.membership.registrars is None:
+            if machine.membership.registrars.change.epoch == 0:
                 origin = _origin(FIRST_REGISTRARS_COMMAND_ID, wall_clock)
-                await _propose(
-                    log, OperatorCommand(origin=origin, registrars=registrars)
-                )
+                registrars = choose_registrars(peers, log.members)
+                change = SetRegistrars(expected_epoch=0, registrars=registrars)
+                await _propose(log, OperatorCommand(origin=origin, registrars=change))
             if document is not None and machine.configuration.version == 0:
                 origin = _origin(FIRST_COMMAND_ID, wall_clock)
                 await _propose(log, OperatorCommand(origin=origin, load=document))
@@ -66,22 +67,33 @@
             return
 
 
-def choose_registrars(peers: Sequence[ControlPeer]) -> tuple[Registrar, ...]:
+def choose_registrars(
+    peers: Sequence[ControlPeer], replicas: Sequence[Replica]
+) -> tuple[Registrar, ...]:
     """Return the first instances, from as many data centres as possible."""
     ordered = sorted(peers, key=lambda peer: peer.instance_id)
-    seen: dict[str, int] = {}
-    ranked: list[tuple[int, int]] = []
+    seen: Counter[str] = Counter()
+    ranks: list[tuple[int, int]] = []
     for index, peer in enumerate(ordered):
-        ranked.append((seen.get(peer.data_centre, 0), index))
-        seen[peer.data_centre] = seen.get(peer.data_centre, 0) + 1
-    chosen = [ordered[index] for _, index in sorted(ranked)[:REGISTRARS_PER_GROUP]]
+        ranks.append((seen[peer.data_centre], index))
+        seen[peer.data_centre] += 1
+    chosen = [ordered[index] for _, index in sorted(ranks)[:REGISTRARS_PER_GROUP]]
+    return describe_registrars(chosen, replicas)
+
+
+def describe_registrars(
+    peers: Sequence[ControlPeer], replicas: Sequence[Replica]
+) -> tuple[Registrar, ...]:
+    """Return instances as registrars, with the storage that each has now."""
+    storage_ids = {replica.instance_id: replica.incarnation for replica in replicas}
     return tuple(
         Registrar(
             instance_id=peer.instance_id,
             address=str(peer.address),
             data_centre=peer.data_centre,
+            storage_id=storage_ids.get(peer.instance_id, ""),
         )
-        for peer in chosen
+        for peer in peers
     )
 
 
--- a/src/verbenaplank/control/commands.py
+++ b/src/verbenaplank/control/commands.py
@@ -12,6 +12,7 @@
 from verbenaplank.configuration.commands import Origin
 from verbenaplank.configuration.commands import RemoveSection
 from verbenaplank.membership.commands import Announce
+from verbenaplank.membership.commands import EnterEpoch
 from verbenaplank.membership.commands import Leave
 from verbenaplank.membership.commands import OrderDrain
 from verbenaplank.membership.commands import SetRegistrars
@@ -40,6 +41,7 @@
     operator: OperatorCommand | None = None
     announce: Announce | None = None
     leave: Leave | None = None
+    enter: EnterEpoch | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/verbenaplank/control/http.py
+++ b/src/verbenaplank/control/http.py
@@ -28,6 +28,7 @@
 from verbenaplank.control.bodies import ApplyBody
 from verbenaplank.control.bodies import CommandBody
 from verbenaplank.control.bodies import OwnerBody
+from verbenaplank.control.bodies import RegistrarsBody
 from verbenaplank.control.bodies import RemoveBody
 from verbenaplank.control.bodies import parse_body
 from verbenaplank.control.commands import OperatorCommand
@@ -35,6 +36,7 @@
 from verbenaplank.control.problem import ProblemError
 from verbenaplank.control.problem import problem
 from verbenaplank.membership.commands import OrderDrain
+from verbenaplank.membership.commands import SetRegistrars
 
 if TYPE_CHECKING:
     from verbenaplank.control.administration import Administration
@@ -148,7 +150,22 @@
         command = OperatorCommand(origin=origin, drain=change)
         return _json(await administration.propose(command))
 
-    return [members, drain, undrain]
+    @get("/v1/registrars")
+    async def registrars() -> Response[bytes]:
+        return _json(await administration.registrars())
+
+    @put("/v1/registrars")
+    async def set_registrars(request: JsonRequest) -> Response[bytes]:
+        body = parse_body(await request.body(), RegistrarsBody)
+        origin = await administration.origin(_token(request), body.command_id)
+        change = SetRegistrars(
+            expected_epoch=body.expected_epoch,
+            registrars=administration.describe_registrars(body.instance_ids),
+        )
+        command = OperatorCommand(origin=origin, registrars=change)
+        return _json(await administration.propose(command))
+
+    return [members, drain, undrain, registrars, set_registrars]
 
 
 def _operations_routes(is_ready: Callable[[], bool], metrics: Metrics) -> list[Any]:
--- a/src/verbenaplank/control/machine.py
+++ b/src/verbenaplank/control/machine.py
@@ -37,6 +37,7 @@
     from verbenaplank.configuration.commands import Change
     from verbenaplank.membership.commands import OrderDrain
     from verbenaplank.membership.commands import SetRegistrars
+    from verbenaplank.membership.registrars import RegistrarChange
 
 logger = logging.getLogger(__name__)
 
@@ -103,10 +104,10 @@
         self.effective = EffectiveConfiguration()
         self._refresh_effective()
 
-    def _stamp(self) -> tuple[int, int, int]:
-        group = self.membership.registrars
-        epoch = group.epoch if group else 0
-        return self.configuration.version, self.membership.revision, epoch
+    def _stamp(self) -> tuple[int, int, RegistrarChange]:
+        membership = self.membership
+        version = self.configuration.version
+        return version, membership.revision, membership.registrars.change
 
     def _refresh_effective(self) -> None:
         sections = self.configuration.sections.values()
@@ -120,6 +121,9 @@
             return ControlResult(changed=self.membership.announce(command.announce))
         if command.leave is not None:
             return ControlResult(changed=self.membership.leave(command.leave))
+        if command.enter is not None:
+            entered = self.membership.registrars.enter(command.enter)
+            return ControlResult(changed=entered)
         if command.operator is not None:
             return ControlResult(outcome=self._operate(command.operator))
         return ControlResult()
@@ -180,9 +184,8 @@
         if not origin.administrator:
             detail = "only administrators change the registrar group"
             return self._outcome(Verdict.FORBIDDEN, detail)
-        if not self.membership.set_registrars(change):
-            group = self.membership.registrars
-            epoch = group.epoch if group else 0
+        if not self.membership.registrars.set_registrars(change):
+            epoch = self.membership.registrars.change.epoch
             detail = f"the registrar group is at epoch {epoch}"
             return self._outcome(Verdict.CONFLICT, detail)
         return self._outcome(Verdict.ACCEPTED)
--- a/src/verbenaplank/control/member_view.py
+++ b/src/verbenaplank/control/member_view.py
@@ -89,7 +89,7 @@
         return update
 
     def _registrars(self) -> RegistrarGroup | None:
-        group = self._machine.membership.registrars
+        group = self._machine.membership.registrars.open_group
         if group is None or not self._lacks_registrars():
             return None
         self._epoch = group.epoch
@@ -103,7 +103,7 @@
         return self._wants_members and self._members_revision != revision
 
     def _lacks_registrars(self) -> bool:
-        group = self._machine.membership.registrars
+        group = self._machine.membership.registrars.open_group
         return group is not None and group.epoch != self._epoch
 
     def _is_drain_ordered(self) -> bool:
--- a/src/verbenaplank/control/replication.py
+++ b/src/verbenaplank/control/replication.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from verbenaplank.protocol.consensus import Replica
     from verbenaplank.rpc.method import Service
 
 
@@ -31,6 +32,14 @@
     def commit_index(self) -> int:
         """Index of the newest entry known to be committed."""
 
+    @property
+    def replica(self) -> Replica:
+        """The instance with the incarnation of its storage."""
+
+    @property
+    def members(self) -> Sequence[Replica]:
+        """The instances that vote."""
+
     def services(self) -> Sequence[Service]:
         """Return what the instances ask of each other."""
 
--- a/src/verbenaplank/membership/commands.py
+++ b/src/verbenaplank/membership/commands.py
@@ -46,3 +46,19 @@
 
     expected_epoch: int
     registrars: tuple[Registrar, ...]
+
+
+@attrs.frozen(kw_only=True)
+class EnterEpoch:
+    """A registrar of the former group grants nothing of earlier epochs any more.
+
+    Attributes
+    ----------
+    latest_grant_ms
+        The latest timestamp, in milliseconds since the Unix epoch, that it may
+        have granted.
+    """
+
+    epoch: int
+    instance_id: str
+    latest_grant_ms: int
--- a/src/verbenaplank/membership/state.py
+++ b/src/verbenaplank/membership/state.py
@@ -7,9 +7,10 @@
 
 import attrs
 
+from verbenaplank.membership.registrars import RegistrarChange
+from verbenaplank.membership.registrars import RegistrarState
 from verbenaplank.protocol.membership import Member
 from verbenaplank.protocol.membership import MembersUpdate
-from verbenaplank.protocol.membership import RegistrarGroup
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -17,7 +18,6 @@
     from verbenaplank.membership.commands import Announce
     from verbenaplank.membership.commands import Leave
     from verbenaplank.membership.commands import OrderDrain
-    from verbenaplank.membership.commands import SetRegistrars
 
 MAX_REMEMBERED_CHANGES = 4_096
 """How many changes back a delta reaches; older receivers get the whole list."""
@@ -31,7 +31,7 @@
     members: tuple[Member, ...] = ()
     ordered_drains: tuple[str, ...] = ()
     configured_drains: tuple[str, ...] = ()
-    registrars: RegistrarGroup | None = None
+    registrars: RegistrarChange = attrs.field(factory=RegistrarChange)
 
 
 @attrs.frozen
@@ -43,7 +43,13 @@
 
 
 class MembershipState:
-    """Members under their leases; each change adds one to the revision."""
+    """Members under their leases; each change adds one to the revision.
+
+    Attributes
+    ----------
+    registrars
+        The registrar group in force.
+    """
 
     def __init__(self, snapshot: MembershipSnapshot | None = None) -> None:
         snapshot = snapshot or MembershipSnapshot()
@@ -51,7 +57,7 @@
         self._members = {member.member_id: member for member in snapshot.members}
         self._ordered_drains = set(snapshot.ordered_drains)
         self._configured_drains = frozenset(snapshot.configured_drains)
-        self._registrars = snapshot.registrars
+        self.registrars = RegistrarState(snapshot.registrars)
         self._changes: deque[MemberChange] = deque()
         self._first_delta_revision = snapshot.revision
 
@@ -70,11 +76,6 @@
         """Return the ids that an operator ordered to drain."""
         return frozenset(self._ordered_drains)
 
-    @property
-    def registrars(self) -> RegistrarGroup | None:
-        """Return the registrar group in force."""
-        return self._registrars
-
     def snapshot(self) -> MembershipSnapshot:
         """Return the whole state."""
         return MembershipSnapshot(
@@ -82,7 +83,7 @@
             members=tuple(self._members.values()),
             ordered_drains=tuple(sorted(self._ordered_drains)),
             configured_drains=tuple(sorted(self._configured_drains)),
-            registrars=self._registrars,
+            registrars=self.registrars.change,
         )
 
     def announce(self, announce: Announce) -> bool:
@@ -125,14 +126,6 @@
         for member_id in sorted(changed & self._members.keys()):
             self._note_change(member_id)
 
-    def set_registrars(self, change: SetRegistrars) -> bool:
-        """Put a registrar group in force; return whether the epoch fitted."""
-        epoch = self._registrars.epoch if self._registrars else 0
-        if epoch != change.expected_epoch:
-            return False
-        self._registrars = RegistrarGroup(epoch=epoch + 1, registrars=change.registrars)
-        return True
-
     def is_drain_ordered(self, member_id: str) -> bool:
         """Return whether an operator or the configuration drains a member."""
         return member_id in self._ordered_drains or member_id in self._configured_drains
--- a/src/verbenaplank/protocol/membership.py
+++ b/src/verbenaplank/protocol/membership.py
@@ -129,11 +129,18 @@
 
 @attrs.frozen(kw_only=True)
 class Registrar:
-    """A control instance that grants claims."""
+    """A control instance that grants claims.
+
+    Attributes
+    ----------
+    storage_id
+        Incarnation of its storage when the group was put in force.
+    """
 
     instance_id: str
     address: str
     data_centre: str
+    storage_id: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/tests/configuration/test_audit.py
@@ -0,0 +1,57 @@
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from verbenaplank.configuration import audit
+from verbenaplank.configuration.audit import AuditTrail
+from verbenaplank.configuration.audit import BrokenTrailError
+from verbenaplank.configuration.audit import verify
+
+
+def trail_of(count: int) -> AuditTrail:
+    trail = AuditTrail()
+    for number in range(count):
+        trail.append(
+            at_ms=number,
+            actor="team fixtures",
+            command_id=f"c{number}",
+            action="apply",
+            subject="fixtures",
+            version=number,
+            outcome="accepted",
+        )
+    return trail
+
+
+def test_trail_is_verified_whole_and_after_a_restore() -> None:
+    trail = trail_of(5)
+    restored = AuditTrail(trail.records, trail.anchor)
+
+    verify(restored.records, restored.anchor)
+    assert [record.sequence for record in restored.records] == [1, 2, 3, 4, 5]
+
+
+@pytest.mark.parametrize("index", range(4))
+def test_changed_removed_or_swapped_record_is_found(index: int) -> None:
+    trail = trail_of(5)
+    records = list(trail.records)
+    changed = [*records]
+    changed[index] = attrs.evolve(records[index], actor="team enrolment")
+    removed = [record for record in records if record is not records[index]]
+    swapped = [*records]
+    swapped[index], swapped[index + 1] = swapped[index + 1], swapped[index]
+
+    for forged in (changed, removed, swapped):
+        with pytest.raises(BrokenTrailError):
+            verify(forged, trail.anchor)
+
+
+def test_bounded_trail_is_verified_from_its_anchor(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(audit, "MAX_RECORDS", 3)
+    trail = trail_of(10)
+
+    assert [record.sequence for record in trail.records] == [8, 9, 10]
+    verify(trail.records, trail.anchor)
