--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -41,6 +41,7 @@
         self._folder = folder
         self._logs = ExitStack()
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._commands: dict[str, tuple[str, ...]] = {}
 
     def __enter__(self) -> Processes:
         """Return the collection itself."""
@@ -58,6 +59,7 @@
         """Start a process; standard error goes to ``NAME.log``."""
         log = self._logs.enter_context(self.log_path(name).open("ab"))
         environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
+        self._commands[name] = command
         self._processes[name] = subprocess.Popen(
             command, stdout=log, stderr=log, env=environment
         )
@@ -66,6 +68,15 @@
         """Start one of our programs with its settings file."""
         self.start(name, str(BINARIES / program), str(settings))
 
+    def restart(self, name: str) -> None:
+        """Start a process that ended again, with the same command."""
+        self.start(name, *self._commands[name])
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once and wait for its end."""
+        self.signal(name, signal.SIGKILL)
+        self.wait(name)
+
     def log_path(self, name: str) -> Path:
         """Return the log file of a process."""
         return self._folder / f"{name}.log"
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -56,7 +56,7 @@
     (folder / "document.toml").write_text(document, encoding="utf-8")
     peers = _peers(control_count)
     control_urls = _start_control(processes, folder, peers)
-    backend_ports = _start_backend_servers(processes, speeds)
+    backend_ports = _start_backend_servers(processes, folder, speeds)
     agents = _start_agents(processes, folder, peers, backend_ports)
     entry_urls = _start_entries(processes, folder, peers, entry_count)
     for name, url in {**control_urls, **entry_urls}.items():
@@ -93,7 +93,7 @@
 
 
 def _start_backend_servers(
-    processes: Processes, speeds: Sequence[float]
+    processes: Processes, folder: Path, speeds: Sequence[float]
 ) -> dict[str, int]:
     ports = {}
     for index, speed in enumerate(speeds):
@@ -103,6 +103,7 @@
             *("--port", str(ports[name])),
             *("--speed", str(speed)),
             *("--server-id", name),
+            *("--history", str(folder / f"{name}.jsonl")),
         )
         processes.start(name, sys.executable, "-m", STANDIN_MODULE, *arguments)
     return ports
