Claims: ceilings, epochs and faulty histories

Cause: one owner per identifier has to hold with lost, late, duplicated and reordered messages, restarts with empty memory, clocks that go back, split claims and a second loss right after a repair. Change: a ceiling is synced ahead off the path; an epoch opens with the latest grant of a majority of the old group, and a newcomer abstains up to it; replies name the attempt that holds a grant, so that a claimant that still retries is not taken for an owner; an attempt's outcome stays as it is once decided.

--- a/src/verbenaplank/claims/claimant.py
+++ b/src/verbenaplank/claims/claimant.py
@@ -31,8 +31,8 @@
 YIELD_FACTOR = 4.0
 """How much longer the claimant of the greater name waits after a split."""
 
-SAME_HOLDER_ATTEMPTS = 4
-"""After so many attempts lost to one unchanged holder, it is taken as the owner."""
+SAME_GRANT_ATTEMPTS = 4
+"""After so many attempts lost to one unchanged grant, its holder counts as owner."""
 
 HELD = (ClaimVerdict.OWNED, ClaimVerdict.CONFLICT)
 
@@ -46,6 +46,15 @@
     address: str
 
 
+@attrs.frozen
+class _HeldGrant:
+    """A grant that another claimant, or an earlier claim, holds."""
+
+    entry_id: str
+    incarnation: str
+    attempt: int
+
+
 @attrs.frozen
 class Retry:
     """The attempt is lost: release it and try again after a delay."""
@@ -74,8 +83,9 @@
         self._replies: dict[str, ClaimReply] = {}
         self._unreachable: set[str] = set()
         self._latest: dict[str, ClaimReply] = {}
-        self._lost_to: Counter[tuple[str, str]] = Counter()
+        self._lost_to: Counter[_HeldGrant] = Counter()
         self._may_have_run = False
+        self._outcome: ClaimDecision | Retry | None = None
 
     def begin(
         self, attempt: int, group: RegistrarGroup, reachable: Collection[str]
@@ -93,6 +103,7 @@
         self._group = group
         self._sent = members & frozenset(reachable)
         self._replies = {}
+        self._outcome = None
         self._unreachable = set(members - self._sent)
         return Claim(
             job_id=self._job_id,
@@ -123,16 +134,16 @@
             self._unreachable.add(registrar_id)
 
     def outcome(self) -> ClaimDecision | Retry | None:
-        """Return the decision, that a retry is due, or ``None`` to wait."""
+        """Return the decision, that a retry is due, or ``None`` to wait.
+
+        Once it is not ``None``, it stays the same until the next attempt.
+        """
         if self._group is None:
             return Retry(RETRY_BASE_S)
-        majority = len(self._group.registrars) // 2 + 1
-        if self._count(ClaimVerdict.GRANTED) >= majority:
-            return ClaimDecision(state=ClaimState.OWNED_HERE)
-        if self._count(ClaimVerdict.GRANTED) + self._pending() >= majority:
-            return None
-        self._lost_to.update({_holder(reply) for reply in _held(self._replies)})
-        return self._agreed_holder(majority) or self._hopeless(majority) or self._lose()
+        if self._outcome is None:
+            majority = len(self._group.registrars) // 2 + 1
+            self._outcome = self._evaluate(majority)
+        return self._outcome
 
     def release(self) -> ClaimRelease:
         """Return the release of the present attempt, for all its recipients."""
@@ -148,6 +159,14 @@
         held = _held(self._latest)
         return _held_decision(held[-1]) if held else self._unavailable()
 
+    def _evaluate(self, majority: int) -> ClaimDecision | Retry | None:
+        if self._count(ClaimVerdict.GRANTED) >= majority:
+            return ClaimDecision(state=ClaimState.OWNED_HERE)
+        if self._count(ClaimVerdict.GRANTED) + self._pending() >= majority:
+            return None
+        self._lost_to.update(map(_held_grant, _held(self._replies)))
+        return self._agreed_holder(majority) or self._hopeless(majority) or self._lose()
+
     def _count(self, verdict: ClaimVerdict) -> int:
         return sum(reply.verdict is verdict for reply in self._replies.values())
 
@@ -155,15 +174,14 @@
         return len(self._sent - self._replies.keys() - self._unreachable)
 
     def _agreed_holder(self, majority: int) -> ClaimDecision | None:
-        """Return the decision if a majority, or many attempts, name one holder."""
+        """Return the decision if a majority, or many attempts, name one grant."""
         held = _held(self._replies)
         if not held:
             return None
-        holder, count = Counter(map(_holder, held)).most_common(1)[0]
-        is_persistent = self._lost_to[holder] >= SAME_HOLDER_ATTEMPTS
-        if count < majority and not is_persistent:
+        grant, count = Counter(map(_held_grant, held)).most_common(1)[0]
+        if count < majority and self._lost_to[grant] < SAME_GRANT_ATTEMPTS:
             return None
-        return _held_decision(next(r for r in held if _holder(r) == holder))
+        return _held_decision(next(r for r in held if _held_grant(r) == grant))
 
     def _hopeless(self, majority: int) -> ClaimDecision | None:
         """Return the decision if a majority abstains; a retry would not help."""
@@ -174,7 +192,9 @@
     def _lose(self) -> Retry:
         self._lost_attempts += 1
         delay_s = min(RETRY_MAX_S, RETRY_BASE_S * 2 ** (self._lost_attempts - 1))
-        if any(_holder(reply) < self._name() for reply in _held(self._replies)):
+        own_name = (self._identity.entry_id, self._identity.incarnation)
+        holders = map(_held_grant, _held(self._replies))
+        if any((each.entry_id, each.incarnation) < own_name for each in holders):
             delay_s *= YIELD_FACTOR
         return Retry(delay_s * self._random.uniform(0.5, 1.0))
 
@@ -183,16 +203,15 @@
             state=ClaimState.UNAVAILABLE, may_have_run=self._may_have_run
         )
 
-    def _name(self) -> tuple[str, str]:
-        return self._identity.entry_id, self._identity.incarnation
-
 
 def _held(replies: dict[str, ClaimReply]) -> list[ClaimReply]:
     return [reply for reply in replies.values() if reply.verdict in HELD]
 
 
-def _holder(reply: ClaimReply) -> tuple[str, str]:
-    return reply.owner_entry_id, reply.owner_incarnation
+def _held_grant(reply: ClaimReply) -> _HeldGrant:
+    return _HeldGrant(
+        reply.owner_entry_id, reply.owner_incarnation, reply.owner_attempt
+    )
 
 
 def _held_decision(reply: ClaimReply) -> ClaimDecision:
--- a/src/verbenaplank/claims/registrar.py
+++ b/src/verbenaplank/claims/registrar.py
@@ -98,18 +98,21 @@
 
 
 class Registrar:
-    """Grants identifiers, in memory bounded by rate times retention."""
+    """Grants identifiers, in memory bounded by rate times retention.
+
+    It grants nothing before :meth:`open_epoch`.
+    """
 
     def __init__(
         self,
         limits: RegistrarLimits,
-        epoch: int,
         amnesia_ms: int,
         ceiling_ms: int = NO_CEILING_MS,
     ) -> None:
         self._limits = limits
-        self._epoch = epoch
-        self._open = True
+        self._epoch = 0
+        self._open = False
+        self._latest_grant_ms = 0
         self._amnesia_ms = amnesia_ms
         self._ceiling_ms = ceiling_ms
         self._floor_ms = 0
@@ -134,10 +137,50 @@
         """Allow timestamps up to a ceiling that has been synced to disk."""
         self._ceiling_ms = max(self._ceiling_ms, ceiling_ms)
 
+    def enter_epoch(self, epoch: int) -> int:
+        """Refuse the claims of earlier epochs from now on.
+
+        Returns
+        -------
+        int
+            The latest timestamp that this registrar may have granted; the new
+            group opens with the greatest of a majority of the old group.
+        """
+        if epoch > self._epoch:
+            self._epoch = epoch
+            self._open = False
+        return max(self._amnesia_ms, self._latest_grant_ms)
+
+    def open_epoch(self, epoch: int, latest_grant_ms: int, *, newcomer: bool) -> None:
+        """Grant claims of an epoch that a majority of the old group has entered.
+
+        Parameters
+        ----------
+        latest_grant_ms
+            The greatest result of :meth:`enter_epoch` in that majority; 0 for
+            the first group.
+        newcomer
+            Whether this registrar was not a member of the old group; it then
+            abstains on what the old group may have granted, also after a
+            restart, for which its ceiling has to be synced that far before.
+
+        Raises
+        ------
+        ValueError
+            If a newcomer's ceiling is below ``latest_grant_ms``.
+        """
+        if epoch != self._epoch:
+            return
+        if newcomer and latest_grant_ms > self._ceiling_ms:
+            raise ValueError("the ceiling is below what the old group has granted")
+        if newcomer:
+            self._amnesia_ms = max(self._amnesia_ms, latest_grant_ms)
+        self._open = True
+
     def claim(self, claim: Claim, now_ms: int) -> ClaimReply:
         """Answer one claim at the wall-clock time ``now_ms``."""
         self._expire(now_ms)
-        if claim.epoch != self._epoch:
+        if claim.epoch != self._epoch or not self._open:
             return self._reply(claim, ClaimVerdict.WRONG_EPOCH)
         abstention = self._abstention(claim.job_id, now_ms)
         if abstention is not None:
@@ -173,7 +216,7 @@
         if timestamp_ms <= self._amnesia_ms or timestamp_ms < self._floor_ms:
             return True
         latest_ms = min(now_ms + self._limits.max_clock_skew_ms, self._ceiling_ms)
-        if timestamp_ms > latest_ms or not self._open:
+        if timestamp_ms > latest_ms:
             return False
         return None
 
@@ -196,6 +239,8 @@
         return entry
 
     def _grant(self, claim: Claim, claimant: Claimant) -> Grant:
+        timestamp_ms = job_timestamp_ms(claim.job_id)
+        self._latest_grant_ms = max(self._latest_grant_ms, timestamp_ms)
         owner = Owner(claimant, claim.owner_address)
         return Grant(self._owners.setdefault(owner, owner), claim.attempt, claim.digest)
 
@@ -225,6 +270,7 @@
             owner_entry_id=grant.owner.claimant.entry_id,
             owner_incarnation=grant.owner.claimant.incarnation,
             owner_address=grant.owner.address,
+            owner_attempt=grant.attempt,
             epoch=self._epoch,
         )
 
--- a/src/verbenaplank/protocol/claims.py
+++ b/src/verbenaplank/protocol/claims.py
@@ -67,6 +67,9 @@
 
     Attributes
     ----------
+    owner_attempt
+        Attempt of the owner that holds the grant; it stays the same once the
+        owner has won.
     may_have_granted
         On ``ABSTAINED``: whether the registrar may have granted the identifier
         before and no longer knows.
@@ -78,6 +81,7 @@
     owner_entry_id: str = ""
     owner_incarnation: str = ""
     owner_address: str = ""
+    owner_attempt: int = 0
     epoch: int = 0
     may_have_granted: bool = False
 
--- a/tests/claims/test_claim_client.py
+++ b/tests/claims/test_claim_client.py
@@ -46,9 +46,16 @@
         return client
 
 
+def _registrar() -> Registrar:
+    registrar = Registrar(LIMITS, amnesia_ms=0)
+    registrar.enter_epoch(1)
+    registrar.open_epoch(1, 0, newcomer=False)
+    return registrar
+
+
 @asynccontextmanager
 async def _site(running: int, gone: int = 0) -> AsyncIterator[Site]:
-    registrars = [Registrar(LIMITS, 1, amnesia_ms=0) for _ in range(running)]
+    registrars = [_registrar() for _ in range(running)]
     addresses = [attrs.evolve(UNREACHABLE, instance_id=f"gone{n}") for n in range(gone)]
     async with AsyncExitStack() as resources:
         for number, registrar in enumerate(registrars):
