--- a/tests/entry/test_engine.py
+++ b/tests/entry/test_engine.py
@@ -261,6 +261,7 @@
 def test_request_whose_claim_outlasted_lease_or_deadline_is_not_started() -> None:
     driver = Driver("a")
     driver.lease_since_s = 0.5
+    driver.advance(0.0)
 
     driver.submit("lapsed", received_s=0.2)
     driver.submit("late", received_s=0.8, deadline_s=0.9)
