--- a/src/verbenaplank/entry/answer.py
+++ b/src/verbenaplank/entry/answer.py
@@ -77,13 +77,21 @@
     return Answer(status=HTTPStatus.OK, body=msgspec.json.encode(document))
 
 
-def failure_answer(failure: Failure, job_id: str = "") -> Answer:
-    """Return the problem document (RFC 9457) of a failure."""
-    status = STATUS_BY_KIND[failure.kind]
+def failure_answer(
+    failure: Failure, job_id: str = "", status: int | None = None
+) -> Answer:
+    """Return the problem document (RFC 9457) of a failure.
+
+    Parameters
+    ----------
+    status
+        HTTP status; ``None`` for the one that belongs to the failure's kind.
+    """
+    status = status or int(STATUS_BY_KIND[failure.kind])
     document: dict[str, object] = {
         "type": PROBLEM_TYPE_PREFIX + failure.kind,
         "title": failure.kind.replace("_", " ").capitalize(),
-        "status": int(status),
+        "status": status,
         "detail": failure.detail,
         "kind": failure.kind,
         "run": failure.run,
--- a/src/verbenaplank/entry/http.py
+++ b/src/verbenaplank/entry/http.py
@@ -124,17 +124,11 @@
         request: Request[Any, Any, Any], error: HTTPException
     ) -> Response[bytes]:
         rejection = _rejection(error, parts.max_body_bytes)
-        answer = parts.pipeline.refuse(rejection)
-        if error.status_code in _KEPT_STATUSES:
-            answer = attrs.evolve(answer, status=error.status_code)
-        return _response(answer)
+        return _response(parts.pipeline.refuse(rejection, status=error.status_code))
 
     return handle
 
 
-_KEPT_STATUSES = frozenset({HTTPStatus.NOT_FOUND, HTTPStatus.METHOD_NOT_ALLOWED})
-
-
 def _rejection(error: HTTPException, max_body_bytes: int) -> Rejection:
     if error.status_code == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
         message = f"more than the limit of {max_body_bytes} bytes"
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -130,9 +130,11 @@
         while self._in_progress:
             await asyncio.wait(set(self._in_progress))
 
-    def refuse(self, rejection: Rejection, job_id: str = "") -> Answer:
+    def refuse(
+        self, rejection: Rejection, job_id: str = "", status: int | None = None
+    ) -> Answer:
         """Return the answer of a request that goes no further."""
-        return failure_answer(self._book.fail(rejection), job_id)
+        return failure_answer(self._book.fail(rejection), job_id, status)
 
     def _context(self, token: str) -> CheckContext:
         parts = self._parts
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -109,6 +109,17 @@
         self.available = True
         self.gate = asyncio.Event()
         self.gate.set()
+        self.claims = 0
+        self.changed = asyncio.Condition()
+
+    async def wait_claims(self, count: int) -> None:
+        async with self.changed:
+            await self.changed.wait_for(lambda: self.claims >= count)
+
+    async def count_claim(self) -> None:
+        async with self.changed:
+            self.claims += 1
+            self.changed.notify_all()
 
     @asynccontextmanager
     async def open(self, member: Member) -> AsyncIterator[FakeClaims]:
@@ -126,6 +137,7 @@
     async def claim(
         self, job_id: str, digest: bytes, timeout_s: float
     ) -> ClaimDecision:
+        await self.registrars.count_claim()
         await self.registrars.gate.wait()
         if not self.registrars.available:
             return ClaimDecision(state=ClaimState.UNAVAILABLE)
@@ -152,7 +164,7 @@
         self.automatic = True
         self.starts: list[Dispatch] = []
         self.messages = 0
-        self.streams: list[Stream[ToAgent, FromAgent]] = []
+        self.streams: dict[int, Stream[ToAgent, FromAgent]] = {}
         self.changed = asyncio.Condition()
         self.address = ANY_PORT
 
@@ -179,7 +191,6 @@
             agent_id=self.agent_id, incarnation=self.incarnation, slots=self.slots
         )
         await stream.send_message(FromAgent(welcome=welcome))
-        self.streams.append(stream)
         async for message in stream:
             self.messages += 1
             await self._take(stream, message)
@@ -187,6 +198,7 @@
     async def _take(self, stream: Stream[ToAgent, FromAgent], message: ToAgent) -> None:
         async with self.changed:
             self.starts.extend(message.dispatches)
+            self.streams.update({d.dispatch_id: stream for d in message.dispatches})
             self.changed.notify_all()
         started = {dispatch.dispatch_id for dispatch in self.starts}
         revocations = tuple(
@@ -212,8 +224,9 @@
             await self.changed.wait_for(lambda: len(self.starts) >= count)
 
     async def finish(self, *dispatches: Dispatch) -> None:
-        results = tuple(echo(dispatch) for dispatch in dispatches)
-        await self.streams[-1].send_message(FromAgent(results=results))
+        for dispatch in dispatches:
+            reply = FromAgent(results=(echo(dispatch),))
+            await self.streams[dispatch.dispatch_id].send_message(reply)
 
 
 def echo(dispatch: Dispatch) -> TaskResult:
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -2,24 +2,10 @@
 
 from typing import TYPE_CHECKING
 
-from entry.fakes import SERVICE
-from entry.fakes import TEAM
-from verbenaplank.identifiers.job_id import new_job_id
+from entry.site import job
 
 if TYPE_CHECKING:
-    from entry.conftest import Site
-
-
-def job(count: int = 3, **changes: object) -> dict[str, object]:
-    body: dict[str, object] = {
-        "id": new_job_id(),
-        "service": SERVICE,
-        "team": TEAM,
-        "priority": "urgent",
-        "deadline_ms": 10_000,
-        "tasks": [{"payload": {"round": index}} for index in range(count)],
-    }
-    return body | changes
+    from entry.site import Site
 
 
 async def test_job_is_answered_whole_and_in_order(site: Site) -> None:
--- /dev/null
+++ b/tests/entry/test_pipeline.py
@@ -0,0 +1,235 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from entry.site import job
+
+if TYPE_CHECKING:
+    import httpx
+
+    from entry.site import Site
+
+
+def failure_of(response: httpx.Response) -> tuple[str, str]:
+    problem = response.json()
+    return problem["kind"], problem["run"]
+
+
+async def test_resubmission_to_the_owner_gets_the_same_bytes(site: Site) -> None:
+    agent = await site.agent()
+    caller = await site.caller(await site.entry())
+    body = job()
+
+    first, second = await asyncio.gather(
+        caller.post("/v1/jobs", json=body), caller.post("/v1/jobs", json=body)
+    )
+    third = await caller.get(f"/v1/jobs/{body['id']}")
+
+    assert first.status_code == 200
+    assert first.content == second.content == third.content
+    assert len(agent.starts) == 3
+
+
+async def test_resubmission_through_another_entry_attaches_to_the_owner(
+    site: Site,
+) -> None:
+    agent = await site.agent()
+    agent.automatic = False
+    owner = await site.caller(await site.entry("entry-1"))
+    other = await site.caller(await site.entry("entry-2"))
+    body = job()
+
+    first = asyncio.create_task(owner.post("/v1/jobs", json=body))
+    await agent.wait_started(3)
+    second = asyncio.create_task(other.post("/v1/jobs", json=body))
+    third = asyncio.create_task(other.get(f"/v1/jobs/{body['id']}"))
+    await agent.finish(*agent.starts)
+
+    assert (await first).status_code == 200
+    assert (await first).content == (await second).content == (await third).content
+    assert len(agent.starts) == 3
+
+
+async def test_caller_hangs_up_and_comes_back_through_another_entry(
+    site: Site,
+) -> None:
+    agent = await site.agent()
+    agent.automatic = False
+    owner = await site.caller(await site.entry("entry-1"))
+    other = await site.caller(await site.entry("entry-2"))
+    body = job()
+
+    first = asyncio.create_task(owner.post("/v1/jobs", json=body))
+    await agent.wait_started(3)
+    first.cancel()
+    await asyncio.gather(first, return_exceptions=True)
+    await agent.finish(*agent.starts)
+    back = await other.post("/v1/jobs", json=body)
+
+    assert back.status_code == 200
+    assert len(back.json()["results"]) == 3
+    assert len(agent.starts) == 3
+
+
+async def test_answer_larger_than_a_message_reaches_the_other_entry_whole(
+    site: Site,
+) -> None:
+    await site.agent()
+    owner = await site.caller(await site.entry("entry-1"))
+    other = await site.caller(await site.entry("entry-2"))
+    body = job(tasks=[{"payload": "x" * 15_000}] * 4)
+    first = await owner.post("/v1/jobs", json=body)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("verbenaplank.entry.peer_service.MAX_PART_BYTES", 7_000)
+        second = await other.post("/v1/jobs", json=body)
+
+    assert first.content == second.content
+    assert len(second.content) > 60_000
+
+
+async def test_lost_owner_leaves_the_outcome_unknown(site: Site) -> None:
+    agent = await site.agent()
+    lost = await site.entry("entry-1")
+    caller = await site.caller(await site.entry("entry-2"))
+    body = job()
+    await (await site.caller(lost)).post("/v1/jobs", json=body)
+
+    await lost.__aexit__(None, None, None)
+    del site.membership.entries["entry-1"]
+    response = await caller.post("/v1/jobs", json=body)
+
+    assert failure_of(response) == ("outcome_unknown", "may_have_run")
+    assert len(agent.starts) == 3
+
+
+async def test_restarted_owner_does_not_start_a_job_of_its_former_self(
+    site: Site,
+) -> None:
+    agent = await site.agent()
+    body = job()
+    first = await site.entry("entry-1")
+    await (await site.caller(first)).post("/v1/jobs", json=body)
+    await first.__aexit__(None, None, None)
+
+    caller = await site.caller(await site.entry("entry-1"))
+    response = await caller.post("/v1/jobs", json=body)
+
+    assert failure_of(response) == ("outcome_unknown", "may_have_run")
+    assert len(agent.starts) == 3
+
+
+async def test_without_a_majority_nothing_starts(site: Site) -> None:
+    agent = await site.agent()
+    caller = await site.caller(await site.entry())
+    site.registrars.available = False
+    body = job()
+
+    refused = await caller.post("/v1/jobs", json=body)
+    site.registrars.available = True
+    accepted = await caller.post("/v1/jobs", json=body)
+
+    assert failure_of(refused) == ("no_quorum", "not_run")
+    assert refused.headers["retry-after"] == "1"
+    assert accepted.status_code == 200
+    assert len(agent.starts) == 3
+
+
+async def test_other_content_waits_for_the_claim_before_it_is_refused(
+    site: Site,
+) -> None:
+    """While the claim runs, the id may turn out to belong to either content."""
+    await site.agent()
+    owner = await site.caller(await site.entry("entry-1"))
+    other = await site.caller(await site.entry("entry-2"))
+    body = job()
+    first = await owner.post("/v1/jobs", json=body)
+
+    site.registrars.gate.clear()
+    wrong = body | {"tasks": [{"payload": "other"}]}
+    wrong_first = asyncio.create_task(other.post("/v1/jobs", json=wrong))
+    await site.registrars.wait_claims(2)
+    right = asyncio.create_task(other.post("/v1/jobs", json=body))
+    site.registrars.gate.set()
+
+    assert failure_of(await wrong_first) == ("id_reused", "not_run")
+    assert (await right).content == first.content
+
+
+async def test_request_without_an_id_and_idempotent_ones_need_no_claim(
+    site: Site,
+) -> None:
+    agent = await site.agent()
+    caller = await site.caller(await site.entry())
+    site.registrars.available = False
+    body = job(payload=5)
+    del body["tasks"]
+    unnamed = {name: value for name, value in body.items() if name != "id"}
+
+    idempotent = await caller.post("/v1/requests", json=body | {"idempotent": True})
+    fresh = await caller.post("/v1/requests", json=unnamed)
+    claimed = await caller.post("/v1/requests", json=body | {"id": job()["id"]})
+
+    assert idempotent.json()["result"] == fresh.json()["result"] == {"echo": 5}
+    assert failure_of(claimed) == ("no_quorum", "not_run")
+    assert len(agent.starts) == 2
+
+
+async def test_cancel_through_another_entry_stops_the_job(site: Site) -> None:
+    agent = await site.agent(slots=1)
+    agent.automatic = False
+    owner = await site.caller(await site.entry("entry-1"))
+    other = await site.caller(await site.entry("entry-2"))
+    body = job(count=20)
+    first = asyncio.create_task(owner.post("/v1/jobs", json=body))
+    await agent.wait_started(1)
+
+    cancelled = await other.delete(f"/v1/jobs/{body['id']}")
+
+    assert failure_of(cancelled) == ("cancelled", "ran")
+    assert (await first).content == cancelled.content
+    assert len(agent.starts) < 20
+
+
+@pytest.mark.parametrize("state", ["not ready", "no lease", "drain ordered"])
+async def test_entry_that_is_not_ready_refuses_as_not_run(
+    site: Site, state: str
+) -> None:
+    agent = await site.agent()
+    caller = await site.caller(await site.entry())
+    ready = await caller.get("/readyz")
+    site.membership.ready = state != "not ready"
+    site.membership.drain_ordered = state == "drain ordered"
+    if state == "no lease":
+        site.membership.lease_since_s = float("inf")
+
+    response = await caller.post("/v1/jobs", json=job())
+    not_ready = await caller.get("/readyz")
+
+    assert (ready.status_code, not_ready.status_code) == (200, 503)
+    assert failure_of(response) == ("not_ready", "not_run")
+    assert (await caller.get("/healthz")).status_code == 200
+    assert agent.starts == []
+
+
+async def test_service_that_nobody_offers_is_refused_for_now(site: Site) -> None:
+    caller = await site.caller(await site.entry())
+
+    response = await caller.post("/v1/jobs", json=job())
+
+    assert failure_of(response) == ("not_ready", "not_run")
+    assert response.json()["retry_after_s"] > 0
+
+
+async def test_deadline_fails_a_job_whose_agent_is_silent(site: Site) -> None:
+    agent = await site.agent()
+    agent.automatic = False
+    caller = await site.caller(await site.entry())
+
+    response = await caller.post("/v1/jobs", json=job(deadline_ms=50))
+
+    assert response.status_code == 504
+    assert failure_of(response) == ("deadline_exceeded", "ran")
