--- a/src/verbenaplank/control/machine.py
+++ b/src/verbenaplank/control/machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 import attrs
@@ -22,6 +23,7 @@
 from verbenaplank.configuration.state import ConfigurationSnapshot
 from verbenaplank.configuration.state import ConfigurationState
 from verbenaplank.configuration.state import actor_of
+from verbenaplank.control.commands import ControlCommand
 from verbenaplank.control.commands import ControlResult
 from verbenaplank.control.commands import OperatorCommand
 from verbenaplank.control.commands import decode_command
@@ -33,9 +35,11 @@
     from collections.abc import Callable
 
     from verbenaplank.configuration.commands import Change
-    from verbenaplank.control.commands import ControlCommand
     from verbenaplank.membership.commands import OrderDrain
     from verbenaplank.membership.commands import SetRegistrars
+    from verbenaplank.membership.registrars import RegistrarChange
+
+logger = logging.getLogger(__name__)
 
 _NO_ORIGIN = Origin(command_id="", sent_at_ms=0)
 
@@ -68,7 +72,7 @@
         """Apply one entry of the log and return its encoded result."""
         del index
         before = self._stamp()
-        result = self._apply(decode_command(command))
+        result = self._apply(_decoded(command))
         if before[0] != self.configuration.version:
             self._refresh_effective()
         if before != self._stamp():
@@ -100,10 +104,10 @@
         self.effective = EffectiveConfiguration()
         self._refresh_effective()
 
-    def _stamp(self) -> tuple[int, int, int]:
-        group = self.membership.registrars
-        epoch = group.epoch if group else 0
-        return self.configuration.version, self.membership.revision, epoch
+    def _stamp(self) -> tuple[int, int, RegistrarChange]:
+        membership = self.membership
+        version = self.configuration.version
+        return version, membership.revision, membership.registrars.change
 
     def _refresh_effective(self) -> None:
         sections = self.configuration.sections.values()
@@ -117,6 +121,9 @@
             return ControlResult(changed=self.membership.announce(command.announce))
         if command.leave is not None:
             return ControlResult(changed=self.membership.leave(command.leave))
+        if command.enter is not None:
+            entered = self.membership.registrars.enter(command.enter)
+            return ControlResult(changed=entered)
         if command.operator is not None:
             return ControlResult(outcome=self._operate(command.operator))
         return ControlResult()
@@ -177,9 +184,8 @@
         if not origin.administrator:
             detail = "only administrators change the registrar group"
             return self._outcome(Verdict.FORBIDDEN, detail)
-        if not self.membership.set_registrars(change):
-            group = self.membership.registrars
-            epoch = group.epoch if group else 0
+        if not self.membership.registrars.set_registrars(change):
+            epoch = self.membership.registrars.change.epoch
             detail = f"the registrar group is at epoch {epoch}"
             return self._outcome(Verdict.CONFLICT, detail)
         return self._outcome(Verdict.ACCEPTED)
@@ -207,6 +213,15 @@
         )
 
 
+def _decoded(command: bytes) -> ControlCommand:
+    """Decode an entry; one of another release's making has no effect here."""
+    try:
+        return decode_command(command)
+    except msgspec.MsgspecError:
+        logger.exception("unreadable entry in the log")
+        return ControlCommand()
+
+
 def action_of(command: OperatorCommand) -> str:
     """Return the name under which the audit trail knows a command."""
     if command.drain is not None:
