Open the first epoch in the registrar host

Change: enter and open the first epoch at start. Conclusion: a stop-gap until control opens epochs by the replicated group.

--- a/src/verbenaplank/control/registrar_host.py
+++ b/src/verbenaplank/control/registrar_host.py
@@ -27,5 +27,7 @@
     )
     ran_before = Path(settings.data_folder).exists()
     amnesia_ms = amnesia_after_start_ms(None if ran_before else 0, wall_clock(), limits)
-    registrar = Registrar(limits, FIRST_EPOCH, amnesia_ms=amnesia_ms)
+    registrar = Registrar(limits, amnesia_ms)
+    registrar.enter_epoch(FIRST_EPOCH)
+    registrar.open_epoch(FIRST_EPOCH, 0, newcomer=False)
     return registrar_service(registrar, wall_clock)
