Tell a cancellation from one that came too late

Cause: verbena cancel printed "cancelled" for a job that was already complete; found by the test of the commands against a running fleet. Change: a cancelled job exits 0 and says what ran; a complete one exits 4.

--- a/src/verbenaplank/console/commands/cancel.py
+++ b/src/verbenaplank/console/commands/cancel.py
@@ -6,12 +6,20 @@
 
 import typer
 
+from verbenaplank.console.client import Client
+from verbenaplank.console.client import Reply
+from verbenaplank.console.client import UnreachableError
+from verbenaplank.console.exit_code import ExitCode
 from verbenaplank.console.options import DEFAULT_ENTRY_URL
 from verbenaplank.console.options import AsJson
 from verbenaplank.console.options import EntryUrls
 from verbenaplank.console.options import Token
+from verbenaplank.console.output import RUN_SENTENCES
+from verbenaplank.console.output import exit_unreachable
+from verbenaplank.console.output import exit_with_problem
 from verbenaplank.console.output import print_json
-from verbenaplank.console.requests import send_or_exit
+from verbenaplank.outcome.failure import FailureKind
+from verbenaplank.outcome.failure import Run
 
 
 def cancel(
@@ -21,8 +29,27 @@
     as_json: AsJson = False,
 ) -> None:
     """Cancel a job: what has not started never starts."""
-    reply = send_or_exit(entry, token, "DELETE", f"/v1/jobs/{job_id}", None, as_json)
+    with Client(entry, token) as client:
+        try:
+            reply = client.send("DELETE", f"/v1/jobs/{job_id}")
+        except UnreachableError as error:
+            exit_unreachable(error)
+    if not reply.succeeded and not _was_cancelled(reply):
+        exit_with_problem(reply, as_json)
     if as_json:
         print_json(reply.content)
-        return
-    typer.echo(f"cancelled {job_id}")
+    else:
+        typer.echo(_sentence(reply))
+    if reply.succeeded:
+        raise typer.Exit(ExitCode.CONFLICT)
+
+
+def _was_cancelled(reply: Reply) -> bool:
+    content = reply.content
+    return isinstance(content, dict) and content.get("kind") == FailureKind.CANCELLED
+
+
+def _sentence(reply: Reply) -> str:
+    if reply.succeeded:
+        return "Too late: the job is complete."
+    return f"Cancelled. {RUN_SENTENCES[Run(reply.content['run'])]}"
--- a/src/verbenaplank/console/exit_code.py
+++ b/src/verbenaplank/console/exit_code.py
@@ -20,7 +20,8 @@
     NOT_RUN
         The request was refused and surely not run.
     CONFLICT
-        Someone else changed the section first; nothing was changed.
+        Too late: someone else changed the section first, or the job was complete;
+        nothing was changed.
     UNREACHABLE
         No instance answered; the outcome is not known.
     """
