--- a/tests/claims/test_claimant.py
+++ b/tests/claims/test_claimant.py
@@ -9,6 +9,8 @@
 from claims_model import START_MS
 from claims_model import ClaimantProcess
 from claims_model import ClaimsModel
+from claims_model import ToClaimant
+from claims_model import ToNode
 from claims_model import job_id_at
 
 from verbenaplank.claims.claimant import ClaimantIdentity
@@ -152,14 +154,37 @@
 
     def _schedule(self) -> None:
         for message in self.network:
-            self._at(self.random.uniform(0.0005, 0.003), message)
+            self._at(self._delay_s(message), message)
         self.network.clear()
 
+    def _delay_s(self, message: ToNode | ToClaimant) -> float:
+        return self.random.uniform(0.0005, 0.003)
+
     def _at(self, delay_s: float, due: object) -> None:
         entry = (self._time_s + delay_s, next(self._order), due)
         heapq.heappush(self._times, entry)
 
 
+class _LockstepModel(_TimedModel):
+    """Two claimants, each always nearer to another registrar."""
+
+    def _delay_s(self, message: ToNode | ToClaimant) -> float:
+        is_request = isinstance(message, ToNode)
+        number = message.sender if is_request else message.claimant
+        return 0.001 if message.node == f"r{number}" else 0.002
+
+
+def test_claimants_in_lockstep_do_not_split_for_ever() -> None:
+    for seed in range(100):
+        model = _LockstepModel(seed)
+        model.nodes["r2"].is_up = False
+        processes = [model.start_claim(JOB_ID) for _ in range(2)]
+
+        assert model.run(max_steps=2_000) < 2_000, f"seed {seed} did not end"
+        states = [process.decision and process.decision.state for process in processes]
+        assert states.count(ClaimState.OWNED_HERE) == 1, f"seed {seed}: {states}"
+
+
 @pytest.mark.parametrize("claimants", [2, 3, 5])
 @pytest.mark.parametrize("lost", [(), ("r2",)])
 def test_split_claims_end_with_one_owner(claimants: int, lost: tuple[str, ...]) -> None:
