Add the history checker

Change: check_history reports starts over the allowed runs, partial and foreign answers, answers without a request and requests without an answer, starts of what was refused as not run, and starts over 2 s after an agent left, each with its file and line. A refusal as not run is checked per submission: a start has to be accounted for by another submission whose request precedes it. Conclusion: tested on a history holding each violation.

--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -102,6 +102,7 @@
                 self._clock,
                 self._on_link_event,
             )
+            self._note(EventKind.JOINED)
             self._link = await resources.enter_async_context(link)
             self._resources = resources.pop_all()
         return self
@@ -153,21 +154,20 @@
             self._refuse_dispatches()
         else:
             self._runner.resume()
+            self._note(EventKind.JOINED)
             self._announce(draining=False)
 
     def _refuse_dispatches(self) -> None:
         if self._gate.draining:
             return
         self._runner.drain()
-        self._record(
-            Event(
-                kind=EventKind.LEFT,
-                time_s=event_time_s(),
-                process=self._settings.instance_id,
-            )
-        )
+        self._note(EventKind.LEFT)
         self._announce(draining=True)
 
+    def _note(self, kind: EventKind) -> None:
+        name = self._settings.instance_id
+        self._record(Event(kind=kind, time_s=event_time_s(), process=name))
+
     def _announce(self, *, draining: bool) -> None:
         self._member = attrs.evolve(self._member, draining=draining)
         if self._link is not None:
--- a/src/verbenaplank/history/event.py
+++ b/src/verbenaplank/history/event.py
@@ -15,13 +15,14 @@
     """What happened.
 
     ``REQUESTED`` and ``ANSWERED`` come from callers, ``DISPATCHED`` from
-    entries, ``STARTED``, ``ENDED``, ``REFUSED`` and ``LEFT`` from agents,
-    ``BACKEND_STARTED`` and ``BACKEND_ENDED`` from backend servers.
+    entries, ``JOINED``, ``STARTED``, ``ENDED``, ``REFUSED`` and ``LEFT`` from
+    agents, ``BACKEND_STARTED`` and ``BACKEND_ENDED`` from backend servers.
     """
 
     REQUESTED = "requested"
     ANSWERED = "answered"
     DISPATCHED = "dispatched"
+    JOINED = "joined"
     STARTED = "started"
     ENDED = "ended"
     REFUSED = "refused"
--- a/tests/agent/test_agent_application.py
+++ b/tests/agent/test_agent_application.py
@@ -129,6 +129,7 @@
 
     assert message.results[0].outcome is TaskOutcome.SUCCEEDED
     assert [event.kind for event in site.events] == [
+        EventKind.JOINED,
         EventKind.STARTED,
         EventKind.LEFT,
         EventKind.ENDED,
--- /dev/null
+++ b/tests/history/test_history_checker.py
@@ -0,0 +1,163 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import pytest
+
+from verbenaplank.history.checker import ViolationKind
+from verbenaplank.history.checker import check_history
+from verbenaplank.history.event import AnswerState
+from verbenaplank.history.event import Event
+from verbenaplank.history.event import EventKind
+from verbenaplank.history.json_lines import EventWriter
+from verbenaplank.history.json_lines import InvalidHistoryError
+from verbenaplank.history.json_lines import PlacedEvent
+from verbenaplank.history.json_lines import read_events
+from verbenaplank.outcome.failure import Run
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+REQUESTED = Event(
+    kind=EventKind.REQUESTED, time_s=0.0, process="c", job_id="j", tasks=("a", "b")
+)
+START_0 = Event(
+    kind=EventKind.BACKEND_STARTED, time_s=1.0, process="b1", job_id="j", task_index=0
+)
+START_1 = attrs.evolve(START_0, process="b2", task_index=1)
+COMPLETE = Event(
+    kind=EventKind.ANSWERED,
+    time_s=2.0,
+    process="c",
+    job_id="j",
+    state=AnswerState.COMPLETE,
+    results=("a", "b"),
+)
+FAILED = attrs.evolve(COMPLETE, state=AnswerState.FAILED, run=Run.RAN, results=())
+NOT_RUN = attrs.evolve(FAILED, run=Run.NOT_RUN)
+LEFT = Event(kind=EventKind.LEFT, time_s=1.0, process="a1")
+JOINED = attrs.evolve(LEFT, kind=EventKind.JOINED, time_s=1.2)
+AGENT_START = Event(
+    kind=EventKind.STARTED, time_s=1.5, process="a1", job_id="j", task_index=0
+)
+IDEMPOTENT = attrs.evolve(REQUESTED, idempotent=True, max_runs=2)
+
+
+def _kinds(*events: Event) -> list[ViolationKind]:
+    placed = [PlacedEvent(f"h:{line}", event) for line, event in enumerate(events, 1)]
+    return [violation.kind for violation in check_history(placed)]
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        (REQUESTED, START_0, START_1, COMPLETE),
+        (REQUESTED, START_0, FAILED),
+        (REQUESTED, NOT_RUN),
+        (IDEMPOTENT, START_0, START_0, START_1, COMPLETE),
+        (REQUESTED, AGENT_START, LEFT, FAILED),
+        (REQUESTED, LEFT, JOINED, attrs.evolve(AGENT_START, time_s=9.0), FAILED),
+    ],
+)
+def test_sound_history_has_no_violation(events: tuple[Event, ...]) -> None:
+    assert _kinds(*events) == []
+
+
+def test_refused_request_that_is_submitted_again_may_start() -> None:
+    refused = attrs.evolve(NOT_RUN, time_s=0.1)
+    again = attrs.evolve(REQUESTED, time_s=0.2)
+
+    assert _kinds(REQUESTED, refused, again, START_0, START_1, COMPLETE) == []
+
+
+def test_refusal_of_a_resubmission_does_not_excuse_an_earlier_start() -> None:
+    refused = attrs.evolve(NOT_RUN, time_s=1.5)
+    again = attrs.evolve(REQUESTED, time_s=1.6)
+
+    assert (
+        _kinds(REQUESTED, START_0, START_1, refused, again, COMPLETE)
+        == [ViolationKind.NOT_RUN_BUT_STARTED] * 2
+    )
+
+
+@pytest.mark.parametrize(
+    ("events", "violation"),
+    [
+        (
+            (REQUESTED, START_0, START_0, START_1, COMPLETE),
+            ViolationKind.STARTED_TOO_OFTEN,
+        ),
+        (
+            (IDEMPOTENT, START_0, START_0, START_0, START_1, COMPLETE),
+            ViolationKind.STARTED_TOO_OFTEN,
+        ),
+        (
+            (REQUESTED, attrs.evolve(COMPLETE, results=("a",))),
+            ViolationKind.PARTIAL_ANSWER,
+        ),
+        (
+            (REQUESTED, attrs.evolve(FAILED, results=("a",))),
+            ViolationKind.PARTIAL_ANSWER,
+        ),
+        (
+            (REQUESTED, attrs.evolve(COMPLETE, results=("a", "x"))),
+            ViolationKind.FOREIGN_RESULT,
+        ),
+        (
+            (REQUESTED, COMPLETE, COMPLETE),
+            ViolationKind.ANSWER_WITHOUT_REQUEST,
+        ),
+        ((REQUESTED,), ViolationKind.UNANSWERED),
+        ((REQUESTED, START_0, NOT_RUN), ViolationKind.NOT_RUN_BUT_STARTED),
+        (
+            (REQUESTED, NOT_RUN, attrs.evolve(START_0, time_s=9.0)),
+            ViolationKind.NOT_RUN_BUT_STARTED,
+        ),
+        ((START_0,), ViolationKind.START_WITHOUT_REQUEST),
+        (
+            (REQUESTED, LEFT, attrs.evolve(AGENT_START, time_s=3.5), FAILED),
+            ViolationKind.STARTED_AFTER_LEAVING,
+        ),
+    ],
+)
+def test_each_violation_is_found(
+    events: tuple[Event, ...], violation: ViolationKind
+) -> None:
+    assert _kinds(*events) == [violation]
+
+
+def test_results_in_another_order_are_foreign() -> None:
+    swapped = attrs.evolve(COMPLETE, results=("b", "a"))
+
+    assert _kinds(REQUESTED, swapped) == [ViolationKind.FOREIGN_RESULT] * 2
+
+
+def test_resubmission_does_not_allow_a_second_start() -> None:
+    other_caller = attrs.evolve(REQUESTED, process="d", time_s=0.5)
+    other_answer = attrs.evolve(COMPLETE, process="d")
+
+    assert _kinds(
+        REQUESTED, other_caller, START_0, START_0, START_1, COMPLETE, other_answer
+    ) == [ViolationKind.STARTED_TOO_OFTEN]
+
+
+def test_events_are_read_back_with_their_places(tmp_path: Path) -> None:
+    path = tmp_path / "caller.jsonl"
+    with EventWriter(path) as writer:
+        for event in (REQUESTED, COMPLETE):
+            writer.write(event)
+    with path.open("ab") as file:
+        file.write(b'{"kind": "answ')
+
+    placed = list(read_events(path))
+    assert [each.event for each in placed] == [REQUESTED, COMPLETE]
+    assert [each.place for each in placed] == ["caller.jsonl:1", "caller.jsonl:2"]
+
+
+def test_line_that_is_no_event_is_named(tmp_path: Path) -> None:
+    path = tmp_path / "caller.jsonl"
+    path.write_text('{"kind": "unknown"}\n')
+
+    with pytest.raises(InvalidHistoryError, match=r"caller\.jsonl:1"):
+        list(read_events(path))
