--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -25,6 +25,7 @@
 from verbenaplank.control.join_session import SessionContext
 from verbenaplank.control.lease_keeper import LeaseKeeper
 from verbenaplank.control.machine import ControlMachine
+from verbenaplank.control.registrar_host import first_group_service
 from verbenaplank.control.renewal_forwarder import RenewalForwarder
 from verbenaplank.control.replication import SharedBarrier
 from verbenaplank.observability.metrics import Metrics
@@ -40,7 +41,9 @@
     from verbenaplank.settings.common import ControlPeer
     from verbenaplank.settings.control import ControlSettings
 
-BARRIER_TIMEOUT_S = 2.0
+BARRIER_ELECTION_TIMEOUTS = 2.0
+"""A read barrier may take so many election timeouts, so that it outlives one."""
+
 TICK_S = 0.05
 
 
@@ -70,10 +73,11 @@
         self._stack = AsyncExitStack()
         self.machine = ControlMachine(self._on_change)
         self.log = ConsensusNode(settings, self.machine, clock, self._random)
-        self._barrier = SharedBarrier(self.log, BARRIER_TIMEOUT_S)
-        self._currency = Currency(
-            self.log, clock, settings.consensus.election_timeout_ms / 1_000
+        election_timeout_s = settings.consensus.election_timeout_ms / 1_000
+        self._barrier = SharedBarrier(
+            self.log, election_timeout_s * BARRIER_ELECTION_TIMEOUTS
         )
+        self._currency = Currency(self.log, clock, election_timeout_s)
         self.keeper = LeaseKeeper(
             self.log, self.machine, settings.membership.lease_ms / 1_000, clock
         )
@@ -87,7 +91,7 @@
             machine=self.machine,
             barrier=self._barrier,
             keeper=self.keeper,
-            addresses=self._addresses,
+            peers=settings.peers,
             tls=settings.tls,
             administrator_sha256=settings.administration.token_sha256,
             wall_clock=wall_clock,
@@ -100,11 +104,13 @@
         path = self._settings.administration.document_path
         document = load_first_document(Path(path)) if path else None
         async with AsyncExitStack() as stack:
+            registrar = first_group_service(self._settings, self._wall_clock)
             await stack.enter_async_context(self.log)
             services = [
                 *self.log.services(),
                 *self.keeper.services(),
                 self._members.service(),
+                registrar,
             ]
             listening = serve(services, self._settings.rpc.address, self._settings.tls)
             self.rpc_address = await stack.enter_async_context(listening)
