Claims: a registrar host with the synced ceiling and the epochs

Cause: control mounts a registrar whose amnesia after a restart rested on the wall clock, though it has a disk. Change: RegistrarHost reads the ceiling at the start, keeps it synced ahead, and syncs a newcomer's ceiling before its epoch opens. Conclusion: a restart with the clock 60 s back abstains; a lost or damaged ceiling abstains up to the skew; a full disk grants nothing.

--- /dev/null
+++ b/src/verbenaplank/claims/host.py
@@ -0,0 +1,114 @@
+"""A control instance's registrar with its ceiling on disk and its epochs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from verbenaplank.claims.ceiling import CeilingKeeper
+from verbenaplank.claims.registrar import Registrar
+from verbenaplank.claims.registrar import RegistrarLimits
+from verbenaplank.claims.registrar import amnesia_after_start_ms
+from verbenaplank.claims.service import registrar_service
+from verbenaplank.storage.errors import DamagedFileError
+
+if TYPE_CHECKING:
+    from types import TracebackType
+    from typing import Self
+
+    from verbenaplank.clock.sources import WallClock
+    from verbenaplank.rpc.method import Service
+
+logger = logging.getLogger(__name__)
+
+
+class CeilingFile(Protocol):
+    """A durable number that only grows; its calls block."""
+
+    def read(self) -> int:
+        """Return the number; 0 if it was never raised."""
+
+    def raise_to(self, value: int) -> None:
+        """Make a higher number durable."""
+
+
+class RegistrarHost:
+    """Serves claims; an async context manager.
+
+    Parameters
+    ----------
+    first_start
+        Whether this instance has surely never granted a claim: the cluster is
+        being created, not joined or restarted.
+
+    Attributes
+    ----------
+    registrar
+        Grants nothing before an epoch is opened.
+    """
+
+    def __init__(
+        self,
+        limits: RegistrarLimits,
+        ceiling_file: CeilingFile,
+        wall_clock: WallClock,
+        *,
+        first_start: bool,
+    ) -> None:
+        self._ceiling_file = ceiling_file
+        self._wall_clock = wall_clock
+        synced_ms = _read_ceiling_ms(ceiling_file, first_start=first_start)
+        amnesia_ms = amnesia_after_start_ms(synced_ms, wall_clock(), limits)
+        self.registrar = Registrar(limits, amnesia_ms, ceiling_ms=synced_ms or 0)
+        self._keeper = CeilingKeeper(
+            self.registrar, limits.max_clock_skew_ms, self._sync_ceiling, wall_clock
+        )
+
+    async def __aenter__(self) -> Self:
+        """Sync the first ceiling and keep it ahead of the clock."""
+        await self._keeper.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._keeper.__aexit__(exception_type, exception, traceback)
+
+    def service(self) -> Service:
+        """Return the service through which entries claim identifiers."""
+        return registrar_service(self.registrar, self._wall_clock)
+
+    async def open_epoch(
+        self, epoch: int, latest_grant_ms: int, *, newcomer: bool
+    ) -> None:
+        """Open an epoch, for a newcomer once its ceiling is synced far enough.
+
+        Raises
+        ------
+        OSError
+            If a newcomer's ceiling cannot be synced.
+        """
+        if newcomer and latest_grant_ms > self.registrar.ceiling_ms:
+            await self._sync_ceiling(latest_grant_ms)
+            self.registrar.raise_ceiling(latest_grant_ms)
+        self.registrar.open_epoch(epoch, latest_grant_ms, newcomer=newcomer)
+
+    async def _sync_ceiling(self, ceiling_ms: int) -> None:
+        await asyncio.to_thread(self._ceiling_file.raise_to, ceiling_ms)
+
+
+def _read_ceiling_ms(ceiling_file: CeilingFile, *, first_start: bool) -> int | None:
+    """Return the synced ceiling, or ``None`` if it is not known."""
+    try:
+        ceiling_ms = ceiling_file.read()
+    except DamagedFileError as error:
+        logger.warning("the ceiling of claims is lost: %s", error)
+        return None
+    if ceiling_ms == 0 and not first_start:
+        return None
+    return ceiling_ms
