Gate: histories of races; a revocation names the agent's incarnation

Cause: TestGateHistories: a restarted agent answered a dispatch or revocation of its earlier life as never started, though that life may have started it. Ruled out: a longer memory, as an agent has no disk. Change: Revoke carries the incarnation that its dispatch was meant for; another incarnation answers finished with a lost result, which is not 'not run'.

--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -151,6 +151,8 @@
         """Make sure that a dispatch never starts, or tell that it has."""
         entry = self._entries[key]
         task_id = task_id_of(revoke.job_id, revoke.task_index, revoke.attempt)
+        if revoke.agent_incarnation not in ("", self._incarnation):
+            return self._answer_started(entry, "", revoke)
         if self._was_started(entry, task_id, revoke.dispatch_id):
             return self._answer_started(entry, task_id, revoke)
         self._remove(entry, task_id, revoke.dispatch_id)
--- a/src/verbenaplank/agent/replies.py
+++ b/src/verbenaplank/agent/replies.py
@@ -41,7 +41,7 @@
 
 
 def lost_result_reply(key: EntryKey, revoke: Revoke) -> Reply:
-    """Return the result of a task that has run and whose result is lost."""
+    """Return the result of a task that has, or may have, run without one."""
     result = TaskResult(
         job_id=revoke.job_id,
         task_index=revoke.task_index,
--- a/src/verbenaplank/protocol/work.py
+++ b/src/verbenaplank/protocol/work.py
@@ -93,12 +93,20 @@
 
 @attrs.frozen(kw_only=True)
 class Revoke:
-    """Asks that a dispatch never starts, if it has not started."""
+    """Asks that a dispatch never starts, if it has not started.
+
+    Attributes
+    ----------
+    agent_incarnation
+        The incarnation that the dispatch was meant for; another one cannot
+        tell whether it started.  Empty if it is surely the present one.
+    """
 
     dispatch_id: int
     job_id: str
     task_index: int
     attempt: int = 1
+    agent_incarnation: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/agent/test_gate.py
+++ b/tests/agent/test_gate.py
@@ -199,6 +199,12 @@
     ]
 
 
+def test_revocation_of_an_earlier_life_is_not_answered_as_revoked() -> None:
+    revoke = attrs.evolve(_revoke(1), agent_incarnation="a0")
+
+    assert _states(_gate().on_revoke(ENTRY, revoke, 0.0)) == [RevocationState.FINISHED]
+
+
 def test_lost_stream_drops_what_waits_and_lets_run_what_runs() -> None:
     gate = _gate()
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
--- /dev/null
+++ b/tests/agent/test_gate_stateful.py
@@ -0,0 +1,223 @@
+from __future__ import annotations
+
+import attrs
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from verbenaplank.agent.effects import Effect
+from verbenaplank.agent.effects import EntryKey
+from verbenaplank.agent.effects import Reply
+from verbenaplank.agent.effects import StartRun
+from verbenaplank.agent.gate import Gate
+from verbenaplank.agent.gate import GateLimits
+from verbenaplank.protocol.work import Dispatch
+from verbenaplank.protocol.work import DispatchRefusal
+from verbenaplank.protocol.work import Revocation
+from verbenaplank.protocol.work import RevocationState
+from verbenaplank.protocol.work import Revoke
+from verbenaplank.protocol.work import TaskOutcome
+from verbenaplank.protocol.work import TaskResult
+
+ENTRIES = (EntryKey("e1", "1"), EntryKey("e2", "1"))
+LIMITS = GateLimits(slots=2, max_queued_tasks=2, retention_s=30.0)
+BUDGET_S = 1.0
+SLACK_S = 1e-6
+INDEXES = st.integers(0, 2)
+WHICH = st.integers(0, 1)
+POSITIONS = st.integers(0, 100)
+
+
+@attrs.frozen
+class Key:
+    """One dispatch of one entry."""
+
+    entry: EntryKey
+    dispatch_id: int
+
+
+class GateHistories(RuleBasedStateMachine):
+    """Dispatches, revocations, restarts and freezes in any order."""
+
+    @initialize()
+    def start(self) -> None:
+        self.now_s = 0.0
+        self.life = 0
+        self.next_id = 0
+        self.sent: list[tuple[EntryKey, Dispatch]] = []
+        self.received_s: dict[Key, float] = {}
+        self.received_in: dict[Key, int] = {}
+        self.runs: dict[str, tuple[EntryKey, Dispatch]] = {}
+        self.reserved: dict[str, tuple[EntryKey, Dispatch]] = {}
+        self.starts: list[tuple[int, str, Key]] = []
+        self.closed: set[Key] = set()
+        self.answered_started: set[Key] = set()
+        self.restart()
+
+    @rule()
+    def restart(self) -> None:
+        """Start the agent anew: empty memory, another incarnation."""
+        self.life += 1
+        self.gate = Gate(f"a{self.life}", frozenset({"draw"}), LIMITS)
+        self.runs.clear()
+        self.reserved.clear()
+        self.draining = False
+        for entry in ENTRIES:
+            self.gate.on_hello(entry, self.now_s)
+
+    @rule(which=WHICH, index=INDEXES, attempt=st.integers(1, 2), urgent=st.booleans())
+    def dispatch(self, which: int, index: int, attempt: int, urgent: bool) -> None:
+        self.next_id += 1
+        dispatch = Dispatch(
+            job_id="job",
+            task_index=index,
+            dispatch_id=self.next_id,
+            agent_incarnation=f"a{self.life}",
+            service="draw",
+            payload=b"{}",
+            start_budget_ms=BUDGET_S * 1_000,
+            run_budget_ms=1_000.0,
+            attempt=attempt,
+            urgent=urgent,
+        )
+        self.sent.append((ENTRIES[which], dispatch))
+
+    @precondition(lambda self: self.sent)
+    @rule(position=POSITIONS)
+    def receive(self, position: int) -> None:
+        """Deliver a dispatch; it may be old, for another life, or a duplicate."""
+        entry, dispatch = self.sent[position % len(self.sent)]
+        key = Key(entry, dispatch.dispatch_id)
+        if self.received_in.setdefault(key, self.life) != self.life:
+            return  # A stream ends with the life that it led to.
+        self.received_s.setdefault(key, self.now_s)
+        self._take(self.gate.on_dispatch(entry, dispatch, self.now_s))
+
+    @precondition(lambda self: self.sent)
+    @rule(position=POSITIONS)
+    def revoke(self, position: int) -> None:
+        entry, dispatch = self.sent[position % len(self.sent)]
+        revoke = Revoke(
+            dispatch_id=dispatch.dispatch_id,
+            job_id="job",
+            task_index=dispatch.task_index,
+            attempt=dispatch.attempt,
+            agent_incarnation=dispatch.agent_incarnation,
+        )
+        self._take(self.gate.on_revoke(entry, revoke, self.now_s))
+
+    @rule()
+    def fill_slots(self) -> None:
+        self._take(self.gate.start_ready(self.now_s))
+
+    @precondition(lambda self: self.reserved)
+    @rule(position=POSITIONS)
+    def begin(self, position: int) -> None:
+        task_id = sorted(self.reserved)[position % len(self.reserved)]
+        entry, dispatch = self.reserved.pop(task_id)
+        begin = self.gate.begin(task_id, self.now_s)
+        self._take([*begin.effects])
+        if not begin.allowed:
+            return
+        key = Key(entry, dispatch.dispatch_id)
+        assert not self.draining, "started while draining"
+        assert key not in self.closed, "started after its refusal or revocation"
+        late_s = self.now_s - self.received_s[key] - BUDGET_S
+        assert late_s <= SLACK_S, "started after its budget"
+        assert dispatch.agent_incarnation == f"a{self.life}", "of another life"
+        assert self.now_s <= self.lease_until_s[entry] + SLACK_S, "lease has run out"
+        self.starts.append((self.life, task_id, key))
+        self.runs[task_id] = (entry, dispatch)
+
+    @precondition(lambda self: self.reserved)
+    @rule(position=POSITIONS)
+    def fail_to_connect(self, position: int) -> None:
+        task_id = sorted(self.reserved)[position % len(self.reserved)]
+        del self.reserved[task_id]
+        self._take([*self.gate.abandon(task_id)])
+
+    @precondition(lambda self: self.runs)
+    @rule(position=POSITIONS)
+    def finish(self, position: int) -> None:
+        task_id = sorted(self.runs)[position % len(self.runs)]
+        _, dispatch = self.runs.pop(task_id)
+        result = TaskResult(
+            job_id="job",
+            task_index=dispatch.task_index,
+            dispatch_id=dispatch.dispatch_id,
+            outcome=TaskOutcome.SUCCEEDED,
+            attempt=dispatch.attempt,
+        )
+        self._take(self.gate.on_finished(task_id, result, self.now_s))
+
+    @rule(step_s=st.sampled_from((0.1, 0.6, 3.0, 40.0)))
+    def freeze(self, step_s: float) -> None:
+        """Let time pass without the gate being told."""
+        self.now_s += step_s
+
+    @rule()
+    def expire(self) -> None:
+        self._take(self.gate.expire(self.now_s))
+
+    @rule(which=WHICH, lease_s=st.sampled_from((0.5, 5.0)))
+    def renew(self, which: int, lease_s: float) -> None:
+        self.gate.on_renewal(ENTRIES[which], lease_s, self.now_s)
+
+    @rule(which=WHICH)
+    def reconnect(self, which: int) -> None:
+        self._take(self.gate.on_disconnect(ENTRIES[which], self.now_s))
+        self.gate.on_hello(ENTRIES[which], self.now_s)
+
+    @rule(draining=st.booleans())
+    def drain_or_resume(self, draining: bool) -> None:
+        self.draining = draining
+        if draining:
+            self._take(self.gate.drain())
+        else:
+            self.gate.resume()
+
+    @invariant()
+    def each_task_starts_once_in_a_life(self) -> None:
+        started = [(life, task_id) for life, task_id, _ in self.starts]
+        assert len(started) == len(set(started)), "a task started twice"
+
+    @invariant()
+    def slots_are_respected(self) -> None:
+        assert len(self.runs) + len(self.reserved) <= LIMITS.slots
+
+    @property
+    def lease_until_s(self) -> dict[EntryKey, float]:
+        return {key: self.gate._entries[key].lease_until_s for key in ENTRIES}
+
+    def _take(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, StartRun):
+                key = next(
+                    entry
+                    for entry, dispatch in self.sent
+                    if dispatch.dispatch_id == effect.dispatch.dispatch_id
+                )
+                self.reserved[effect.task_id] = (key, effect.dispatch)
+            elif isinstance(effect, Reply):
+                self._take_reply(effect)
+
+    def _take_reply(self, reply: Reply) -> None:
+        item = reply.item
+        key = Key(reply.entry, item.dispatch_id)
+        started = {each for _, _, each in self.starts}
+        if isinstance(item, DispatchRefusal):
+            assert key not in started, f"refused as {item.reason} after its start"
+            self.closed.add(key)
+        elif isinstance(item, Revocation) and item.state is RevocationState.REVOKED:
+            assert key not in started, "revoked after its start"
+            self.closed.add(key)
+
+
+GateHistories.TestCase.settings = settings(
+    max_examples=250, stateful_step_count=40, derandomize=True, database=None
+)
+TestGateHistories = GateHistories.TestCase
