--- /dev/null
+++ b/src/verbenaplank/bench/process_use.py
@@ -0,0 +1,68 @@
+"""Memory and processor time of a running process."""
+
+from __future__ import annotations
+
+import os
+import time
+from pathlib import Path
+
+import attrs
+
+WINDOW_S = 20.0
+BYTES_PER_KB = 1024
+
+
+@attrs.frozen(kw_only=True)
+class ProcessUse:
+    """What a process uses.
+
+    Attributes
+    ----------
+    processor_share
+        Processor time over the wall time of a window.
+    """
+
+    resident_bytes: int
+    peak_resident_bytes: int
+    threads: int
+    processor_share: float
+    window_s: float
+
+
+def measure_process(pid: int, window_s: float = WINDOW_S) -> ProcessUse:
+    """Measure a process over a window of some seconds.
+
+    Raises
+    ------
+    FileNotFoundError
+        If there is no such process.
+    """
+    before_s = processor_time_s(pid)
+    time.sleep(window_s)
+    share = (processor_time_s(pid) - before_s) / window_s
+    status = _status(pid)
+    return ProcessUse(
+        resident_bytes=_size_bytes(status["VmRSS"]),
+        peak_resident_bytes=_size_bytes(status["VmHWM"]),
+        threads=int(status["Threads"]),
+        processor_share=round(share, 5),
+        window_s=window_s,
+    )
+
+
+def processor_time_s(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    text = Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def _status(pid: int) -> dict[str, str]:
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    pairs = (line.partition(":") for line in lines)
+    return {name: value.strip() for name, _, value in pairs}
+
+
+def _size_bytes(text: str) -> int:
+    return int(text.split()[0]) * BYTES_PER_KB
--- /dev/null
+++ b/src/verbenaplank/bench/slopes_of_streams.py
@@ -0,0 +1,121 @@
+"""Slopes of a message on a long-lived stream, both ends in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import tracemalloc
+from contextlib import ExitStack
+from typing import TYPE_CHECKING
+
+from verbenaplank.bench.slope import MICROSECONDS_PER_SECOND
+from verbenaplank.bench.slope import Slope
+from verbenaplank.bench.slopes_of_work import dispatches
+from verbenaplank.protocol.membership import FromControl
+from verbenaplank.protocol.membership import Heartbeat
+from verbenaplank.protocol.membership import LeaseGrant
+from verbenaplank.protocol.membership import ToControl
+from verbenaplank.protocol.work import FromAgent
+from verbenaplank.protocol.work import LoadReport
+from verbenaplank.protocol.work import ToAgent
+from verbenaplank.rpc.address import Address
+from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.endpoint import serve
+from verbenaplank.rpc.services import JOIN
+from verbenaplank.rpc.services import WORK
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from grpclib.server import Stream
+
+MESSAGES = 4_000
+LOOPBACK = Address("127.0.0.1", 0)
+ENDS = 2
+OPEN_STREAMS = 200
+
+
+def slopes_of_streams() -> Iterator[Slope]:
+    """Measure one-way messages, a heartbeat with its answer, and open streams."""
+    for count in (1, 8, 32):
+        yield asyncio.run(_dispatch_messages(count))
+    yield asyncio.run(_heartbeats())
+    yield asyncio.run(_streams())
+
+
+async def _dispatch_messages(count: int) -> Slope:
+    """Measure a message of dispatches; the answer comes once, at the end."""
+    message = ToAgent(dispatches=dispatches(count))
+    done = FromAgent(load=LoadReport(running=0, queued=0))
+
+    async def receive(stream: Stream[ToAgent, FromAgent]) -> None:
+        for _ in range(MESSAGES):
+            await stream.recv_message()
+        await stream.send_message(done)
+
+    async with serve([WORK.handler(receive)], LOOPBACK) as address:
+        with connect(address) as channel:
+            async with WORK.open(channel) as stream:
+                started_s = time.process_time()
+                for _ in range(MESSAGES):
+                    await stream.send_message(message)
+                await stream.recv_message()
+                spent_s = time.process_time() - started_s
+                await stream.end()
+    return _slope(f"stream.message.{count}_dispatches", spent_s, MESSAGES * ENDS)
+
+
+async def _heartbeats() -> Slope:
+    """Measure one end of a heartbeat and the lease that answers it."""
+    heartbeat = ToControl(heartbeat=Heartbeat(configuration_version=1_600))
+    lease = FromControl(lease=LeaseGrant(lease_ms=5_000.0))
+
+    async def answer(stream: Stream[ToControl, FromControl]) -> None:
+        async for _ in stream:
+            await stream.send_message(lease)
+
+    async with serve([JOIN.handler(answer)], LOOPBACK) as address:
+        with connect(address) as channel:
+            async with JOIN.open(channel) as stream:
+                started_s = time.process_time()
+                for _ in range(MESSAGES):
+                    await stream.send_message(heartbeat)
+                    await stream.recv_message()
+                spent_s = time.process_time() - started_s
+                await stream.end()
+    return _slope("stream.heartbeat_and_lease", spent_s, MESSAGES * ENDS)
+
+
+async def _streams() -> Slope:
+    """Measure the memory of one end of an open connection with one stream."""
+
+    async def answer(stream: Stream[ToControl, FromControl]) -> None:
+        async for _ in stream:
+            await stream.send_message(FromControl())
+
+    async with serve([JOIN.handler(answer)], LOOPBACK) as address:
+        with ExitStack() as stack:
+            tracemalloc.start()
+            before_bytes, _ = tracemalloc.get_traced_memory()
+            streams = []
+            for _ in range(OPEN_STREAMS):
+                channel = stack.enter_context(connect(address))
+                stream = JOIN.open(channel)
+                await stream.__aenter__()
+                await stream.send_message(ToControl())
+                await stream.recv_message()
+                streams.append(stream)
+            after_bytes, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            for stream in streams:
+                await stream.end()
+                await stream.__aexit__(None, None, None)
+    value = (after_bytes - before_bytes) / (OPEN_STREAMS * ENDS)
+    return Slope(
+        name="stream.open", value=round(value), unit="bytes", items=OPEN_STREAMS
+    )
+
+
+def _slope(name: str, spent_s: float, items: int) -> Slope:
+    value = round(spent_s / items * MICROSECONDS_PER_SECOND, 1)
+    return Slope(name=name, value=value, unit="us", items=items)
