--- /dev/null
+++ b/src/verbenaplank/bench/capacity_tables.py
@@ -0,0 +1,169 @@
+"""Tables of docs/CAPACITY.md, as Markdown."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.bench.target import NodeLimits
+from verbenaplank.bench.target import Target
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from verbenaplank.bench.capacity import RoleUse
+    from verbenaplank.bench.capacity import Slopes
+    from verbenaplank.bench.target import Layout
+
+BYTES_PER_MB = 1024 * 1024
+ENTRY_RESIDENT_LIMIT_BYTES = 1024 * BYTES_PER_MB
+SHARE_OF_CORE_LIMIT = 0.8
+RENEWAL_SHARE_LIMIT = 0.1
+MAX_SCALE = 64.0
+STEPS = 40
+
+
+def roles_table(uses: Sequence[RoleUse]) -> str:
+    """Return what one instance of each role uses, a column a layout."""
+    rows: list[tuple[str, Callable[[RoleUse], str]]] = [
+        ("entries in all", lambda use: str(use.entries)),
+        ("entry: starts a second", lambda use: _number(use.entry_starts_per_s)),
+        ("entry: streams to agents", lambda use: str(use.entry_streams)),
+        ("entry: share of a core, all work", lambda use: _percent(use.entry_share)),
+        (
+            "entry: of it to renew leases",
+            lambda use: _percent(use.entry_renewal_share),
+        ),
+        ("entry: memory without kept answers", lambda use: _mb(use.entry_bytes)),
+        ("agent: starts a second", lambda use: _number(use.agent_starts_per_s)),
+        ("agent: streams from entries", lambda use: str(use.agent_streams)),
+        ("agent: share of a core for work", lambda use: _percent(use.agent_work_share)),
+        (
+            "agent: share of a core for control (limit 1.3%)",
+            lambda use: _percent(use.agent_control_share),
+        ),
+        (
+            "agent: control bytes a second (limit 2,048)",
+            lambda use: _number(use.agent_control_bytes_per_s),
+        ),
+        ("agent: memory (limit 32 MB)", lambda use: _mb(use.agent_bytes)),
+        (
+            "registrar: claims a second, mean jobs",
+            lambda use: _number(use.registrar_claims_per_s),
+        ),
+        ("registrar: share of a core", lambda use: _percent(use.registrar_share)),
+        ("registrar: memory", lambda use: _mb(use.registrar_bytes)),
+        (
+            "registrar: share of a core if each task is a job",
+            lambda use: _percent(use.registrar_worst_share),
+        ),
+        (
+            "registrar: memory if each task is a job",
+            lambda use: _mb(use.registrar_worst_bytes),
+        ),
+        ("control: members at each instance", lambda use: str(use.control_members)),
+        (
+            "control: share of a core for members",
+            lambda use: _percent(use.control_share),
+        ),
+        ("control: bytes a second", lambda use: _number(use.control_bytes_per_s)),
+        ("control leader: share of a core", lambda use: _percent(use.leader_share)),
+    ]
+    head = ["at the target, one instance", *(use.layout.name for use in uses)]
+    lines = [_row(head), _row(["---", *("---:" for _ in uses)])]
+    lines += [_row([name, *(show(use) for use in uses)]) for name, show in rows]
+    return "\n".join(lines) + "\n"
+
+
+def limits_table(slopes: Slopes, layout: Layout) -> str:
+    """Return how many workers each limit allows, the lowest first."""
+    limits = NodeLimits()
+    checks: list[tuple[str, Callable[[RoleUse], bool]]] = [
+        (
+            "control bytes at a node pass 2 KB/s",
+            lambda use: use.agent_control_bytes_per_s > limits.bytes_per_s,
+        ),
+        (
+            "an agent's memory passes 32 MB",
+            lambda use: use.agent_bytes > limits.resident_bytes,
+        ),
+        (
+            "control's share of a node's core passes 1.3%",
+            lambda use: use.agent_control_share > limits.processor_share,
+        ),
+        (
+            "an entry spends a tenth of a core on renewals",
+            lambda use: use.entry_renewal_share > RENEWAL_SHARE_LIMIT,
+        ),
+        (
+            "an entry's streams take a gigabyte",
+            lambda use: use.entry_bytes > ENTRY_RESIDENT_LIMIT_BYTES,
+        ),
+        (
+            "a registrar's core is full, mean jobs",
+            lambda use: use.registrar_share > SHARE_OF_CORE_LIMIT,
+        ),
+        (
+            "a registrar's core is full, each task a job",
+            lambda use: use.registrar_worst_share > SHARE_OF_CORE_LIMIT,
+        ),
+        (
+            "the leader's core is full of renewals",
+            lambda use: use.leader_share > SHARE_OF_CORE_LIMIT,
+        ),
+    ]
+    found = [(first_scale(slopes, layout, check), name) for name, check in checks]
+    lines = [
+        _row(["what breaks as built", "from workers", "starts a second"]),
+        _row(["---", "---:", "---:"]),
+    ]
+    for scale, name in sorted(found):
+        target = scaled_target(scale)
+        beyond = "over " if scale >= MAX_SCALE else ""
+        figures = (target.workers, round(target.starts_per_s))
+        lines.append(_row([name, *(f"{beyond}{figure:,}" for figure in figures)]))
+    return "\n".join(lines) + "\n"
+
+
+def first_scale(
+    slopes: Slopes, layout: Layout, breaks: Callable[[RoleUse], bool]
+) -> float:
+    """Return the smallest multiple of the target's size at which a check breaks."""
+    from verbenaplank.bench.capacity import role_use
+
+    low, high = 0.0, MAX_SCALE
+    for _ in range(STEPS):
+        middle = (low + high) / 2
+        if breaks(role_use(slopes, scaled_target(middle), layout)):
+            high = middle
+        else:
+            low = middle
+    return high
+
+
+def scaled_target(scale: float) -> Target:
+    """Return the target with its workers and starts scaled."""
+    target = Target()
+    return attrs.evolve(
+        target,
+        workers=max(target.data_centres, round(target.workers * scale)),
+        starts_per_s=max(1.0, target.starts_per_s * scale),
+    )
+
+
+def _row(cells: Sequence[str]) -> str:
+    return "| " + " | ".join(cells) + " |"
+
+
+def _percent(share: float) -> str:
+    return f"{share * 100:.2f}%"
+
+
+def _mb(size_bytes: float) -> str:
+    return f"{size_bytes / BYTES_PER_MB:,.1f} MB"
+
+
+def _number(value: float) -> str:
+    return f"{value:,.0f}"
--- a/src/verbenaplank/bench/slopes_of_control.py
+++ b/src/verbenaplank/bench/slopes_of_control.py
@@ -66,7 +66,7 @@
     now_ms = job_timestamp_ms(claims[-1].job_id)
 
     def grant() -> Registrar:
-        registrar = Registrar(limits, epoch=1, amnesia_ms=0)
+        registrar = _open_registrar(limits)
         for claim in claims:
             registrar.claim(claim, now_ms)
         return registrar
@@ -74,7 +74,7 @@
     yield processor_time("registrar.claim", CLAIMS, grant)
     yield memory("registrar.claim", CLAIMS, grant)
     batch = claims[:CLAIMS_PER_MESSAGE]
-    registrar = Registrar(limits, epoch=1, amnesia_ms=0)
+    registrar = _open_registrar(limits)
     request = ToRegistrar(claims=tuple(batch))
     replies: tuple[ClaimReply, ...] = tuple(
         registrar.claim(claim, now_ms) for claim in batch
@@ -93,6 +93,13 @@
     yield size("claim_reply.wire", reply_data, CLAIMS_PER_MESSAGE)
 
 
+def _open_registrar(limits: RegistrarLimits) -> Registrar:
+    registrar = Registrar(limits, amnesia_ms=0)
+    registrar.enter_epoch(1)
+    registrar.open_epoch(1, 0, newcomer=False)
+    return registrar
+
+
 def _claim(job_id: str) -> Claim:
     return Claim(
         job_id=job_id,
