--- /dev/null
+++ b/src/verbenaplank/bench/capacity_model.py
@@ -0,0 +1,233 @@
+"""Works out what each role uses at a size, from the measured slopes."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import attrs
+
+from verbenaplank.bench.target import SECONDS_PER_DAY
+from verbenaplank.bench.target import Layout
+from verbenaplank.bench.target import Target
+
+FRAME_BYTES = 14
+"""gRPC prefix and HTTP/2 frame header."""
+
+PACKET_BYTES = 52
+"""IPv4 and TCP headers with timestamps."""
+
+MESSAGE_OVERHEAD_BYTES = FRAME_BYTES + 2 * PACKET_BYTES
+"""A message in a packet of its own, and the packet that acknowledges it."""
+
+RENEWAL_WIRE_BYTES = 130
+REGISTRARS_PER_CLAIM = 3
+MICROSECONDS_PER_SECOND = 1e6
+
+
+@attrs.frozen(kw_only=True)
+class RoleUse:
+    """What one instance of each role uses under a layout.
+
+    Attributes
+    ----------
+    agent_control_share, agent_control_bytes_per_s
+        Processor share and bytes a second for heartbeats, leases, renewals and
+        configuration; work itself is not in it.
+    """
+
+    layout: Layout
+    entries: int
+    entry_starts_per_s: float
+    entry_streams: int
+    entry_share: float
+    entry_renewal_share: float
+    entry_bytes: float
+    agent_starts_per_s: float
+    agent_streams: int
+    agent_work_share: float
+    agent_control_share: float
+    agent_control_bytes_per_s: float
+    agent_bytes: float
+    registrar_claims_per_s: float
+    registrar_share: float
+    registrar_bytes: float
+    registrar_worst_share: float
+    registrar_worst_bytes: float
+    control_members: int
+    control_share: float
+    control_bytes_per_s: float
+    leader_share: float
+
+
+class Slopes:
+    """The measured slopes by name."""
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self._document = document
+
+    def us(self, name: str) -> float:
+        """Return microseconds of processor time for one item."""
+        return float(self._document["slopes"][f"{name}.us"]["value"])
+
+    def size(self, name: str) -> float:
+        """Return bytes for one item."""
+        return float(self._document["slopes"][f"{name}.bytes"]["value"])
+
+    def resident(self, role: str) -> float:
+        """Return the resident bytes of an idle process."""
+        return float(self._document["processes"]["idle"][role]["resident_bytes"])
+
+    def task_us(self, role: str) -> float:
+        """Return a role's processor time per task: the slope between two loads."""
+        runs = self._document["load_runs"]
+        low, high = (
+            min(runs, key=lambda run: float(run["goodput_tasks_per_s"])),
+            max(runs, key=lambda run: float(run["goodput_tasks_per_s"])),
+        )
+        low_rate, high_rate = low["goodput_tasks_per_s"], high["goodput_tasks_per_s"]
+        spent = high["us"][role] * high_rate - low["us"][role] * low_rate
+        return float(spent / (high_rate - low_rate))
+
+
+def role_use(slopes: Slopes, target: Target, layout: Layout) -> RoleUse:
+    """Work out what each role uses at a target size."""
+    entries = entry_count(slopes, target, layout)
+    entry_streams, agent_streams = stream_counts(target, layout, entries)
+    entry_starts_per_s = target.starts_per_s / entries
+    agent_starts_per_s = target.starts_per_s / target.workers
+    renewal_us = slopes.us("stream.message.1_dispatches")
+    renewal_share = entry_streams * renewal_us / layout.renewal_period_s
+    stream_bytes = slopes.size("stream.open")
+    claims_per_s = target.starts_per_s / target.tasks_per_job
+    members = target.workers + entries
+    return RoleUse(
+        layout=layout,
+        entries=entries,
+        entry_starts_per_s=entry_starts_per_s,
+        entry_streams=entry_streams,
+        entry_share=_share(entry_starts_per_s * slopes.task_us("entry")),
+        entry_renewal_share=_share(renewal_share),
+        entry_bytes=slopes.resident("entry")
+        + entry_streams * (stream_bytes + slopes.size("entry.known_agent"))
+        + target.teams * _section_bytes(slopes),
+        agent_starts_per_s=agent_starts_per_s,
+        agent_streams=agent_streams,
+        agent_work_share=_share(agent_starts_per_s * slopes.task_us("agent")),
+        agent_control_share=_agent_control_share(slopes, target, layout, agent_streams),
+        agent_control_bytes_per_s=_agent_bytes_per_s(
+            slopes, target, layout, agent_streams
+        ),
+        agent_bytes=slopes.resident("agent")
+        + agent_streams * stream_bytes
+        + agent_starts_per_s
+        * target.retention_s
+        * slopes.size("agent.remembered_start")
+        + target.teams * _section_bytes(slopes),
+        registrar_claims_per_s=_claims_at_each(claims_per_s, layout),
+        registrar_share=_registrar_share(slopes, claims_per_s, layout),
+        registrar_bytes=_registrar_bytes(slopes, claims_per_s, target, layout),
+        registrar_worst_share=_registrar_share(slopes, target.starts_per_s, layout),
+        registrar_worst_bytes=_registrar_bytes(
+            slopes, target.starts_per_s, target, layout
+        ),
+        control_members=math.ceil(members / target.control_instances),
+        control_share=_control_share(slopes, target, layout, members),
+        control_bytes_per_s=_control_bytes_per_s(slopes, target, members, entries),
+        leader_share=_share(
+            members
+            * (slopes.us("leader.renewal") + slopes.us("renewal.codec_both_ends"))
+            / layout.heartbeat_period_s
+        ),
+    )
+
+
+def entry_count(slopes: Slopes, target: Target, layout: Layout) -> int:
+    """Return the entries that the starts need, equally many a data centre."""
+    cores = _share(target.starts_per_s * slopes.task_us("entry"))
+    by_work = cores / layout.entry_utilization
+    return math.ceil(by_work / target.data_centres) * target.data_centres
+
+
+def stream_counts(target: Target, layout: Layout, entries: int) -> tuple[int, int]:
+    """Return the streams of an entry and of an agent."""
+    if layout.spill_agents is None:
+        return target.workers, entries
+    others = target.data_centres / target.regions - 1
+    own = target.agents_per_data_centre
+    entry_streams = own + math.ceil(others * layout.spill_agents)
+    return entry_streams, math.ceil(entry_streams * entries / target.workers)
+
+
+def _claims_at_each(claims_per_s: float, layout: Layout) -> float:
+    return claims_per_s * REGISTRARS_PER_CLAIM / layout.registrars
+
+
+def _registrar_share(slopes: Slopes, claims_per_s: float, layout: Layout) -> float:
+    stream_us = slopes.us("stream.message.8_dispatches") / 8
+    claim_us = slopes.us("registrar.claim") + slopes.us("registrar.claim.codec")
+    per_claim_us = claim_us + 2 * stream_us
+    return _share(_claims_at_each(claims_per_s, layout) * per_claim_us)
+
+
+def _registrar_bytes(
+    slopes: Slopes, claims_per_s: float, target: Target, layout: Layout
+) -> float:
+    kept = _claims_at_each(claims_per_s, layout) * target.retention_s
+    return slopes.resident("control") + kept * slopes.size("registrar.claim")
+
+
+def _agent_control_share(
+    slopes: Slopes, target: Target, layout: Layout, streams: int
+) -> float:
+    heartbeat_us = slopes.us("stream.heartbeat_and_lease") / layout.heartbeat_period_s
+    renewal_us = slopes.us("stream.message.1_dispatches") / layout.renewal_period_s
+    rebuild_us = target.teams * slopes.us("member.build_section")
+    changes_per_s = target.changes_per_day / SECONDS_PER_DAY
+    return _share(heartbeat_us + streams * renewal_us + changes_per_s * rebuild_us)
+
+
+def _agent_bytes_per_s(
+    slopes: Slopes, target: Target, layout: Layout, streams: int
+) -> float:
+    heartbeat = slopes.size("heartbeat.wire") + slopes.size("lease.wire")
+    heartbeat += 2 * MESSAGE_OVERHEAD_BYTES
+    renewal = RENEWAL_WIRE_BYTES + MESSAGE_OVERHEAD_BYTES
+    change = slopes.size("section.wire") + MESSAGE_OVERHEAD_BYTES
+    return (
+        heartbeat / layout.heartbeat_period_s
+        + streams * renewal / layout.renewal_period_s
+        + change * target.changes_per_day / SECONDS_PER_DAY
+    )
+
+
+def _control_share(
+    slopes: Slopes, target: Target, layout: Layout, members: int
+) -> float:
+    own = members / target.control_instances
+    heartbeat_us = slopes.us("stream.heartbeat_and_lease") / layout.heartbeat_period_s
+    churn_per_s = 2 * target.restarts_per_day / SECONDS_PER_DAY
+    churn_us = churn_per_s * members * slopes.us("control.member_delta")
+    return _share(own * heartbeat_us + churn_us / target.control_instances)
+
+
+def _control_bytes_per_s(
+    slopes: Slopes, target: Target, members: int, entries: int
+) -> float:
+    own = members / target.control_instances
+    heartbeat = slopes.size("heartbeat.wire") + slopes.size("lease.wire")
+    heartbeat += 2 * MESSAGE_OVERHEAD_BYTES
+    change = slopes.size("section.wire") + MESSAGE_OVERHEAD_BYTES
+    changes_per_s = target.changes_per_day / SECONDS_PER_DAY
+    churn_per_s = 2 * target.restarts_per_day / SECONDS_PER_DAY
+    member = slopes.size("member.wire") + MESSAGE_OVERHEAD_BYTES
+    told = entries / target.control_instances
+    return own * (heartbeat + changes_per_s * change) + churn_per_s * told * member
+
+
+def _section_bytes(slopes: Slopes) -> float:
+    return slopes.size("member.section") + slopes.size("member.section_text")
+
+
+def _share(us_per_s: float) -> float:
+    return us_per_s / MICROSECONDS_PER_SECOND
--- a/src/verbenaplank/bench/capacity_tables.py
+++ b/src/verbenaplank/bench/capacity_tables.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from verbenaplank.bench.capacity_model import role_use
 from verbenaplank.bench.target import NodeLimits
 from verbenaplank.bench.target import Target
 
@@ -13,8 +14,8 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
-    from verbenaplank.bench.capacity import RoleUse
-    from verbenaplank.bench.capacity import Slopes
+    from verbenaplank.bench.capacity_model import RoleUse
+    from verbenaplank.bench.capacity_model import Slopes
     from verbenaplank.bench.target import Layout
 
 BYTES_PER_MB = 1024 * 1024
@@ -131,8 +132,6 @@
     slopes: Slopes, layout: Layout, breaks: Callable[[RoleUse], bool]
 ) -> float:
     """Return the smallest multiple of the target's size at which a check breaks."""
-    from verbenaplank.bench.capacity import role_use
-
     low, high = 0.0, MAX_SCALE
     for _ in range(STEPS):
         middle = (low + high) / 2
