--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 .PHONY: test check demo clean
 
 test: check
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4
 
 check: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -30,6 +30,7 @@
 TASKS = 350
 RUN_TIME_MS = 100
 ROUND_TRIP_S = 0.001
+PROBE_PERIOD_S = 0.1
 
 
 def main() -> int:
@@ -63,15 +64,22 @@
     return {"team": team, "token_sha256": digest, "text": text}
 
 
-def wait_for_agents(fleet: Fleet) -> None:
-    """Wait until every entry knows a route to the services."""
-    for url in fleet.entry_urls.values():
-        while not probe(url):
-            time.sleep(0.1)
+def wait_for_agents(fleet: Fleet) -> list[str]:
+    """Wait until every entry serves a small request; return the requests' ids."""
+    return [wait_for_answer(url) for url in fleet.entry_urls.values()]
 
 
-def probe(entry_url: str) -> bool:
-    """Return whether an entry can serve a small request."""
+def wait_for_answer(entry_url: str) -> str:
+    """Send small requests to an entry until one is answered; return its id."""
+    while True:
+        response = probe(entry_url)
+        if response.status_code == httpx.codes.OK:
+            return str(response.json()["id"])
+        time.sleep(PROBE_PERIOD_S)
+
+
+def probe(entry_url: str) -> httpx.Response:
+    """Send one small request to an entry."""
     body = {
         "service": SERVICES[0],
         "team": "fixtures",
@@ -79,8 +87,7 @@
         "idempotent": True,
         "priority": "routine",
     }
-    response = httpx.post(f"{entry_url}/v1/requests", json=body, trust_env=False)
-    return response.status_code == httpx.codes.OK
+    return httpx.post(f"{entry_url}/v1/requests", json=body, trust_env=False)
 
 
 def show(fleet: Fleet) -> None:
