Show what each mechanism of leases and joining keeps off

Cause: a promise is proved only by a test that fails without its mechanism. Change: tests over a log that the test steers, of joining, leases and leaves.

The current check on joining went unnoticed, since the stream's own check came next; its test now gives the stream no reason to end and has a deadline.

--- /dev/null
+++ b/tests/control/test_join_service.py
@@ -0,0 +1,147 @@
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import pytest
+from control_helpers import DEADLINE_S
+from control_helpers import agent
+from fake_log import FakeLog
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from verbenaplank.configuration.commands import FirstSection
+from verbenaplank.configuration.commands import LoadDocument
+from verbenaplank.configuration.commands import Origin
+from verbenaplank.control.commands import ControlCommand
+from verbenaplank.control.commands import OperatorCommand
+from verbenaplank.control.commands import encode
+from verbenaplank.control.currency import Currency
+from verbenaplank.control.join_service import JoinService
+from verbenaplank.control.join_session import SessionContext
+from verbenaplank.control.machine import ControlMachine
+from verbenaplank.control.replication import SharedBarrier
+from verbenaplank.protocol.membership import FromControl
+from verbenaplank.protocol.membership import Heartbeat
+from verbenaplank.protocol.membership import ToControl
+from verbenaplank.rpc.address import Address
+from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.endpoint import serve
+from verbenaplank.rpc.services import JOIN
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from grpclib.client import Stream
+
+    from verbenaplank.membership.renewals import Renewal
+
+HELLO = ToControl(member=agent(), heartbeat=Heartbeat(configuration_version=0))
+SECTION = FirstSection(section="fixtures", team="fixtures", text="")
+LOAD = encode(
+    ControlCommand(
+        operator=OperatorCommand(
+            origin=Origin(command_id="c", sent_at_ms=0, administrator=True),
+            load=LoadDocument(sections=(SECTION,)),
+        )
+    )
+)
+
+
+class Serving:
+    """A join service over a log that the test steers."""
+
+    def __init__(self, election_timeout_s: float = 0.0) -> None:
+        self.machine = ControlMachine(lambda: self.service.wake())
+        self.log = FakeLog(self.machine)
+        self.currency = Currency(self.log, time.monotonic, election_timeout_s)
+        self.forwarded: list[Renewal] = []
+        self.service = JoinService(
+            SessionContext(
+                machine=self.machine,
+                log=self.log,
+                barrier=SharedBarrier(self.log, 1.0),
+                lease_ms=1_000.0,
+                heartbeat_ms=100.0,
+                is_current=self.currency.is_current,
+                is_given_up=self.currency.is_given_up,
+                forward=self.forwarded.append,
+            )
+        )
+
+    @asynccontextmanager
+    async def stream(self) -> AsyncIterator[Stream[ToControl, FromControl]]:
+        any_port = Address("127.0.0.1", 0)
+        service = self.service.service()
+        async with asyncio.timeout(DEADLINE_S), serve([service], any_port) as address:
+            with connect(address) as channel:
+                async with JOIN.open(channel) as stream:
+                    yield stream
+                    await stream.cancel()
+
+
+async def test_first_state_holds_all_that_was_committed_elsewhere() -> None:
+    serving = Serving()
+    serving.log.committed_elsewhere.append(LOAD)
+    async with serving.stream() as stream:
+        await stream.send_message(HELLO)
+        first = await stream.recv_message()
+
+    assert first is not None
+    assert first.configuration is not None
+    assert first.configuration.version == 1
+
+
+@pytest.mark.parametrize("lost", ["quorum", "currency"])
+async def test_instance_cut_off_takes_no_member_in(lost: str) -> None:
+    serving = Serving(election_timeout_s=1_000.0)
+    serving.log.has_quorum = lost != "quorum"
+    serving.log.current = lost != "currency"
+    async with serving.stream() as stream:
+        await stream.send_message(HELLO)
+
+        assert await stream.recv_message() == FromControl(current=False)
+        assert await stream.recv_message() is None
+
+
+async def test_instance_that_is_cut_off_later_sends_its_members_on() -> None:
+    serving = Serving()
+    async with serving.stream() as stream:
+        await stream.send_message(HELLO)
+        await stream.recv_message()
+        serving.log.current = False
+        serving.machine.apply(0, LOAD)
+
+        assert await stream.recv_message() == FromControl(current=False)
+
+
+async def test_newer_incarnation_ends_the_stream_of_the_former_one() -> None:
+    serving = Serving()
+    with pytest.raises(GRPCError) as error:
+        await _join_twice(serving)
+
+    assert error.value.status is Status.ABORTED
+    assert serving.machine.membership.members["agent-1"].incarnation == "b"
+
+
+async def test_stream_that_announces_no_member_is_refused() -> None:
+    with pytest.raises(GRPCError, match="announces no member"):
+        await _join_without_member(Serving())
+
+
+async def _join_twice(serving: Serving) -> None:
+    async with serving.stream() as former, serving.stream() as newer:
+        await former.send_message(HELLO)
+        await former.recv_message()
+        await newer.send_message(ToControl(member=agent(incarnation="b")))
+        await newer.recv_message()
+        await newer.cancel()
+        await former.recv_message()
+
+
+async def _join_without_member(serving: Serving) -> None:
+    async with serving.stream() as stream:
+        await stream.send_message(ToControl())
+        await stream.recv_message()
--- a/tests/control/test_replicated_configuration.py
+++ b/tests/control/test_replicated_configuration.py
@@ -225,6 +225,20 @@
             assert link.lease_since_s == since_s
 
 
+async def test_isolated_leader_renews_no_lease(tmp_path: Path) -> None:
+    async with Cluster(tmp_path) as cluster:
+        leader = cluster.leader()
+        assert leader is not None
+        other = cluster.instances[cluster.followers()[0]].machine
+        async with link_to(entry(), cluster.instances[leader]) as link:
+            await eventually(lambda: link.lease_valid(time.monotonic()))
+            await eventually(lambda: "entry-1" in other.membership.members)
+            cluster.isolate(leader)
+            await eventually(lambda: "entry-1" not in other.membership.members)
+
+            assert not link.lease_valid(time.monotonic())
+
+
 async def _change_50_times(cluster: Cluster, number: int) -> None:
     log = cluster.instances[number % 3].log
     name = f"section-{number}"
