--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -151,6 +151,8 @@
         """Make sure that a dispatch never starts, or tell that it has."""
         entry = self._entries[key]
         task_id = task_id_of(revoke.job_id, revoke.task_index, revoke.attempt)
+        if revoke.agent_incarnation not in ("", self._incarnation):
+            return self._answer_started(entry, "", revoke)
         if self._was_started(entry, task_id, revoke.dispatch_id):
             return self._answer_started(entry, task_id, revoke)
         self._remove(entry, task_id, revoke.dispatch_id)
@@ -220,6 +222,10 @@
         self._draining = True
         return self._refuse_waiting(lambda _: True, RefusalReason.DRAINING)
 
+    def resume(self) -> None:
+        """Accept dispatches again after a drain."""
+        self._draining = False
+
     def expire(self, now_s: float) -> list[Effect]:
         """Act on leases and budgets that ran out, and forget what is too old."""
         self._starts.expire(now_s)
