Open a broken stream again; acknowledge results; test streams and stops

Cause: when an agent's stream ended, grpclib raised ProtocolError ('Outgoing stream was not ended') on leaving the stream, which the link did not expect: its task ended unseen, the agent was never connected again and its dispatches stayed open until their deadline. Ruled out: the agent's fake; a stack of the ended task showed the error. Change: ProtocolError counts as a broken stream; each message to an agent says how many results the stream has brought, at once while the agent drains; dispatch ids begin at 1, as the agent packs them into 48 bits.

--- a/src/verbenaplank/entry/agent_link.py
+++ b/src/verbenaplank/entry/agent_link.py
@@ -8,6 +8,7 @@
 
 import attrs
 from grpclib.exceptions import GRPCError
+from grpclib.exceptions import ProtocolError
 from grpclib.exceptions import StreamTerminatedError
 
 from verbenaplank.protocol.work import Dispatch
@@ -40,8 +41,9 @@
 MAX_PAYLOAD_BYTES_PER_MESSAGE = 1024 * 1024
 TASK_LEASE_MS = 3_000.0
 RENEWAL_PERIOD_S = 1.0
+RENEWAL = LeaseRenewal(lease_ms=TASK_LEASE_MS)
 
-BROKEN = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
+BROKEN = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
 
 OutboxItem = Dispatch | Revoke | Stop | LeaseRenewal
 
@@ -81,6 +83,7 @@
         self._tls = tls
         self._outbox: Outbox[OutboxItem] | None = None
         self._retired = False
+        self._results_received = 0
 
     def send(self, item: OutboxItem) -> None:
         """Send an item with what else is ready."""
@@ -129,6 +132,7 @@
     ) -> None:
         outbox: Outbox[OutboxItem] = Outbox()
         self._outbox = outbox
+        self._results_received = 0
         self._listener.agent_connected(welcome)
         directions = {
             asyncio.create_task(self._receive(stream)),
@@ -148,32 +152,42 @@
         agent_id = self._member.member_id
         async for message in stream:
             self._traffic.received(message)
+            self._results_received += len(message.results)
             self._listener.agent_message(agent_id, message)
+            if message.load is not None and message.load.draining:
+                self.send(RENEWAL)
 
     async def _send_forever(
         self, stream: Stream[ToAgent, FromAgent], outbox: Outbox[OutboxItem]
     ) -> None:
         while True:
-            for message in envelopes(await outbox.take()):
+            items = await outbox.take()
+            for message in envelopes(items, self._results_received):
                 self._traffic.sent(message)
                 await stream.send_message(message)
 
 
 async def _renew_forever(outbox: Outbox[OutboxItem]) -> None:
     while True:
-        outbox.put(LeaseRenewal(lease_ms=TASK_LEASE_MS))
+        outbox.put(RENEWAL)
         await asyncio.sleep(RENEWAL_PERIOD_S)
 
 
-def envelopes(items: Iterable[OutboxItem]) -> Iterator[ToAgent]:
-    """Pack items into messages, each well under the largest message."""
+def envelopes(
+    items: Iterable[OutboxItem], results_received: int = 0
+) -> Iterator[ToAgent]:
+    """Pack items into messages, each well under the largest message.
+
+    Each also says how many results the stream has brought so far, so that the
+    agent can forget them.
+    """
     pack = _Pack()
     for item in items:
         if isinstance(item, Dispatch) and pack.is_full_for(item):
-            yield pack.message()
+            yield pack.message(results_received)
             pack = _Pack()
         pack.add(item)
-    yield pack.message()
+    yield pack.message(results_received)
 
 
 @attrs.define
@@ -199,10 +213,11 @@
         else:
             self.renewal = item
 
-    def message(self) -> ToAgent:
+    def message(self, results_received: int) -> ToAgent:
         return ToAgent(
             dispatches=tuple(self.dispatches),
             revokes=tuple(self.revokes),
             stops=tuple(self.stops),
             renewal=self.renewal,
+            results_received=results_received,
         )
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -125,7 +125,6 @@
             retry_budget=self._retry_budget,
             lease_since=self._standing.lease_since,
             on_dispatch=self._on_dispatch,
-            first_dispatch_id=self._random.getrandbits(48),
         )
         self._registry = RequestRegistry(
             max_records=MAX_RECORDS, max_answer_bytes=MAX_ANSWER_BYTES
--- a/src/verbenaplank/entry/book.py
+++ b/src/verbenaplank/entry/book.py
@@ -80,8 +80,8 @@
     so that late messages find it.  Counts of a job stay until it is forgotten.
     """
 
-    def __init__(self, first_dispatch_id: int = 1) -> None:
-        self._next_id = first_dispatch_id
+    def __init__(self) -> None:
+        self._next_id = 1
         self._open: dict[int, DispatchRecord] = {}
         self._by_agent: dict[str, dict[int, DispatchRecord]] = defaultdict(dict)
         self._by_job: dict[str, dict[int, DispatchRecord]] = {}
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -76,10 +76,9 @@
         retry_budget: StartBudget,
         lease_since: Callable[[float], float],
         on_dispatch: Callable[[TaskRequest, str], None] = ignore_dispatch,
-        first_dispatch_id: int = 1,
     ) -> None:
         self.effects: list[Effect] = []
-        self.book = DispatchBook(first_dispatch_id)
+        self.book = DispatchBook()
         self.jobs = JobTable(self.book, queue, self.effects)
         self._fleet = fleet
         self._queue = queue
--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -150,6 +150,7 @@
             dispatch_id=record.dispatch_id,
             job_id=task.job_id,
             task_index=task.task_index,
+            attempt=task.attempt,
         )
         self._effects.append(Send(record.agent_id, stop))
 
--- a/src/verbenaplank/entry/peer_client.py
+++ b/src/verbenaplank/entry/peer_client.py
@@ -7,6 +7,7 @@
 
 import attrs
 from grpclib.exceptions import GRPCError
+from grpclib.exceptions import ProtocolError
 from grpclib.exceptions import StreamTerminatedError
 
 from verbenaplank.clock.sources import MonotonicClock
@@ -39,7 +40,7 @@
 ANSWER_GRACE_S = 2.0
 """How long after its deadline the owner's answer is still waited for."""
 
-UNREACHABLE = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
+UNREACHABLE = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
 
 OWNER_GONE = Rejection(
     kind=FailureKind.OUTCOME_UNKNOWN, detail="the entry that owns the job is gone"
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -33,6 +33,7 @@
 
     from verbenaplank.protocol.membership import RegistrarGroup
     from verbenaplank.protocol.work import Dispatch
+    from verbenaplank.protocol.work import Revoke
     from verbenaplank.protocol.work import ToAgent
 
 ANY_PORT = Address("127.0.0.1", 0)
@@ -162,9 +163,11 @@
         self.incarnation = incarnation
         self.slots = slots
         self.automatic = True
+        self.deaf = False
+        self.received: list[ToAgent] = []
         self.starts: list[Dispatch] = []
-        self.messages = 0
-        self.streams: dict[int, Stream[ToAgent, FromAgent]] = {}
+        self.streams: dict[tuple[str, int], Stream[ToAgent, FromAgent]] = {}
+        self.open_streams: list[Stream[ToAgent, FromAgent]] = []
         self.changed = asyncio.Condition()
         self.address = ANY_PORT
 
@@ -191,28 +194,30 @@
             agent_id=self.agent_id, incarnation=self.incarnation, slots=self.slots
         )
         await stream.send_message(FromAgent(welcome=welcome))
+        self.open_streams.append(stream)
         async for message in stream:
-            self.messages += 1
+            self.received.append(message)
             await self._take(stream, message)
 
     async def _take(self, stream: Stream[ToAgent, FromAgent], message: ToAgent) -> None:
+        dispatches = () if self.deaf else message.dispatches
         async with self.changed:
-            self.starts.extend(message.dispatches)
-            self.streams.update({d.dispatch_id: stream for d in message.dispatches})
+            self.starts.extend(dispatches)
+            self.streams.update({key_of(d): stream for d in dispatches})
             self.changed.notify_all()
-        started = {dispatch.dispatch_id for dispatch in self.starts}
+        started = {key_of(dispatch) for dispatch in self.starts}
         revocations = tuple(
             Revocation(
                 job_id=revoke.job_id,
                 task_index=revoke.task_index,
                 dispatch_id=revoke.dispatch_id,
                 state=RevocationState.STARTED
-                if revoke.dispatch_id in started
+                if key_of(revoke) in started
                 else RevocationState.REVOKED,
             )
             for revoke in message.revokes
         )
-        results = tuple(echo(dispatch) for dispatch in message.dispatches)
+        results = tuple(echo(dispatch) for dispatch in dispatches)
         if revocations or (results and self.automatic):
             reply = FromAgent(
                 revocations=revocations, results=results if self.automatic else ()
@@ -220,13 +225,34 @@
             await stream.send_message(reply)
 
     async def wait_started(self, count: int) -> None:
+        await self.wait_for(lambda: len(self.starts) >= count)
+
+    async def wait_dispatched(self) -> None:
+        await self.wait_for(lambda: any(m.dispatches for m in self.received))
+
+    async def wait_revoked(self, count: int) -> None:
+        await self.wait_for(lambda: sum(len(m.revokes) for m in self.received) >= count)
+
+    async def wait_for(self, condition: Callable[[], bool]) -> None:
         async with self.changed:
-            await self.changed.wait_for(lambda: len(self.starts) >= count)
+            await self.changed.wait_for(condition)
+
+    async def break_streams(self) -> None:
+        streams, self.open_streams = self.open_streams, []
+        for stream in streams:
+            await stream.cancel()
 
     async def finish(self, *dispatches: Dispatch) -> None:
         for dispatch in dispatches:
             reply = FromAgent(results=(echo(dispatch),))
-            await self.streams[dispatch.dispatch_id].send_message(reply)
+            await self.streams[key_of(dispatch)].send_message(reply)
+
+    async def say(self, message: FromAgent) -> None:
+        await self.open_streams[-1].send_message(message)
+
+
+def key_of(item: Dispatch | Revoke) -> tuple[str, int]:
+    return item.job_id, item.dispatch_id
 
 
 def echo(dispatch: Dispatch) -> TaskResult:
