--- a/src/verbenaplank/console/application.py
+++ b/src/verbenaplank/console/application.py
@@ -5,6 +5,7 @@
 import typer
 
 from verbenaplank.console.commands import audit
+from verbenaplank.console.commands import bench
 from verbenaplank.console.commands import cancel
 from verbenaplank.console.commands import config
 from verbenaplank.console.commands import members
@@ -26,6 +27,7 @@
 application.command()(members.undrain)
 application.command()(audit.audit)
 application.command()(standalone.standalone)
+application.add_typer(bench.application, name="bench")
 application.add_typer(config.application, name="config")
 application.add_typer(settings.application, name="settings")
 
--- /dev/null
+++ b/src/verbenaplank/console/commands/bench.py
@@ -0,0 +1,90 @@
+"""``verbena bench``: load a running fleet, or compare policies in a model."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from verbenaplank.console.options import DEFAULT_ENTRY_URL
+from verbenaplank.console.options import EntryUrls
+from verbenaplank.console.options import Token
+from verbenaplank.console.output import console
+from verbenaplank.console.output import error_console
+
+DEFAULT_SEED = 20_261_204
+PROGRESS_STEPS = 10
+
+application = typer.Typer(
+    help="Measure response time over the ideal, and messages.", no_args_is_help=True
+)
+
+Seed = Annotated[int, typer.Option(help="Seed of the trace.")]
+JsonPath = Annotated[Path | None, typer.Option(help="File for the report as JSON.")]
+WorkloadName = Annotated[str, typer.Option(help="bochas or kayal.")]
+
+
+@application.command()
+def load(
+    entry: EntryUrls = [DEFAULT_ENTRY_URL],  # noqa: B006
+    service: Annotated[str, typer.Option(help="Service to call.")] = "",
+    team: Annotated[str, typer.Option(help="Team that asks.")] = "",
+    token: Token = "",
+    workload: WorkloadName = "bochas",
+    offered: Annotated[
+        float, typer.Option(help="Offered work over what the backend servers can do.")
+    ] = 0.7,
+    burst_factor: Annotated[
+        float, typer.Option(help="Multiplies the middle third's arrivals.")
+    ] = 1.0,
+    length_s: Annotated[float, typer.Option(help="Length of the trace.")] = 30.0,
+    speed: Annotated[
+        list[float], typer.Option(help="Speed of each backend server; repeatable.")
+    ] = [1.0],  # noqa: B006
+    slots: Annotated[int, typer.Option(help="Slots of each backend server.")] = 8,
+    seed: Seed = DEFAULT_SEED,
+    json_path: JsonPath = None,
+) -> None:
+    """Send a seeded trace of jobs to running entries and report what came back."""
+    from verbenaplank.bench.load import LoadSettings
+    from verbenaplank.bench.load import run_load
+
+    settings = LoadSettings(
+        entry_urls=tuple(entry),
+        service=service,
+        team=team,
+        token=token,
+        workload=workload,
+        load=offered,
+        burst_factor=burst_factor,
+        length_s=length_s,
+        slowness=tuple(1 / each for each in speed),
+        slots=slots,
+        seed=seed,
+    )
+    report = run_load(settings, _print_progress)
+    console.print(report.to_table())
+    if json_path is not None:
+        json_path.write_text(f"{report.to_json()}\n", encoding="utf-8")
+
+
+@application.command()
+def compare(
+    workload: WorkloadName = "bochas",
+    scenario: Annotated[str, typer.Option(help="One scenario; all if empty.")] = "",
+    policy: Annotated[str, typer.Option(help="One policy; all if empty.")] = "",
+    seed: Seed = DEFAULT_SEED,
+    json_path: JsonPath = None,
+) -> None:
+    """Compare placement policies on one trace in a model of the fleet."""
+    from verbenaplank.bench import compare_main
+
+    path = str(json_path) if json_path else ""
+    compare_main.main(seed, workload, scenario, policy, path)
+
+
+def _print_progress(done: int, total: int) -> None:
+    step = max(1, total // PROGRESS_STEPS)
+    if done % step == 0 or done == total:
+        error_console.print(f"{done} of {total} jobs answered")
