--- a/demo/benchmark.py
+++ b/demo/benchmark.py
@@ -32,6 +32,9 @@
     workload: str = "bochas",
     length_s: float = 30.0,
     burst_factor: float = 1.0,
+    speed: Annotated[
+        list[float], typer.Option(help="Speed of each backend server; repeatable.")
+    ] = list(SPEEDS),  # noqa: B006
     json_path: Annotated[str, typer.Option(help="File for the report.")] = "",
 ) -> None:
     """Start 11 backend servers, 3 entries and 3 control instances, and load them."""
@@ -39,19 +42,15 @@
         folder = Path(name)
         with Processes(folder) as processes:
             fleet = start_fleet(
-                processes, folder, first_document(), CONTROL_COUNT, ENTRY_COUNT, SPEEDS
+                processes, folder, first_document(), CONTROL_COUNT, ENTRY_COUNT, speed
             )
             wait_for_agents(fleet)
             arguments = [
                 *("--service", SERVICES[0], "--team", "fixtures"),
                 *("--offered", str(offered), "--workload", workload),
                 *("--length-s", str(length_s), "--burst-factor", str(burst_factor)),
-                *(
-                    part
-                    for url in fleet.entry_urls.values()
-                    for part in ("--entry", url)
-                ),
-                *(part for speed in SPEEDS for part in ("--speed", str(speed))),
+                *repeated("--entry", fleet.entry_urls.values()),
+                *repeated("--speed", speed),
                 *(("--json-path", json_path) if json_path else ()),
             ]
             say(f"$ verbena bench load {' '.join(arguments)}")
