Follow the registrar epochs; settle unknown outcomes before answering

Cause: a planned stop of the leader left operators with an outcome unknown although the command could be settled; the registrar did not follow its group. Ruled out: answering the first unknown outcome; the command id makes a second proposal safe. Change: RegistrarEpochs over the claims package's host, which opens an epoch once a majority of the former group has logged that it stopped; a command is proposed again until its outcome is known, for 6 s at most. Conclusion: a restarted instance abstains, a new group grants nothing of the former one.

--- a/src/verbenaplank/control/administration.py
+++ b/src/verbenaplank/control/administration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -51,7 +52,8 @@
     from verbenaplank.settings.common import ControlPeer
     from verbenaplank.settings.common import TlsSettings
 
-PROPOSAL_TIMEOUT_S = 5.0
+COMMAND_TIMEOUT_S = 6.0
+PROPOSAL_TIMEOUT_S = 2.0
 LEASES_TIMEOUT_S = 2.0
 
 
@@ -108,16 +110,7 @@
         ProblemError
             If the command is refused, or its outcome is not known.
         """
-        data = encode(ControlCommand(operator=command))
-        try:
-            result = await self._log.propose(data, PROPOSAL_TIMEOUT_S)
-        except NotAcceptedError as error:
-            detail = f"the command was not accepted and never will be: {error}"
-            raise problem(HTTPStatus.SERVICE_UNAVAILABLE, detail) from error
-        except OutcomeUnknownError as error:
-            detail = "the outcome is not known; send the same command id again"
-            unavailable = HTTPStatus.SERVICE_UNAVAILABLE
-            raise problem(unavailable, detail, run=Run.MAY_HAVE_RUN) from error
+        result = await self._replicate(encode(ControlCommand(operator=command)))
         outcome = decode_result(result).outcome
         if outcome is None:
             raise problem(HTTPStatus.INTERNAL_SERVER_ERROR, "no outcome")
@@ -130,6 +123,29 @@
             document_version=outcome.document_version,
         )
 
+    async def _replicate(self, command: bytes) -> bytes:
+        """Propose a command, again as long as its outcome is not known.
+
+        The command id lets only the first of the proposals take effect.
+        """
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + COMMAND_TIMEOUT_S
+        is_proposed = False
+        while (remaining_s := deadline_s - loop.time()) > 0:
+            try:
+                return await self._log.propose(
+                    command, min(remaining_s, PROPOSAL_TIMEOUT_S)
+                )
+            except OutcomeUnknownError:
+                is_proposed = True
+            except NotAcceptedError as error:
+                if not is_proposed:
+                    detail = f"the command was not accepted and never will be: {error}"
+                    raise problem(HTTPStatus.SERVICE_UNAVAILABLE, detail) from error
+        detail = "the outcome is not known; send the same command id again"
+        unavailable = HTTPStatus.SERVICE_UNAVAILABLE
+        raise problem(unavailable, detail, run=Run.MAY_HAVE_RUN)
+
     async def wait_newest(self) -> None:
         """Wait until all that was committed before is applied here.
 
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -25,7 +25,7 @@
 from verbenaplank.control.join_session import SessionContext
 from verbenaplank.control.lease_keeper import LeaseKeeper
 from verbenaplank.control.machine import ControlMachine
-from verbenaplank.control.registrar_host import first_group_service
+from verbenaplank.control.registrar_epochs import RegistrarEpochs
 from verbenaplank.control.renewal_forwarder import RenewalForwarder
 from verbenaplank.control.replication import SharedBarrier
 from verbenaplank.observability.metrics import Metrics
@@ -85,6 +85,9 @@
         self._forwarder = RenewalForwarder(
             self.log, self.keeper, self._addresses, settings.tls, self._deliver
         )
+        self._registrar = RegistrarEpochs(
+            settings, self.log, self.machine, self._barrier, wall_clock
+        )
         self._members = JoinService(self._session_context())
         self._administration = Administration(
             log=self.log,
@@ -104,17 +107,17 @@
         path = self._settings.administration.document_path
         document = load_first_document(Path(path)) if path else None
         async with AsyncExitStack() as stack:
-            registrar = first_group_service(self._settings, self._wall_clock)
             await stack.enter_async_context(self.log)
             services = [
                 *self.log.services(),
                 *self.keeper.services(),
                 self._members.service(),
-                registrar,
+                self._registrar.service(),
             ]
             listening = serve(services, self._settings.rpc.address, self._settings.tls)
             self.rpc_address = await stack.enter_async_context(listening)
             await stack.enter_async_context(_running(self._forwarder.run()))
+            await stack.enter_async_context(_running(self._registrar.run()))
             await stack.enter_async_context(_running(self._tick()))
             first = bootstrap(
                 self.log, self.machine, document, self._peers(), self._wall_clock
@@ -168,6 +171,7 @@
 
     def _on_change(self) -> None:
         self._members.wake()
+        self._registrar.wake()
 
     def _deliver(self, reply: RenewalReply) -> None:
         self._members.deliver(reply)
--- /dev/null
+++ b/src/verbenaplank/control/registrar_epochs.py
@@ -0,0 +1,182 @@
+"""Leads this instance's registrar through the epochs of the replicated log."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from verbenaplank.claims.host import RegistrarHost
+from verbenaplank.claims.registrar import RegistrarLimits
+from verbenaplank.consensus.errors import NoQuorumError
+from verbenaplank.consensus.errors import NotAcceptedError
+from verbenaplank.consensus.errors import OutcomeUnknownError
+from verbenaplank.control.commands import ControlCommand
+from verbenaplank.control.commands import encode
+from verbenaplank.membership.commands import EnterEpoch
+from verbenaplank.rpc.services import CLAIM
+from verbenaplank.storage.ceiling import SyncedCeiling
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from grpclib.server import Stream
+
+    from verbenaplank.clock.sources import WallClock
+    from verbenaplank.control.machine import ControlMachine
+    from verbenaplank.control.replication import ReplicatedLog
+    from verbenaplank.control.replication import SharedBarrier
+    from verbenaplank.membership.registrars import RegistrarChange
+    from verbenaplank.protocol.claims import FromRegistrar
+    from verbenaplank.protocol.claims import ToRegistrar
+    from verbenaplank.rpc.method import Service
+    from verbenaplank.settings.control import ControlSettings
+
+    ClaimStream = Stream[ToRegistrar, FromRegistrar]
+
+CEILING_FILE = "claims/ceiling"
+PROPOSAL_TIMEOUT_S = 2.0
+RETRY_S = 0.2
+MS_PER_S = 1_000
+
+logger = logging.getLogger(__name__)
+
+
+class RegistrarEpochs:
+    """Runs the registrar once a quorum has told which group is in force."""
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        log: ReplicatedLog,
+        machine: ControlMachine,
+        barrier: SharedBarrier,
+        wall_clock: WallClock,
+    ) -> None:
+        self._instance_id = settings.instance_id
+        self._log = log
+        self._machine = machine
+        self._barrier = barrier
+        self._wall_clock = wall_clock
+        self._limits = RegistrarLimits(
+            retention_ms=round(settings.claims.retention_s * MS_PER_S),
+            max_clock_skew_ms=round(settings.claims.max_clock_skew_s * MS_PER_S),
+        )
+        self._path = Path(settings.data_folder) / CEILING_FILE
+        self._serve: Callable[[ClaimStream], Awaitable[None]] | None = None
+        self._serving = asyncio.Event()
+        self._changed = asyncio.Event()
+        self._reported_epoch = 0
+        self._opened_epoch = 0
+
+    def service(self) -> Service:
+        """Return the service through which entries claim identifiers."""
+        return CLAIM.handler(self._serve_when_ready)
+
+    def wake(self) -> None:
+        """Look at the registrar group again."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Follow the registrar groups for as long as the task lasts."""
+        await self._wait_for_group()
+        host = RegistrarHost(
+            self._limits,
+            SyncedCeiling(self._path),
+            self._wall_clock,
+            first_start=self._is_first_start(),
+        )
+        self._serve = host.service().__mapping__()[CLAIM.path].func
+        async with host:
+            self._serving.set()
+            while True:
+                await self._follow(host)
+                await self._changed.wait()
+                self._changed.clear()
+
+    async def _serve_when_ready(self, stream: ClaimStream) -> None:
+        await self._serving.wait()
+        if self._serve is not None:
+            await self._serve(stream)
+
+    async def _wait_for_group(self) -> None:
+        """Wait until a quorum-backed state has a group.
+
+        An older state could name an epoch that this instance has left before it
+        restarted.
+        """
+        while True:
+            try:
+                await self._barrier.wait()
+            except NoQuorumError:
+                await asyncio.sleep(RETRY_S)
+                continue
+            if self._change.epoch > 0:
+                return
+            await self._changed.wait()
+            self._changed.clear()
+
+    @property
+    def _change(self) -> RegistrarChange:
+        return self._machine.membership.registrars.change
+
+    def _is_first_start(self) -> bool:
+        """Return whether an instance without a ceiling has surely never granted.
+
+        A ceiling is synced before the first grant, so it has not, provided that
+        its storage is the one that it had when it became a registrar.
+        """
+        if self._path.exists() or self._change.is_former(self._instance_id):
+            return False
+        storage_id = self._log.replica.incarnation
+        return any(
+            registrar.instance_id == self._instance_id
+            and registrar.storage_id == storage_id
+            for registrar in self._change.registrars
+        )
+
+    async def _follow(self, host: RegistrarHost) -> None:
+        """Enter and open the newest group as far as it has come."""
+        change = self._change
+        latest_grant_ms = host.registrar.enter_epoch(change.epoch)
+        if change.is_open and self._opened_epoch < change.epoch:
+            await self._open(host, change)
+        elif not change.is_open and self._reported_epoch < change.epoch:
+            await self._report(change, latest_grant_ms)
+
+    async def _open(self, host: RegistrarHost, change: RegistrarChange) -> None:
+        if not change.is_member(self._instance_id):
+            return
+        newcomer = not change.is_former(self._instance_id)
+        try:
+            await host.open_epoch(
+                change.epoch, change.latest_grant_ms, newcomer=newcomer
+            )
+        except OSError as error:
+            logger.warning("epoch %d not opened yet: %s", change.epoch, error)
+            self._look_again()
+        else:
+            self._opened_epoch = change.epoch
+
+    async def _report(self, change: RegistrarChange, latest_grant_ms: int) -> None:
+        """Log that this instance grants nothing of former epochs any more."""
+        if not change.is_former(self._instance_id):
+            return
+        entered = EnterEpoch(
+            epoch=change.epoch,
+            instance_id=self._instance_id,
+            latest_grant_ms=latest_grant_ms,
+        )
+        try:
+            command = encode(ControlCommand(enter=entered))
+            await self._log.propose(command, PROPOSAL_TIMEOUT_S)
+        except (NotAcceptedError, OutcomeUnknownError) as error:
+            logger.info("entered epoch not logged yet: %s", error)
+            self._look_again()
+        else:
+            self._reported_epoch = change.epoch
+
+    def _look_again(self) -> None:
+        asyncio.get_running_loop().call_later(RETRY_S, self._changed.set)
--- a/src/verbenaplank/control/replication.py
+++ b/src/verbenaplank/control/replication.py
@@ -89,6 +89,7 @@
         """
         if self._next is None:
             self._next = asyncio.create_task(self._run(self._running))
+            self._next.add_done_callback(_retrieve_exception)
         await asyncio.shield(self._next)
 
     async def _run(self, previous: asyncio.Task[None] | None) -> None:
@@ -97,3 +98,9 @@
         self._running = self._next
         self._next = None
         await self._log.read_barrier(self._timeout_s)
+
+
+def _retrieve_exception(task: asyncio.Task[None]) -> None:
+    """Let no failure be reported that its waiters no longer wait for."""
+    if not task.cancelled():
+        task.exception()
--- a/src/verbenaplank/membership/link.py
+++ b/src/verbenaplank/membership/link.py
@@ -270,4 +270,3 @@
                 self._listener(event)
         if self._state.ready:
             self._ready.set()
-            self._left.clear()
--- /dev/null
+++ b/tests/control/test_registrar_groups.py
@@ -0,0 +1,83 @@
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from control_cluster import Cluster
+from control_helpers import ADMINISTRATOR_TOKEN
+from control_helpers import control_settings
+from control_helpers import entry
+from control_helpers import eventually
+from control_helpers import link_to
+from uuid6 import uuid7
+
+from verbenaplank.claims.client import ClaimClient
+from verbenaplank.claims.decision import ClaimState
+from verbenaplank.control.application import ControlInstance
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from verbenaplank.protocol.membership import RegistrarGroup
+
+TIMEOUT_S = 2.0
+
+
+async def claim(group: RegistrarGroup | None, entry_id: str, job_id: str) -> ClaimState:
+    assert group is not None
+    generator = random.Random(entry_id)
+    client = ClaimClient(entry_id, "a", "h:1", None, time.monotonic, generator)
+    async with client:
+        client.set_registrars(group)
+        decision = await client.claim(job_id, b"digest", TIMEOUT_S)
+    return decision.state
+
+
+async def test_first_registrar_grants_at_once_and_abstains_after_a_restart(
+    tmp_path: Path,
+) -> None:
+    settings = control_settings(tmp_path)
+    job_id = str(uuid7())
+    states = []
+    for _ in range(2):
+        async with (
+            ControlInstance(settings) as control,
+            link_to(entry(), control) as link,
+        ):
+            await eventually(lambda link=link: link.registrars is not None)
+            states.append(await claim(link.registrars, "entry-1", job_id))
+
+    assert states[0] is ClaimState.OWNED_HERE
+    assert states[1] is not ClaimState.OWNED_HERE
+
+
+async def test_changed_group_opens_and_grants_no_identifier_of_the_former_one(
+    tmp_path: Path,
+) -> None:
+    claims = {"max_clock_skew_s": 0.2}
+    async with Cluster(tmp_path, claims=claims) as cluster:
+        instances = [cluster.instances[index] for index in cluster.followers()]
+        async with link_to(entry(), *instances) as link:
+            await eventually(lambda: link.registrars is not None)
+            old_id = str(uuid7())
+            first = await claim(link.registrars, "entry-1", old_id)
+            members = ["control-0", "control-1"]
+            async with cluster.http(0) as http:
+                reply = await http.put(
+                    "/v1/registrars",
+                    json={
+                        "expected_epoch": 1,
+                        "instance_ids": members,
+                        "command_id": "c1",
+                    },
+                    headers={"Authorization": f"Bearer {ADMINISTRATOR_TOKEN}"},
+                )
+            assert reply.status_code == 200
+            await eventually(lambda: link.registrars.epoch == 2)
+            again = await claim(link.registrars, "entry-2", old_id)
+            new = await claim(link.registrars, "entry-2", str(uuid7()))
+
+    assert first is ClaimState.OWNED_HERE
+    assert again is ClaimState.OWNED_ELSEWHERE
+    assert new is ClaimState.OWNED_HERE
--- a/tests/control/test_replicated_configuration.py
+++ b/tests/control/test_replicated_configuration.py
@@ -239,6 +239,26 @@
             assert not link.lease_valid(time.monotonic())
 
 
+async def test_planned_stop_of_the_leader_cuts_off_no_request(
+    cluster: Cluster,
+) -> None:
+    leader = cluster.leader()
+    assert leader is not None
+    log = cluster.instances[leader].log
+    racers = [
+        asyncio.create_task(apply(cluster, n % 3, f"racer-{n}", 1)) for n in range(12)
+    ]
+    await eventually(lambda: log.commit_index > 0 and any(r.done() for r in racers))
+    await cluster.stop(leader)
+    replies = await asyncio.gather(*racers)
+
+    statuses = [reply.status_code for reply in replies]
+    assert statuses.count(200) == 1
+    assert statuses.count(409) + statuses.count(503) == 11
+    refusals = [reply.json() for reply in replies if reply.status_code == 503]
+    assert all(refusal["run"] == "not_run" for refusal in refusals)
+
+
 async def _change_50_times(cluster: Cluster, number: int) -> None:
     log = cluster.instances[number % 3].log
     name = f"section-{number}"
