Gate histories: what each mechanism's removal reports

Tried on a scratch copy, one mechanism out at a time; the random histories (TestGateHistories) fail without: starts remembered, the lease check, refusals and revocations remembered, the drain check ('started while draining'), the check once the connection stands. Without the budget check, the incarnation check, the withdrawal of a reserved slot, the answer to another life's revocation and the memory of old starts only the directed tests in test_gate.py fail.

--- a/tests/agent/test_gate_stateful.py
+++ b/tests/agent/test_gate_stateful.py
@@ -27,9 +27,11 @@
 LIMITS = GateLimits(slots=2, max_queued_tasks=2, retention_s=30.0)
 BUDGET_S = 1.0
 SLACK_S = 1e-6
-INDEXES = st.integers(0, 2)
+INDEXES = st.integers(0, 1)
+MAX_LIVES = 3
+MAX_DISPATCHES = 8
 WHICH = st.integers(0, 1)
-POSITIONS = st.integers(0, 100)
+POSITIONS = st.integers(-3, 3)
 
 
 @attrs.frozen
@@ -56,21 +58,17 @@
         self.starts: list[tuple[int, str, Key]] = []
         self.closed: set[Key] = set()
         self.answered_started: set[Key] = set()
-        self.restart()
+        self._new_life()
 
+    @precondition(lambda self: self.life < MAX_LIVES and len(self.starts) > self.life)
     @rule()
     def restart(self) -> None:
         """Start the agent anew: empty memory, another incarnation."""
-        self.life += 1
-        self.gate = Gate(f"a{self.life}", frozenset({"draw"}), LIMITS)
-        self.runs.clear()
-        self.reserved.clear()
-        self.draining = False
-        for entry in ENTRIES:
-            self.gate.on_hello(entry, self.now_s)
+        self._new_life()
 
-    @rule(which=WHICH, index=INDEXES, attempt=st.integers(1, 2), urgent=st.booleans())
-    def dispatch(self, which: int, index: int, attempt: int, urgent: bool) -> None:
+    @precondition(lambda self: len(self.sent) < MAX_DISPATCHES)
+    @rule(which=WHICH, index=INDEXES, urgent=st.booleans(), is_late=st.booleans())
+    def dispatch(self, which: int, index: int, urgent: bool, is_late: bool) -> None:
         self.next_id += 1
         dispatch = Dispatch(
             job_id="job",
@@ -81,10 +79,11 @@
             payload=b"{}",
             start_budget_ms=BUDGET_S * 1_000,
             run_budget_ms=1_000.0,
-            attempt=attempt,
             urgent=urgent,
         )
         self.sent.append((ENTRIES[which], dispatch))
+        if not is_late:
+            self.receive(-1)
 
     @precondition(lambda self: self.sent)
     @rule(position=POSITIONS)
@@ -96,6 +95,7 @@
             return  # A stream ends with the life that it led to.
         self.received_s.setdefault(key, self.now_s)
         self._take(self.gate.on_dispatch(entry, dispatch, self.now_s))
+        self._fill_slots()
 
     @precondition(lambda self: self.sent)
     @rule(position=POSITIONS)
@@ -110,13 +110,10 @@
         )
         self._take(self.gate.on_revoke(entry, revoke, self.now_s))
 
-    @rule()
-    def fill_slots(self) -> None:
-        self._take(self.gate.start_ready(self.now_s))
-
     @precondition(lambda self: self.reserved)
     @rule(position=POSITIONS)
     def begin(self, position: int) -> None:
+        """Begin a run whose connection now stands."""
         task_id = sorted(self.reserved)[position % len(self.reserved)]
         entry, dispatch = self.reserved.pop(task_id)
         begin = self.gate.begin(task_id, self.now_s)
@@ -129,7 +126,7 @@
         late_s = self.now_s - self.received_s[key] - BUDGET_S
         assert late_s <= SLACK_S, "started after its budget"
         assert dispatch.agent_incarnation == f"a{self.life}", "of another life"
-        assert self.now_s <= self.lease_until_s[entry] + SLACK_S, "lease has run out"
+        assert self.now_s <= self._lease_until_s(entry) + SLACK_S, "lease has run out"
         self.starts.append((self.life, task_id, key))
         self.runs[task_id] = (entry, dispatch)
 
@@ -153,8 +150,9 @@
             attempt=dispatch.attempt,
         )
         self._take(self.gate.on_finished(task_id, result, self.now_s))
+        self._fill_slots()
 
-    @rule(step_s=st.sampled_from((0.1, 0.6, 3.0, 40.0)))
+    @rule(step_s=st.sampled_from((0.6, 3.0, 40.0)))
     def freeze(self, step_s: float) -> None:
         """Let time pass without the gate being told."""
         self.now_s += step_s
@@ -180,6 +178,19 @@
         else:
             self.gate.resume()
 
+    def _new_life(self) -> None:
+        self.life += 1
+        self.gate = Gate(f"a{self.life}", frozenset({"draw"}), LIMITS)
+        self.runs.clear()
+        self.reserved.clear()
+        self.draining = False
+        for entry in ENTRIES:
+            self.gate.on_hello(entry, self.now_s)
+            self.gate.on_renewal(entry, 5.0, self.now_s)
+
+    def _fill_slots(self) -> None:
+        self._take(self.gate.start_ready(self.now_s))
+
     @invariant()
     def each_task_starts_once_in_a_life(self) -> None:
         started = [(life, task_id) for life, task_id, _ in self.starts]
@@ -189,9 +200,8 @@
     def slots_are_respected(self) -> None:
         assert len(self.runs) + len(self.reserved) <= LIMITS.slots
 
-    @property
-    def lease_until_s(self) -> dict[EntryKey, float]:
-        return {key: self.gate._entries[key].lease_until_s for key in ENTRIES}
+    def _lease_until_s(self, entry: EntryKey) -> float:
+        return self.gate._entries[entry].lease_until_s
 
     def _take(self, effects: list[Effect]) -> None:
         for effect in effects:
@@ -218,6 +228,6 @@
 
 
 GateHistories.TestCase.settings = settings(
-    max_examples=250, stateful_step_count=40, derandomize=True, database=None
+    max_examples=400, stateful_step_count=30, derandomize=True, database=None
 )
 TestGateHistories = GateHistories.TestCase
