--- a/src/verbenaplank/bench/capacity_model.py
+++ b/src/verbenaplank/bench/capacity_model.py
@@ -22,6 +22,9 @@
 
 RENEWAL_WIRE_BYTES = 130
 REGISTRARS_PER_CLAIM = 3
+MEASURED_ENTRIES = 3
+"""Entries of the fleet in which the idle agent was measured."""
+
 MICROSECONDS_PER_SECOND = 1e6
 
 
@@ -78,6 +81,10 @@
         """Return the resident bytes of an idle process."""
         return float(self._document["processes"]["idle"][role]["resident_bytes"])
 
+    def idle_share(self, role: str) -> float:
+        """Return the share of a core that an idle process uses."""
+        return float(self._document["processes"]["idle"][role]["processor_share"])
+
     def task_us(self, role: str) -> float:
         """Return a role's processor time per task: the slope between two loads."""
         runs = self._document["load_runs"]
@@ -97,7 +104,8 @@
     entry_starts_per_s = target.starts_per_s / entries
     agent_starts_per_s = target.starts_per_s / target.workers
     renewal_us = slopes.us("stream.message.1_dispatches")
-    renewal_share = entry_streams * renewal_us / layout.renewal_period_s
+    renewals_per_s = _renewals_per_s(target, layout, agent_streams)
+    renewal_share = entry_streams * renewal_us * renewals_per_s
     stream_bytes = slopes.size("stream.open")
     claims_per_s = target.starts_per_s / target.tasks_per_job
     members = target.workers + entries
@@ -159,6 +167,15 @@
     return entry_streams, math.ceil(entry_streams * entries / target.workers)
 
 
+def _renewals_per_s(target: Target, layout: Layout, agent_streams: int) -> float:
+    """Return the renewals a second on one stream."""
+    if layout.renews_idle_streams:
+        return 1.0 / layout.renewal_period_s
+    in_progress = target.starts_per_s / target.workers * target.run_time_s
+    busy_share = 1.0 - math.exp(-in_progress / max(agent_streams, 1))
+    return busy_share / layout.renewal_period_s
+
+
 def _claims_at_each(claims_per_s: float, layout: Layout) -> float:
     return claims_per_s * REGISTRARS_PER_CLAIM / layout.registrars
 
@@ -181,10 +198,19 @@
     slopes: Slopes, target: Target, layout: Layout, streams: int
 ) -> float:
     heartbeat_us = slopes.us("stream.heartbeat_and_lease") / layout.heartbeat_period_s
-    renewal_us = slopes.us("stream.message.1_dispatches") / layout.renewal_period_s
+    renewal_us = slopes.us("stream.message.1_dispatches")
+    renewal_us *= _renewals_per_s(target, layout, streams)
     rebuild_us = target.teams * slopes.us("member.build_section")
     changes_per_s = target.changes_per_day / SECONDS_PER_DAY
-    return _share(heartbeat_us + streams * renewal_us + changes_per_s * rebuild_us)
+    messages_us = heartbeat_us + streams * renewal_us + changes_per_s * rebuild_us
+    return _timers_share(slopes) + _share(messages_us)
+
+
+def _timers_share(slopes: Slopes) -> float:
+    """Return what an idle agent spends beyond the messages that it got."""
+    messages_us = slopes.us("stream.heartbeat_and_lease")
+    messages_us += MEASURED_ENTRIES * slopes.us("stream.message.1_dispatches")
+    return max(0.0, slopes.idle_share("agent") - _share(messages_us))
 
 
 def _agent_bytes_per_s(
@@ -196,7 +222,7 @@
     change = slopes.size("section.wire") + MESSAGE_OVERHEAD_BYTES
     return (
         heartbeat / layout.heartbeat_period_s
-        + streams * renewal / layout.renewal_period_s
+        + streams * renewal * _renewals_per_s(target, layout, streams)
         + change * target.changes_per_day / SECONDS_PER_DAY
     )
 
@@ -208,7 +234,8 @@
     heartbeat_us = slopes.us("stream.heartbeat_and_lease") / layout.heartbeat_period_s
     churn_per_s = 2 * target.restarts_per_day / SECONDS_PER_DAY
     churn_us = churn_per_s * members * slopes.us("control.member_delta")
-    return _share(own * heartbeat_us + churn_us / target.control_instances)
+    messages_us = own * heartbeat_us + churn_us / target.control_instances
+    return slopes.idle_share("control") + _share(messages_us)
 
 
 def _control_bytes_per_s(
--- a/src/verbenaplank/bench/target.py
+++ b/src/verbenaplank/bench/target.py
@@ -15,8 +15,8 @@
 
     Attributes
     ----------
-    tasks_per_job
-        Mean; every task is a job of its own in the worst case for claims.
+    tasks_per_job, run_time_s
+        Means; every task is a job of its own in the worst case for claims.
     retention_s
         How long claims, starts and answers are remembered.
     """
@@ -31,6 +31,7 @@
     restarts_per_day: int = 1_500
     control_instances: int = 14
     tasks_per_job: float = 17.0
+    run_time_s: float = 0.3
     retention_s: float = 300.0
 
     @property
@@ -61,6 +62,8 @@
         ``None`` for a stream to every agent of all data centres.
     renewal_period_s
         Period of the leases that entries renew at agents.
+    renews_idle_streams
+        Whether an entry also renews where it has no task in progress.
     registrars
         Control instances that grant claims; each job is claimed at three.
     """
@@ -70,6 +73,7 @@
     spill_agents: int | None = None
     heartbeat_period_s: float = 1.0
     renewal_period_s: float = 1.0
+    renews_idle_streams: bool = True
     registrars: int = 3
 
 
@@ -77,5 +81,6 @@
 PLANNED = Layout(
     name="planned: entries of the data centre, regional registrar groups",
     spill_agents=16,
+    renews_idle_streams=False,
     registrars=12,
 )
