--- /dev/null
+++ b/src/verbenaplank/control/bootstrap.py
@@ -0,0 +1,109 @@
+"""Fills an empty replicated state: first document, first registrar group."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from verbenaplank.configuration.commands import LoadDocument
+from verbenaplank.configuration.commands import Origin
+from verbenaplank.configuration.commands import Verdict
+from verbenaplank.consensus.errors import NoQuorumError
+from verbenaplank.consensus.errors import NotAcceptedError
+from verbenaplank.consensus.errors import OutcomeUnknownError
+from verbenaplank.control.commands import ControlCommand
+from verbenaplank.control.commands import OperatorCommand
+from verbenaplank.control.commands import decode_result
+from verbenaplank.control.commands import encode
+from verbenaplank.control.first_document import FIRST_COMMAND_ID
+from verbenaplank.membership.commands import SetRegistrars
+from verbenaplank.protocol.membership import Registrar
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from verbenaplank.clock.sources import WallClock
+    from verbenaplank.control.machine import ControlMachine
+    from verbenaplank.control.replication import ReplicatedLog
+    from verbenaplank.protocol.consensus import Replica
+    from verbenaplank.settings.common import ControlPeer
+
+REGISTRARS_PER_GROUP = 3
+FIRST_REGISTRARS_COMMAND_ID = "first-registrars"
+PROPOSAL_TIMEOUT_S = 2.0
+RETRY_S = 0.2
+
+logger = logging.getLogger(__name__)
+
+
+async def bootstrap(
+    log: ReplicatedLog,
+    machine: ControlMachine,
+    document: LoadDocument | None,
+    peers: Sequence[ControlPeer],
+    wall_clock: WallClock,
+) -> None:
+    """Propose what an empty state lacks, until it is there.
+
+    Every instance does so; the command ids let only one proposal take effect.
+    """
+    while True:
+        try:
+            await log.read_barrier(PROPOSAL_TIMEOUT_S)
+            if machine.membership.registrars.change.epoch == 0:
+                origin = _origin(FIRST_REGISTRARS_COMMAND_ID, wall_clock)
+                registrars = choose_registrars(peers, log.members)
+                change = SetRegistrars(expected_epoch=0, registrars=registrars)
+                await _propose(log, OperatorCommand(origin=origin, registrars=change))
+            if document is not None and machine.configuration.version == 0:
+                origin = _origin(FIRST_COMMAND_ID, wall_clock)
+                await _propose(log, OperatorCommand(origin=origin, load=document))
+        except (NoQuorumError, NotAcceptedError, OutcomeUnknownError) as error:
+            logger.info("first state not proposed yet: %s", error)
+            await asyncio.sleep(RETRY_S)
+        else:
+            return
+
+
+def choose_registrars(
+    peers: Sequence[ControlPeer], replicas: Sequence[Replica]
+) -> tuple[Registrar, ...]:
+    """Return the first instances, from as many data centres as possible."""
+    ordered = sorted(peers, key=lambda peer: peer.instance_id)
+    seen: Counter[str] = Counter()
+    ranks: list[tuple[int, int]] = []
+    for index, peer in enumerate(ordered):
+        ranks.append((seen[peer.data_centre], index))
+        seen[peer.data_centre] += 1
+    chosen = [ordered[index] for _, index in sorted(ranks)[:REGISTRARS_PER_GROUP]]
+    return describe_registrars(chosen, replicas)
+
+
+def describe_registrars(
+    peers: Sequence[ControlPeer], replicas: Sequence[Replica]
+) -> tuple[Registrar, ...]:
+    """Return instances as registrars, with the storage that each has now."""
+    storage_ids = {replica.instance_id: replica.incarnation for replica in replicas}
+    return tuple(
+        Registrar(
+            instance_id=peer.instance_id,
+            address=str(peer.address),
+            data_centre=peer.data_centre,
+            storage_id=storage_ids.get(peer.instance_id, ""),
+        )
+        for peer in peers
+    )
+
+
+def _origin(command_id: str, wall_clock: WallClock) -> Origin:
+    return Origin(command_id=command_id, sent_at_ms=wall_clock(), administrator=True)
+
+
+async def _propose(log: ReplicatedLog, command: OperatorCommand) -> None:
+    data = encode(ControlCommand(operator=command))
+    outcome = decode_result(await log.propose(data, PROPOSAL_TIMEOUT_S)).outcome
+    if outcome is not None and outcome.verdict is Verdict.INVALID:
+        findings = "; ".join(map(str, outcome.findings))
+        logger.error("first state refused: %s: %s", outcome.detail, findings)
--- /dev/null
+++ b/src/verbenaplank/entry/peer_service.py
@@ -0,0 +1,90 @@
+"""Answers other entries that attach to, or cancel, a job of this one."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from verbenaplank.protocol.peer import AttachReply
+from verbenaplank.protocol.peer import AttachState
+from verbenaplank.protocol.peer import CancelReply
+from verbenaplank.rpc.services import ATTACH
+from verbenaplank.rpc.services import CANCEL
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenaplank.entry.answer import Answer
+    from verbenaplank.entry.registry import RequestRegistry
+    from verbenaplank.protocol.peer import AttachRequest
+    from verbenaplank.protocol.peer import CancelRequest
+    from verbenaplank.rpc.method import Service
+
+MAX_PART_BYTES = 1024 * 1024
+MAX_WAIT_MS = 10_000.0
+MILLISECONDS_PER_SECOND = 1000
+
+
+class PeerService:
+    """The services that an entry offers to other entries."""
+
+    def __init__(
+        self, registry: RequestRegistry, cancel: Callable[[str], bool]
+    ) -> None:
+        self._registry = registry
+        self._cancel = cancel
+        self._attached = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def services(self) -> list[Service]:
+        """Return the services for a gRPC server."""
+        return [ATTACH.handler(self.attach), CANCEL.handler(self.cancel)]
+
+    async def join(self) -> None:
+        """Wait until no other entry waits for an answer."""
+        await self._idle.wait()
+
+    async def cancel(self, request: CancelRequest) -> CancelReply:
+        """Cancel a job for another entry."""
+        return CancelReply(cancelled=self._cancel(request.job_id))
+
+    async def attach(self, request: AttachRequest) -> AttachReply:
+        """Wait for a job's answer for another entry."""
+        self._attached += 1
+        self._idle.clear()
+        try:
+            return await self._attach(request)
+        finally:
+            self._attached -= 1
+            if not self._attached:
+                self._idle.set()
+
+    async def _attach(self, request: AttachRequest) -> AttachReply:
+        record = self._registry.find(request.job_id)
+        if record is None:
+            return AttachReply(state=AttachState.UNKNOWN)
+        wait_s = min(request.wait_ms, MAX_WAIT_MS) / MILLISECONDS_PER_SECOND
+        try:
+            async with asyncio.timeout(wait_s):
+                await record.decided.wait()
+                if not record.owned:
+                    return AttachReply(state=AttachState.UNKNOWN)
+                if request.digest and request.digest != record.digest:
+                    return AttachReply(state=AttachState.CONFLICT)
+                await record.answered.wait()
+        except TimeoutError:
+            return AttachReply(state=AttachState.PENDING)
+        return _answered(request, record.answer)
+
+
+def _answered(request: AttachRequest, answer: Answer | None) -> AttachReply:
+    if answer is None:
+        return AttachReply(state=AttachState.UNKNOWN)
+    begin = request.offset_bytes
+    return AttachReply(
+        state=AttachState.ANSWERED,
+        status=answer.status,
+        body=answer.body[begin : begin + MAX_PART_BYTES],
+        size_bytes=len(answer.body),
+    )
--- a/src/verbenaplank/protocol/claims.py
+++ b/src/verbenaplank/protocol/claims.py
@@ -63,7 +63,17 @@
 
 @attrs.frozen(kw_only=True)
 class ClaimReply:
-    """Answers a claim; names the owner when the identifier is taken."""
+    """Answers a claim; names the owner when the identifier is taken.
+
+    Attributes
+    ----------
+    owner_attempt
+        Attempt of the owner that holds the grant; it stays the same once the
+        owner has won.
+    may_have_granted
+        On ``ABSTAINED``: whether the registrar may have granted the identifier
+        before and no longer knows.
+    """
 
     job_id: str
     attempt: int
@@ -71,11 +81,20 @@
     owner_entry_id: str = ""
     owner_incarnation: str = ""
     owner_address: str = ""
+    owner_attempt: int = 0
     epoch: int = 0
+    may_have_granted: bool = False
 
 
 @attrs.frozen(kw_only=True)
 class FromRegistrar:
-    """Envelope from a registrar to an entry."""
+    """Envelope from a registrar to an entry.
+
+    Attributes
+    ----------
+    releases_handled
+        How many releases of this stream the registrar has handled so far.
+    """
 
     replies: tuple[ClaimReply, ...] = ()
+    releases_handled: int = 0
