Tell every follower of a commit at once

Cause: the acknowledgement that completes a quorum tells the commit index to the followers that have answered; the others learnt it with the next heartbeat, so a command proposed on a follower waited for it. Ruled out: forwarding and the sync; a proposal on the leader took 4 ms. Change: a reply is followed by a message while its sender has not been told the newest commit index. The new test reported one follower without the command.

--- a/src/verbenaplank/consensus/replication.py
+++ b/src/verbenaplank/consensus/replication.py
@@ -112,7 +112,7 @@
     else:
         highest = min(progress.next_index - 1, reply.match_index + 1)
         progress.next_index = max(progress.match_index + 1, highest)
-    if progress.next_index <= state.log.last_index or not reply.accepted:
+    if not reply.accepted or _has_news(state, progress):
         _send_next(state, message.sender, progress)
 
 
@@ -176,6 +176,11 @@
     progress.echo_s = sent_s
 
 
+def _has_news(state: State, progress: Progress) -> bool:
+    unsent = progress.next_index <= state.log.last_index
+    return unsent or progress.commit_index < state.commit_index
+
+
 def _send_next(state: State, replica: Replica, progress: Progress) -> None:
     progress.in_flight = True
     if progress.next_index <= state.log.base_index:
@@ -190,6 +195,7 @@
     state: State, replica: Replica, progress: Progress, entries: list[LogEntry]
 ) -> None:
     previous = progress.next_index - 1
+    progress.commit_index = state.commit_index
     request = AppendRequest(
         previous_index=previous,
         previous_term=state.log.term_at(previous) or 0,
--- a/src/verbenaplank/consensus/state.py
+++ b/src/verbenaplank/consensus/state.py
@@ -63,6 +63,8 @@
 
     Attributes
     ----------
+    commit_index
+        The commit index that it was last told.
     acknowledged_sent_s
         When the leader sent the newest request that was answered.
     echo_s
@@ -71,6 +73,7 @@
 
     next_index: int
     match_index: int = 0
+    commit_index: int = 0
     in_flight: bool = False
     acknowledged_sent_s: float = NEVER_S
     echo_s: float | None = None
--- a/tests/consensus/test_replication.py
+++ b/tests/consensus/test_replication.py
@@ -105,3 +105,11 @@
 
     assert follower.state.term == leader.state.term
     assert cluster.network == []
+
+
+def test_command_is_applied_everywhere_before_the_next_heartbeat() -> None:
+    cluster, leader = settled_cluster(3)
+    command = cluster.propose(leader)
+    cluster.run_out()
+
+    assert [item.commands[-1][1] for item in cluster.all] == [command] * 3
