Hand over to the follower that answered last

Cause: the first caught-up follower was asked, also one that had just died; the request was then lost and an election timeout passed without a leader. Change: the one that answered last is asked. A handler that resets its stream when its server closes waits at most a second for a blocked connection.

--- a/src/verbenaplank/consensus/node.py
+++ b/src/verbenaplank/consensus/node.py
@@ -47,6 +47,7 @@
 
 LOG_FOLDER = "log"
 INCARNATION_BYTES = 8
+RESET_TIMEOUT_S = 1.0
 
 _logger = logging.getLogger(__name__)
 
@@ -281,8 +282,9 @@
                 for message in envelope.messages:
                     self._receive(message)
         except asyncio.CancelledError:
-            with suppress(ProtocolError):
-                await stream.cancel()
+            with suppress(ProtocolError, TimeoutError):
+                async with asyncio.timeout(RESET_TIMEOUT_S):
+                    await stream.cancel()
             raise
 
     def _receive(self, message: PeerMessage) -> None:
--- a/src/verbenaplank/consensus/replication.py
+++ b/src/verbenaplank/consensus/replication.py
@@ -150,13 +150,20 @@
 
 
 def finish_hand_over(state: State) -> None:
-    """Give up the lease and ask a replica with the whole log to stand."""
-    for member in state.members:
-        progress = state.progress.get(member)
-        if progress and progress.match_index == state.log.last_index:
-            send(state, member, after_sync=False, hand_over=HandOver())
-            become_follower(state, state.term, None)
-            return
+    """Give up the lease and ask a replica with the whole log to stand.
+
+    Of those it asks the one that answered last, as it is most likely alive.
+    """
+    ready = [
+        (progress.acknowledged_sent_s, member)
+        for member, progress in state.progress.items()
+        if member in state.members and progress.match_index == state.log.last_index
+    ]
+    if not ready:
+        return
+    successor = max(ready, key=lambda item: item[0])[1]
+    send(state, successor, after_sync=False, hand_over=HandOver())
+    become_follower(state, state.term, None)
 
 
 def _held_index(state: State, member: Replica) -> int:
--- a/tests/consensus/test_election.py
+++ b/tests/consensus/test_election.py
@@ -120,6 +120,18 @@
     assert not leader.core.is_current(leader.clock_s(cluster.now_s))
 
 
+def test_hand_over_prefers_a_follower_that_still_answers() -> None:
+    for dead in (0, 1):
+        cluster, leader = settled_cluster(3)
+        lost = others_than(cluster, leader)[dead]
+        cluster.crash(lost.name)
+        cluster.run_for(2 * TIMING.heartbeat_s)
+        cluster.step(leader, HandOverAsked())
+        request = next(message for message in cluster.network if message.hand_over)
+
+        assert request.recipient.instance_id != lost.name
+
+
 def test_hand_over_request_of_an_earlier_term_is_ignored() -> None:
     cluster, leader = settled_cluster(3)
     cluster.step(leader, HandOverAsked())
