Split the simulated cluster from the promises it checks

Change: promises.py and fold.py; one way to inject a fault for hypothesis and for the seeded schedules.

--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -6,41 +6,26 @@
 
 import attrs
 import msgspec
+from tests.consensus.promises import MAX_DRIFT
+from tests.consensus.promises import TIMING
+from tests.consensus.promises import Promises
+from tests.storage.fold import written
 
+from verbenaplank.consensus import effects
+from verbenaplank.consensus import events
 from verbenaplank.consensus.core import Core
-from verbenaplank.consensus.effects import Apply
-from verbenaplank.consensus.effects import ProposalAppended
-from verbenaplank.consensus.effects import ReadAnswered
-from verbenaplank.consensus.effects import Restore
-from verbenaplank.consensus.effects import Save
-from verbenaplank.consensus.effects import Send
-from verbenaplank.consensus.events import CommandProposed
-from verbenaplank.consensus.events import HandOverAsked
-from verbenaplank.consensus.events import MessageReceived
-from verbenaplank.consensus.events import ReadStarted
-from verbenaplank.consensus.events import SnapshotTaken
-from verbenaplank.consensus.events import TimePassed
-from verbenaplank.consensus.events import WritesSynced
 from verbenaplank.consensus.state import Role
-from verbenaplank.consensus.state import Timing
-from verbenaplank.protocol.consensus import EntryKind
 from verbenaplank.protocol.consensus import StorageState
 from verbenaplank.storage.model import Identity
 from verbenaplank.storage.model import Stored
 
 if TYPE_CHECKING:
-    from verbenaplank.consensus.effects import Effect
-    from verbenaplank.consensus.events import Event
-    from verbenaplank.protocol.consensus import LogEntry
     from verbenaplank.protocol.consensus import PeerMessage
-    from verbenaplank.protocol.consensus import Replica
     from verbenaplank.storage.model import Write
 
-TIMING = Timing(heartbeat_s=0.05, election_timeout_s=0.5)
-MAX_DRIFT = 0.05
 SNAPSHOT_EVERY = 8
 FAULTS = (
-    *("crash", "crash", "restart", "restart", "isolate", "isolate", "cut"),
+    *("crash", "crash", "restart_all", "restart_all", "isolate", "isolate", "cut"),
     *("heal", "heal", "hand_over", "lose_disk", "settle"),
 )
 
@@ -56,21 +41,6 @@
         state = StorageState.REJOINING
         self.stored = Stored(identity=attrs.evolve(self.stored.identity, state=state))
 
-    def write(self, write: Write) -> None:
-        entries = self.stored.entries
-        if write.snapshot:
-            entries = write.entries
-        elif write.entries:
-            first = write.entries[0].index
-            kept = [entry for entry in entries if entry.index < first]
-            entries = (*kept, *write.entries)
-        self.stored = Stored(
-            identity=write.identity or self.stored.identity,
-            vote=write.vote or self.stored.vote,
-            snapshot=write.snapshot or self.stored.snapshot,
-            entries=entries,
-        )
-
 
 class Instance:
     def __init__(self, name: str, disk: Disk, source: random.Random) -> None:
@@ -95,24 +65,18 @@
         return self.core.state
 
 
-class Cluster:
+class Cluster(Promises):
     """Cores with disks and a network, all driven by one source of randomness.
 
     Every step checks the promises of the replicated log.
     """
 
     def __init__(self, size: int, seed: int) -> None:
+        super().__init__()
         self.random = random.Random(seed)
-        self.now_s = 0.0
         self.names = tuple(f"control-{number}" for number in range(size))
         self.network: list[PeerMessage] = []
         self.cut: set[tuple[str, str]] = set()
-        self.leaders: dict[int, Replica] = {}
-        self.committed: dict[int, LogEntry] = {}
-        self.acknowledged: list[tuple[float, int]] = [(0.0, 0)]
-        self.pending: dict[tuple[str, int], int] = {}
-        self.reads: dict[tuple[str, int], int] = {}
-        self.answered_reads = 0
         self.count = 0
         self.instances = {name: self._new_instance(name) for name in self.names}
         for name in self.names:
@@ -187,7 +151,7 @@
     def running(self) -> list[Instance]:
         return [item for item in self.all if item.core is not None]
 
-    def step(self, instance: Instance, event: Event) -> None:
+    def step(self, instance: Instance, event: events.Event) -> None:
         now_s = instance.clock_s(self.now_s)
         self._perform(instance, instance.core.handle(event, now_s))
         self.check(instance)
@@ -202,7 +166,7 @@
             due_s = instance.core.next_due_s
             due = instance.clock_s(self.now_s) >= due_s
             if due and self.random.random() >= frozen_share:
-                self.step(instance, TimePassed())
+                self.step(instance, events.TimePassed())
             self.check(instance)
 
     def deliver(self, position: int, *, keep: bool = False) -> None:
@@ -213,144 +177,72 @@
         instance = self.instances[recipient]
         if (sender, recipient) in self.cut or instance.core is None:
             return
-        self.step(instance, MessageReceived(message=message))
+        self.step(instance, events.MessageReceived(message=message))
 
     def sync(self, instance: Instance) -> None:
         write = instance.waiting.popleft()
-        instance.disk.write(write)
+        instance.disk.stored = written(instance.disk.stored, write)
         while instance.held_back and instance.held_back[0][0] <= write.sequence:
             self.network.append(instance.held_back.popleft()[1])
-        self.step(instance, WritesSynced(sequence=write.sequence))
+        self.step(instance, events.WritesSynced(sequence=write.sequence))
 
     def propose(self, instance: Instance) -> bytes:
         self.count += 1
         command = b"%d" % self.count
-        self.step(instance, CommandProposed(proposal_id=self.count, command=command))
+        self.step(
+            instance, events.CommandProposed(proposal_id=self.count, command=command)
+        )
         return command
 
     def read(self, instance: Instance) -> None:
         self.count += 1
         self.reads[instance.name, self.count] = self.acknowledged[-1][1]
-        self.step(instance, ReadStarted(read_id=self.count))
+        self.step(instance, events.ReadStarted(read_id=self.count))
 
-    def _perform(self, instance: Instance, effects: list[Effect]) -> None:
-        for effect in effects:
+    def _perform(self, instance: Instance, wanted: list[effects.Effect]) -> None:
+        for effect in wanted:
             match effect:
-                case Send(message=message, after_sync=True) if instance.waiting:
+                case effects.Send(message=message, after_sync=True) if instance.waiting:
                     sequence = instance.put_sequence
                     instance.held_back.append((sequence, message))
-                case Send(message=message):
+                case effects.Send(message=message):
                     self.network.append(message)
-                case Save(write=write):
+                case effects.Save(write=write):
                     instance.put_sequence = write.sequence
                     instance.waiting.append(write)
-                case Apply(entries=entries):
-                    self._apply(instance, entries)
-                case Restore(snapshot=snapshot):
-                    self._restore(instance, snapshot.index, snapshot.data)
-                case ProposalAppended(index=index, term=term):
+                case effects.Apply(entries=entries):
+                    self.note_applied(instance, entries)
+                case effects.Restore(snapshot=snapshot):
+                    self.note_restored(instance, snapshot.index, snapshot.data)
+                case effects.ProposalAppended(index=index, term=term):
                     self.pending[instance.name, index] = term
-                case ReadAnswered(read_id=read_id, index=index):
-                    self._check_read(instance, read_id, index)
+                case effects.ReadAnswered(read_id=read_id, index=index):
+                    self.note_read(instance, read_id, index)
         due = instance.applied_index - instance.state.log.base_index
         if due >= SNAPSHOT_EVERY:
             data = msgspec.msgpack.encode(instance.commands)
-            self.step(instance, SnapshotTaken(index=instance.applied_index, data=data))
-
-    def _apply(self, instance: Instance, entries: tuple[LogEntry, ...]) -> None:
-        for entry in entries:
-            assert entry.index == instance.applied_index + 1, "an entry was left out"
-            known = self.committed.setdefault(entry.index, entry)
-            assert known == entry, "two instances applied different entries"
-            instance.applied_index = entry.index
-            if entry.kind is EntryKind.COMMAND:
-                instance.commands.append((entry.index, entry.data))
-            if self.pending.pop((instance.name, entry.index), None) == entry.term:
-                newest = max(entry.index, self.acknowledged[-1][1])
-                self.acknowledged.append((self.now_s, newest))
-
-    def _restore(self, instance: Instance, index: int, data: bytes) -> None:
-        instance.commands = msgspec.msgpack.decode(data, type=list[tuple[int, bytes]])
-        instance.applied_index = index
-        expected = [
-            (entry.index, entry.data)
-            for entry in self.committed.values()
-            if entry.index <= index and entry.kind is EntryKind.COMMAND
-        ]
-        assert instance.commands == sorted(expected), "a snapshot has another content"
-
-    # Checks
-
-    def check(self, instance: Instance) -> None:
-        state = instance.state
-        if state.role is Role.LEADER:
-            known = self.leaders.get(state.term)
-            assert known in (None, state.replica), "two leaders in one term"
-            if known is None:
-                self.leaders[state.term] = state.replica
-                self._check_completeness(instance)
-        self._check_current(instance)
-
-    def _check_completeness(self, instance: Instance) -> None:
-        log = instance.state.log
-        for index, entry in self.committed.items():
-            if index > log.base_index:
-                message = f"leader lacks committed entry {index}"
-                assert log.term_at(index) == entry.term, message
-
-    def _check_current(self, instance: Instance) -> None:
-        if not instance.core.is_current(instance.clock_s(self.now_s)):
-            return
-        stale_s = 0.0
-        if instance.state.role is not Role.LEADER:
-            stale_s = TIMING.lease_s * (1 + 2 * MAX_DRIFT)
-        since_s = self.now_s - stale_s
-        expected = max(
-            (index for at_s, index in self.acknowledged if at_s <= since_s), default=0
-        )
-        assert instance.applied_index >= expected, "a current instance is stale"
-
-    def _check_read(self, instance: Instance, read_id: int, index: int | None) -> None:
-        expected = self.reads.pop((instance.name, read_id), 0)
-        if index is not None:
-            self.answered_reads += 1
-            assert index >= expected, "a read misses an acknowledged command"
-
-    def check_logs_match(self) -> None:
-        logs = [item.state.log for item in self.running]
-        for log in logs:
-            for other in logs:
-                last = min(log.last_index, other.last_index)
-                first = max(log.base_index, other.base_index)
-                same = [
-                    log.term_at(i) == other.term_at(i)
-                    for i in range(first + 1, last + 1)
-                ]
-                assert same == sorted(same, reverse=True), "logs differ before a match"
+            self.step(
+                instance, events.SnapshotTaken(index=instance.applied_index, data=data)
+            )
 
     # Schedules
 
     def random_fault(self) -> None:
         instance = self.random.choice([*self.all, self.leader() or self.all[0]])
-        other = self.random.choice(self.all)
-        fault = self.random.choice(FAULTS)
-        if fault == "crash":
-            self.crash(instance.name)
-        elif fault == "restart":
-            self.restart_all()
-        elif fault == "isolate":
-            self.isolate(instance.name)
-        elif fault == "cut":
+        self.inject(self.random.choice(FAULTS), instance, self.random.choice(self.all))
+
+    def inject(self, fault: str, instance: Instance, other: Instance) -> None:
+        if fault == "cut":
             self.cut_link(instance.name, other.name)
-        elif fault == "heal":
-            self.heal()
         elif fault == "hand_over" and instance.core:
-            self.step(instance, HandOverAsked())
+            self.step(instance, events.HandOverAsked())
         elif fault == "lose_disk" and self.may_lose_disk(instance.name):
             self.lose_disk(instance.name)
             self.start(instance.name)
-        elif fault == "settle":
-            self.settle()
+        elif fault in ("crash", "isolate"):
+            getattr(self, fault)(instance.name)
+        elif fault in ("restart_all", "heal", "settle"):
+            getattr(self, fault)()
 
     def restart_all(self) -> None:
         for instance in self.all:
--- a/tests/consensus/test_core_promises.py
+++ b/tests/consensus/test_core_promises.py
@@ -1,21 +1,15 @@
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import initialize
 from hypothesis.stateful import rule
+from tests.consensus.cluster import FAULTS
 from tests.consensus.cluster import TIMING
 from tests.consensus.cluster import Cluster
 
-from verbenaplank.consensus.events import HandOverAsked
-
-if TYPE_CHECKING:
-    from tests.consensus.cluster import Instance
-
 SEEDS = st.integers(0, 2**32)
 PICKS = st.integers(0, 4)
 SIZES = (3, 5, 3, 1)
@@ -31,45 +25,15 @@
         self.cluster = Cluster(size, seed)
         self.cluster.settle()
 
-    def _pick(self, number: int) -> Instance:
-        return self.cluster.all[number % len(self.cluster.all)]
-
     @rule(steps=st.integers(20, 150))
     def run(self, steps: int) -> None:
         self.cluster.run(steps)
 
-    @rule(number=PICKS)
-    def crash(self, number: int) -> None:
-        self.cluster.crash(self._pick(number).name)
-
-    @rule()
-    def restart(self) -> None:
-        self.cluster.restart_all()
-
-    @rule(number=PICKS)
-    def isolate(self, number: int) -> None:
-        self.cluster.isolate(self._pick(number).name)
-
-    @rule(sender=PICKS, recipient=PICKS)
-    def cut_link(self, sender: int, recipient: int) -> None:
-        self.cluster.cut_link(self._pick(sender).name, self._pick(recipient).name)
-
-    @rule()
-    def heal(self) -> None:
-        self.cluster.heal()
-
-    @rule(number=PICKS)
-    def lose_disk(self, number: int) -> None:
-        name = self._pick(number).name
-        if self.cluster.may_lose_disk(name):
-            self.cluster.lose_disk(name)
-            self.cluster.start(name)
-
-    @rule(number=PICKS)
-    def hand_over(self, number: int) -> None:
-        instance = self._pick(number)
-        if instance.core is not None:
-            self.cluster.step(instance, HandOverAsked())
+    @rule(fault=st.sampled_from(FAULTS), number=PICKS, other=PICKS)
+    def inject(self, fault: str, number: int, other: int) -> None:
+        instances = self.cluster.all
+        instance = instances[number % len(instances)]
+        self.cluster.inject(fault, instance, instances[other % len(instances)])
 
     def teardown(self) -> None:
         if hasattr(self, "cluster"):
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -2,9 +2,11 @@
 
 import contextlib
 import errno
+from functools import reduce
 from pathlib import Path
 
 import pytest
+from tests.storage.fold import written
 from tests.storage.memory_files import KilledError
 from tests.storage.memory_files import MemoryFiles
 
@@ -54,24 +56,9 @@
 )
 
 
-def _after(count: int) -> Stored:
-    """Return what the first writes amount to."""
-    stored = Stored(identity=EMPTY)
-    for write in WRITES[:count]:
-        entries = stored.entries
-        if write.snapshot:
-            entries = write.entries
-        elif write.entries:
-            first = write.entries[0].index
-            kept = (entry for entry in entries if entry.index < first)
-            entries = (*kept, *write.entries)
-        stored = Stored(
-            identity=write.identity or stored.identity,
-            vote=write.vote or stored.vote,
-            snapshot=write.snapshot or stored.snapshot,
-            entries=entries,
-        )
-    return stored
+def _after(count: int, further: tuple[Write, ...] = ()) -> Stored:
+    """Return what the first writes, and further ones, amount to."""
+    return reduce(written, (*WRITES[:count], *further), Stored(identity=EMPTY))
 
 
 def _open(files: MemoryFiles) -> tuple[Store, Stored]:
@@ -131,18 +118,9 @@
 
 def _partial_batches(acknowledged: int) -> list[Stored]:
     """Return what a batch of entries leaves of which only the first are whole."""
-    before = _after(acknowledged)
     entries = WRITES[acknowledged].entries
-    kept = [entry for entry in before.entries if entry.index < entries[0].index]
-    return [
-        Stored(
-            identity=before.identity,
-            vote=before.vote,
-            snapshot=before.snapshot,
-            entries=(*kept, *entries[:count]),
-        )
-        for count in range(1, len(entries))
-    ]
+    parts = (Write(entries=entries[:count]) for count in range(1, len(entries)))
+    return [_after(acknowledged, (part,)) for part in parts]
 
 
 def test_write_of_several_parts_needs_one_journal_sync() -> None:
