--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -15,12 +15,13 @@
 from verbenaplank.consensus import events
 from verbenaplank.consensus.core import Core
 from verbenaplank.consensus.state import Role
+from verbenaplank.protocol.consensus import PeerMessage
 from verbenaplank.protocol.consensus import StorageState
 from verbenaplank.storage.model import Identity
 from verbenaplank.storage.model import Stored
 
 if TYPE_CHECKING:
-    from verbenaplank.protocol.consensus import PeerMessage
+    from verbenaplank.protocol.consensus import Replica
     from verbenaplank.storage.model import Write
 
 SNAPSHOT_EVERY = 8
@@ -179,6 +180,19 @@
             return
         self.step(instance, events.MessageReceived(message=message))
 
+    def receive(
+        self, instance: Instance, sender: Replica, term: int = 0, **body: object
+    ) -> None:
+        """Let a message arrive; it is of the sender's cluster if not told so."""
+        body.setdefault("cluster_id", instance.state.identity.cluster_id)
+        recipient = instance.state.replica
+        message = PeerMessage(sender=sender, recipient=recipient, term=term, **body)
+        self.step(instance, events.MessageReceived(message=message))
+
+    def sync_all(self, instance: Instance) -> None:
+        while instance.waiting:
+            self.sync(instance)
+
     def sync(self, instance: Instance) -> None:
         write = instance.waiting.popleft()
         instance.disk.stored = written(instance.disk.stored, write)
@@ -304,8 +318,7 @@
         delivered = 0
         while self.network or any(item.waiting for item in self.running):
             for instance in self.running:
-                while instance.waiting:
-                    self.sync(instance)
+                self.sync_all(instance)
             if self.network:
                 self.deliver(0)
                 delivered += 1
--- a/tests/consensus/test_admission.py
+++ b/tests/consensus/test_admission.py
@@ -7,11 +7,9 @@
 from tests.consensus.cluster import settled_cluster
 
 from verbenaplank.consensus.admission import admit_learners
-from verbenaplank.consensus.events import MessageReceived
 from verbenaplank.consensus.state import Progress
 from verbenaplank.protocol.consensus import EntryKind
 from verbenaplank.protocol.consensus import Hello
-from verbenaplank.protocol.consensus import PeerMessage
 from verbenaplank.protocol.consensus import Replica
 from verbenaplank.protocol.consensus import StorageState
 
@@ -98,12 +96,7 @@
 def test_hello_of_an_unknown_instance_is_not_followed_up() -> None:
     cluster, leader = settled_cluster(3)
     stranger = Replica(instance_id="stranger", incarnation="1")
-    message = PeerMessage(
-        sender=stranger,
-        recipient=Replica(instance_id=leader.name),
-        hello=Hello(state=StorageState.EMPTY),
-    )
-    cluster.step(leader, MessageReceived(message=message))
+    cluster.receive(leader, stranger, hello=Hello(state=StorageState.EMPTY))
 
     assert stranger not in leader.state.progress
 
--- a/tests/consensus/test_election.py
+++ b/tests/consensus/test_election.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import attrs
 import pytest
 from tests.consensus.cluster import MAX_DRIFT
 from tests.consensus.cluster import TIMING
@@ -12,7 +11,7 @@
 from verbenaplank.consensus.events import HandOverAsked
 from verbenaplank.consensus.events import MessageReceived
 from verbenaplank.consensus.state import Role
-from verbenaplank.protocol.consensus import PeerMessage
+from verbenaplank.protocol.consensus import HandOver
 from verbenaplank.protocol.consensus import VoteRequest
 
 LONG_S = 20 * TIMING.election_timeout_s
@@ -21,14 +20,7 @@
 def _ask_for_vote(cluster: Cluster, voter: Instance, candidate: Instance) -> None:
     """Let a candidate ask in a later term, with the leader's consent."""
     request = VoteRequest(last_index=1_000, last_term=1_000, hand_over=True)
-    message = PeerMessage(
-        sender=candidate.state.replica,
-        recipient=voter.state.replica,
-        cluster_id=voter.state.identity.cluster_id,
-        term=1_000,
-        vote_request=request,
-    )
-    cluster.step(voter, MessageReceived(message=message))
+    cluster.receive(voter, candidate.state.replica, 1_000, vote_request=request)
 
 
 def _granted(cluster: Cluster) -> list[str]:
@@ -45,8 +37,7 @@
 
     _ask_for_vote(cluster, voter, candidate)
     assert _granted(cluster) == []
-    cluster.sync(voter)
-    cluster.sync(voter)
+    cluster.sync_all(voter)
 
     assert _granted(cluster) == [candidate.name]
 
@@ -55,14 +46,12 @@
     cluster, leader = settled_cluster(3)
     voter, candidate = others_than(cluster, leader)
     _ask_for_vote(cluster, voter, candidate)
-    while voter.waiting:
-        cluster.sync(voter)
+    cluster.sync_all(voter)
     cluster.crash(voter.name)
     cluster.start(voter.name)
 
     _ask_for_vote(cluster, voter, leader)
-    while voter.waiting:
-        cluster.sync(voter)
+    cluster.sync_all(voter)
 
     assert _granted(cluster) == [candidate.name]
 
@@ -136,9 +125,9 @@
     cluster, leader = settled_cluster(3)
     cluster.step(leader, HandOverAsked())
     request = next(message for message in cluster.network if message.hand_over)
-    late = attrs.evolve(request, term=request.term - 1)
-    target = cluster.instances[late.recipient.instance_id]
-    cluster.step(target, MessageReceived(message=late))
+    target = cluster.instances[request.recipient.instance_id]
+    late = HandOver()
+    cluster.receive(target, request.sender, request.term - 1, hand_over=late)
 
     assert target.state.role is Role.FOLLOWER
 
--- a/tests/consensus/test_following.py
+++ b/tests/consensus/test_following.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import attrs
 import pytest
 from tests.consensus.cluster import TIMING
 from tests.consensus.cluster import Cluster
@@ -8,23 +7,16 @@
 from tests.consensus.cluster import others_than
 from tests.consensus.cluster import settled_cluster
 
-from verbenaplank.consensus.events import MessageReceived
 from verbenaplank.consensus.log import Log
 from verbenaplank.protocol.consensus import AppendRequest
 from verbenaplank.protocol.consensus import EntryKind
 from verbenaplank.protocol.consensus import LogEntry
-from verbenaplank.protocol.consensus import PeerMessage
+from verbenaplank.protocol.consensus import Replica
 from verbenaplank.protocol.consensus import SnapshotChunk
 
 
-def _from_leader(leader: Instance, follower: Instance, **body: object) -> PeerMessage:
-    return PeerMessage(
-        sender=leader.state.replica,
-        recipient=follower.state.replica,
-        cluster_id=leader.state.identity.cluster_id,
-        term=leader.state.term,
-        **body,
-    )
+def _author(leader: Instance) -> tuple[Replica, int]:
+    return leader.state.replica, leader.state.term
 
 
 @pytest.fixture
@@ -51,8 +43,7 @@
             echo_s=echo_s,
             backed=True,
         )
-        message = _from_leader(leader, follower, append_request=request)
-        cluster.step(follower, MessageReceived(message=message))
+        cluster.receive(follower, *_author(leader), append_request=request)
         return follower.core.is_current(state.now_s)
 
     assert not current_after(state.started_s - 0.01)
@@ -83,9 +74,7 @@
         data=b"\x90",
         final=True,
     )
-    message = _from_leader(leader, follower, snapshot_chunk=chunk)
-    message = attrs.evolve(message, term=term + 1)
-    cluster.step(follower, MessageReceived(message=message))
+    cluster.receive(follower, leader.state.replica, term + 1, snapshot_chunk=chunk)
 
     assert state.log.entries == []
     assert state.log.last_term == term + 1
@@ -114,7 +103,6 @@
         commit_index=0,
         entries=(LogEntry(index=index, term=leader.state.term + 1),),
     )
-    message = _from_leader(leader, follower, append_request=request)
 
     with pytest.raises(AssertionError, match="is committed"):
-        cluster.step(follower, MessageReceived(message=message))
+        cluster.receive(follower, *_author(leader), append_request=request)
--- a/tests/consensus/test_formation.py
+++ b/tests/consensus/test_formation.py
@@ -3,10 +3,8 @@
 from tests.consensus.cluster import TIMING
 from tests.consensus.cluster import Cluster
 
-from verbenaplank.consensus.events import MessageReceived
 from verbenaplank.protocol.consensus import Foundation
 from verbenaplank.protocol.consensus import Hello
-from verbenaplank.protocol.consensus import PeerMessage
 from verbenaplank.protocol.consensus import Replica
 from verbenaplank.protocol.consensus import StorageState
 
@@ -56,13 +54,11 @@
     member = cluster.instances["control-1"]
     members = (Replica(instance_id="control-0"), member.state.replica)
 
-    def receive(incarnation: str, **body: object) -> None:
-        sender = Replica(instance_id="control-0", incarnation=incarnation)
-        message = PeerMessage(sender=sender, recipient=member.state.replica, **body)
-        cluster.step(member, MessageReceived(message=message))
-
-    receive("new", hello=Hello(state=StorageState.EMPTY))
-    receive("lost", foundation=Foundation(members=members))
+    new, lost = (
+        Replica(instance_id="control-0", incarnation=name) for name in ("new", "lost")
+    )
+    cluster.receive(member, new, hello=Hello(state=StorageState.EMPTY))
+    cluster.receive(member, lost, foundation=Foundation(members=members))
     assert not member.state.is_member
-    receive("new", foundation=Foundation(members=members))
+    cluster.receive(member, new, foundation=Foundation(members=members))
     assert member.state.is_member
--- a/tests/consensus/test_replication.py
+++ b/tests/consensus/test_replication.py
@@ -13,7 +13,6 @@
 from verbenaplank.consensus.state import Role
 from verbenaplank.protocol.consensus import AppendRequest
 from verbenaplank.protocol.consensus import LogEntry
-from verbenaplank.protocol.consensus import PeerMessage
 
 if TYPE_CHECKING:
     import pytest
@@ -93,15 +92,14 @@
 def test_message_of_another_cluster_is_dropped() -> None:
     cluster, leader = settled_cluster(3)
     follower = others_than(cluster, leader)[0]
-    message = PeerMessage(
-        sender=leader.state.replica,
-        recipient=follower.state.replica,
+    cluster.network.clear()
+    cluster.receive(
+        follower,
+        leader.state.replica,
+        leader.state.term + 1,
         cluster_id="another",
-        term=leader.state.term + 1,
         append_request=AppendRequest(previous_index=0, previous_term=0, commit_index=0),
     )
-    cluster.network.clear()
-    cluster.step(follower, MessageReceived(message=message))
 
     assert follower.state.term == leader.state.term
     assert cluster.network == []
