Keep a second process out of a control instance's data folder

Cause: nothing stopped a supervisor from starting an instance while its predecessor still wrote to the same folder; two writers would mix their records. Change: a file lock, which the system drops with the process. A task of the node that fails says so in the log. The initial state has a module of its own.

--- a/src/verbenaplank/consensus/core.py
+++ b/src/verbenaplank/consensus/core.py
@@ -23,9 +23,8 @@
 from verbenaplank.consensus.events import StorageChanged
 from verbenaplank.consensus.events import TimePassed
 from verbenaplank.consensus.events import WritesSynced
-from verbenaplank.consensus.log import Log
+from verbenaplank.consensus.initial_state import initial_state
 from verbenaplank.consensus.state import Role
-from verbenaplank.consensus.state import State
 from verbenaplank.consensus.state import become_follower
 from verbenaplank.consensus.state import on_synced
 from verbenaplank.consensus.state import reset_election_timer
@@ -39,6 +38,7 @@
 
     from verbenaplank.consensus.effects import Effect
     from verbenaplank.consensus.events import Event
+    from verbenaplank.consensus.state import State
     from verbenaplank.consensus.state import Timing
     from verbenaplank.protocol.consensus import PeerMessage
     from verbenaplank.storage.model import Stored
@@ -90,7 +90,7 @@
         random: random.Random,
         now_s: float,
     ) -> None:
-        self.state = _initial_state(stored, peer_ids, timing, random, now_s)
+        self.state = initial_state(stored, peer_ids, timing, random, now_s)
 
     def start(self, now_s: float) -> list[Effect]:
         """Return what is to be done before the first event."""
@@ -159,40 +159,6 @@
         return effects
 
 
-def _initial_state(
-    stored: Stored,
-    peer_ids: tuple[str, ...],
-    timing: Timing,
-    random: random.Random,
-    now_s: float,
-) -> State:
-    snapshot = stored.snapshot
-    base = (snapshot.index, snapshot.term) if snapshot else (0, 0)
-    history = [(snapshot.index, snapshot.members)] if snapshot else []
-    history += [
-        (entry.index, entry.members)
-        for entry in stored.entries
-        if entry.kind is EntryKind.MEMBERSHIP
-    ]
-    log = Log(*base, stored.entries)
-    return State(
-        identity=stored.identity,
-        peer_ids=peer_ids,
-        timing=timing,
-        random=random,
-        started_s=now_s,
-        term=stored.vote.term,
-        voted_for=stored.vote.voted_for,
-        log=log,
-        snapshot=snapshot,
-        durable_index=log.last_index,
-        member_history=history,
-        commit_index=base[0],
-        heard_s=now_s,
-        now_s=now_s,
-    )
-
-
 def _on_time_passed(state: State) -> None:
     if state.role is Role.LEADER:
         replication.step_down_without_quorum(state)
--- /dev/null
+++ b/src/verbenaplank/consensus/initial_state.py
@@ -0,0 +1,54 @@
+"""The state of a replica at its start, from what its storage held."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from verbenaplank.consensus.log import Log
+from verbenaplank.consensus.state import State
+from verbenaplank.protocol.consensus import EntryKind
+
+if TYPE_CHECKING:
+    import random
+
+    from verbenaplank.consensus.state import Timing
+    from verbenaplank.storage.model import Stored
+
+
+def initial_state(
+    stored: Stored,
+    peer_ids: tuple[str, ...],
+    timing: Timing,
+    random: random.Random,
+    now_s: float,
+) -> State:
+    """Return a follower that holds what its storage held.
+
+    The replica may have acknowledged a leader just before it stopped, so it
+    refuses votes as if it had heard one at ``now_s``.
+    """
+    snapshot = stored.snapshot
+    base = (snapshot.index, snapshot.term) if snapshot else (0, 0)
+    history = [(snapshot.index, snapshot.members)] if snapshot else []
+    history += [
+        (entry.index, entry.members)
+        for entry in stored.entries
+        if entry.kind is EntryKind.MEMBERSHIP
+    ]
+    log = Log(*base, stored.entries)
+    return State(
+        identity=stored.identity,
+        peer_ids=peer_ids,
+        timing=timing,
+        random=random,
+        started_s=now_s,
+        term=stored.vote.term,
+        voted_for=stored.vote.voted_for,
+        log=log,
+        snapshot=snapshot,
+        durable_index=log.last_index,
+        member_history=history,
+        commit_index=base[0],
+        heard_s=now_s,
+        now_s=now_s,
+    )
--- a/src/verbenaplank/consensus/node.py
+++ b/src/verbenaplank/consensus/node.py
@@ -25,6 +25,7 @@
 from verbenaplank.consensus.waiting import AppliedIndex
 from verbenaplank.consensus.writer import SyncWriter
 from verbenaplank.storage.errors import DamagedFileError
+from verbenaplank.storage.folder_lock import folder_lock
 from verbenaplank.storage.store import Store
 
 if TYPE_CHECKING:
@@ -84,8 +85,8 @@
         self._machine = machine
         self._clock = clock
         self._random = random
-        folder = Path(settings.data_folder) / LOG_FOLDER
-        self._store = Store(folder, files)
+        self._folder = Path(settings.data_folder) / LOG_FOLDER
+        self._store = Store(self._folder, files)
         self._timing = Timing(
             heartbeat_s=settings.consensus.heartbeat_ms / 1_000,
             election_timeout_s=settings.consensus.election_timeout_ms / 1_000,
@@ -110,8 +111,11 @@
             If a file is damaged and no other instance could replace it.
         WrongInstanceError
             If the data folder belongs to another instance.
+        FolderInUseError
+            If another process uses the data folder.
         """
         async with AsyncExitStack() as stack:
+            stack.enter_context(folder_lock(self._folder))
             stack.callback(self._writer.close)
             stored = await self._writer.call(self._open_store)
             driver = self._driver_of(stored)
@@ -119,8 +123,10 @@
             self._running = driver
             self._caller_side = calls
             stack.callback(driver.stop)
-            tasks = [asyncio.create_task(self._writer.run())]
-            tasks += [asyncio.create_task(link.run()) for link in self._links.values()]
+            duties = (self._writer.run, *(link.run for link in self._links.values()))
+            tasks = [asyncio.create_task(duty()) for duty in duties]
+            for task in tasks:
+                task.add_done_callback(_log_failure)
             stack.push_async_callback(_cancel, tasks)
             for link in self._links.values():
                 stack.callback(link.close)
@@ -292,6 +298,11 @@
             self._driver.step(MessageReceived(message=message))
 
 
+def _log_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception():
+        _logger.critical("a task of the log failed", exc_info=task.exception())
+
+
 async def _cancel(tasks: Sequence[asyncio.Task[None]]) -> None:
     for task in tasks:
         task.cancel()
--- a/src/verbenaplank/storage/errors.py
+++ b/src/verbenaplank/storage/errors.py
@@ -26,3 +26,7 @@
 
 class WrongInstanceError(Exception):
     """The data folder belongs to another instance."""
+
+
+class FolderInUseError(Exception):
+    """Another process holds the data folder."""
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -18,6 +18,7 @@
 from verbenaplank.consensus.errors import OutcomeUnknownError
 from verbenaplank.consensus.node import LOG_FOLDER
 from verbenaplank.storage.errors import DamagedFileError
+from verbenaplank.storage.errors import FolderInUseError
 from verbenaplank.storage.files import OperatingSystemFiles
 
 
@@ -115,6 +116,14 @@
     path.write_bytes(content)
 
 
+async def test_second_process_is_kept_out_of_the_folder(tmp_path: Path) -> None:
+    async with Instances(tmp_path, 1) as instances:
+        (instance,) = instances.all.values()
+        with pytest.raises(FolderInUseError, match="is in use"):
+            await Instance(instance.settings).start()
+        assert await instance.node.propose(b"one", TIMEOUT_S) == b"result of one"
+
+
 async def test_damaged_journal_of_a_single_instance_is_refused(
     tmp_path: Path,
 ) -> None:
