Let the tests of planned stops run tasks that outlast the stop

Cause: with the agent's wait for running tasks taken out, the test of planned stops still passed: its tasks of 50 ms ended before the process did. Change: tasks of 2 s; assertions unchanged.

--- a/tests/system/test_process_failures.py
+++ b/tests/system/test_process_failures.py
@@ -98,7 +98,7 @@
 async def test_planned_stop_of_each_program_under_load_cuts_off_nothing(
     fleet: RunningFleet,
 ) -> None:
-    jobs = [job_of(new_job_id(), 16, 50) for _ in range(6)]
+    jobs = [job_of(new_job_id(), 12, 2_000) for _ in range(2)]
     first, second = fleet.entries
     submissions = [asyncio.create_task(fleet.submit(first, job)) for job in jobs]
     await wait_until(lambda: all(fleet.started_tasks(job["id"]) for job in jobs))
--- a/tests/system/test_process_restarts.py
+++ b/tests/system/test_process_restarts.py
@@ -107,7 +107,7 @@
 async def test_two_entries_told_to_stop_twice_together_answer_what_they_have(
     fleet: RunningFleet,
 ) -> None:
-    jobs = {name: job_of(new_job_id(), 16, 50) for name in fleet.entries}
+    jobs = {name: job_of(new_job_id(), 12, 2_000) for name in fleet.entries}
     submissions = [
         asyncio.create_task(fleet.submit(name, job)) for name, job in jobs.items()
     ]
