Page the audit trail; tell member deltas from the newest change back

Ruled out: verifying in a thread, which still reads a list that grows. Change: pages that form one chain with their anchors; deltas walk back from the newest change and stop. The first registrar group waits up to 2 s until each instance's storage is known. The test now asks until it grants. Conclusion: no fault of the registrar was found.

--- a/src/verbenaplank/configuration/audit.py
+++ b/src/verbenaplank/configuration/audit.py
@@ -4,6 +4,7 @@
 
 import hashlib
 from collections import deque
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import attrs
@@ -47,6 +48,14 @@
     digest: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class AuditPage:
+    """Records that follow each other, and the digest before the first of them."""
+
+    anchor: str
+    records: tuple[AuditRecord, ...]
+
+
 class BrokenTrailError(Exception):
     """A record of the trail was changed, removed or put in."""
 
@@ -70,6 +79,14 @@
         """Return the records kept, oldest first."""
         return tuple(self._records)
 
+    def page(self, after: int, limit: int) -> AuditPage:
+        """Return at most ``limit`` records after a sequence number."""
+        first = self._records[0].sequence if self._records else 1
+        skipped = min(max(after + 1 - first, 0), len(self._records))
+        records = tuple(islice(self._records, skipped, skipped + max(limit, 0)))
+        anchor = self._records[skipped - 1].digest if skipped else self._anchor
+        return AuditPage(anchor=anchor, records=records)
+
     def append(
         self,
         *,
--- a/src/verbenaplank/control/administration.py
+++ b/src/verbenaplank/control/administration.py
@@ -223,14 +223,13 @@
     async def audit(self, after: int, limit: int) -> AuditBody:
         """Return records of the audit trail after a sequence number."""
         await self.wait_newest()
-        trail = self._machine.audit
+        page = self._machine.audit.page(after, limit)
         try:
-            verify(trail.records, trail.anchor)
+            verify(page.records, page.anchor)
             verified = True
         except BrokenTrailError:
             verified = False
-        records = [r for r in trail.records if r.sequence > after][:limit]
-        return AuditBody(anchor=trail.anchor, verified=verified, records=tuple(records))
+        return AuditBody(anchor=page.anchor, verified=verified, records=page.records)
 
     async def status(self) -> StatusBody:
         """Return which members have which configuration in force."""
--- a/src/verbenaplank/control/bodies.py
+++ b/src/verbenaplank/control/bodies.py
@@ -146,9 +146,10 @@
     Attributes
     ----------
     anchor
-        Digest of the record before the oldest one kept.
+        Digest of the record before the first one; the digest of the last
+        record is the anchor of what follows.
     verified
-        Whether the digests of all records kept form one chain.
+        Whether the digests of these records form one chain from the anchor.
     """
 
     anchor: str
--- a/src/verbenaplank/control/bootstrap.py
+++ b/src/verbenaplank/control/bootstrap.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections import Counter
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from verbenaplank.configuration.commands import LoadDocument
@@ -34,6 +35,8 @@
 FIRST_REGISTRARS_COMMAND_ID = "first-registrars"
 PROPOSAL_TIMEOUT_S = 2.0
 RETRY_S = 0.2
+FORMATION_TIMEOUT_S = 2.0
+FORMATION_PERIOD_S = 0.05
 
 logger = logging.getLogger(__name__)
 
@@ -49,6 +52,7 @@
 
     Every instance does so; the command ids let only one proposal take effect.
     """
+    await _wait_for_all(log, len(peers))
     while True:
         try:
             await log.read_barrier(PROPOSAL_TIMEOUT_S)
@@ -67,6 +71,14 @@
             return
 
 
+async def _wait_for_all(log: ReplicatedLog, count: int) -> None:
+    """Wait a while until every instance votes, so that its storage is known."""
+    with suppress(TimeoutError):
+        async with asyncio.timeout(FORMATION_TIMEOUT_S):
+            while len(log.members) < count:  # noqa: ASYNC110
+                await asyncio.sleep(FORMATION_PERIOD_S)
+
+
 def choose_registrars(
     peers: Sequence[ControlPeer], replicas: Sequence[Replica]
 ) -> tuple[Registrar, ...]:
--- a/src/verbenaplank/membership/state.py
+++ b/src/verbenaplank/membership/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from itertools import takewhile
 from typing import TYPE_CHECKING
 
 import attrs
@@ -134,11 +135,10 @@
         """Return what changed after a revision, or the whole list."""
         if not self._first_delta_revision <= revision <= self._revision:
             return self._whole_list()
-        ids = {
-            change.member_id: None
-            for change in self._changes
-            if change.revision > revision
-        }
+        changes = takewhile(
+            lambda change: change.revision > revision, reversed(self._changes)
+        )
+        ids = dict.fromkeys(change.member_id for change in changes)
         return MembersUpdate(
             changed=tuple(self._seen(id_) for id_ in ids if id_ in self._members),
             left=tuple(id_ for id_ in ids if id_ not in self._members),
--- a/tests/configuration/test_audit.py
+++ b/tests/configuration/test_audit.py
@@ -55,3 +55,18 @@
 
     assert [record.sequence for record in trail.records] == [8, 9, 10]
     verify(trail.records, trail.anchor)
+
+
+def test_pages_form_one_chain(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(audit, "MAX_RECORDS", 8)
+    trail = trail_of(10)
+    anchor = trail.anchor
+    seen: list[int] = []
+    while page := trail.page(seen[-1] if seen else 0, 3).records:
+        verify(page, anchor)
+        assert trail.page(page[0].sequence - 1, 1).anchor == anchor
+        anchor = page[-1].digest
+        seen += [record.sequence for record in page]
+
+    assert seen == list(range(3, 11))
+    assert trail.page(99, 3).anchor == trail.records[-1].digest
--- a/tests/control/test_registrar_groups.py
+++ b/tests/control/test_registrar_groups.py
@@ -1,11 +1,13 @@
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 from typing import TYPE_CHECKING
 
 from control_cluster import Cluster
 from control_helpers import ADMINISTRATOR_TOKEN
+from control_helpers import DEADLINE_S
 from control_helpers import control_settings
 from control_helpers import entry
 from control_helpers import eventually
@@ -76,7 +78,11 @@
             assert reply.status_code == 200
             await eventually(lambda: link.registrars.epoch == 2)
             again = await claim(link.registrars, "entry-2", old_id)
-            new = await claim(link.registrars, "entry-2", str(uuid7()))
+            # A registrar that cannot rule out an earlier life abstains at first.
+            new = ClaimState.UNAVAILABLE
+            async with asyncio.timeout(DEADLINE_S):
+                while new is ClaimState.UNAVAILABLE:
+                    new = await claim(link.registrars, "entry-2", str(uuid7()))
 
     assert first is ClaimState.OWNED_HERE
     assert again is ClaimState.OWNED_ELSEWHERE
