--- a/src/verbenaplank/claims/registrar.py
+++ b/src/verbenaplank/claims/registrar.py
@@ -27,6 +27,9 @@
 BUCKET_MS = 1_000
 """Identifiers whose timestamps share this many milliseconds expire together."""
 
+MAX_SHARED_OWNERS = 4_096
+"""How many owners are kept to be shared between grants."""
+
 NO_CEILING_MS = 1 << 62
 """Ceiling of a registrar that has no disk."""
 
@@ -77,7 +80,19 @@
     """What is known of one identifier; a dead attempt is never granted."""
 
     grant: Grant | None = None
-    dead_attempts: dict[Claimant, int] = attrs.field(factory=dict)
+    dead_attempts: dict[Claimant, int] | None = None
+
+    def dead_attempt(self, claimant: Claimant) -> int:
+        """Return the latest dead attempt of a claimant; 0 if there is none."""
+        return self.dead_attempts.get(claimant, 0) if self.dead_attempts else 0
+
+    def bury(self, claimant: Claimant, attempt: int) -> None:
+        """Make an attempt and those before it dead, and end their grant."""
+        dead = max(attempt, self.dead_attempt(claimant))
+        self.dead_attempts = {**(self.dead_attempts or {}), claimant: dead}
+        grant = self.grant
+        if grant and grant.owner.claimant == claimant and grant.attempt <= dead:
+            self.grant = None
 
 
 def amnesia_after_start_ms(
@@ -182,37 +197,32 @@
         self._expire(now_ms)
         if claim.epoch != self._epoch or not self._open:
             return self._reply(claim, ClaimVerdict.WRONG_EPOCH)
-        abstention = self._abstention(claim.job_id, now_ms)
+        timestamp_ms = _timestamp_ms(claim.job_id)
+        abstention = self._abstention(timestamp_ms, now_ms)
         if abstention is not None:
             return self._abstain(claim, may_have_granted=abstention)
-        entry = self._entry(claim.job_id)
-        claimant = Claimant(claim.entry_id, claim.entry_incarnation)
-        if claim.attempt <= entry.dead_attempts.get(claimant, 0):
+        entry = self._entry(claim.job_id, timestamp_ms)
+        owner = self._owner(claim)
+        if claim.attempt <= entry.dead_attempt(owner.claimant):
             return self._reply(claim, ClaimVerdict.DEAD_ATTEMPT)
         if entry.grant is None:
-            entry.grant = self._grant(claim, claimant)
-        return self._answer(claim, claimant, entry.grant)
+            self._latest_grant_ms = max(self._latest_grant_ms, timestamp_ms)
+            entry.grant = Grant(owner, claim.attempt, claim.digest)
+        return self._answer(claim, owner.claimant, entry.grant)
 
     def release(self, release: ClaimRelease, now_ms: int) -> None:
         """Make an attempt and those before it dead, and end their grant."""
         self._expire(now_ms)
+        timestamp_ms = _timestamp_ms(release.job_id)
         known = release.job_id in self._entries
-        if not known and self._abstention(release.job_id, now_ms) is not None:
+        if not known and self._abstention(timestamp_ms, now_ms) is not None:
             return
-        entry = self._entry(release.job_id)
+        entry = self._entry(release.job_id, timestamp_ms)
         claimant = Claimant(release.entry_id, release.entry_incarnation)
-        dead = max(release.attempt, entry.dead_attempts.get(claimant, 0))
-        entry.dead_attempts[claimant] = dead
-        grant = entry.grant
-        if grant and grant.owner.claimant == claimant and grant.attempt <= dead:
-            entry.grant = None
+        entry.bury(claimant, release.attempt)
 
-    def _abstention(self, job_id: str, now_ms: int) -> bool | None:
+    def _abstention(self, timestamp_ms: int, now_ms: int) -> bool | None:
         """Return ``None`` to go on, or whether the id may have been granted."""
-        try:
-            timestamp_ms = job_timestamp_ms(job_id)
-        except ValueError:
-            return False
         if timestamp_ms <= self._amnesia_ms or timestamp_ms < self._floor_ms:
             return True
         latest_ms = min(now_ms + self._limits.max_clock_skew_ms, self._ceiling_ms)
@@ -230,19 +240,20 @@
             return self._reply(claim, ClaimVerdict.DEAD_ATTEMPT)
         return self._reply(claim, ClaimVerdict.OWNED, grant)
 
-    def _entry(self, job_id: str) -> _Entry:
+    def _entry(self, job_id: str, timestamp_ms: int) -> _Entry:
         entry = self._entries.get(job_id)
         if entry is None:
             entry = self._entries[job_id] = _Entry()
-            bucket = job_timestamp_ms(job_id) // BUCKET_MS
-            self._buckets.setdefault(bucket, []).append(job_id)
+            self._buckets.setdefault(timestamp_ms // BUCKET_MS, []).append(job_id)
         return entry
 
-    def _grant(self, claim: Claim, claimant: Claimant) -> Grant:
-        timestamp_ms = job_timestamp_ms(claim.job_id)
-        self._latest_grant_ms = max(self._latest_grant_ms, timestamp_ms)
+    def _owner(self, claim: Claim) -> Owner:
+        """Return the one object that stands for a claim's owner."""
+        claimant = Claimant(claim.entry_id, claim.entry_incarnation)
         owner = Owner(claimant, claim.owner_address)
-        return Grant(self._owners.setdefault(owner, owner), claim.attempt, claim.digest)
+        if len(self._owners) >= MAX_SHARED_OWNERS:
+            self._owners.clear()
+        return self._owners.setdefault(owner, owner)
 
     def _abstain(self, claim: Claim, *, may_have_granted: bool) -> ClaimReply:
         return ClaimReply(
@@ -283,3 +294,11 @@
         for start in expired:
             for job_id in self._buckets.pop(start):
                 del self._entries[job_id]
+
+
+def _timestamp_ms(job_id: str) -> int:
+    """Return an identifier's timestamp; one above all ceilings if malformed."""
+    try:
+        return job_timestamp_ms(job_id)
+    except ValueError:
+        return NO_CEILING_MS + 1
