Agent: announce as draining while the backend server is down

Cause: an agent whose backend server is gone took dispatches and refused each, a message there and one back, and looked free to entries. Change: a failed connection turns the agent to draining at once over the open streams and at control; a probe each 0.5 s, only while it is down, turns it back. Conclusion: test_agent_drains_while_its_backend_server_is_down.

--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -6,10 +6,12 @@
 import uuid
 from contextlib import AsyncExitStack
 from contextlib import suppress
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import attrs
 
+from verbenaplank.agent.availability import BackendWatch
 from verbenaplank.agent.backend import BackendClient
 from verbenaplank.agent.gate import Gate
 from verbenaplank.agent.gate import GateLimits
@@ -41,6 +43,14 @@
 """How long a drain waits for the entries to take the last replies."""
 
 
+class DrainReason(StrEnum):
+    """Why the agent refuses every dispatch."""
+
+    STOPPING = "stopping"
+    ORDERED = "ordered"
+    BACKEND_SERVER_DOWN = "backend_server_down"
+
+
 class AgentInstance:
     """Runs the tasks of one backend server; an async context manager.
 
@@ -68,8 +78,14 @@
             _gate_limits(settings),
         )
         self._backend = BackendClient(settings.backend_server)
+        self._watch = BackendWatch(self._backend, self._on_backend_change)
         self._runner = TaskRunner(
-            settings.instance_id, self._gate, self._backend, clock, record
+            settings.instance_id,
+            self._gate,
+            self._backend,
+            clock,
+            record,
+            self._watch.report_down,
         )
         slots = _slots(settings)
         self._streams = WorkStreams(
@@ -77,7 +93,7 @@
         )
         self._member = _member(settings, incarnation)
         self._clock = clock
-        self._stopping = False
+        self._drain_reasons: set[DrainReason] = set()
         self._link: MemberLink | None = None
         self._resources = AsyncExitStack()
         self.rpc_address = settings.rpc.address
@@ -93,6 +109,8 @@
         async with AsyncExitStack() as resources:
             await resources.enter_async_context(self._backend)
             await resources.enter_async_context(self._runner)
+            self._note(EventKind.JOINED)
+            await resources.enter_async_context(self._watch)
             self.rpc_address = await self._listen(resources)
             self._member = attrs.evolve(self._member, address=str(self.rpc_address))
             link = MemberLink(
@@ -102,7 +120,6 @@
                 self._clock,
                 self._on_link_event,
             )
-            self._note(EventKind.JOINED)
             self._link = await resources.enter_async_context(link)
             self._resources = resources.pop_all()
         return self
@@ -128,8 +145,7 @@
 
     async def drain(self) -> None:
         """Refuse new dispatches at once, finish what runs, then leave."""
-        self._stopping = True
-        self._refuse_dispatches()
+        self._set_drain(DrainReason.STOPPING, on=True)
         with suppress(TimeoutError):
             async with asyncio.timeout(self._settings.limits.drain_timeout_s):
                 await self._runner.wait_idle()
@@ -148,21 +164,27 @@
         return await resources.enter_async_context(listening)
 
     def _on_link_event(self, event: LinkEvent) -> None:
-        if event.kind is not LinkEventKind.DRAIN or self._stopping:
+        if event.kind is LinkEventKind.DRAIN:
+            self._set_drain(DrainReason.ORDERED, on=event.drain_ordered)
+
+    def _on_backend_change(self, reachable: bool) -> None:
+        self._set_drain(DrainReason.BACKEND_SERVER_DOWN, on=not reachable)
+
+    def _set_drain(self, reason: DrainReason, *, on: bool) -> None:
+        """Refuse dispatches for as long as there is any reason to."""
+        if on:
+            self._drain_reasons.add(reason)
+        else:
+            self._drain_reasons.discard(reason)
+        if bool(self._drain_reasons) == self._gate.draining:
             return
-        if event.drain_ordered:
-            self._refuse_dispatches()
+        if self._drain_reasons:
+            self._runner.drain()
+            self._note(EventKind.LEFT)
         else:
             self._runner.resume()
             self._note(EventKind.JOINED)
-            self._announce(draining=False)
-
-    def _refuse_dispatches(self) -> None:
-        if self._gate.draining:
-            return
-        self._runner.drain()
-        self._note(EventKind.LEFT)
-        self._announce(draining=True)
+        self._announce(draining=self._gate.draining)
 
     def _note(self, kind: EventKind) -> None:
         name = self._settings.instance_id
--- /dev/null
+++ b/src/verbenaplank/agent/availability.py
@@ -0,0 +1,74 @@
+"""Watches whether the backend server can be reached."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from verbenaplank.agent.backend import BackendServerDownError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import TracebackType
+    from typing import Self
+
+    from verbenaplank.agent.backend import BackendClient
+
+PROBE_PERIOD_S = 0.5
+
+
+class BackendWatch:
+    """Probes a backend server that was found down; an async context manager.
+
+    A backend server that answers connections is not probed: what it runs shows
+    that it is there.
+    """
+
+    def __init__(
+        self, backend: BackendClient, on_change: Callable[[bool], None]
+    ) -> None:
+        self._backend = backend
+        self._on_change = on_change
+        self._down = asyncio.Event()
+        self._running: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        """Probe once, so that a backend server that is down is known as such."""
+        if not await self._can_connect():
+            self.report_down()
+        self._running = asyncio.create_task(self._probe_while_down())
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._running is not None:
+            self._running.cancel()
+            with suppress(asyncio.CancelledError):
+                await self._running
+
+    def report_down(self) -> None:
+        """Take in that a connection could not be opened."""
+        if not self._down.is_set():
+            self._down.set()
+            self._on_change(False)
+
+    async def _probe_while_down(self) -> None:
+        while True:
+            await self._down.wait()
+            await asyncio.sleep(PROBE_PERIOD_S)
+            if await self._can_connect():
+                self._down.clear()
+                self._on_change(True)
+
+    async def _can_connect(self) -> bool:
+        try:
+            connection = await self._backend.connect()
+        except BackendServerDownError:
+            return False
+        self._backend.give_back(connection)
+        return True
--- a/src/verbenaplank/agent/runner.py
+++ b/src/verbenaplank/agent/runner.py
@@ -24,6 +24,7 @@
 from verbenaplank.rpc.outbox import Outbox
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Coroutine
     from collections.abc import Iterable
     from types import TracebackType
@@ -55,8 +56,10 @@
         backend: BackendClient,
         clock: MonotonicClock,
         record: EventHook,
+        on_backend_down: Callable[[], None] = lambda: None,
     ) -> None:
         self.gate = gate
+        self._on_backend_down = on_backend_down
         self.clock = clock
         self._agent_id = agent_id
         self._backend = backend
@@ -145,6 +148,7 @@
             connection = await self._backend.connect()
         except BackendServerDownError:
             self.carry_out(self.gate.abandon(start.task_id))
+            self._on_backend_down()
             return
         try:
             await self._run_on(connection, start)
--- a/tests/agent/test_agent_application.py
+++ b/tests/agent/test_agent_application.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -80,7 +81,7 @@
 
 
 @asynccontextmanager
-async def _site(folder: Path) -> AsyncIterator[Site]:
+async def _site(folder: Path, backend_port: int = 0) -> AsyncIterator[Site]:
     started = asyncio.Event()
     changes: asyncio.Queue[LinkEvent] = asyncio.Queue()
     events: list[Event] = []
@@ -90,7 +91,7 @@
     ):
         port = control.rpc_address.port
         peer = ControlPeer(instance_id="c1", host="127.0.0.1", port=port)
-        settings = _agent_settings(port, backend.port)
+        settings = _agent_settings(port, backend_port or backend.port)
         async with (
             MemberLink(ENTRY, [peer], None, monotonic_s, changes.put_nowait) as entry,
             AgentInstance(settings, record=events.append, incarnation="a1") as agent,
@@ -134,3 +135,16 @@
         EventKind.LEFT,
         EventKind.ENDED,
     ]
+
+
+async def test_agent_drains_while_its_backend_server_is_down(tmp_path: Path) -> None:
+    with socket.socket() as reserved:
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind(("127.0.0.1", 0))
+        port = reserved.getsockname()[1]
+        async with _site(tmp_path, backend_port=port) as site:
+            await _until_agent(site, present=True, draining=True)
+            assert not site.agent.ready
+            async with StandInBackendServer("b2", port=port):
+                await _until_agent(site, present=True, draining=False)
+                assert site.agent.ready
