--- a/src/verbenaplank/agent/work_service.py
+++ b/src/verbenaplank/agent/work_service.py
@@ -105,6 +105,7 @@
         """Handle messages until the entry ends the stream."""
         self._runner.attach(self._key, self._outbox)
         sender = asyncio.create_task(self._send(welcome))
+        _cancel_current_when_done(sender)
         try:
             self._handle(first)
             async for message in self._stream:
@@ -164,6 +165,17 @@
         await self._stream.send_message(envelope)
 
 
+def _cancel_current_when_done(sender: asyncio.Task[None]) -> None:
+    """End the stream if its sender fails, so that no reply is waited for in vain."""
+    reader = asyncio.current_task()
+
+    def end(_: asyncio.Task[None]) -> None:
+        if reader is not None and not sender.cancelled():
+            reader.cancel()
+
+    sender.add_done_callback(end)
+
+
 def _parts(
     items: Sequence[ReplyItem | LoadReport],
 ) -> Iterator[list[ReplyItem | LoadReport]]:
--- a/src/verbenaplank/claims/link.py
+++ b/src/verbenaplank/claims/link.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from grpclib.exceptions import GRPCError
+from grpclib.exceptions import ProtocolError
 from grpclib.exceptions import StreamTerminatedError
 
 from verbenaplank.protocol.claims import Claim
@@ -32,6 +33,7 @@
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 1.0
+LINK_FAILURES = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
 
 
 class RegistrarLink:
@@ -86,7 +88,7 @@
     async def _run(self) -> None:
         delay_s = RECONNECT_MIN_S
         while True:
-            with suppress(GRPCError, StreamTerminatedError, OSError, TimeoutError):
+            with suppress(*LINK_FAILURES):
                 await self._serve_one_stream()
             delay_s = RECONNECT_MIN_S if self.connected else delay_s * 2
             delay_s = min(RECONNECT_MAX_S, delay_s)
@@ -117,7 +119,8 @@
     async def _receive(self, stream: Stream[ToRegistrar, FromRegistrar]) -> None:
         handled = 0
         async for message in stream:
-            for _ in range(message.releases_handled - handled):
+            newly_handled = message.releases_handled - handled
+            for _ in range(min(newly_handled, len(self._unhandled))):
                 self._unhandled.popleft()
             handled = message.releases_handled
             for reply in message.replies:
