--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import itertools
 from typing import TYPE_CHECKING
 
 import attrs
@@ -18,13 +17,14 @@
 from verbenaplank.agent.effects import StartRun
 from verbenaplank.agent.effects import StopRun
 from verbenaplank.agent.effects import task_id_of
+from verbenaplank.agent.entries import Entries
+from verbenaplank.agent.entries import Entry
 from verbenaplank.agent.memory import ResultMemory
 from verbenaplank.agent.memory import StartedBy
 from verbenaplank.agent.memory import StartMemory
 from verbenaplank.agent.replies import lost_result_reply
 from verbenaplank.agent.replies import refusal_reply
 from verbenaplank.agent.replies import revocation_reply
-from verbenaplank.agent.waiting import Entry
 from verbenaplank.agent.waiting import Waiting
 from verbenaplank.agent.waiting import WaitingQueue
 from verbenaplank.protocol.work import Dispatch
@@ -39,12 +39,6 @@
     from verbenaplank.protocol.work import Stop
     from verbenaplank.protocol.work import TaskResult
 
-FIRST_LEASE_S = 2.0
-"""Lease of an entry from its hello until its first renewal."""
-
-ENTRY_MEMORY_S = 86_400.0
-"""How long an entry that is gone is remembered."""
-
 
 @attrs.frozen(kw_only=True)
 class GateLimits:
@@ -80,8 +74,7 @@
         self._services = services
         self._limits = limits
         self._draining = False
-        self._entries: dict[EntryKey, Entry] = {}
-        self._entry_numbers = itertools.count(1)
+        self._entries = Entries()
         self._waiting = WaitingQueue()
         self._reserved: dict[str, Waiting] = {}
         self._running: dict[str, _Running] = {}
@@ -108,17 +101,11 @@
 
     def on_hello(self, key: EntryKey, now_s: float) -> None:
         """Take in that an entry opened a stream."""
-        entry = self._entries.get(key)
-        if entry is None:
-            number = next(self._entry_numbers)
-            entry = self._entries[key] = Entry(key, number, now_s)
-        entry.connected = True
-        entry.lease_until_s = max(entry.lease_until_s, now_s + FIRST_LEASE_S)
+        self._entries.connect(key, now_s)
 
     def on_renewal(self, key: EntryKey, lease_s: float, now_s: float) -> None:
         """Renew the lease of everything that an entry has here."""
-        entry = self._entries[key]
-        entry.lease_until_s = max(entry.lease_until_s, now_s + lease_s)
+        self._entries.renew(key, lease_s, now_s)
 
     def on_disconnect(self, key: EntryKey, now_s: float) -> list[Effect]:
         """Refuse what an entry has waiting, as its stream is gone."""
@@ -240,7 +227,7 @@
         for task_id, running in self._running.items():
             if running.entry.lease_until_s < now_s:
                 effects += _stop(task_id, running)
-        self._forget_entries(now_s)
+        self._entries.forget_gone(now_s)
         return effects
 
     def _slots_taken(self) -> int:
@@ -316,15 +303,6 @@
         result = self._results.get(task_id)
         return [] if result is None else [Reply(entry.key, result)]
 
-    def _forget_entries(self, now_s: float) -> None:
-        forgotten = [
-            entry.key
-            for entry in self._entries.values()
-            if not entry.connected and entry.lease_until_s + ENTRY_MEMORY_S < now_s
-        ]
-        for key in forgotten:
-            del self._entries[key]
-
 
 def _stop(task_id: str, running: _Running) -> list[Effect]:
     if running.stopping:
--- a/src/verbenaplank/agent/waiting.py
+++ b/src/verbenaplank/agent/waiting.py
@@ -7,8 +7,7 @@
 
 import attrs
 
-from verbenaplank.agent.effects import EntryKey
-from verbenaplank.agent.memory import ClosedDispatches
+from verbenaplank.agent.entries import Entry
 from verbenaplank.protocol.work import Dispatch
 
 if TYPE_CHECKING:
@@ -17,25 +16,6 @@
 MS_PER_S = 1_000.0
 
 
-@attrs.define
-class Entry:
-    """An entry that has, or had, a stream to this agent.
-
-    Attributes
-    ----------
-    number
-        Stands for ``key`` where memory is short.
-    closed
-        The entry's dispatches that were refused or revoked.
-    """
-
-    key: EntryKey
-    number: int
-    lease_until_s: float
-    connected: bool = True
-    closed: ClosedDispatches = attrs.field(factory=ClosedDispatches)
-
-
 @attrs.frozen
 class Waiting:
     """A dispatch that has been received and not been started."""
--- a/src/verbenaplank/claims/registrar.py
+++ b/src/verbenaplank/claims/registrar.py
@@ -16,6 +16,10 @@
 
 import attrs
 
+from verbenaplank.claims.grants import Claimant
+from verbenaplank.claims.grants import ClaimRecord
+from verbenaplank.claims.grants import Grant
+from verbenaplank.claims.grants import Owner
 from verbenaplank.identifiers.job_id import job_timestamp_ms
 from verbenaplank.protocol.claims import ClaimReply
 from verbenaplank.protocol.claims import ClaimVerdict
@@ -50,51 +54,6 @@
     max_clock_skew_ms: int
 
 
-@attrs.frozen
-class Claimant:
-    """One incarnation of an entry."""
-
-    entry_id: str
-    incarnation: str
-
-
-@attrs.frozen
-class Owner:
-    """A claimant and where other entries reach it."""
-
-    claimant: Claimant
-    address: str
-
-
-@attrs.frozen
-class Grant:
-    """A granted identifier."""
-
-    owner: Owner
-    attempt: int
-    digest: bytes
-
-
-@attrs.define
-class _Entry:
-    """What is known of one identifier; a dead attempt is never granted."""
-
-    grant: Grant | None = None
-    dead_attempts: dict[Claimant, int] | None = None
-
-    def dead_attempt(self, claimant: Claimant) -> int:
-        """Return the latest dead attempt of a claimant; 0 if there is none."""
-        return self.dead_attempts.get(claimant, 0) if self.dead_attempts else 0
-
-    def bury(self, claimant: Claimant, attempt: int) -> None:
-        """Make an attempt and those before it dead, and end their grant."""
-        dead = max(attempt, self.dead_attempt(claimant))
-        self.dead_attempts = {**(self.dead_attempts or {}), claimant: dead}
-        grant = self.grant
-        if grant and grant.owner.claimant == claimant and grant.attempt <= dead:
-            self.grant = None
-
-
 def amnesia_after_start_ms(
     synced_ceiling_ms: int | None, now_ms: int, limits: RegistrarLimits
 ) -> int:
@@ -131,12 +90,12 @@
         self._amnesia_ms = amnesia_ms
         self._ceiling_ms = ceiling_ms
         self._floor_ms = 0
-        self._entries: dict[str, _Entry] = {}
+        self._records: dict[str, ClaimRecord] = {}
         self._buckets: dict[int, list[str]] = {}
         self._owners: dict[Owner, Owner] = {}
 
     def __len__(self) -> int:
-        return len(self._entries)
+        return len(self._records)
 
     @property
     def epoch(self) -> int:
@@ -201,25 +160,25 @@
         abstention = self._abstention(timestamp_ms, now_ms)
         if abstention is not None:
             return self._abstain(claim, may_have_granted=abstention)
-        entry = self._entry(claim.job_id, timestamp_ms)
+        record = self._record(claim.job_id, timestamp_ms)
         owner = self._owner(claim)
-        if claim.attempt <= entry.dead_attempt(owner.claimant):
+        if claim.attempt <= record.dead_attempt(owner.claimant):
             return self._reply(claim, ClaimVerdict.DEAD_ATTEMPT)
-        if entry.grant is None:
+        if record.grant is None:
             self._latest_grant_ms = max(self._latest_grant_ms, timestamp_ms)
-            entry.grant = Grant(owner, claim.attempt, claim.digest)
-        return self._answer(claim, owner.claimant, entry.grant)
+            record.grant = Grant(owner, claim.attempt, claim.digest)
+        return self._answer(claim, owner.claimant, record.grant)
 
     def release(self, release: ClaimRelease, now_ms: int) -> None:
         """Make an attempt and those before it dead, and end their grant."""
         self._expire(now_ms)
         timestamp_ms = _timestamp_ms(release.job_id)
-        known = release.job_id in self._entries
+        known = release.job_id in self._records
         if not known and self._abstention(timestamp_ms, now_ms) is not None:
             return
-        entry = self._entry(release.job_id, timestamp_ms)
+        record = self._record(release.job_id, timestamp_ms)
         claimant = Claimant(release.entry_id, release.entry_incarnation)
-        entry.bury(claimant, release.attempt)
+        record.bury(claimant, release.attempt)
 
     def _abstention(self, timestamp_ms: int, now_ms: int) -> bool | None:
         """Return ``None`` to go on, or whether the id may have been granted."""
@@ -240,12 +199,12 @@
             return self._reply(claim, ClaimVerdict.DEAD_ATTEMPT)
         return self._reply(claim, ClaimVerdict.OWNED, grant)
 
-    def _entry(self, job_id: str, timestamp_ms: int) -> _Entry:
-        entry = self._entries.get(job_id)
-        if entry is None:
-            entry = self._entries[job_id] = _Entry()
+    def _record(self, job_id: str, timestamp_ms: int) -> ClaimRecord:
+        record = self._records.get(job_id)
+        if record is None:
+            record = self._records[job_id] = ClaimRecord()
             self._buckets.setdefault(timestamp_ms // BUCKET_MS, []).append(job_id)
-        return entry
+        return record
 
     def _owner(self, claim: Claim) -> Owner:
         """Return the one object that stands for a claim's owner."""
@@ -293,7 +252,7 @@
         expired = [start for start in self._buckets if start * BUCKET_MS < floor_ms]
         for start in expired:
             for job_id in self._buckets.pop(start):
-                del self._entries[job_id]
+                del self._records[job_id]
 
 
 def _timestamp_ms(job_id: str) -> int:
--- a/tests/agent/test_gate.py
+++ b/tests/agent/test_gate.py
@@ -8,7 +8,7 @@
 from verbenaplank.agent.effects import Reply
 from verbenaplank.agent.effects import StartRun
 from verbenaplank.agent.effects import StopRun
-from verbenaplank.agent.gate import FIRST_LEASE_S
+from verbenaplank.agent.entries import FIRST_LEASE_S
 from verbenaplank.agent.gate import Gate
 from verbenaplank.agent.gate import GateLimits
 from verbenaplank.protocol.work import Dispatch
@@ -62,6 +62,15 @@
     return gate
 
 
+def _busy_gate() -> Gate:
+    """Return a gate at which dispatch 1 runs and dispatch 2 waits."""
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
+    assert _start(gate) == [1]
+    return gate
+
+
 def _reasons(effects: list[Effect]) -> list[RefusalReason]:
     items = [effect.item for effect in effects if isinstance(effect, Reply)]
     return [item.reason for item in items if isinstance(item, DispatchRefusal)]
@@ -161,10 +170,7 @@
 
 
 def test_revocation_tells_whether_the_task_started() -> None:
-    gate = _gate()
-    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    _start(gate)
+    gate = _busy_gate()
 
     started = gate.on_revoke(ENTRY, _revoke(1), 0.0)
     revoked = gate.on_revoke(ENTRY, _revoke(2, 1), 0.0)
@@ -206,10 +212,7 @@
 
 
 def test_lost_stream_drops_what_waits_and_lets_run_what_runs() -> None:
-    gate = _gate()
-    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    _start(gate)
+    gate = _busy_gate()
 
     assert _reasons(gate.on_disconnect(ENTRY, 0.5)) == [RefusalReason.LEASE_EXPIRED]
     assert gate.load().running == 1
@@ -230,10 +233,7 @@
 
 
 def test_drain_refuses_what_waits_and_what_comes() -> None:
-    gate = _gate()
-    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    _start(gate)
+    gate = _busy_gate()
 
     assert _reasons(gate.drain()) == [RefusalReason.DRAINING]
     assert _reasons(gate.on_dispatch(ENTRY, _dispatch(3, 2), 0.0)) == [
@@ -245,10 +245,7 @@
 
 
 def test_stop_refuses_a_waiting_dispatch_and_stops_a_running_one() -> None:
-    gate = _gate()
-    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    _start(gate)
+    gate = _busy_gate()
 
     waiting = gate.on_stop(ENTRY, Stop(dispatch_id=2, job_id="job", task_index=1))
     running = gate.on_stop(ENTRY, Stop(dispatch_id=1, job_id="job", task_index=0))
