Hedge late idempotent calls; take back what a stalled agent has not started

Cause: a straggler holds up its call, and a stalled agent its queue. Ruled out: hedging of anything that may run once; a hedge on the same agent. Change: a call past the learned p95 of its service is dispatched a second time, within max_runs and the hedge budget; what a stalled agent has not started is revoked once and placed elsewhere; a stop answers also requests whose claim or attachment does not end in time.

--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -9,6 +9,7 @@
 from typing import Self
 from uuid import uuid4
 
+from verbenaplank.admission.budget import hedge_budget
 from verbenaplank.admission.budget import retry_budget
 from verbenaplank.admission.queue import TaskQueue
 from verbenaplank.clock.sources import monotonic_s
@@ -48,13 +49,13 @@
 
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
+    from verbenaplank.entry.book import DispatchRecord
     from verbenaplank.entry.http import Metrics
     from verbenaplank.entry.ports import Claims
     from verbenaplank.entry.ports import ClaimsFactory
     from verbenaplank.entry.ports import Membership
     from verbenaplank.entry.ports import MembershipFactory
     from verbenaplank.placement.policy import Policy
-    from verbenaplank.placement.task import TaskRequest
     from verbenaplank.rpc.address import Address
     from verbenaplank.settings.entry import EntrySettings
 
@@ -119,11 +120,11 @@
             self._standing.weight_of, self._fleet.expected_run_time_s
         )
         self._admission = Admission(self._fleet, self.queue, limits.max_queued_tasks)
-        self._retry_budget = retry_budget()
         self.engine = Engine(
             fleet=self._fleet,
             queue=self.queue,
-            retry_budget=self._retry_budget,
+            retry_budget=retry_budget(),
+            hedge_budget=hedge_budget(),
             lease_since=self._standing.lease_since,
             on_dispatch=self._on_dispatch,
         )
@@ -164,7 +165,7 @@
                 await self.pipeline.join()
         except TimeoutError:
             self._runner.stop()
-            await asyncio.wait((self._joining(),), timeout=STOP_GRACE_S)
+            await self.pipeline.stop(STOP_GRACE_S)
         await self._peer_service.join()
         await self._http_server.close()
         await self._membership.leave()
@@ -238,13 +239,12 @@
         self._http_server = await stack.enter_async_context(server)
         self.http_address = server.address
 
-    def _on_dispatch(self, task: TaskRequest, agent_id: str) -> None:
+    def _on_dispatch(self, dispatch: DispatchRecord) -> None:
         now_s = self._clock()
         self._admission.dispatched(now_s)
-        if task.attempt == 1:
-            self._retry_budget.started()
         if self._record is ignore_event:
             return
+        task = dispatch.task
         self._record(
             Event(
                 kind=EventKind.DISPATCHED,
@@ -253,7 +253,7 @@
                 job_id=task.job_id,
                 task_index=task.task_index,
                 attempt=task.attempt,
-                detail=agent_id,
+                detail=dispatch.agent_id,
             )
         )
 
@@ -267,9 +267,6 @@
             draining=draining,
         )
 
-    def _joining(self) -> asyncio.Task[None]:
-        return asyncio.create_task(self.pipeline.join())
-
     async def _expire_forever(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_PERIOD_S)
--- a/src/verbenaplank/entry/book.py
+++ b/src/verbenaplank/entry/book.py
@@ -54,6 +54,8 @@
     ----------
     sent_s
         Monotonic time at which it was handed to the agent's stream.
+    revoke_sent
+        Whether its agent was asked never to start it.
     """
 
     dispatch_id: int
@@ -62,6 +64,7 @@
     agent_incarnation: str
     sent_s: float
     state: DispatchState = DispatchState.OUTSTANDING
+    revoke_sent: bool = False
 
 
 @attrs.define
--- a/src/verbenaplank/entry/collect.py
+++ b/src/verbenaplank/entry/collect.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from verbenaplank.entry.book import DispatchBook
     from verbenaplank.entry.book import DispatchRecord
+    from verbenaplank.entry.hedge import Latencies
     from verbenaplank.entry.jobs import JobTable
     from verbenaplank.entry.retry import Retries
     from verbenaplank.placement.fleet import Fleet
@@ -53,13 +54,20 @@
     """
 
     def __init__(
-        self, *, jobs: JobTable, book: DispatchBook, fleet: Fleet, retries: Retries
+        self,
+        *,
+        jobs: JobTable,
+        book: DispatchBook,
+        fleet: Fleet,
+        retries: Retries,
+        latencies: Latencies,
     ) -> None:
         self.counts = CollectCounts()
         self._jobs = jobs
         self._book = book
         self._fleet = fleet
         self._retries = retries
+        self._latencies = latencies
 
     def result(self, agent_id: str, result: TaskResult, now_s: float) -> None:
         """Take in the end of a run."""
@@ -76,6 +84,7 @@
             return
         rejection = _result_fault(result)
         if rejection is None:
+            self._latencies.learn(task.service, now_s - record.sent_s)
             self._jobs.succeed(job, task.task_index, result.output)
         elif not self._retries.run_again(job, record, now_s):
             self._jobs.fail(job, rejection, now_s)
@@ -118,6 +127,12 @@
             else:
                 self._lose(record, f"agent {agent_id} restarted", now_s)
 
+    def take_back(self, agent_id: str) -> None:
+        """Revoke what an agent has not started, once for each dispatch."""
+        for record in self._book.of_agent(agent_id):
+            if record.state is DispatchState.OUTSTANDING and not record.revoke_sent:
+                self._jobs.revoke(record)
+
     def agent_lost(self, agent_id: str, now_s: float) -> None:
         """Give up every open dispatch of an agent that is gone."""
         for record in self._book.of_agent(agent_id):
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -11,6 +11,7 @@
 
 from verbenaplank.entry.book import DispatchBook
 from verbenaplank.entry.collect import Collector
+from verbenaplank.entry.hedge import Hedger
 from verbenaplank.entry.jobs import JobTable
 from verbenaplank.entry.place import Placer
 from verbenaplank.entry.retry import Retries
@@ -24,14 +25,16 @@
 
     from verbenaplank.admission.budget import StartBudget
     from verbenaplank.admission.queue import TaskQueue
+    from verbenaplank.entry.book import DispatchRecord
     from verbenaplank.entry.effects import Effect
     from verbenaplank.entry.submission import Submission
     from verbenaplank.placement.fleet import Fleet
-    from verbenaplank.placement.task import TaskRequest
     from verbenaplank.protocol.membership import Member
     from verbenaplank.protocol.work import AgentWelcome
     from verbenaplank.protocol.work import FromAgent
 
+STALL_CHECK_PERIOD_S = 0.2
+
 CANCELLED = Rejection(kind=FailureKind.CANCELLED, detail="cancelled by the caller")
 DEADLINE_EXCEEDED = Rejection(
     kind=FailureKind.DEADLINE_EXCEEDED, detail="the deadline passed"
@@ -45,7 +48,7 @@
 )
 
 
-def ignore_dispatch(task: TaskRequest, agent_id: str) -> None:
+def ignore_dispatch(record: DispatchRecord) -> None:
     """Record nothing of a dispatch."""
 
 
@@ -74,8 +77,9 @@
         fleet: Fleet,
         queue: TaskQueue,
         retry_budget: StartBudget,
+        hedge_budget: StartBudget,
         lease_since: Callable[[float], float],
-        on_dispatch: Callable[[TaskRequest, str], None] = ignore_dispatch,
+        on_dispatch: Callable[[DispatchRecord], None] = ignore_dispatch,
     ) -> None:
         self.effects: list[Effect] = []
         self.book = DispatchBook()
@@ -88,8 +92,13 @@
         self._members: dict[str, Member] = {}
         self._connected: dict[str, AgentWelcome] = {}
         self._retries = Retries(book=self.book, queue=queue, budget=retry_budget)
+        self._hedger = Hedger(jobs=self.jobs, book=self.book, budget=hedge_budget)
         self._collector = Collector(
-            jobs=self.jobs, book=self.book, fleet=fleet, retries=self._retries
+            jobs=self.jobs,
+            book=self.book,
+            fleet=fleet,
+            retries=self._retries,
+            latencies=self._hedger.latencies,
         )
         self._placer = Placer(
             jobs=self.jobs,
@@ -97,8 +106,11 @@
             queue=queue,
             fleet=fleet,
             effects=self.effects,
-            on_dispatch=on_dispatch,
+            on_dispatch=self._dispatched,
         )
+        self._budgets = (retry_budget, hedge_budget)
+        self._on_dispatch = on_dispatch
+        self._stalls_checked_s = float("-inf")
         self.counts = self._collector.counts
 
     def submit(self, submission: Submission, now_s: float) -> None:
@@ -172,6 +184,8 @@
         for job_id in self._deadlines.take_due(now_s):
             self._fail(job_id, DEADLINE_EXCEEDED, now_s)
         self._retries.queue_due(now_s)
+        self._hedger.hedge_due(now_s, self._placer.place_again)
+        self._revoke_stalled(now_s)
         self.jobs.settle_all(now_s)
 
     def stop(self, now_s: float) -> None:
@@ -198,6 +212,21 @@
             self._fleet.load_reported(agent_id, load, now_s)
         self._placer.connected(agent_id, welcome.incarnation)
 
+    def _dispatched(self, record: DispatchRecord) -> None:
+        if record.task.attempt == 1:
+            for budget in self._budgets:
+                budget.started()
+        self._hedger.watch(record)
+        self._on_dispatch(record)
+
+    def _revoke_stalled(self, now_s: float) -> None:
+        """Take back what has not started at agents that finish nothing."""
+        if now_s < self._stalls_checked_s + STALL_CHECK_PERIOD_S:
+            return
+        self._stalls_checked_s = now_s
+        for agent_id in self._fleet.stalled(now_s):
+            self._collector.take_back(agent_id)
+
     def _fail(self, job_id: str, rejection: Rejection, now_s: float) -> bool:
         job = self.jobs.running(job_id)
         if job is None:
--- /dev/null
+++ b/src/verbenaplank/entry/hedge.py
@@ -0,0 +1,102 @@
+"""Second runs of idempotent calls that take unusually long."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.entry.timetable import Timetable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenaplank.admission.budget import StartBudget
+    from verbenaplank.entry.book import DispatchBook
+    from verbenaplank.entry.book import DispatchRecord
+    from verbenaplank.entry.jobs import JobTable
+    from verbenaplank.placement.task import TaskRequest
+
+LATE_QUANTILE = 0.95
+REMEMBERED_LATENCIES = 256
+MIN_LATENCIES = 20
+"""So many latencies of a service are known before its calls are hedged."""
+
+
+class Latencies:
+    """The newest times from dispatch to result of each service."""
+
+    def __init__(self) -> None:
+        self._seconds: dict[str, deque[float]] = defaultdict(
+            lambda: deque(maxlen=REMEMBERED_LATENCIES)
+        )
+
+    def learn(self, service: str, latency_s: float) -> None:
+        """Take in the time of one task."""
+        self._seconds[service].append(latency_s)
+
+    def late_s(self, service: str) -> float | None:
+        """Return the time that few tasks exceed, once it is known."""
+        known = self._seconds.get(service)
+        if known is None or len(known) < MIN_LATENCIES:
+            return None
+        return sorted(known)[int(LATE_QUANTILE * len(known))]
+
+
+class Hedger:
+    """Dispatches a second run when the first one is late.
+
+    Only calls that may run again are watched, and the budget keeps second
+    runs a small share of all starts.
+    """
+
+    def __init__(
+        self, *, jobs: JobTable, book: DispatchBook, budget: StartBudget
+    ) -> None:
+        self.latencies = Latencies()
+        self._jobs = jobs
+        self._book = book
+        self._budget = budget
+        self._watched: Timetable[DispatchRecord] = Timetable()
+
+    def watch(self, record: DispatchRecord) -> None:
+        """Look at a dispatch again when it is late, if a second run is allowed."""
+        job = self._jobs.running(record.task.job_id)
+        if job is None or job.runs >= job.submission.max_runs:
+            return
+        late_s = self.latencies.late_s(record.task.service)
+        if late_s is not None:
+            self._watched.add(record, record.sent_s + late_s)
+
+    def hedge_due(
+        self, now_s: float, place: Callable[[TaskRequest, float], bool]
+    ) -> None:
+        """Dispatch second runs of what is late, where an agent has room.
+
+        Parameters
+        ----------
+        place
+            Dispatches a task; returns whether an agent had room.
+        """
+        for record in self._watched.take_due(now_s):
+            self._hedge(record, now_s, place)
+
+    def _hedge(
+        self,
+        record: DispatchRecord,
+        now_s: float,
+        place: Callable[[TaskRequest, float], bool],
+    ) -> None:
+        task = record.task
+        job = self._jobs.running(task.job_id)
+        if job is None or self._book.of_task(task.job_id, task.task_index) != (record,):
+            return
+        if job.runs >= job.submission.max_runs or not self._budget.take():
+            return
+        job.runs += 1
+        avoided = task.avoided_members | {record.agent_id}
+        again = attrs.evolve(task, attempt=job.runs, avoided_members=avoided)
+        if not place(again, now_s):
+            job.runs -= 1
--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -156,6 +156,7 @@
 
     def revoke(self, record: DispatchRecord) -> None:
         """Ask an agent never to start a dispatch, if it has not started."""
+        record.revoke_sent = True
         task = record.task
         revoke = Revoke(
             dispatch_id=record.dispatch_id,
@@ -169,7 +170,7 @@
         for record in self._book.of_job(job_id):
             if record.state is DispatchState.STARTED:
                 self.stop(record)
-            else:
+            elif not record.revoke_sent:
                 self.revoke(record)
 
     def _answer_failure(self, job: Job) -> None:
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -56,6 +56,10 @@
 ANSWER_DROPPED = Rejection(
     kind=FailureKind.OUTCOME_UNKNOWN, detail="the answer is no longer kept"
 )
+ABANDONED = Rejection(
+    kind=FailureKind.OUTCOME_UNKNOWN,
+    detail="the entry stopped before the outcome was known",
+)
 FAULT_WITHIN = Rejection(
     kind=FailureKind.OUTCOME_UNKNOWN, detail="a fault within the entry"
 )
@@ -130,6 +134,14 @@
         while self._in_progress:
             await asyncio.wait(set(self._in_progress))
 
+    async def stop(self, grace_s: float) -> None:
+        """Wait a little for the requests in progress, then answer them all."""
+        if self._in_progress:
+            await asyncio.wait(set(self._in_progress), timeout=grace_s)
+        for task in self._in_progress:
+            task.cancel()
+        await self.join()
+
     def refuse(
         self, rejection: Rejection, job_id: str = "", status: int | None = None
     ) -> Answer:
@@ -174,6 +186,8 @@
     async def _run(self, record: RequestRecord, submission: Submission) -> None:
         try:
             answer = await self._claim_and_run(record, submission)
+        except asyncio.CancelledError:
+            answer = self.refuse(ABANDONED, submission.job_id)
         except Exception:
             LOGGER.exception("a request failed within", extra=_log_fields(submission))
             answer = self.refuse(FAULT_WITHIN, submission.job_id)
--- a/src/verbenaplank/entry/place.py
+++ b/src/verbenaplank/entry/place.py
@@ -15,6 +15,7 @@
 
     from verbenaplank.admission.queue import TaskQueue
     from verbenaplank.entry.book import DispatchBook
+    from verbenaplank.entry.book import DispatchRecord
     from verbenaplank.entry.jobs import JobTable
     from verbenaplank.entry.submission import Submission
     from verbenaplank.placement.fleet import Fleet
@@ -34,7 +35,7 @@
         queue: TaskQueue,
         fleet: Fleet,
         effects: list[Effect],
-        on_dispatch: Callable[[TaskRequest, str], None],
+        on_dispatch: Callable[[DispatchRecord], None],
     ) -> None:
         self._jobs = jobs
         self._book = book
@@ -66,9 +67,9 @@
             self._dispatch(task, chosen.agent_id, now_s)
 
     def place_again(self, task: TaskRequest, now_s: float) -> bool:
-        """Dispatch one more run of a task; tell whether an agent had room."""
+        """Dispatch one more run of a task; tell whether another agent had room."""
         agent_id = self._choose(task, now_s)
-        if agent_id is None:
+        if agent_id is None or agent_id in task.avoided_members:
             return False
         self._dispatch(task, agent_id, now_s)
         return True
@@ -96,7 +97,7 @@
         incarnation = self._incarnations[agent_id]
         record = self._book.record(task, agent_id, incarnation, now_s)
         self._fleet.dispatched(agent_id, task, now_s)
-        self._on_dispatch(task, agent_id)
+        self._on_dispatch(record)
         dispatch = dispatch_message(
             job.submission, task, record.dispatch_id, incarnation, now_s
         )
--- a/tests/entry/driver.py
+++ b/tests/entry/driver.py
@@ -62,7 +62,13 @@
 class Driver:
     """Feeds an engine with events and sorts its effects."""
 
-    def __init__(self, *agents: str, slots: int = 8, retry_share: float = 1.0) -> None:
+    def __init__(
+        self,
+        *agents: str,
+        slots: int = 8,
+        retry_share: float = 1.0,
+        hedge_share: float = 1.0,
+    ) -> None:
         self.now_s = 1.0
         self.lease_since_s = float("-inf")
         self.dispatches: list[tuple[str, Dispatch]] = []
@@ -76,11 +82,21 @@
             fleet=fleet,
             queue=self.queue,
             retry_budget=StartBudget(retry_share, 3.0),
+            hedge_budget=StartBudget(hedge_share, 3.0),
             lease_since=lambda now_s: self.lease_since_s,
         )
         for agent_id in agents:
             self.join(agent_id, slots=slots)
 
+    def learn(self) -> None:
+        """Let 40 tasks take 0.1 s each, and forget them."""
+        for number in range(40):
+            self.submit(f"usual-{number}", deadline_s=99.0)
+            self.now_s += 0.1
+            self.finish(number)
+        self.dispatches.clear()
+        self.completed.clear()
+
     def join(self, agent_id: str, incarnation: str = "1", slots: int = 8) -> None:
         member = agent_member(agent_id, incarnation, slots)
         self.engine.member_joined(member, self.now_s)
@@ -181,5 +197,5 @@
         dispatch_id=dispatch.dispatch_id,
         outcome=outcome,
         output=b'"%d"' % dispatch.task_index if output is None else output,
-        run_time_ms=1.0,
+        run_time_ms=100.0,
     )
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -9,6 +9,8 @@
 from entry.site import job
 
 if TYPE_CHECKING:
+    import pytest
+
     from entry.site import Site
 
 
@@ -74,3 +76,21 @@
     problem = (await posted).json()
 
     assert (problem["kind"], problem["run"]) == ("cancelled", "ran")
+
+
+async def test_stop_answers_a_request_whose_claim_does_not_end(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("verbenaplank.entry.application.STOP_GRACE_S", 0.01)
+    agent = await site.agent()
+    entry = await site.entry(limits=attrs.evolve(LIMITS, drain_timeout_s=0.05))
+    caller = await site.caller(entry)
+    site.registrars.gate.clear()
+    posted = asyncio.create_task(caller.post("/v1/jobs", json=job()))
+    await site.registrars.wait_claims(1)
+
+    await entry.drain()
+    problem = (await posted).json()
+
+    assert (problem["kind"], problem["run"]) == ("outcome_unknown", "may_have_run")
+    assert agent.starts == []
--- a/tests/entry/test_engine_stateful.py
+++ b/tests/entry/test_engine_stateful.py
@@ -40,6 +40,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.driver = Driver(*AGENTS, slots=2)
+        self.driver.learn()
         self.agents = {name: AgentModel(name) for name in AGENTS}
         self.submitted: dict[str, Submission] = {}
         self.said: list[tuple[str, FromAgent]] = []
--- /dev/null
+++ b/tests/entry/test_hedge.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+import pytest
+
+from entry.driver import Driver
+from verbenaplank.protocol.work import RevocationState
+from verbenaplank.protocol.work import TaskOutcome
+
+
+def learned(*agents: str, hedge_share: float = 1.0) -> Driver:
+    driver = Driver(*agents, hedge_share=hedge_share)
+    driver.learn()
+    return driver
+
+
+def test_late_idempotent_call_runs_a_second_time_elsewhere() -> None:
+    driver = learned("a", "b")
+    driver.submit(claimed=False, max_runs=2, deadline_s=99.0)
+
+    driver.advance(0.05)
+    assert len(driver.dispatches) == 1
+    driver.advance(0.06)
+    driver.advance(0.06)
+    first, second = driver.dispatches
+    driver.finish(1)
+
+    assert first[0] != second[0]
+    assert [dispatch.attempt for _, dispatch in driver.dispatches] == [1, 2]
+    assert driver.completed["job"] == (b'"0"',)
+    assert [revoke.dispatch_id for _, revoke in driver.revokes] == [
+        first[1].dispatch_id
+    ]
+
+
+def test_failure_of_one_run_waits_for_the_other() -> None:
+    driver = learned("a", "b")
+    driver.submit(claimed=False, max_runs=2, deadline_s=99.0)
+    driver.advance(0.2)
+
+    driver.finish(1, TaskOutcome.FAILED)
+    assert driver.failed == {}
+    driver.finish(0)
+
+    assert driver.completed["job"] == (b'"0"',)
+
+
+@pytest.mark.parametrize("changes", [{"max_runs": 1}, {"claimed": True}])
+def test_call_that_may_run_once_is_never_hedged(changes: dict[str, object]) -> None:
+    driver = learned("a", "b")
+    driver.submit(deadline_s=99.0, **changes)
+
+    driver.advance(5.0)
+
+    assert len(driver.dispatches) == 1
+
+
+def test_hedges_stay_within_their_budget() -> None:
+    driver = learned("a", "b", hedge_share=0.0)
+    for number in range(6):
+        driver.submit(f"late-{number}", claimed=False, max_runs=2, deadline_s=99.0)
+
+    driver.advance(0.2)
+
+    assert len(driver.dispatches) == 6 + 3
+
+
+def test_hedge_without_another_agent_is_not_sent() -> None:
+    driver = learned("a")
+    driver.submit(claimed=False, max_runs=2, deadline_s=99.0)
+
+    driver.advance(0.2)
+
+    assert len(driver.dispatches) == 1
+
+
+def test_unstarted_tasks_of_a_stalled_agent_are_moved_once() -> None:
+    driver = learned("a")
+    driver.submit(count=4, deadline_s=99.0)
+    driver.join("b")
+
+    for _ in range(8):
+        driver.advance(0.25)
+    assert [revoke.task_index for _, revoke in driver.revokes] == [0, 1, 2, 3]
+    for index in range(4):
+        started = index < 2
+        state = RevocationState.STARTED if started else RevocationState.REVOKED
+        driver.answer_revoke(index, state)
+
+    moved = driver.dispatches[4:]
+    assert [agent_id for agent_id, _ in moved] == ["b", "b"]
+    assert [dispatch.task_index for _, dispatch in moved] == [2, 3]
