Keep typer out of the agent; choose ports that no outgoing connection takes

Cause 1: an agent took 42.3 MB resident when idle, limit 32 MB. Found by the modules loaded: typer's parser imports pydantic where it is installed, 10 MB. Ruled out: the settings converter, the configuration and the streams, each of which left the size at 31 MB; cached bytecode, no difference. Change: the agent's two lines of arguments are read by argparse, the nearest kin.

Cause 2: a fleet failed to start with "address already in use": a port that was free a moment ago had been taken by an outgoing connection. Change: ports come from below the range of outgoing connections, in a block that depends on the process.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import signal
@@ -11,15 +12,22 @@
 import time
 from contextlib import ExitStack
 from pathlib import Path
+from typing import TYPE_CHECKING
 from typing import Any
 
 import httpx
 
 from demo.documents import HOST
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
 POLL_PERIOD_S = 0.05
+FIRST_PORT = 10_000
+PORT_BLOCKS = 64
+PORTS_PER_BLOCK = 340
 BINARIES = Path(sys.executable).parent
 
 
@@ -28,10 +36,29 @@
 
 
 def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as listener:
-        listener.bind((HOST, 0))
-        return int(listener.getsockname()[1])
+    """Return a port that was free a moment ago and is not given out again here.
+
+    The ports lie below those that the system picks for outgoing connections, in
+    a block that depends on this process, so that test processes side by side
+    do not meet.
+    """
+    for port in itertools.islice(_PORTS, PORTS_PER_BLOCK):
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                listener.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise OSError("no port of this process's block is free")
+
+
+def _ports_of_this_process() -> Iterator[int]:
+    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK
+    yield from range(first, first + PORTS_PER_BLOCK)
+
+
+_PORTS = itertools.cycle(_ports_of_this_process())
 
 
 class Processes:
--- a/src/verbenaplank/console/agent.py
+++ b/src/verbenaplank/console/agent.py
@@ -1,27 +1,21 @@
-"""Program ``verbena-agent``: the agent beside one backend server."""
+"""Program ``verbena-agent``: the agent beside one backend server.
+
+Its arguments are read by argparse: typer's parser takes 10 MB, and control has
+32 MB on a worker.
+"""
 
 from __future__ import annotations
 
+from argparse import ArgumentParser
 from pathlib import Path
-from typing import Annotated
-
-import typer
 
 from verbenaplank.agent.application import AgentInstance
 from verbenaplank.console.program import run_program
 from verbenaplank.settings.agent import AgentSettings
 
-application = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
-
-
-@application.command()
-def run(
-    settings_path: Annotated[Path, typer.Argument(help="Settings file, TOML.")],
-) -> None:
-    """Run the agent beside one backend server until a signal stops it."""
-    run_program(settings_path, AgentSettings, AgentInstance)
-
 
 def main() -> None:
-    """Run the program."""
-    application()
+    """Run the agent beside one backend server until a signal stops it."""
+    parser = ArgumentParser(prog="verbena-agent", description=main.__doc__)
+    parser.add_argument("settings_path", type=Path, help="Settings file, TOML.")
+    run_program(parser.parse_args().settings_path, AgentSettings, AgentInstance)
--- a/src/verbenaplank/console/program.py
+++ b/src/verbenaplank/console/program.py
@@ -13,8 +13,6 @@
 from typing import Protocol
 from typing import TypeVar
 
-import typer
-
 from verbenaplank.console.exit_code import ExitCode
 from verbenaplank.observability.logs import configure_logging
 from verbenaplank.settings.checker import SettingsError
@@ -62,7 +60,7 @@
 
     Raises
     ------
-    typer.Exit
+    SystemExit
         With ``ExitCode.USAGE`` if the settings have faults.
     """
     settings = load_or_exit(path, settings_type)
@@ -77,14 +75,14 @@
 
     Raises
     ------
-    typer.Exit
+    SystemExit
         With ``ExitCode.USAGE`` if the settings have faults.
     """
     try:
         return load_settings(path, settings_type)
     except SettingsError as error:
         print(error, file=sys.stderr)
-        raise typer.Exit(ExitCode.USAGE) from error
+        raise SystemExit(ExitCode.USAGE) from error
 
 
 async def run_until_stopped(
