--- a/src/verbenaplank/control/administration.py
+++ b/src/verbenaplank/control/administration.py
@@ -80,6 +80,16 @@
         self._tls = tls
         self._administrator_sha256 = administrator_sha256
         self._wall_clock = wall_clock
+        self._is_open = False
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether operators are answered."""
+        return self._is_open
+
+    def open(self) -> None:
+        """Answer operators from now on, since the first state is in force."""
+        self._is_open = True
 
     async def origin(self, token: str, command_id: str) -> Origin:
         """Return whose token it is, by the newest owners.
@@ -152,8 +162,11 @@
         Raises
         ------
         ProblemError
-            If no quorum can be reached.
+            If no quorum can be reached, or there is no first state yet.
         """
+        if not self._is_open:
+            detail = "the first document is not in force yet; nothing was run"
+            raise problem(HTTPStatus.SERVICE_UNAVAILABLE, detail)
         try:
             await self._barrier.wait()
         except NoQuorumError as error:
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -38,6 +38,7 @@
 
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
+    from verbenaplank.configuration.commands import LoadDocument
     from verbenaplank.membership.renewals import RenewalReply
     from verbenaplank.settings.common import ControlPeer
     from verbenaplank.settings.control import ControlSettings
@@ -122,12 +123,9 @@
             await stack.enter_async_context(_running(self._forwarder.run()))
             await stack.enter_async_context(_running(self._registrar.run()))
             await stack.enter_async_context(_running(self._tick()))
-            first = bootstrap(
-                self.log, self.machine, document, self._peers(), self._wall_clock
-            )
-            await stack.enter_async_context(_running(first))
+            await stack.enter_async_context(_running(self._bootstrap(document)))
             http = http_application(
-                self._administration, self._is_ready, self._metrics.render
+                self._administration, self.is_ready, self._metrics.render
             )
             listening = serve_http(http, self._settings.http.address)
             self.http_address = await stack.enter_async_context(listening)
@@ -158,7 +156,7 @@
             ("member_streams", streams, lambda: len(self._members)),
             ("commit_index", commits, lambda: self.log.commit_index),
             ("leads", "1 if this instance leads", lambda: self.log.is_leader),
-            ("ready", "1 if a quorum backs this instance", self._is_ready),
+            ("ready", "1 if a quorum backs this instance", self.is_ready),
         )
         for name, description, read in gauges:
             self._metrics.gauge(f"verbenaplank_control_{name}", description, read)
@@ -166,9 +164,18 @@
     def _configuration_version(self) -> int:
         return self.machine.configuration.version
 
-    def _is_ready(self) -> bool:
+    async def _bootstrap(self, document: LoadDocument | None) -> None:
+        await bootstrap(
+            self.log, self.machine, document, self._peers(), self._wall_clock
+        )
+        self._administration.open()
+
+    def is_ready(self) -> bool:
+        """Return whether a quorum backs the instance and it answers operators."""
         if self._currency.is_retired or self.log.storage_error:
             return False
+        if not self._administration.is_open:
+            return False
         return self._currency.is_current()
 
     def _session_context(self) -> SessionContext:
--- a/tests/control/control_cluster.py
+++ b/tests/control/control_cluster.py
@@ -58,9 +58,7 @@
         await asyncio.gather(*map(self.start, range(CLUSTER_SIZE)))
         await eventually(lambda: self.leader() is not None)
         instances = self.instances.values()
-        await eventually(
-            lambda: all(i.machine.configuration.version > 0 for i in instances)
-        )
+        await eventually(lambda: all(i.is_ready() for i in instances))
 
     async def stop_all(self) -> None:
         await asyncio.gather(*map(self.stop, list(self.instances)))
--- a/tests/control/control_helpers.py
+++ b/tests/control/control_helpers.py
@@ -51,9 +51,14 @@
 
 
 def control_settings(folder: Path, **overrides: object) -> ControlSettings:
+    document = control_document(folder, **overrides)
+    return check_settings(document, ControlSettings, "control.toml")
+
+
+def control_document(folder: Path, **overrides: object) -> dict[str, object]:
     path = folder / "first.toml"
     path.write_text(FIRST_DOCUMENT)
-    document: dict[str, object] = {
+    return {
         "instance_id": "control-1",
         "data_centre": "Kochi",
         "data_folder": str(folder / "data"),
@@ -68,7 +73,6 @@
         "membership": {"heartbeat_ms": 50.0, "lease_ms": 1_000.0},
         **overrides,
     }
-    return check_settings(document, ControlSettings, "control.toml")
 
 
 def agent(member_id: str = "agent-1", incarnation: str = "a") -> Member:
--- a/tests/control/test_administration.py
+++ b/tests/control/test_administration.py
@@ -26,7 +26,7 @@
 @pytest.fixture
 async def control(tmp_path: Path) -> AsyncIterator[ControlInstance]:
     async with ControlInstance(control_settings(tmp_path)) as instance:
-        await eventually(lambda: instance.machine.configuration.version == 1)
+        await eventually(instance.is_ready)
         yield instance
 
 
--- a/tests/control/test_registrar_groups.py
+++ b/tests/control/test_registrar_groups.py
@@ -12,18 +12,26 @@
 from control_helpers import entry
 from control_helpers import eventually
 from control_helpers import link_to
+from fake_log import FakeLog
 from uuid6 import uuid7
 
 from verbenaplank.claims.client import ClaimClient
 from verbenaplank.claims.decision import ClaimState
+from verbenaplank.clock.sources import wall_clock_ms
 from verbenaplank.control.application import ControlInstance
+from verbenaplank.control.machine import ControlMachine
+from verbenaplank.control.registrar_epochs import RegistrarEpochs
+from verbenaplank.control.replication import SharedBarrier
+from verbenaplank.membership.commands import SetRegistrars
+from verbenaplank.protocol.membership import Registrar
+from verbenaplank.rpc.endpoint import serve
 
 if TYPE_CHECKING:
     from pathlib import Path
 
     from verbenaplank.protocol.membership import RegistrarGroup
 
-TIMEOUT_S = 2.0
+TIMEOUT_S = 1.0
 
 
 async def claim(group: RegistrarGroup | None, entry_id: str, job_id: str) -> ClaimState:
@@ -87,3 +95,33 @@
     assert first is ClaimState.OWNED_HERE
     assert again is ClaimState.OWNED_ELSEWHERE
     assert new is ClaimState.OWNED_HERE
+
+
+async def test_registrar_follows_no_group_that_a_quorum_did_not_back(
+    tmp_path: Path,
+) -> None:
+    machine = ControlMachine()
+    log = FakeLog(machine)
+    settings = control_settings(tmp_path)
+    barrier = SharedBarrier(log, TIMEOUT_S)
+    epochs = RegistrarEpochs(settings, log, machine, barrier, wall_clock_ms)
+    log.has_quorum = False
+    async with serve([epochs.service()], settings.rpc.address) as address:
+        registrar = Registrar(
+            instance_id="control-1", address=str(address), data_centre="Kochi"
+        )
+        machine.membership.registrars.set_registrars(
+            SetRegistrars(expected_epoch=0, registrars=(registrar,))
+        )
+        group = machine.membership.registrars.open_group
+        following = asyncio.create_task(epochs.run())
+        cut_off = await claim(group, "entry-1", str(uuid7()))
+        log.has_quorum = True
+        state = ClaimState.UNAVAILABLE
+        async with asyncio.timeout(DEADLINE_S):
+            while state is ClaimState.UNAVAILABLE:
+                state = await claim(group, "entry-1", str(uuid7()))
+        following.cancel()
+
+    assert cut_off is ClaimState.UNAVAILABLE
+    assert state is ClaimState.OWNED_HERE
