Test that an agent which wakes after the lease refuses what waited for it

Tried without the lease check: the test reports that no refusal comes (TimeoutError after 10 s in receive()); at first it hung, so receive() now ends.

--- a/tests/agent/agent_helpers.py
+++ b/tests/agent/agent_helpers.py
@@ -33,11 +33,14 @@
 
     from grpclib.client import Stream
 
+    from verbenaplank.clock.sources import MonotonicClock
+
     WorkStream = Stream[ToAgent, FromAgent]
 
 HELLO = EntryHello(entry_id="e1", incarnation="1", data_centre="d")
 LEASE = LeaseRenewal(lease_ms=60_000.0)
 INCARNATION = "a1"
+RECEIVE_TIMEOUT_S = 10.0
 
 
 def dispatch(number: int, run_time_ms: float = 0.0, job_id: str = "job") -> Dispatch:
@@ -75,7 +78,9 @@
 
 
 @asynccontextmanager
-async def agent_site(slots: int = 2, *, stoppable: bool = False) -> AsyncIterator[Site]:
+async def agent_site(
+    slots: int = 2, *, stoppable: bool = False, clock: MonotonicClock = monotonic_s
+) -> AsyncIterator[Site]:
     events: list[Event] = []
     started = asyncio.Event()
 
@@ -96,7 +101,7 @@
         )
         async with (
             BackendClient(settings) as backend,
-            TaskRunner("a", gate, backend, monotonic_s, events.append) as runner,
+            TaskRunner("a", gate, backend, clock, events.append) as runner,
         ):
             streams = WorkStreams(runner, "a", INCARNATION, slots)
             async with serve([streams.service()], Address("127.0.0.1", 0)) as address:
@@ -104,6 +109,7 @@
 
 
 async def receive(stream: WorkStream) -> FromAgent:
-    message = await stream.recv_message()
+    async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+        message = await stream.recv_message()
     assert message is not None
     return message
--- a/tests/agent/test_work_service.py
+++ b/tests/agent/test_work_service.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 from agent_helpers import HELLO
+from agent_helpers import LEASE
 from agent_helpers import agent_site
 from agent_helpers import dispatch
 from agent_helpers import receive
@@ -14,6 +15,7 @@
 from verbenaplank.agent.effects import EntryKey
 from verbenaplank.agent.work_service import MAX_ENVELOPE_OUTPUT_BYTES
 from verbenaplank.agent.work_service import _parts
+from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.history.event import EventKind
 from verbenaplank.protocol.work import FromAgent
 from verbenaplank.protocol.work import RefusalReason
@@ -113,6 +115,25 @@
     assert later.refusals[0].reason is RefusalReason.DRAINING
 
 
+async def test_agent_that_wakes_after_the_lease_refuses_what_waited_for_it() -> None:
+    frozen_s = 0.0
+
+    def clock() -> float:
+        return monotonic_s() + frozen_s
+
+    async with agent_site(clock=clock) as site, site.entry() as stream:
+        frozen_s = 1_000.0
+        await stream.send_message(ToAgent(dispatches=(dispatch(0),)))
+        refused = await _until(stream, "refusals")
+        await stream.send_message(ToAgent(renewal=LEASE, dispatches=(dispatch(1),)))
+        accepted = await _until(stream, "results")
+
+    assert refused.refusals[0].reason is RefusalReason.LEASE_EXPIRED
+    assert accepted.results[0].task_index == 1
+    starts = [event for event in site.events if event.kind is EventKind.STARTED]
+    assert [event.task_index for event in starts] == [1]
+
+
 async def test_running_task_is_stopped_where_that_is_offered() -> None:
     async with agent_site(stoppable=True) as site, site.entry() as stream:
         await stream.send_message(ToAgent(dispatches=(dispatch(0, LONG_MS),)))
