Gate: tie a reserved slot to its dispatch; never start what still runs

Cause, found by reading: a dispatch revoked while its connection was opened could take the slot of a later dispatch of the same task, whose result would then carry the revoked dispatch's id; and a task still running after its start was forgotten could be started again by a new dispatch. Change: begin() and abandon() take the StartRun that they answer; a running task counts as started whatever the memory holds. bench/slopes_of_work.py follows the signature (one line).

--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -184,22 +184,22 @@
             effects.append(StartRun(waiting.task_id, waiting.dispatch, waited_s))
         return effects
 
-    def begin(self, task_id: str, now_s: float) -> Begin:
+    def begin(self, start: StartRun, now_s: float) -> Begin:
         """Begin a run whose connection stands, unless that is now refused."""
-        waiting = self._reserved.pop(task_id, None)
+        waiting = self._take_reserved(start)
         if waiting is None:
             return Begin(allowed=False)
         reason = self._reason_to_refuse(waiting, now_s)
         if reason is not None:
             return Begin(False, tuple(self._refuse(waiting, reason)))
         entry, dispatch = waiting.entry, waiting.dispatch
-        self._starts.add(task_id, entry.number, dispatch.dispatch_id, now_s)
-        self._running[task_id] = _Running(entry, dispatch)
+        self._starts.add(start.task_id, entry.number, dispatch.dispatch_id, now_s)
+        self._running[start.task_id] = _Running(entry, dispatch)
         return Begin(allowed=True)
 
-    def abandon(self, task_id: str) -> list[Reply]:
+    def abandon(self, start: StartRun) -> list[Reply]:
         """Refuse a dispatch, as the backend server cannot be reached."""
-        waiting = self._reserved.pop(task_id, None)
+        waiting = self._take_reserved(start)
         if waiting is None:
             return []
         return self._refuse(waiting, RefusalReason.BACKEND_SERVER_DOWN)
@@ -230,6 +230,13 @@
         self._entries.forget_gone(now_s)
         return effects
 
+    def _take_reserved(self, start: StartRun) -> Waiting | None:
+        """End a reservation; ``None`` if it was withdrawn, or given to another."""
+        waiting = self._reserved.get(start.task_id)
+        if waiting is None or waiting.dispatch is not start.dispatch:
+            return None
+        return self._reserved.pop(start.task_id)
+
     def _slots_taken(self) -> int:
         return len(self._running) + len(self._reserved)
 
@@ -249,7 +256,10 @@
         return None
 
     def _may_have_started(self, waiting: Waiting) -> bool:
-        if self._starts.get(waiting.task_id) or waiting.task_id in self._reserved:
+        task_id = waiting.task_id
+        if task_id in self._reserved or task_id in self._running:
+            return True
+        if self._starts.get(task_id) is not None:
             return True
         dispatch_id = waiting.dispatch.dispatch_id
         return self._starts.may_have_forgotten(waiting.entry.number, dispatch_id)
--- a/src/verbenaplank/agent/runner.py
+++ b/src/verbenaplank/agent/runner.py
@@ -147,7 +147,7 @@
         try:
             connection = await self._backend.connect()
         except BackendServerDownError:
-            self.carry_out(self.gate.abandon(start.task_id))
+            self.carry_out(self.gate.abandon(start))
             self._on_backend_down()
             return
         try:
@@ -157,7 +157,7 @@
 
     async def _run_on(self, connection: Connection, start: StartRun) -> None:
         began_s = self.clock()
-        begin = self.gate.begin(start.task_id, began_s)
+        begin = self.gate.begin(start, began_s)
         if not begin.allowed:
             self.carry_out(begin.effects)
             return
--- a/src/verbenaplank/bench/slopes_of_work.py
+++ b/src/verbenaplank/bench/slopes_of_work.py
@@ -246,7 +246,7 @@
             gate.on_dispatch(key, dispatch, 1.0)
             for effect in gate.start_ready(1.0):
                 if isinstance(effect, StartRun):
-                    gate.begin(effect.task_id, 1.0)
+                    gate.begin(effect, 1.0)
                     gate.on_finished(effect.task_id, _result(dispatch), 1.2)
                     gate.on_received(effect.task_id)
 
