Choose a backend server with fewer calls

Change: checks that seldom apply (needs, suspicion, lead) come after those that settle most cases; same decisions.

--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from verbenaplank.placement.backend_server import NO_NEEDS
 from verbenaplank.placement.backend_server import BackendServer
 from verbenaplank.placement.backend_server import fits
 from verbenaplank.placement.health import Health
@@ -223,14 +224,12 @@
         usable = [
             server
             for server in self._sample(task.service)
-            if server.open_for_work
-            and self._health.is_usable(server, now_s)
-            and server.has_room_for(task.needs)
+            if server.open_for_work and self._health.is_usable(server, now_s)
         ]
-        preferred = [
-            server for server in usable if not self._health.avoids(task, server)
-        ]
-        return preferred or usable
+        if task.needs != NO_NEEDS:
+            usable = [server for server in usable if server.has_room_for(task.needs)]
+        avoids = self._health.avoids
+        return [server for server in usable if not avoids(task, server)] or usable
 
     def _sample(self, service: str) -> list[BackendServer]:
         servers = self._services.get(service, [])
--- a/src/verbenaplank/placement/health.py
+++ b/src/verbenaplank/placement/health.py
@@ -45,11 +45,9 @@
 
         After a quarantine, and while under suspicion, it gets one at a time.
         """
-        if now_s < server.quarantined_until_s:
-            return False
-        if server.on_trial or server.suspected_jobs:
-            return not server.outstanding
-        return True
+        if not (server.on_trial or server.suspected_jobs):
+            return True
+        return now_s >= server.quarantined_until_s and not server.outstanding
 
     def avoids(self, task: TaskRequest, server: BackendServer) -> bool:
         """Return whether the task's job should not return to a backend server."""
--- a/src/verbenaplank/placement/load.py
+++ b/src/verbenaplank/placement/load.py
@@ -61,32 +61,37 @@
     return context.run_time_s * server.slowness
 
 
-def lead(server: BackendServer, context: PlacementContext) -> int:
+def lead(server: BackendServer, run_s: float, settings: PlacementSettings) -> int:
     """Return how many tasks may wait there, to bridge one round trip."""
-    needed = server.slots * server.round_trip_s / run_time_s(server, context)
-    return max(context.settings.minimum_lead, min(server.slots, round(needed)))
+    needed = round(server.slots * server.round_trip_s / run_s)
+    return max(settings.minimum_lead, min(server.slots, needed))
 
 
 def has_room(server: BackendServer, load: float, context: PlacementContext) -> bool:
     """Return whether the slots and the lead there are not yet taken."""
+    if load < server.slots:
+        return True
     if len(server.outstanding) < context.settings.guaranteed_tasks:
         return True
-    return load < server.slots + lead(server, context)
+    run_s = run_time_s(server, context)
+    return load < server.slots + lead(server, run_s, context.settings)
 
 
-def silence_s(server: BackendServer, context: PlacementContext) -> float:
+def silence_s(server: BackendServer, run_s: float, context: PlacementContext) -> float:
     """Return by how long its next finished task is overdue, in seconds."""
     if not server.outstanding:
         return 0.0
-    allowed_s = context.settings.stall_factor * run_time_s(server, context)
-    return max(0.0, context.now_s - server.quiet_since_s - allowed_s)
+    quiet_s = context.now_s - server.quiet_since_s
+    return max(0.0, quiet_s - context.settings.stall_factor * run_s)
 
 
 def expected_completion_s(
     server: BackendServer, load: float, context: PlacementContext
 ) -> float:
     """Return in how many seconds a task dispatched now would be answered."""
-    run_s = run_time_s(server, context)
-    ahead = max(0.0, load - server.slots + 1.0)
-    wait_s = run_s * ahead / max(server.slots, 1)
-    return server.round_trip_s + wait_s + run_s + silence_s(server, context)
+    run_s = context.run_time_s * server.slowness
+    expected_s = server.round_trip_s + run_s + silence_s(server, run_s, context)
+    ahead = load - server.slots + 1.0
+    if ahead > 0.0:
+        expected_s += run_s * ahead / server.slots
+    return expected_s
