--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -25,7 +25,7 @@
 from verbenaplank.control.join_session import SessionContext
 from verbenaplank.control.lease_keeper import LeaseKeeper
 from verbenaplank.control.machine import ControlMachine
-from verbenaplank.control.registrar_host import first_group_service
+from verbenaplank.control.registrar_epochs import RegistrarEpochs
 from verbenaplank.control.renewal_forwarder import RenewalForwarder
 from verbenaplank.control.replication import SharedBarrier
 from verbenaplank.observability.metrics import Metrics
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
     from collections.abc import Coroutine
 
     from verbenaplank.clock.sources import MonotonicClock
@@ -85,6 +86,9 @@
         self._forwarder = RenewalForwarder(
             self.log, self.keeper, self._addresses, settings.tls, self._deliver
         )
+        self._registrar = RegistrarEpochs(
+            settings, self.log, self.machine, self._barrier, wall_clock
+        )
         self._members = JoinService(self._session_context())
         self._administration = Administration(
             log=self.log,
@@ -96,6 +100,7 @@
             administrator_sha256=settings.administration.token_sha256,
             wall_clock=wall_clock,
         )
+        self._register_metrics()
         self.rpc_address = settings.rpc.address
         self.http_address = settings.http.address
 
@@ -104,17 +109,18 @@
         path = self._settings.administration.document_path
         document = load_first_document(Path(path)) if path else None
         async with AsyncExitStack() as stack:
-            registrar = first_group_service(self._settings, self._wall_clock)
+            stack.callback(self._metrics.close)
             await stack.enter_async_context(self.log)
             services = [
                 *self.log.services(),
                 *self.keeper.services(),
                 self._members.service(),
-                registrar,
+                self._registrar.service(),
             ]
             listening = serve(services, self._settings.rpc.address, self._settings.tls)
             self.rpc_address = await stack.enter_async_context(listening)
             await stack.enter_async_context(_running(self._forwarder.run()))
+            await stack.enter_async_context(_running(self._registrar.run()))
             await stack.enter_async_context(_running(self._tick()))
             first = bootstrap(
                 self.log, self.machine, document, self._peers(), self._wall_clock
@@ -141,8 +147,29 @@
         self._members.wake()
         await self.log.hand_over()
 
+    def _register_metrics(self) -> None:
+        configuration = "version of the configuration that is applied here"
+        members = "members of the system as applied here"
+        streams = "members with a stream to this instance"
+        commits = "index of the newest entry applied here"
+        gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
+            ("configuration_version", configuration, self._configuration_version),
+            ("members", members, lambda: len(self.machine.membership.members)),
+            ("member_streams", streams, lambda: len(self._members)),
+            ("commit_index", commits, lambda: self.log.commit_index),
+            ("leads", "1 if this instance leads", lambda: self.log.is_leader),
+            ("ready", "1 if a quorum backs this instance", self._is_ready),
+        )
+        for name, description, read in gauges:
+            self._metrics.gauge(f"verbenaplank_control_{name}", description, read)
+
+    def _configuration_version(self) -> int:
+        return self.machine.configuration.version
+
     def _is_ready(self) -> bool:
-        return self._currency.is_current() and not self._currency.is_retired
+        if self._currency.is_retired or self.log.storage_error:
+            return False
+        return self._currency.is_current()
 
     def _session_context(self) -> SessionContext:
         return SessionContext(
@@ -168,6 +195,7 @@
 
     def _on_change(self) -> None:
         self._members.wake()
+        self._registrar.wake()
 
     def _deliver(self, reply: RenewalReply) -> None:
         self._members.deliver(reply)
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -9,6 +9,7 @@
 from typing import Self
 from uuid import uuid4
 
+from verbenaplank.admission.budget import hedge_budget
 from verbenaplank.admission.budget import retry_budget
 from verbenaplank.admission.queue import TaskQueue
 from verbenaplank.clock.sources import monotonic_s
@@ -48,13 +49,13 @@
 
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
+    from verbenaplank.entry.book import DispatchRecord
     from verbenaplank.entry.http import Metrics
     from verbenaplank.entry.ports import Claims
     from verbenaplank.entry.ports import ClaimsFactory
     from verbenaplank.entry.ports import Membership
     from verbenaplank.entry.ports import MembershipFactory
     from verbenaplank.placement.policy import Policy
-    from verbenaplank.placement.task import TaskRequest
     from verbenaplank.rpc.address import Address
     from verbenaplank.settings.entry import EntrySettings
 
@@ -63,7 +64,6 @@
 STOP_GRACE_S = 1.0
 """How long a stop waits further for jobs that it has let fail."""
 
-PEER_GRACE_S = 0.05
 EXPIRY_PERIOD_S = 1.0
 
 
@@ -79,6 +79,8 @@
         Where it listens; a port 0 has been replaced by the chosen one.
     engine
         The decisions, with counts for metrics.
+    pipeline
+        Takes requests to their answers, once the context is entered.
     queue
         The tasks that wait for a backend server.
     traffic
@@ -118,14 +120,13 @@
             self._standing.weight_of, self._fleet.expected_run_time_s
         )
         self._admission = Admission(self._fleet, self.queue, limits.max_queued_tasks)
-        self._retry_budget = retry_budget()
         self.engine = Engine(
             fleet=self._fleet,
             queue=self.queue,
-            retry_budget=self._retry_budget,
+            retry_budget=retry_budget(),
+            hedge_budget=hedge_budget(),
             lease_since=self._standing.lease_since,
             on_dispatch=self._on_dispatch,
-            first_dispatch_id=self._random.getrandbits(48),
         )
         self._registry = RequestRegistry(
             max_records=MAX_RECORDS, max_answer_bytes=MAX_ANSWER_BYTES
@@ -161,12 +162,11 @@
         self._membership.update(self._member(draining=True))
         try:
             async with asyncio.timeout(self._settings.limits.drain_timeout_s):
-                await self._pipeline.join()
+                await self.pipeline.join()
         except TimeoutError:
             self._runner.stop()
-            await asyncio.wait((self._joining(),), timeout=STOP_GRACE_S)
+            await self.pipeline.stop(STOP_GRACE_S)
         await self._peer_service.join()
-        await asyncio.sleep(PEER_GRACE_S)
         await self._http_server.close()
         await self._membership.leave()
 
@@ -225,10 +225,10 @@
             admission=self._admission,
             condition=self._standing.condition,
         )
-        self._pipeline = Pipeline(parts)
+        self.pipeline = Pipeline(parts)
         application = http_application(
             HttpParts(
-                pipeline=self._pipeline,
+                pipeline=self.pipeline,
                 ready=lambda: self.ready,
                 metrics=self._metrics,
                 max_body_bytes=settings.limits.max_body_bytes,
@@ -239,13 +239,12 @@
         self._http_server = await stack.enter_async_context(server)
         self.http_address = server.address
 
-    def _on_dispatch(self, task: TaskRequest, agent_id: str) -> None:
+    def _on_dispatch(self, dispatch: DispatchRecord) -> None:
         now_s = self._clock()
         self._admission.dispatched(now_s)
-        if task.attempt == 1:
-            self._retry_budget.started()
         if self._record is ignore_event:
             return
+        task = dispatch.task
         self._record(
             Event(
                 kind=EventKind.DISPATCHED,
@@ -254,7 +253,7 @@
                 job_id=task.job_id,
                 task_index=task.task_index,
                 attempt=task.attempt,
-                detail=agent_id,
+                detail=dispatch.agent_id,
             )
         )
 
@@ -268,9 +267,6 @@
             draining=draining,
         )
 
-    def _joining(self) -> asyncio.Task[None]:
-        return asyncio.create_task(self._pipeline.join())
-
     async def _expire_forever(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_PERIOD_S)
--- a/src/verbenaplank/entry/book.py
+++ b/src/verbenaplank/entry/book.py
@@ -54,6 +54,8 @@
     ----------
     sent_s
         Monotonic time at which it was handed to the agent's stream.
+    revoke_sent
+        Whether its agent was asked never to start it.
     """
 
     dispatch_id: int
@@ -62,6 +64,7 @@
     agent_incarnation: str
     sent_s: float
     state: DispatchState = DispatchState.OUTSTANDING
+    revoke_sent: bool = False
 
 
 @attrs.define
@@ -80,8 +83,8 @@
     so that late messages find it.  Counts of a job stay until it is forgotten.
     """
 
-    def __init__(self, first_dispatch_id: int = 1) -> None:
-        self._next_id = first_dispatch_id
+    def __init__(self) -> None:
+        self._next_id = 1
         self._open: dict[int, DispatchRecord] = {}
         self._by_agent: dict[str, dict[int, DispatchRecord]] = defaultdict(dict)
         self._by_job: dict[str, dict[int, DispatchRecord]] = {}
