--- a/src/verbenaplank/bench/compare.py
+++ b/src/verbenaplank/bench/compare.py
@@ -50,6 +50,8 @@
         Tasks of jobs answered, a second.
     messages_per_task, wasted_share
         Messages per task answered, and the wasted ones over the useful.
+    failed_before_quarantine
+        Failed runs up to each entry's first quarantine, all entries together.
     """
 
     scenario: str
@@ -65,6 +67,7 @@
     refused_jobs: int
     failed_jobs: int
     failed_runs: int
+    failed_before_quarantine: int
 
 
 def compare(
@@ -133,6 +136,7 @@
         refused_jobs=result.counts["refused_jobs"],
         failed_jobs=result.counts["failed_jobs"],
         failed_runs=result.counts["failed_runs"],
+        failed_before_quarantine=result.counts["failed_before_quarantine"],
     )
 
 
--- a/src/verbenaplank/bench/model_entry.py
+++ b/src/verbenaplank/bench/model_entry.py
@@ -81,6 +81,7 @@
         self._jobs: dict[str, _Job] = {}
         self._retries = retry_budget()
         self._starts = StartRate()
+        self._has_quarantined = False
         for agent in agents:
             self._join(agent, service)
         loop.after(PUMP_PERIOD_S, self._pump_again)
@@ -187,6 +188,9 @@
             self._queue.push(task, now_s)
         else:
             self.fleet.finished(agent_id, task, outcome, run_s, now_s)
+            if outcome is TaskOutcome.FAILED and not self._has_quarantined:
+                self._result.counts["failed_before_quarantine"] += 1
+                self._has_quarantined = bool(self.fleet.quarantined(now_s))
             self._ended(agent_id, task, outcome)
         self.fleet.load_reported(agent_id, report, now_s)
         self._pump()
--- a/src/verbenaplank/bench/slopes_of_work.py
+++ b/src/verbenaplank/bench/slopes_of_work.py
@@ -5,6 +5,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from verbenaplank.admission.budget import hedge_budget
 from verbenaplank.admission.budget import retry_budget
 from verbenaplank.admission.queue import TaskQueue
 from verbenaplank.agent.effects import EntryKey
@@ -195,6 +196,7 @@
             fleet=Fleet(least_expected_completion, random.Random(1), "norte"),
             queue=TaskQueue(),
             retry_budget=retry_budget(),
+            hedge_budget=hedge_budget(),
             lease_since=lambda now_s: float("-inf"),
         )
         for index in range(count):
