--- /dev/null
+++ b/tests/bench/test_load_report.py
@@ -0,0 +1,87 @@
+from __future__ import annotations
+
+import json
+from collections import Counter
+
+import pytest
+
+from verbenaplank.bench.load import LoadSettings
+from verbenaplank.bench.load import load_trace
+from verbenaplank.bench.load_report import Answer
+from verbenaplank.bench.load_report import LoadReport
+from verbenaplank.bench.load_report import summarize
+from verbenaplank.bench.message_counts import read_counts
+from verbenaplank.bench.message_counts import wasted_and_useful
+from verbenaplank.bench.trace import TracedJob
+
+METRICS = """\
+# HELP verbenaplank_entry_dispatches_total dispatches on the streams to agents
+verbenaplank_entry_dispatches_total{instance="a"} 110.0
+verbenaplank_entry_results_total{instance="a"} 100.0
+verbenaplank_entry_refusals_total 10.0
+verbenaplank_entry_dispatches_ignored_total 2.0
+python_info{version="3.11"} 1.0
+"""
+
+
+def answer(run_times_s: tuple[float, ...], response_s: float, status: int) -> Answer:
+    job = TracedJob(
+        job_id="job",
+        arrival_s=0.0,
+        service="fixtures",
+        team="bochas",
+        urgent=False,
+        run_times_s=run_times_s,
+        declared_run_time_s=1.0,
+    )
+    kind = "" if status == 200 else "overloaded"
+    return Answer(job=job, status=status, kind=kind, response_s=response_s)
+
+
+def report(*answers: Answer) -> LoadReport:
+    return summarize(
+        answers,
+        slowness_by_slot=[1.0, 1.0],
+        round_trip_s=0.0,
+        length_s=2.0,
+        useful_messages=8,
+        wasted_messages=1,
+        counts=Counter(sent_messages=3, received_messages=3),
+    )
+
+
+def test_counters_are_read_and_split_into_useful_and_wasted() -> None:
+    counts = read_counts(METRICS)
+
+    assert counts["refusals"] == 10
+    assert wasted_and_useful(counts) == (196, 24)
+
+
+def test_response_times_are_set_against_the_ideal() -> None:
+    found = report(answer((1.0,), 1.5, 200), answer((1.0, 1.0, 1.0), 2.0, 200))
+
+    assert found.ratio.median == pytest.approx(1.0, rel=0.01)
+    assert found.ratio.p99 == pytest.approx(1.5, rel=0.01)
+    assert found.single_ratio.count == 1
+    assert found.goodput_tasks_per_s == 2.0
+    assert found.messages_per_task == pytest.approx(9 / 4)
+
+
+def test_failed_jobs_count_neither_as_goodput_nor_as_response_times() -> None:
+    found = report(answer((1.0,), 1.0, 200), answer((1.0,), 0.0, 503))
+
+    assert found.ratio.count == 1
+    assert found.failures == {"503 overloaded": 1}
+    assert found.goodput_tasks_per_s == 0.5
+    assert json.loads(found.to_json())["complete"] == 1
+
+
+def test_offered_work_is_a_share_of_what_the_slots_can_do() -> None:
+    slowness = (0.5, 1.0)
+    settings = LoadSettings(
+        entry_urls=(), load=0.5, length_s=400.0, slowness=slowness, slots=8, seed=3
+    )
+
+    work_s = sum(sum(job.run_times_s) for job in load_trace(settings))
+
+    assert work_s / 400.0 == pytest.approx(0.5 * 24, rel=0.25)
