Refuse a request only after asking the other entries whether they know it

Cause: a resubmission that reached an entry without a quorum, without a lease or about to stop was answered not_run, although the job had run at its owner. Ruled out: claiming before admission, since the grant would be lost with an entry that stops, and the id stay unusable. Change: before a claimed request is refused, the other entries are asked; one that knows it gives its answer. Idempotent calls and ids made here need no question. Before: test_resubmission_is_never_told_that_it_was_not_run failed for no quorum, no lease and a drain (a refusal in place of the first answer's bytes); after: passes. Not covered: an owner that is gone while no registrar can be asked.

--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -9,6 +9,8 @@
 
 from typing import TYPE_CHECKING
 
+from verbenaplank.admission.budget import HEDGE_SHARE
+from verbenaplank.admission.budget import StartBudget
 from verbenaplank.entry.book import DispatchBook
 from verbenaplank.entry.collect import Collector
 from verbenaplank.entry.hedge import Hedger
@@ -23,7 +25,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from verbenaplank.admission.budget import StartBudget
     from verbenaplank.admission.queue import TaskQueue
     from verbenaplank.entry.book import DispatchRecord
     from verbenaplank.entry.effects import Effect
@@ -77,7 +78,7 @@
         fleet: Fleet,
         queue: TaskQueue,
         retry_budget: StartBudget,
-        hedge_budget: StartBudget,
+        hedge_budget: StartBudget | None = None,
         lease_since: Callable[[float], float],
         on_dispatch: Callable[[DispatchRecord], None] = ignore_dispatch,
     ) -> None:
@@ -92,7 +93,8 @@
         self._members: dict[str, Member] = {}
         self._connected: dict[str, AgentWelcome] = {}
         self._retries = Retries(book=self.book, queue=queue, budget=retry_budget)
-        self._hedger = Hedger(jobs=self.jobs, book=self.book, budget=hedge_budget)
+        self._budgets = (retry_budget, hedge_budget or StartBudget(HEDGE_SHARE))
+        self._hedger = Hedger(jobs=self.jobs, book=self.book, budget=self._budgets[-1])
         self._collector = Collector(
             jobs=self.jobs,
             book=self.book,
@@ -108,7 +110,6 @@
             effects=self.effects,
             on_dispatch=self._dispatched,
         )
-        self._budgets = (retry_budget, hedge_budget)
         self._on_dispatch = on_dispatch
         self._stalls_checked_s = float("-inf")
         self.counts = self._collector.counts
--- a/src/verbenaplank/entry/peer_client.py
+++ b/src/verbenaplank/entry/peer_client.py
@@ -94,31 +94,53 @@
                 return self._failed(OWNER_GONE, submission.job_id)
         return self._failed(OWNER_LATE, submission.job_id)
 
-    async def ask_all(self, job_id: str) -> Answer | None:
-        """Wait for the answer of whichever entry knows a job."""
-        asked = [self._ask_one(peer, job_id) for peer in self._peers()]
-        for answer in asyncio.as_completed(asked):
-            found = await answer
-            if found is not None:
-                return found
-        return None
+    async def ask_all(
+        self, job_id: str, digest: bytes = b"", deadline_s: float = float("inf")
+    ) -> Answer | None:
+        """Wait for the answer of whichever entry knows a job.
+
+        Parameters
+        ----------
+        digest
+            Digest of the content; empty to ask for whatever the id belongs to.
+        deadline_s
+            Monotonic time by which the answer is due.
+        """
+        request = AttachRequest(job_id=job_id, digest=digest, wait_ms=WAIT_MS)
+        asked = {
+            asyncio.create_task(self._ask_one(peer, request, deadline_s))
+            for peer in self._peers()
+        }
+        try:
+            for next_asked in asyncio.as_completed(asked):
+                answer = await next_asked
+                if answer is not None:
+                    return answer
+            return None
+        finally:
+            for task in asked:
+                task.cancel()
 
     async def cancel_everywhere(self, job_id: str) -> None:
         """Ask the other entries to cancel a job."""
         peers = self._peers()
         await asyncio.gather(*(self._cancel_at(peer, job_id) for peer in peers))
 
-    async def _ask_one(self, peer: Member, job_id: str) -> Answer | None:
-        request = AttachRequest(job_id=job_id, wait_ms=WAIT_MS)
-        while True:
+    async def _ask_one(
+        self, peer: Member, request: AttachRequest, deadline_s: float
+    ) -> Answer | None:
+        while self.clock() < deadline_s + ANSWER_GRACE_S:
             try:
                 reply = await self._ask(peer.address, request)
             except UNREACHABLE:
                 return None
             if reply.state is AttachState.ANSWERED:
                 return Answer(status=reply.status, body=reply.body)
-            if reply.state is not AttachState.PENDING:
+            if reply.state is AttachState.CONFLICT:
+                return self._failed(CONFLICT, request.job_id)
+            if reply.state is AttachState.UNKNOWN:
                 return None
+        return self._failed(OWNER_LATE, request.job_id)
 
     async def _cancel_at(self, peer: Member, job_id: str) -> None:
         try:
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -109,10 +109,11 @@
             await record.decided.wait()
             if record.owned:
                 return self.refuse(ID_REUSED, submission.job_id)
+            await record.answered.wait()
             record = self._parts.registry.find(submission.job_id)
         rejection = self._admit(submission)
         if rejection is not None:
-            return self.refuse(rejection, submission.job_id)
+            return await self._refuse_unless_known(submission, rejection)
         return await self._answer_of(self._start(submission))
 
     async def attach(self, job_id: str) -> Answer:
@@ -206,7 +207,23 @@
             return await self._parts.peers.attach(submission, decision)
         if decision.state is ClaimState.CONFLICT:
             return self.refuse(ID_REUSED, submission.job_id)
-        return self.refuse(NO_QUORUM, submission.job_id)
+        record.decided.set()
+        return await self._refuse_unless_known(submission, NO_QUORUM)
+
+    async def _refuse_unless_known(
+        self, submission: Submission, rejection: Rejection
+    ) -> Answer:
+        """Refuse a request, or attach to the entry that has taken it on before.
+
+        A resubmission must not be told that it was not run.
+        """
+        if submission.claimed:
+            known = await self._parts.peers.ask_all(
+                submission.job_id, submission.digest, submission.deadline_s
+            )
+            if known is not None:
+                return known
+        return self.refuse(rejection, submission.job_id)
 
     async def _claim(self, submission: Submission) -> ClaimDecision:
         left_s = submission.deadline_s - self._parts.clock()
--- a/tests/entry/test_pipeline.py
+++ b/tests/entry/test_pipeline.py
@@ -127,6 +127,45 @@
     assert len(agent.starts) == 3
 
 
+@pytest.mark.parametrize("fault", ["no quorum", "drain ordered", "no lease"])
+async def test_resubmission_is_never_told_that_it_was_not_run(
+    site: Site, fault: str
+) -> None:
+    await site.agent()
+    owner = await site.caller(await site.entry("entry-1"))
+    other = await site.caller(await site.entry("entry-2"))
+    body = job()
+    first = await owner.post("/v1/jobs", json=body)
+    site.registrars.available = fault != "no quorum"
+    site.membership.drain_ordered = fault == "drain ordered"
+    if fault == "no lease":
+        site.membership.lease_since_s = float("inf")
+
+    again = await other.post("/v1/jobs", json=body)
+    changed = await other.post("/v1/jobs", json=body | {"tasks": [{"payload": 1}]})
+    fresh = await other.post("/v1/jobs", json=job())
+
+    assert again.content == first.content
+    assert failure_of(changed) == ("id_reused", "not_run")
+    assert failure_of(fresh)[1] == "not_run"
+
+
+async def test_entries_without_a_quorum_do_not_wait_for_each_other(
+    site: Site,
+) -> None:
+    await site.agent()
+    callers = [await site.caller(await site.entry(f"entry-{n}")) for n in range(3)]
+    site.registrars.available = False
+    body = job()
+
+    refused = await asyncio.gather(
+        *(caller.post("/v1/jobs", json=body) for caller in callers * 2),
+        callers[0].post("/v1/jobs", json=body | {"tasks": [{"payload": 1}]}),
+    )
+
+    assert {failure_of(response) for response in refused} == {("no_quorum", "not_run")}
+
+
 async def test_without_a_majority_nothing_starts(site: Site) -> None:
     agent = await site.agent()
     caller = await site.caller(await site.entry())
