--- a/src/verbenaplank/bench/slopes_of_work.py
+++ b/src/verbenaplank/bench/slopes_of_work.py
@@ -5,6 +5,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from verbenaplank.admission.budget import hedge_budget
 from verbenaplank.admission.budget import retry_budget
 from verbenaplank.admission.queue import TaskQueue
 from verbenaplank.agent.effects import EntryKey
@@ -195,6 +196,7 @@
             fleet=Fleet(least_expected_completion, random.Random(1), "norte"),
             queue=TaskQueue(),
             retry_budget=retry_budget(),
+            hedge_budget=hedge_budget(),
             lease_since=lambda now_s: float("-inf"),
         )
         for index in range(count):
@@ -246,7 +248,7 @@
             gate.on_dispatch(key, dispatch, 1.0)
             for effect in gate.start_ready(1.0):
                 if isinstance(effect, StartRun):
-                    gate.begin(effect.task_id, 1.0)
+                    gate.begin(effect, 1.0)
                     gate.on_finished(effect.task_id, _result(dispatch), 1.2)
                     gate.on_received(effect.task_id)
 
--- a/src/verbenaplank/control/administration.py
+++ b/src/verbenaplank/control/administration.py
@@ -80,6 +80,16 @@
         self._tls = tls
         self._administrator_sha256 = administrator_sha256
         self._wall_clock = wall_clock
+        self._is_open = False
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether operators are answered."""
+        return self._is_open
+
+    def open(self) -> None:
+        """Answer operators from now on, since the first state is in force."""
+        self._is_open = True
 
     async def origin(self, token: str, command_id: str) -> Origin:
         """Return whose token it is, by the newest owners.
@@ -152,8 +162,11 @@
         Raises
         ------
         ProblemError
-            If no quorum can be reached.
+            If no quorum can be reached, or there is no first state yet.
         """
+        if not self._is_open:
+            detail = "the first document is not in force yet; nothing was run"
+            raise problem(HTTPStatus.SERVICE_UNAVAILABLE, detail)
         try:
             await self._barrier.wait()
         except NoQuorumError as error:
@@ -223,14 +236,13 @@
     async def audit(self, after: int, limit: int) -> AuditBody:
         """Return records of the audit trail after a sequence number."""
         await self.wait_newest()
-        trail = self._machine.audit
+        page = self._machine.audit.page(after, limit)
         try:
-            verify(trail.records, trail.anchor)
+            verify(page.records, page.anchor)
             verified = True
         except BrokenTrailError:
             verified = False
-        records = [r for r in trail.records if r.sequence > after][:limit]
-        return AuditBody(anchor=trail.anchor, verified=verified, records=tuple(records))
+        return AuditBody(anchor=page.anchor, verified=verified, records=page.records)
 
     async def status(self) -> StatusBody:
         """Return which members have which configuration in force."""
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -33,10 +33,12 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
     from collections.abc import Coroutine
 
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
+    from verbenaplank.configuration.commands import LoadDocument
     from verbenaplank.membership.renewals import RenewalReply
     from verbenaplank.settings.common import ControlPeer
     from verbenaplank.settings.control import ControlSettings
@@ -99,6 +101,7 @@
             administrator_sha256=settings.administration.token_sha256,
             wall_clock=wall_clock,
         )
+        self._register_metrics()
         self.rpc_address = settings.rpc.address
         self.http_address = settings.http.address
 
@@ -107,6 +110,7 @@
         path = self._settings.administration.document_path
         document = load_first_document(Path(path)) if path else None
         async with AsyncExitStack() as stack:
+            stack.callback(self._metrics.close)
             await stack.enter_async_context(self.log)
             services = [
                 *self.log.services(),
@@ -119,12 +123,9 @@
             await stack.enter_async_context(_running(self._forwarder.run()))
             await stack.enter_async_context(_running(self._registrar.run()))
             await stack.enter_async_context(_running(self._tick()))
-            first = bootstrap(
-                self.log, self.machine, document, self._peers(), self._wall_clock
-            )
-            await stack.enter_async_context(_running(first))
+            await stack.enter_async_context(_running(self._bootstrap(document)))
             http = http_application(
-                self._administration, self._is_ready, self._metrics.render
+                self._administration, self.is_ready, self._metrics.render
             )
             listening = serve_http(http, self._settings.http.address)
             self.http_address = await stack.enter_async_context(listening)
@@ -144,8 +145,38 @@
         self._members.wake()
         await self.log.hand_over()
 
-    def _is_ready(self) -> bool:
-        return self._currency.is_current() and not self._currency.is_retired
+    def _register_metrics(self) -> None:
+        configuration = "version of the configuration that is applied here"
+        members = "members of the system as applied here"
+        streams = "members with a stream to this instance"
+        commits = "index of the newest entry applied here"
+        gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
+            ("configuration_version", configuration, self._configuration_version),
+            ("members", members, lambda: len(self.machine.membership.members)),
+            ("member_streams", streams, lambda: len(self._members)),
+            ("commit_index", commits, lambda: self.log.commit_index),
+            ("leads", "1 if this instance leads", lambda: self.log.is_leader),
+            ("ready", "1 if a quorum backs this instance", self.is_ready),
+        )
+        for name, description, read in gauges:
+            self._metrics.gauge(f"verbenaplank_control_{name}", description, read)
+
+    def _configuration_version(self) -> int:
+        return self.machine.configuration.version
+
+    async def _bootstrap(self, document: LoadDocument | None) -> None:
+        await bootstrap(
+            self.log, self.machine, document, self._peers(), self._wall_clock
+        )
+        self._administration.open()
+
+    def is_ready(self) -> bool:
+        """Return whether a quorum backs the instance and it answers operators."""
+        if self._currency.is_retired or self.log.storage_error:
+            return False
+        if not self._administration.is_open:
+            return False
+        return self._currency.is_current()
 
     def _session_context(self) -> SessionContext:
         return SessionContext(
--- a/tests/agent/test_gate.py
+++ b/tests/agent/test_gate.py
@@ -8,7 +8,7 @@
 from verbenaplank.agent.effects import Reply
 from verbenaplank.agent.effects import StartRun
 from verbenaplank.agent.effects import StopRun
-from verbenaplank.agent.gate import FIRST_LEASE_S
+from verbenaplank.agent.entries import FIRST_LEASE_S
 from verbenaplank.agent.gate import Gate
 from verbenaplank.agent.gate import GateLimits
 from verbenaplank.protocol.work import Dispatch
@@ -62,6 +62,15 @@
     return gate
 
 
+def _busy_gate() -> Gate:
+    """Return a gate at which dispatch 1 runs and dispatch 2 waits."""
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
+    assert _start(gate) == [1]
+    return gate
+
+
 def _reasons(effects: list[Effect]) -> list[RefusalReason]:
     items = [effect.item for effect in effects if isinstance(effect, Reply)]
     return [item.reason for item in items if isinstance(item, DispatchRefusal)]
@@ -72,10 +81,13 @@
     return [item.state for item in items if isinstance(item, Revocation)]
 
 
-def _start(gate: Gate, now_s: float = 0.0) -> list[int]:
-    effects = gate.start_ready(now_s)
-    starts = [effect for effect in effects if isinstance(effect, StartRun)]
-    assert all(gate.begin(start.task_id, now_s).allowed for start in starts)
+def _reserve(gate: Gate) -> list[StartRun]:
+    return [each for each in gate.start_ready(0.0) if isinstance(each, StartRun)]
+
+
+def _start(gate: Gate) -> list[int]:
+    starts = _reserve(gate)
+    assert all(gate.begin(start, 0.0).allowed for start in starts)
     return [start.dispatch.dispatch_id for start in starts]
 
 
@@ -161,10 +173,7 @@
 
 
 def test_revocation_tells_whether_the_task_started() -> None:
-    gate = _gate()
-    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    _start(gate)
+    gate = _busy_gate()
 
     started = gate.on_revoke(ENTRY, _revoke(1), 0.0)
     revoked = gate.on_revoke(ENTRY, _revoke(2, 1), 0.0)
@@ -206,10 +215,7 @@
 
 
 def test_lost_stream_drops_what_waits_and_lets_run_what_runs() -> None:
-    gate = _gate()
-    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    _start(gate)
+    gate = _busy_gate()
 
     assert _reasons(gate.on_disconnect(ENTRY, 0.5)) == [RefusalReason.LEASE_EXPIRED]
     assert gate.load().running == 1
@@ -230,10 +236,7 @@
 
 
 def test_drain_refuses_what_waits_and_what_comes() -> None:
-    gate = _gate()
-    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    _start(gate)
+    gate = _busy_gate()
 
     assert _reasons(gate.drain()) == [RefusalReason.DRAINING]
     assert _reasons(gate.on_dispatch(ENTRY, _dispatch(3, 2), 0.0)) == [
@@ -245,10 +248,7 @@
 
 
 def test_stop_refuses_a_waiting_dispatch_and_stops_a_running_one() -> None:
-    gate = _gate()
-    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    _start(gate)
+    gate = _busy_gate()
 
     waiting = gate.on_stop(ENTRY, Stop(dispatch_id=2, job_id="job", task_index=1))
     running = gate.on_stop(ENTRY, Stop(dispatch_id=1, job_id="job", task_index=0))
@@ -259,20 +259,44 @@
 def test_revoke_between_reservation_and_connection_prevents_the_start() -> None:
     gate = _gate()
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.start_ready(0.0)
+    (start,) = _reserve(gate)
 
     assert _states(gate.on_revoke(ENTRY, _revoke(1), 0.0)) == [RevocationState.REVOKED]
-    assert not gate.begin("job/0/1", 0.0).allowed
+    assert not gate.begin(start, 0.0).allowed
+
+
+def test_later_dispatch_keeps_its_slot_from_the_revoked_one_before_it() -> None:
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    (revoked,) = _reserve(gate)
+    gate.on_revoke(ENTRY, _revoke(1), 0.0)
+    gate.on_dispatch(ENTRY, _dispatch(2), 0.0)
+    (later,) = _reserve(gate)
+
+    assert not gate.begin(revoked, 0.0).allowed
+    assert gate.abandon(revoked) == []
+    assert gate.begin(later, 0.0).allowed
+
+
+def test_running_task_is_not_started_again_when_its_start_was_forgotten() -> None:
+    gate = _gate(slots=2)
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    assert _start(gate) == [1]
+    gate.expire(1_000.0)
+    gate.on_renewal(ENTRY, 1.0, 1_000.0)
+
+    again = gate.on_dispatch(ENTRY, _dispatch(2), 1_000.0)
+    assert _reasons(again) == [RefusalReason.ALREADY_STARTED]
 
 
 def test_budget_and_lease_are_checked_once_the_connection_stands() -> None:
     gate = _gate(slots=2)
     gate.on_dispatch(ENTRY, attrs.evolve(_dispatch(1), start_budget_ms=1e9), 0.0)
     gate.on_dispatch(ENTRY, _dispatch(2, 1), 0.0)
-    gate.start_ready(0.0)
+    patient, urgent = _reserve(gate)
 
-    late = gate.begin("job/1/1", BUDGET_S + 0.1)
-    lapsed = gate.begin("job/0/1", FIRST_LEASE_S + 0.1)
+    late = gate.begin(urgent, BUDGET_S + 0.1)
+    lapsed = gate.begin(patient, FIRST_LEASE_S + 0.1)
     assert _reasons([*late.effects]) == [RefusalReason.BUDGET_SPENT]
     assert _reasons([*lapsed.effects]) == [RefusalReason.LEASE_EXPIRED]
 
@@ -280,8 +304,8 @@
 def test_unreachable_backend_server_refuses_without_a_start() -> None:
     gate = _gate()
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
-    gate.start_ready(0.0)
+    (start,) = _reserve(gate)
 
-    assert _reasons([*gate.abandon("job/0/1")]) == [RefusalReason.BACKEND_SERVER_DOWN]
+    assert _reasons([*gate.abandon(start)]) == [RefusalReason.BACKEND_SERVER_DOWN]
     gate.on_dispatch(ENTRY, _dispatch(2), 0.0)
     assert _start(gate) == [2]
