Gate: a start that may have been forgotten is never told as refused

Cause: TestGateHistories, after hypothesis drew other examples: dispatch, begin, 40 s, expire, the same dispatch again: refused as lease_expired although it had started, and a revocation after it would have said revoked. Ruled out: a longer memory, which only makes it rarer. Change: whether it may have started is asked first, so the refusal is already_started, which the entry takes as unknown; such a dispatch is not counted as closed. The test lets already_started stand for started dispatches.

--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -241,6 +241,8 @@
         return len(self._running) + len(self._reserved)
 
     def _reason_to_refuse(self, waiting: Waiting, now_s: float) -> RefusalReason | None:
+        if self._may_have_started(waiting):
+            return RefusalReason.ALREADY_STARTED
         if self._draining:
             return RefusalReason.DRAINING
         if waiting.dispatch.agent_incarnation != self._incarnation:
@@ -251,16 +253,16 @@
             return RefusalReason.LEASE_EXPIRED
         if waiting.is_late(now_s):
             return RefusalReason.BUDGET_SPENT
-        if self._may_have_started(waiting):
-            return RefusalReason.ALREADY_STARTED
         return None
 
     def _may_have_started(self, waiting: Waiting) -> bool:
         task_id = waiting.task_id
         if task_id in self._reserved or task_id in self._running:
             return True
-        if self._starts.get(task_id) is not None:
-            return True
+        return self._starts.get(task_id) is not None or self._is_forgotten(waiting)
+
+    def _is_forgotten(self, waiting: Waiting) -> bool:
+        """Return whether this very dispatch may have started long ago."""
         dispatch_id = waiting.dispatch.dispatch_id
         return self._starts.may_have_forgotten(waiting.entry.number, dispatch_id)
 
@@ -270,7 +272,8 @@
         return RefusalReason.FULL if is_full else None
 
     def _refuse(self, waiting: Waiting, reason: RefusalReason) -> list[Reply]:
-        waiting.entry.closed.add(waiting.dispatch.dispatch_id)
+        if not self._is_forgotten(waiting):
+            waiting.entry.closed.add(waiting.dispatch.dispatch_id)
         return [refusal_reply(waiting, reason)]
 
     def _refuse_waiting(
--- a/src/verbenaplank/protocol/work.py
+++ b/src/verbenaplank/protocol/work.py
@@ -18,7 +18,11 @@
 
 
 class RefusalReason(StrEnum):
-    """Why an agent refused a dispatch; a refused dispatch never starts."""
+    """Why an agent refused a dispatch; a refused dispatch never starts.
+
+    ``ALREADY_STARTED`` says less: the task has, or may have, started here by
+    this dispatch or another one, and does not start again.
+    """
 
     DRAINING = "draining"
     WRONG_INCARNATION = "wrong_incarnation"
--- a/tests/agent/test_gate.py
+++ b/tests/agent/test_gate.py
@@ -208,6 +208,19 @@
     ]
 
 
+def test_start_older_than_the_retention_is_never_told_to_have_been_refused() -> None:
+    gate = _gate()
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    assert _start(gate) == [1]
+    gate.on_finished("job/0/1", _result(1), 0.0)
+    gate.expire(1_000.0)
+
+    again = gate.on_dispatch(ENTRY, _dispatch(1), 1_000.0)
+    revoked = gate.on_revoke(ENTRY, _revoke(1), 1_000.0)
+    assert _reasons(again) == [RefusalReason.ALREADY_STARTED]
+    assert _states(revoked) == [RevocationState.FINISHED]
+
+
 def test_revocation_of_an_earlier_life_is_not_answered_as_revoked() -> None:
     revoke = attrs.evolve(_revoke(1), agent_incarnation="a0")
 
--- a/tests/agent/test_gate_stateful.py
+++ b/tests/agent/test_gate_stateful.py
@@ -17,6 +17,7 @@
 from verbenaplank.agent.gate import GateLimits
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import DispatchRefusal
+from verbenaplank.protocol.work import RefusalReason
 from verbenaplank.protocol.work import Revocation
 from verbenaplank.protocol.work import RevocationState
 from verbenaplank.protocol.work import Revoke
@@ -229,6 +230,8 @@
         key = Key(reply.entry, item.dispatch_id)
         started = {each for _, _, each in self.starts}
         if isinstance(item, DispatchRefusal):
+            if key in started and item.reason is RefusalReason.ALREADY_STARTED:
+                return  # It says so itself.
             assert key not in started, f"refused as {item.reason} after its start"
             self.closed.add(key)
         elif isinstance(item, Revocation) and item.state is RevocationState.REVOKED:
