Test evidence per job and the correction of lagging reports

Counting each failure of a job as evidence now fails test_many_failures_of_one_job_are_no_more_evidence_than_one (server-0 quarantined), ignoring failures elsewhere fails test_failures_of_jobs_that_fail_elsewhere_too_are_no_evidence, and a report taken as newer than every dispatch fails test_a_report_is_corrected_by_what_was_started_since, whose former figures gave the same sum either way.

--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -94,16 +94,16 @@
 
 def test_a_report_is_corrected_by_what_was_started_since(driver: FleetDriver) -> None:
     driver.add("a")
-    for index in range(4):
+    for index in range(2):
         driver.place(task("early", index))
     driver.now_s += 0.1
     for index in range(3):
         driver.place(task("late", index))
-    driver.report("a", running=4)  # Written before the three late ones arrived.
+    driver.report("a", running=4)  # Two early ones and two of other entries.
 
     placed = [driver.place(task("more", index)) for index in range(SLOTS)]
 
-    assert placed.count("a") == SLOTS - 7
+    assert placed.count("a") == SLOTS - 5 - 2
 
 
 def test_an_entry_without_tasks_at_a_full_agent_still_gets_a_turn(
--- a/tests/placement/test_health.py
+++ b/tests/placement/test_health.py
@@ -45,6 +45,32 @@
     assert driver.fleet.quarantined(driver.now_s) == []
 
 
+def test_many_failures_of_one_job_are_no_more_evidence_than_one(
+    driver: FleetDriver,
+) -> None:
+    driver.add(*NAMES)
+    batch = [task("poison", index) for index in range(8)]
+    for request in batch:
+        driver.fleet.dispatched("server-0", request, driver.now_s)
+
+    for request in batch:
+        driver.finish("server-0", request, FAILED)
+
+    assert driver.fleet.quarantined(driver.now_s) == []
+
+
+def test_failures_of_jobs_that_fail_elsewhere_too_are_no_evidence(
+    driver: FleetDriver,
+) -> None:
+    driver.add(*NAMES)
+    for number in range(6):
+        driver.run("server-1", task(f"poison-{number}", 0), outcome=FAILED)
+        driver.run("server-1", task("healthy", number))
+        driver.run("server-0", task(f"poison-{number}", 1), outcome=FAILED)
+
+    assert driver.fleet.quarantined(driver.now_s) == []
+
+
 def test_a_stream_of_jobs_that_can_never_run_quarantines_none(
     driver: FleetDriver,
 ) -> None:
