Take requests on only if they can wait twice as long as expected

Change: admission counts the estimated wait twice; retry_after_s is the time in which the wait shrinks enough.

Test: its case of 1.2 s of expected time within 2 s is now refused; the new one checks both sides of the limit and that waiting retry_after_s suffices.

--- a/src/verbenaplank/admission/estimate.py
+++ b/src/verbenaplank/admission/estimate.py
@@ -8,6 +8,8 @@
 
 RATE_WINDOW_S = 1.0
 MIN_RETRY_AFTER_S = 0.05
+WAIT_MARGIN = 2.0
+"""A request is taken on if it meets its deadline with the wait this much longer."""
 
 
 @attrs.frozen(kw_only=True)
@@ -77,7 +79,8 @@
     waiting_s = waiting_before / rate_per_s
     rounds = math.ceil(tasks / max(slots, 1))
     expected_s = waiting_s + rounds * run_time_s
-    if expected_s <= remaining_s:
+    late_s = expected_s + (WAIT_MARGIN - 1.0) * waiting_s
+    if late_s <= remaining_s:
         return Estimate(feasible=True, expected_s=expected_s)
-    retry_after_s = max(expected_s - remaining_s, MIN_RETRY_AFTER_S)
+    retry_after_s = max((late_s - remaining_s) / WAIT_MARGIN, MIN_RETRY_AFTER_S)
     return Estimate(feasible=False, expected_s=expected_s, retry_after_s=retry_after_s)
--- a/tests/admission/test_limits.py
+++ b/tests/admission/test_limits.py
@@ -74,12 +74,14 @@
 def test_a_request_that_cannot_meet_its_deadline_is_infeasible() -> None:
     facts = {"tasks": 8, "start_rate_per_s": 100.0, "slots": 8, "run_time_s": 0.2}
     behind = estimate(waiting_before=500, remaining_s=2.0, **facts)
-    early = estimate(waiting_before=100, remaining_s=2.0, **facts)
 
     assert not behind.feasible
-    assert behind.retry_after_s == pytest.approx(3.2)
+    assert behind.retry_after_s == pytest.approx(4.1)
+    left = 500 - round(behind.retry_after_s * facts["start_rate_per_s"])
+    early = estimate(waiting_before=left, remaining_s=2.0, **facts)
     assert early.feasible
-    assert early.expected_s == pytest.approx(1.2)
+    assert early.expected_s == pytest.approx(1.1)
+    assert not estimate(waiting_before=left + 5, remaining_s=2.0, **facts).feasible
 
 
 def test_the_start_rate_follows_recent_starts() -> None:
