--- a/src/verbenaplank/consensus/replication.py
+++ b/src/verbenaplank/consensus/replication.py
@@ -112,7 +112,7 @@
     else:
         highest = min(progress.next_index - 1, reply.match_index + 1)
         progress.next_index = max(progress.match_index + 1, highest)
-    if progress.next_index <= state.log.last_index or not reply.accepted:
+    if not reply.accepted or _has_news(state, progress):
         _send_next(state, message.sender, progress)
 
 
@@ -150,13 +150,20 @@
 
 
 def finish_hand_over(state: State) -> None:
-    """Give up the lease and ask a replica with the whole log to stand."""
-    for member in state.members:
-        progress = state.progress.get(member)
-        if progress and progress.match_index == state.log.last_index:
-            send(state, member, after_sync=False, hand_over=HandOver())
-            become_follower(state, state.term, None)
-            return
+    """Give up the lease and ask a replica with the whole log to stand.
+
+    Of those it asks the one that answered last, as it is most likely alive.
+    """
+    ready = [
+        (progress.acknowledged_sent_s, member)
+        for member, progress in state.progress.items()
+        if member in state.members and progress.match_index == state.log.last_index
+    ]
+    if not ready:
+        return
+    successor = max(ready, key=lambda item: item[0])[1]
+    send(state, successor, after_sync=False, hand_over=HandOver())
+    become_follower(state, state.term, None)
 
 
 def _held_index(state: State, member: Replica) -> int:
@@ -176,6 +183,11 @@
     progress.echo_s = sent_s
 
 
+def _has_news(state: State, progress: Progress) -> bool:
+    unsent = progress.next_index <= state.log.last_index
+    return unsent or progress.commit_index < state.commit_index
+
+
 def _send_next(state: State, replica: Replica, progress: Progress) -> None:
     progress.in_flight = True
     if progress.next_index <= state.log.base_index:
@@ -190,6 +202,7 @@
     state: State, replica: Replica, progress: Progress, entries: list[LogEntry]
 ) -> None:
     previous = progress.next_index - 1
+    progress.commit_index = state.commit_index
     request = AppendRequest(
         previous_index=previous,
         previous_term=state.log.term_at(previous) or 0,
