Test admission, quotas and records of dispatches; one module of test messages

Cause: admission had no tests; the type of /metrics named its character set twice. Change: the three tests of a task that may have started are one with three cases; messages that three fakes built alike stand in tests/entry/messages.py.

--- a/src/verbenaplank/entry/http.py
+++ b/src/verbenaplank/entry/http.py
@@ -34,6 +34,7 @@
 """Returns the metrics as text and their media type."""
 
 BEARER = "bearer "
+UTF_8 = "; charset=utf-8"
 
 
 @attrs.frozen(kw_only=True)
@@ -112,7 +113,8 @@
     @get("/metrics")
     async def metrics() -> Response[bytes]:
         text, media_type = parts.metrics()
-        return Response(text, media_type=media_type)
+        # Litestar itself adds the character set to the types of texts.
+        return Response(text, media_type=media_type.removesuffix(UTF_8))
 
     return [health, readiness, metrics]
 
--- a/tests/entry/agent_model.py
+++ b/tests/entry/agent_model.py
@@ -5,19 +5,13 @@
 
 import attrs
 
-from verbenaplank.protocol.work import Dispatch
-from verbenaplank.protocol.work import DispatchRefusal
-from verbenaplank.protocol.work import FromAgent
-from verbenaplank.protocol.work import RefusalReason
-from verbenaplank.protocol.work import Revocation
-from verbenaplank.protocol.work import RevocationState
-from verbenaplank.protocol.work import Revoke
-from verbenaplank.protocol.work import Stop
-from verbenaplank.protocol.work import TaskOutcome
-from verbenaplank.protocol.work import TaskResult
+from entry.messages import refused
+from entry.messages import result
+from entry.messages import revocation
+from verbenaplank.protocol import work
 
 Task = tuple[str, int]
-Item = Dispatch | Revoke | Stop
+Item = work.Dispatch | work.Revoke | work.Stop
 
 
 @attrs.define
@@ -34,9 +28,9 @@
     member: bool = True
     in_flight: deque[Item] = attrs.field(factory=deque)
     strayed: list[Item] = attrs.field(factory=list)
-    accepted: dict[int, Dispatch] = attrs.field(factory=dict)
-    running: dict[int, Dispatch] = attrs.field(factory=dict)
-    ended: dict[int, TaskResult] = attrs.field(factory=dict)
+    accepted: dict[int, work.Dispatch] = attrs.field(factory=dict)
+    running: dict[int, work.Dispatch] = attrs.field(factory=dict)
+    ended: dict[int, work.TaskResult] = attrs.field(factory=dict)
     revoked: set[int] = attrs.field(factory=set)
     runs_known: set[tuple[str, int, int]] = attrs.field(factory=set)
     starts: Counter[Task] = attrs.field(factory=Counter)
@@ -54,10 +48,10 @@
             state.clear()
         self.runs_known.clear()
 
-    def receive(self, item: Item) -> FromAgent | None:
-        if isinstance(item, Dispatch):
+    def receive(self, item: Item) -> work.FromAgent | None:
+        if isinstance(item, work.Dispatch):
             return self._receive_dispatch(item)
-        if isinstance(item, Revoke):
+        if isinstance(item, work.Revoke):
             return self._receive_revoke(item)
         return None
 
@@ -66,59 +60,36 @@
         self.running[dispatch_id] = dispatch
         self.starts[dispatch.job_id, dispatch.task_index] += 1
 
-    def end(self, dispatch_id: int, outcome: TaskOutcome) -> TaskResult:
+    def end(self, dispatch_id: int, outcome: work.TaskOutcome) -> work.TaskResult:
         dispatch = self.running.pop(dispatch_id)
-        result = TaskResult(
-            job_id=dispatch.job_id,
-            task_index=dispatch.task_index,
-            dispatch_id=dispatch_id,
-            outcome=outcome,
-            output=b'["%b"]' % dispatch.payload,
-        )
-        self.ended[dispatch_id] = result
-        return result
+        ended = result(dispatch, outcome, b'["%b"]' % dispatch.payload)
+        self.ended[dispatch_id] = ended
+        return ended
 
-    def _receive_dispatch(self, dispatch: Dispatch) -> FromAgent | None:
+    def _receive_dispatch(self, dispatch: work.Dispatch) -> work.FromAgent | None:
         run = (dispatch.job_id, dispatch.task_index, dispatch.attempt)
         if dispatch.agent_incarnation != str(self.incarnation):
-            return _refusal(dispatch, RefusalReason.WRONG_INCARNATION)
+            return refused(dispatch, work.RefusalReason.WRONG_INCARNATION)
         if dispatch.dispatch_id in self.revoked:
-            return _refusal(dispatch, RefusalReason.REVOKED)
+            return refused(dispatch, work.RefusalReason.REVOKED)
         if run in self.runs_known:
-            return _refusal(dispatch, RefusalReason.ALREADY_STARTED)
+            return refused(dispatch, work.RefusalReason.ALREADY_STARTED)
         self.runs_known.add(run)
         self.accepted[dispatch.dispatch_id] = dispatch
         return None
 
-    def _receive_revoke(self, revoke: Revoke) -> FromAgent:
+    def _receive_revoke(self, revoke: work.Revoke) -> work.FromAgent:
         dispatch_id = revoke.dispatch_id
         if dispatch_id in self.ended:
-            revocation = _revocation(revoke, RevocationState.FINISHED)
+            found = revocation(revoke, work.RevocationState.FINISHED)
             results = (self.ended[dispatch_id],)
-            return FromAgent(revocations=(revocation,), results=results)
+            return work.FromAgent(revocations=(found,), results=results)
         if dispatch_id in self.running:
-            revocation = _revocation(revoke, RevocationState.STARTED)
-            return FromAgent(revocations=(revocation,))
+            found = revocation(revoke, work.RevocationState.STARTED)
+            return work.FromAgent(revocations=(found,))
         if self.accepted.pop(dispatch_id, None) is not None:
             self.runs_known.discard((revoke.job_id, revoke.task_index, revoke.attempt))
         self.revoked.add(dispatch_id)
-        return FromAgent(revocations=(_revocation(revoke, RevocationState.REVOKED),))
-
-
-def _refusal(dispatch: Dispatch, reason: RefusalReason) -> FromAgent:
-    refusal = DispatchRefusal(
-        job_id=dispatch.job_id,
-        task_index=dispatch.task_index,
-        dispatch_id=dispatch.dispatch_id,
-        reason=reason,
-    )
-    return FromAgent(refusals=(refusal,))
-
-
-def _revocation(revoke: Revoke, state: RevocationState) -> Revocation:
-    return Revocation(
-        job_id=revoke.job_id,
-        task_index=revoke.task_index,
-        dispatch_id=revoke.dispatch_id,
-        state=state,
-    )
+        return work.FromAgent(
+            revocations=(revocation(revoke, work.RevocationState.REVOKED),)
+        )
--- a/tests/entry/driver.py
+++ b/tests/entry/driver.py
@@ -3,36 +3,26 @@
 import random
 from typing import TYPE_CHECKING
 
-from entry.fakes import SERVICE
-from entry.fakes import TEAM
+from entry.messages import SERVICE
+from entry.messages import SUCCEEDED
+from entry.messages import TEAM
+from entry.messages import agent_member
+from entry.messages import refused
+from entry.messages import result
+from entry.messages import revocation
 from verbenaplank.admission.budget import StartBudget
 from verbenaplank.admission.queue import TaskQueue
 from verbenaplank.entry.effects import JobCompleted
 from verbenaplank.entry.effects import JobFailed
-from verbenaplank.entry.effects import Send
 from verbenaplank.entry.engine import Engine
 from verbenaplank.entry.submission import Submission
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
-from verbenaplank.protocol.membership import Member
-from verbenaplank.protocol.membership import MemberRole
-from verbenaplank.protocol.work import AgentWelcome
-from verbenaplank.protocol.work import Dispatch
-from verbenaplank.protocol.work import DispatchRefusal
-from verbenaplank.protocol.work import FromAgent
-from verbenaplank.protocol.work import RefusalReason
-from verbenaplank.protocol.work import Revocation
-from verbenaplank.protocol.work import RevocationState
-from verbenaplank.protocol.work import Revoke
-from verbenaplank.protocol.work import Stop
-from verbenaplank.protocol.work import TaskOutcome
-from verbenaplank.protocol.work import TaskResult
+from verbenaplank.protocol import work
 
 if TYPE_CHECKING:
     from verbenaplank.outcome.failure import Failure
 
-DEADLINE_S = 10.0
-
 
 def submission(job_id: str = "job", count: int = 1, **changes: object) -> Submission:
     fields: dict[str, object] = {
@@ -42,23 +32,11 @@
         "digest": b"digest",
         "payloads": tuple(b"%d" % index for index in range(count)),
         "received_s": 0.0,
-        "deadline_s": DEADLINE_S,
+        "deadline_s": 10.0,
     }
     return Submission(**(fields | changes))  # type: ignore[arg-type]
 
 
-def agent_member(agent_id: str, incarnation: str = "1", slots: int = 8) -> Member:
-    return Member(
-        member_id=agent_id,
-        role=MemberRole.AGENT,
-        incarnation=incarnation,
-        data_centre="Kochi",
-        address="127.0.0.1:1",
-        services=(SERVICE,),
-        slots=slots,
-    )
-
-
 class Driver:
     """Feeds an engine with events and sorts its effects."""
 
@@ -71,9 +49,9 @@
     ) -> None:
         self.now_s = 1.0
         self.lease_since_s = float("-inf")
-        self.dispatches: list[tuple[str, Dispatch]] = []
-        self.revokes: list[tuple[str, Revoke]] = []
-        self.stops: list[tuple[str, Stop]] = []
+        self.dispatches: list[tuple[str, work.Dispatch]] = []
+        self.revokes: list[tuple[str, work.Revoke]] = []
+        self.stops: list[tuple[str, work.Stop]] = []
         self.completed: dict[str, tuple[bytes, ...]] = {}
         self.failed: dict[str, Failure] = {}
         fleet = Fleet(least_expected_completion, random.Random(1), "Kochi")
@@ -103,7 +81,9 @@
         self.connect(agent_id, incarnation, slots)
 
     def connect(self, agent_id: str, incarnation: str = "1", slots: int = 8) -> None:
-        welcome = AgentWelcome(agent_id=agent_id, incarnation=incarnation, slots=slots)
+        welcome = work.AgentWelcome(
+            agent_id=agent_id, incarnation=incarnation, slots=slots
+        )
         self.engine.agent_connected(welcome, self.now_s)
         self.flush()
 
@@ -128,42 +108,31 @@
         self.engine.tick(self.now_s)
         self.flush()
 
-    def say(self, agent_id: str, message: FromAgent) -> None:
+    def say(self, agent_id: str, message: work.FromAgent) -> None:
         self.engine.agent_message(agent_id, message, self.now_s)
         self.flush()
 
     def finish(
         self,
         index: int,
-        outcome: TaskOutcome = TaskOutcome.SUCCEEDED,
+        outcome: work.TaskOutcome = SUCCEEDED,
         output: bytes | None = None,
     ) -> None:
         """Let the agent report the end of the dispatch at an index."""
         agent_id, dispatch = self.dispatches[index]
-        self.say(agent_id, FromAgent(results=(result(dispatch, outcome, output),)))
+        self.say(agent_id, work.FromAgent(results=(result(dispatch, outcome, output),)))
 
     def refuse(
-        self, index: int, reason: RefusalReason = RefusalReason.DRAINING
+        self, index: int, reason: work.RefusalReason = work.RefusalReason.DRAINING
     ) -> None:
         agent_id, dispatch = self.dispatches[index]
-        refusal = DispatchRefusal(
-            job_id=dispatch.job_id,
-            task_index=dispatch.task_index,
-            dispatch_id=dispatch.dispatch_id,
-            reason=reason,
-        )
-        self.say(agent_id, FromAgent(refusals=(refusal,)))
+        self.say(agent_id, refused(dispatch, reason))
 
-    def answer_revoke(self, index: int, state: RevocationState) -> None:
+    def answer_revoke(self, index: int, state: work.RevocationState) -> None:
         """Let the agent answer the revocation of the dispatch at an index."""
         agent_id, dispatch = self.dispatches[index]
-        revocation = Revocation(
-            job_id=dispatch.job_id,
-            task_index=dispatch.task_index,
-            dispatch_id=dispatch.dispatch_id,
-            state=state,
-        )
-        self.say(agent_id, FromAgent(revocations=(revocation,)))
+        answer = revocation(dispatch, state)
+        self.say(agent_id, work.FromAgent(revocations=(answer,)))
 
     def flush(self) -> None:
         for effect in self.engine.flush(self.now_s):
@@ -173,29 +142,9 @@
             elif isinstance(effect, JobFailed):
                 assert effect.job_id not in self.completed | self.failed
                 self.failed[effect.job_id] = effect.failure
+            elif isinstance(effect.item, work.Dispatch):
+                self.dispatches.append((effect.agent_id, effect.item))
+            elif isinstance(effect.item, work.Revoke):
+                self.revokes.append((effect.agent_id, effect.item))
             else:
-                self._sort(effect)
-
-    def _sort(self, effect: Send) -> None:
-        item = effect.item
-        if isinstance(item, Dispatch):
-            self.dispatches.append((effect.agent_id, item))
-        elif isinstance(item, Revoke):
-            self.revokes.append((effect.agent_id, item))
-        else:
-            self.stops.append((effect.agent_id, item))
-
-
-def result(
-    dispatch: Dispatch,
-    outcome: TaskOutcome = TaskOutcome.SUCCEEDED,
-    output: bytes | None = None,
-) -> TaskResult:
-    return TaskResult(
-        job_id=dispatch.job_id,
-        task_index=dispatch.task_index,
-        dispatch_id=dispatch.dispatch_id,
-        outcome=outcome,
-        output=b'"%d"' % dispatch.task_index if output is None else output,
-        run_time_ms=100.0,
-    )
+                self.stops.append((effect.agent_id, effect.item))
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -8,19 +8,18 @@
 import attrs
 import msgspec
 
+from entry.messages import SERVICE
+from entry.messages import TEAM
+from entry.messages import agent_member
+from entry.messages import result
+from entry.messages import revocation
 from verbenaplank.claims.decision import ClaimDecision
 from verbenaplank.claims.decision import ClaimState
 from verbenaplank.configuration.effective import EffectiveConfiguration
 from verbenaplank.configuration.effective import ServiceRules
 from verbenaplank.configuration.effective import TeamRules
+from verbenaplank.protocol import work
 from verbenaplank.protocol.membership import Member
-from verbenaplank.protocol.membership import MemberRole
-from verbenaplank.protocol.work import AgentWelcome
-from verbenaplank.protocol.work import FromAgent
-from verbenaplank.protocol.work import Revocation
-from verbenaplank.protocol.work import RevocationState
-from verbenaplank.protocol.work import TaskOutcome
-from verbenaplank.protocol.work import TaskResult
 from verbenaplank.rpc.address import Address
 from verbenaplank.rpc.endpoint import serve
 from verbenaplank.rpc.services import WORK
@@ -32,13 +31,10 @@
     from grpclib.server import Stream
 
     from verbenaplank.protocol.membership import RegistrarGroup
-    from verbenaplank.protocol.work import Dispatch
-    from verbenaplank.protocol.work import Revoke
-    from verbenaplank.protocol.work import ToAgent
 
+STARTED = work.RevocationState.STARTED
+REVOKED = work.RevocationState.REVOKED
 ANY_PORT = Address("127.0.0.1", 0)
-SERVICE = "draw"
-TEAM = "fixtures"
 TOKEN_TEAM = "enrolment"
 TOKEN = "three seats"
 TOKEN_SHA256 = hashlib.sha256(TOKEN.encode()).hexdigest()
@@ -85,10 +81,6 @@
         self.members.update({member.member_id: member for member in members})
         self.changed()
 
-    def lose(self, member_id: str) -> None:
-        del self.members[member_id]
-        self.changed()
-
     async def wait_ready(self) -> None:
         return
 
@@ -164,10 +156,10 @@
         self.slots = slots
         self.automatic = True
         self.deaf = False
-        self.received: list[ToAgent] = []
-        self.starts: list[Dispatch] = []
-        self.streams: dict[tuple[str, int], Stream[ToAgent, FromAgent]] = {}
-        self.open_streams: list[Stream[ToAgent, FromAgent]] = []
+        self.received: list[work.ToAgent] = []
+        self.starts: list[work.Dispatch] = []
+        self.streams: dict[tuple[str, int], Stream[work.ToAgent, work.FromAgent]] = {}
+        self.open_streams: list[Stream[work.ToAgent, work.FromAgent]] = []
         self.changed = asyncio.Condition()
         self.address = ANY_PORT
 
@@ -178,28 +170,23 @@
             yield self
 
     def member(self) -> Member:
-        return Member(
-            member_id=self.agent_id,
-            role=MemberRole.AGENT,
-            incarnation=self.incarnation,
-            data_centre="Kochi",
-            address=str(self.address),
-            services=(SERVICE,),
-            slots=self.slots,
-        )
+        address = str(self.address)
+        return agent_member(self.agent_id, self.incarnation, self.slots, address)
 
-    async def _work(self, stream: Stream[ToAgent, FromAgent]) -> None:
+    async def _work(self, stream: Stream[work.ToAgent, work.FromAgent]) -> None:
         await stream.recv_message()
-        welcome = AgentWelcome(
+        welcome = work.AgentWelcome(
             agent_id=self.agent_id, incarnation=self.incarnation, slots=self.slots
         )
-        await stream.send_message(FromAgent(welcome=welcome))
+        await stream.send_message(work.FromAgent(welcome=welcome))
         self.open_streams.append(stream)
         async for message in stream:
             self.received.append(message)
             await self._take(stream, message)
 
-    async def _take(self, stream: Stream[ToAgent, FromAgent], message: ToAgent) -> None:
+    async def _take(
+        self, stream: Stream[work.ToAgent, work.FromAgent], message: work.ToAgent
+    ) -> None:
         dispatches = () if self.deaf else message.dispatches
         async with self.changed:
             self.starts.extend(dispatches)
@@ -207,21 +194,12 @@
             self.changed.notify_all()
         started = {key_of(dispatch) for dispatch in self.starts}
         revocations = tuple(
-            Revocation(
-                job_id=revoke.job_id,
-                task_index=revoke.task_index,
-                dispatch_id=revoke.dispatch_id,
-                state=RevocationState.STARTED
-                if key_of(revoke) in started
-                else RevocationState.REVOKED,
-            )
+            revocation(revoke, STARTED if key_of(revoke) in started else REVOKED)
             for revoke in message.revokes
         )
-        results = tuple(echo(dispatch) for dispatch in dispatches)
-        if revocations or (results and self.automatic):
-            reply = FromAgent(
-                revocations=revocations, results=results if self.automatic else ()
-            )
+        results = tuple(map(echo, dispatches)) if self.automatic else ()
+        if revocations or results:
+            reply = work.FromAgent(revocations=revocations, results=results)
             await stream.send_message(reply)
 
     async def wait_started(self, count: int) -> None:
@@ -242,26 +220,19 @@
         for stream in streams:
             await stream.cancel()
 
-    async def finish(self, *dispatches: Dispatch) -> None:
+    async def finish(self, *dispatches: work.Dispatch) -> None:
         for dispatch in dispatches:
-            reply = FromAgent(results=(echo(dispatch),))
+            reply = work.FromAgent(results=(echo(dispatch),))
             await self.streams[key_of(dispatch)].send_message(reply)
 
-    async def say(self, message: FromAgent) -> None:
+    async def say(self, message: work.FromAgent) -> None:
         await self.open_streams[-1].send_message(message)
 
 
-def key_of(item: Dispatch | Revoke) -> tuple[str, int]:
+def key_of(item: work.Dispatch | work.Revoke) -> tuple[str, int]:
     return item.job_id, item.dispatch_id
 
 
-def echo(dispatch: Dispatch) -> TaskResult:
+def echo(dispatch: work.Dispatch) -> work.TaskResult:
     output = msgspec.json.encode({"echo": msgspec.Raw(dispatch.payload)})
-    return TaskResult(
-        job_id=dispatch.job_id,
-        task_index=dispatch.task_index,
-        dispatch_id=dispatch.dispatch_id,
-        outcome=TaskOutcome.SUCCEEDED,
-        output=output,
-        run_time_ms=1.0,
-    )
+    return result(dispatch, output=output)
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -2,14 +2,15 @@
 
 import random
 from typing import TYPE_CHECKING
+from typing import Any
 
 import httpx
 
-from entry.fakes import SERVICE
-from entry.fakes import TEAM
 from entry.fakes import FakeAgent
 from entry.fakes import FakeMembership
 from entry.fakes import FakeRegistrars
+from entry.messages import SERVICE
+from entry.messages import TEAM
 from verbenaplank.entry.application import EntryInstance
 from verbenaplank.identifiers.job_id import new_job_id
 from verbenaplank.settings.common import ControlPeer
@@ -43,6 +44,7 @@
         name: str = "entry-1",
         limits: EntryLimits = LIMITS,
         rpc: Listen = ANYWHERE,
+        **hooks: Any,
     ) -> EntryInstance:
         settings = EntrySettings(
             instance_id=name,
@@ -57,9 +59,14 @@
             random=random.Random(name),
             open_membership=self.membership.open,
             open_claims=self.registrars.open,
+            **hooks,
         )
         return await self._stack.enter_async_context(instance)
 
+    async def two_callers(self) -> list[httpx.AsyncClient]:
+        names = ("entry-1", "entry-2")
+        return [await self.caller(await self.entry(name)) for name in names]
+
     async def caller(self, entry: EntryInstance) -> httpx.AsyncClient:
         client = httpx.AsyncClient(
             base_url=f"http://{entry.http_address}", timeout=20.0, trust_env=False
--- a/tests/entry/test_agent_link.py
+++ b/tests/entry/test_agent_link.py
@@ -7,17 +7,14 @@
 from entry.site import job
 from verbenaplank.entry.agent_link import MAX_PAYLOAD_BYTES_PER_MESSAGE
 from verbenaplank.entry.agent_link import envelopes
-from verbenaplank.protocol.work import Dispatch
-from verbenaplank.protocol.work import FromAgent
-from verbenaplank.protocol.work import LoadReport
-from verbenaplank.protocol.work import Revoke
+from verbenaplank.protocol import work
 
 if TYPE_CHECKING:
     from entry.site import Site
 
 
-def dispatch(number: int, size_bytes: int) -> Dispatch:
-    return Dispatch(
+def dispatch(number: int, size_bytes: int) -> work.Dispatch:
+    return work.Dispatch(
         job_id="job",
         task_index=number,
         dispatch_id=number,
@@ -31,7 +28,7 @@
 
 def test_envelopes_hold_what_is_ready_within_the_largest_message() -> None:
     third = MAX_PAYLOAD_BYTES_PER_MESSAGE // 3
-    revoke = Revoke(dispatch_id=9, job_id="job", task_index=9)
+    revoke = work.Revoke(dispatch_id=9, job_id="job", task_index=9)
     items = [dispatch(number, third) for number in range(7)]
 
     messages = list(envelopes([revoke, *items], results_received=4))
@@ -54,7 +51,7 @@
     await agent.break_streams()
     await agent.wait_revoked(2)
     results = tuple(echo(started) for started in agent.starts)
-    await agent.say(FromAgent(results=results))
+    await agent.say(work.FromAgent(results=results))
 
     assert (await posted).status_code == 200
     assert len(agent.starts) == 2
@@ -99,7 +96,9 @@
     caller = await site.caller(await site.entry())
     assert (await caller.post("/v1/jobs", json=job(count=3))).status_code == 200
 
-    await agent.say(FromAgent(load=LoadReport(running=0, queued=0, draining=True)))
+    await agent.say(
+        work.FromAgent(load=work.LoadReport(running=0, queued=0, draining=True))
+    )
     await agent.wait_for(lambda: agent.received[-1].results_received == 3)
     refused = asyncio.create_task(caller.post("/v1/jobs", json=job(deadline_ms=60)))
 
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -2,7 +2,15 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
+from entry.fakes import configuration
+from entry.messages import TEAM
 from entry.site import job
+from verbenaplank.configuration.effective import TeamRules
+from verbenaplank.entry.application import never_back
+from verbenaplank.history.event import Event
+from verbenaplank.history.event import EventKind
 
 if TYPE_CHECKING:
     from entry.site import Site
@@ -23,3 +31,60 @@
     }
     assert sum(len(agent.starts) for agent in agents) == 350
     assert all(agent.starts for agent in agents)
+
+
+async def test_quota_is_given_back_when_a_request_has_ended(site: Site) -> None:
+    await site.agent()
+    rules = TeamRules(name=TEAM, max_in_progress=3)
+    site.membership.configuration = attrs.evolve(configuration(), teams={TEAM: rules})
+    caller = await site.caller(await site.entry())
+
+    accepted = [await caller.post("/v1/jobs", json=job(3)) for _ in range(3)]
+    refused = await caller.post("/v1/jobs", json=job(4))
+
+    assert [response.status_code for response in accepted] == [200] * 3
+    assert refused.status_code == 429
+    assert refused.json()["run"] == "not_run"
+    assert int(refused.headers["retry-after"]) >= 1
+
+
+async def test_change_of_the_configuration_is_in_force_at_once(site: Site) -> None:
+    agent = await site.agent()
+    caller = await site.caller(await site.entry())
+    site.membership.configuration = attrs.evolve(
+        configuration(), drained_backend_servers=frozenset({agent.agent_id})
+    )
+    site.membership.changed()
+
+    drained = await caller.post("/v1/jobs", json=job(deadline_ms=50))
+    site.membership.configuration = attrs.evolve(configuration(), services={})
+    unknown = await caller.post("/v1/jobs", json=job())
+
+    assert drained.json()["run"] == unknown.json()["run"] == "not_run"
+    assert unknown.json()["kind"] == "unknown_service"
+    assert agent.starts == []
+
+
+async def test_each_dispatch_is_recorded_and_metrics_are_served(site: Site) -> None:
+    agent = await site.agent()
+    events: list[Event] = []
+    media_type = "text/plain; version=1.0.0; charset=utf-8"
+    entry = await site.entry(record=events.append, metrics=lambda: (b"x 1", media_type))
+    caller = await site.caller(entry)
+
+    body = job(3)
+    await caller.post("/v1/jobs", json=body)
+    metrics = await caller.get("/metrics")
+
+    assert [event.task_index for event in events] == [0, 1, 2]
+    assert {(event.kind, event.job_id, event.detail) for event in events} == {
+        (EventKind.DISPATCHED, body["id"], agent.agent_id)
+    }
+    assert (metrics.content, metrics.headers["content-type"]) == (b"x 1", media_type)
+
+
+def test_wall_clock_never_goes_back() -> None:
+    times_ms = iter([5, 3, 9])
+    clock = never_back(lambda: next(times_ms))
+
+    assert [clock(), clock(), clock()] == [5, 5, 9]
--- a/tests/entry/test_engine.py
+++ b/tests/entry/test_engine.py
@@ -1,16 +1,18 @@
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 import pytest
 
 from entry.driver import Driver
-from entry.driver import result
+from entry.messages import result
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.failure import Run
-from verbenaplank.protocol.work import FromAgent
-from verbenaplank.protocol.work import RefusalReason
-from verbenaplank.protocol.work import RevocationState
-from verbenaplank.protocol.work import TaskOutcome
+from verbenaplank.protocol import work
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 
 def outcome_of(driver: Driver, job_id: str = "job") -> tuple[FailureKind, Run]:
@@ -36,8 +38,8 @@
     foreign = attrs.evolve(dispatch, dispatch_id=dispatch.dispatch_id + 1000)
     mixed_up = attrs.evolve(dispatch, task_index=1)
 
-    driver.say(agent_id, FromAgent(results=(result(foreign), result(mixed_up))))
-    driver.say(other, FromAgent(results=(result(dispatch, output=b'"wrong"'),)))
+    driver.say(agent_id, work.FromAgent(results=(result(foreign), result(mixed_up))))
+    driver.say(other, work.FromAgent(results=(result(dispatch, output=b'"wrong"'),)))
     driver.finish(0)
     driver.finish(0, output=b'"again"')
     assert driver.completed == {}
@@ -77,8 +79,8 @@
     driver = Driver("a")
     driver.submit()
 
-    driver.refuse(0, RefusalReason.FULL)
-    driver.refuse(1, RefusalReason.FULL)
+    driver.refuse(0, work.RefusalReason.FULL)
+    driver.refuse(1, work.RefusalReason.FULL)
     at_once = len(driver.dispatches)
     driver.advance(0.1)
 
@@ -92,10 +94,10 @@
     sent = len(driver.dispatches)
     driver.finish(0)
 
-    driver.finish(1, TaskOutcome.FAILED)
+    driver.finish(1, work.TaskOutcome.FAILED)
     assert driver.failed == {}
     for index in range(2, len(driver.dispatches)):
-        driver.answer_revoke(index, RevocationState.REVOKED)
+        driver.answer_revoke(index, work.RevocationState.REVOKED)
 
     assert outcome_of(driver) == (FailureKind.TASK_FAILED, Run.RAN)
     assert len(driver.dispatches) == sent + 1
@@ -106,15 +108,15 @@
 @pytest.mark.parametrize(
     ("state", "run"),
     [
-        (RevocationState.REVOKED, Run.NOT_RUN),
-        (RevocationState.STARTED, Run.RAN),
-        (RevocationState.FINISHED, Run.RAN),
+        (work.RevocationState.REVOKED, Run.NOT_RUN),
+        (work.RevocationState.STARTED, Run.RAN),
+        (work.RevocationState.FINISHED, Run.RAN),
         (None, Run.MAY_HAVE_RUN),
     ],
 )
 @pytest.mark.parametrize("by_deadline", [True, False])
 def test_cancelled_job_says_what_the_revocations_found(
-    state: RevocationState | None, run: Run, by_deadline: bool
+    state: work.RevocationState | None, run: Run, by_deadline: bool
 ) -> None:
     driver = Driver("a")
     driver.submit()
@@ -132,7 +134,7 @@
 
     kind = FailureKind.DEADLINE_EXCEEDED if by_deadline else FailureKind.CANCELLED
     assert outcome_of(driver) == (kind, run)
-    assert len(driver.stops) == (state is RevocationState.STARTED)
+    assert len(driver.stops) == (state is work.RevocationState.STARTED)
 
 
 def test_queued_job_is_cancelled_at_once_as_not_run() -> None:
@@ -155,7 +157,7 @@
         driver.cancel(f"job-{number}")
     for index, (_, dispatch) in enumerate(driver.dispatches):
         if int(dispatch.job_id.removeprefix("job-")) % 2 == 0:
-            driver.answer_revoke(index, RevocationState.REVOKED)
+            driver.answer_revoke(index, work.RevocationState.REVOKED)
     finished = 0
     while finished < len(driver.dispatches):
         driver.finish(finished)
@@ -166,31 +168,30 @@
     assert len(driver.failed) == 10
 
 
-def test_agent_lost_mid_job_leaves_the_outcome_unknown() -> None:
+@pytest.mark.parametrize(
+    "lose",
+    [
+        lambda driver: (driver.disconnect("a"), driver.leave("a"), driver.join("b")),
+        lambda driver: (driver.disconnect("a"), driver.join("a", incarnation="2")),
+        lambda driver: driver.refuse(1, work.RefusalReason.ALREADY_STARTED),
+    ],
+    ids=["agent left", "agent restarted", "task had started before"],
+)
+def test_task_that_may_have_started_is_not_placed_again(
+    lose: Callable[[Driver], object],
+) -> None:
     driver = Driver("a")
     driver.submit(count=2)
     driver.finish(0)
 
-    driver.disconnect("a")
-    assert driver.failed == {}
-    driver.leave("a")
-    driver.join("b")
+    lose(driver)
+    for index in range(len(driver.revokes)):
+        driver.answer_revoke(index, work.RevocationState.REVOKED)
 
     assert outcome_of(driver) == (FailureKind.OUTCOME_UNKNOWN, Run.MAY_HAVE_RUN)
     assert [agent_id for agent_id, _ in driver.dispatches] == ["a", "a"]
 
 
-def test_restarted_agent_is_not_given_its_tasks_again() -> None:
-    driver = Driver("a")
-    driver.submit()
-
-    driver.disconnect("a")
-    driver.join("a", incarnation="2")
-
-    assert outcome_of(driver) == (FailureKind.OUTCOME_UNKNOWN, Run.MAY_HAVE_RUN)
-    assert len(driver.dispatches) == 1
-
-
 def test_agent_that_left_may_still_deliver_over_its_open_stream() -> None:
     driver = Driver("a")
     driver.submit()
@@ -212,9 +213,9 @@
 
     driver.connect("a")
     assert len(driver.revokes) == 3
-    driver.answer_revoke(0, RevocationState.REVOKED)
-    driver.answer_revoke(1, RevocationState.STARTED)
-    driver.answer_revoke(2, RevocationState.FINISHED)
+    driver.answer_revoke(0, work.RevocationState.REVOKED)
+    driver.answer_revoke(1, work.RevocationState.STARTED)
+    driver.answer_revoke(2, work.RevocationState.FINISHED)
     assert [agent_id for agent_id, _ in driver.dispatches] == ["a", "a", "a", "b"]
     for index in (1, 2, 3):
         driver.finish(index)
@@ -222,16 +223,6 @@
     assert driver.completed == {"job": (b'"0"', b'"1"', b'"2"')}
 
 
-def test_task_that_had_started_before_is_never_placed_again() -> None:
-    driver = Driver("a", "b")
-    driver.submit()
-
-    driver.refuse(0, RefusalReason.ALREADY_STARTED)
-
-    assert outcome_of(driver) == (FailureKind.OUTCOME_UNKNOWN, Run.MAY_HAVE_RUN)
-    assert len(driver.dispatches) == 1
-
-
 def test_lapsed_lease_answers_claimed_jobs_as_unknown_and_starts_no_more() -> None:
     driver = Driver("a", slots=1)
     driver.submit(count=5)
@@ -285,10 +276,10 @@
     driver = Driver("a", "b", "c", "d")
     driver.submit(claimed=False, max_runs=3)
 
-    driver.finish(0, TaskOutcome.FAILED)
+    driver.finish(0, work.TaskOutcome.FAILED)
     driver.disconnect(driver.dispatches[1][0])
     driver.leave(driver.dispatches[1][0])
-    driver.finish(2, TaskOutcome.CONNECTION_LOST)
+    driver.finish(2, work.TaskOutcome.CONNECTION_LOST)
 
     assert [dispatch.attempt for _, dispatch in driver.dispatches] == [1, 2, 3]
     assert len({agent_id for agent_id, _ in driver.dispatches}) == 3
@@ -301,7 +292,7 @@
         driver.submit(f"job-{number}", claimed=False, max_runs=2)
 
     for index in range(10):
-        driver.finish(index, TaskOutcome.FAILED)
+        driver.finish(index, work.TaskOutcome.FAILED)
 
     assert len(driver.dispatches) + len(driver.queue) == 13
     assert len(driver.failed) == 7
@@ -314,7 +305,7 @@
 
     driver.engine.stop(driver.now_s)
     for index in range(len(driver.dispatches)):
-        driver.answer_revoke(index, RevocationState.REVOKED)
+        driver.answer_revoke(index, work.RevocationState.REVOKED)
 
     assert {failure.run for failure in driver.failed.values()} == {Run.NOT_RUN}
     assert driver.failed.keys() == {"sent", "queued"}
--- a/tests/entry/test_engine_stateful.py
+++ b/tests/entry/test_engine_stateful.py
@@ -13,22 +13,21 @@
 from entry.agent_model import AgentModel
 from entry.agent_model import Task
 from entry.driver import Driver
-from entry.driver import agent_member
 from entry.driver import submission
+from entry.messages import agent_member
 from verbenaplank.outcome.failure import Run
-from verbenaplank.protocol.work import FromAgent
-from verbenaplank.protocol.work import TaskOutcome
+from verbenaplank.protocol import work
 
 if TYPE_CHECKING:
     from verbenaplank.entry.submission import Submission
 
 AGENTS = ("a", "b", "c")
 OUTCOMES = (
-    TaskOutcome.SUCCEEDED,
-    TaskOutcome.SUCCEEDED,
-    TaskOutcome.SUCCEEDED,
-    TaskOutcome.FAILED,
-    TaskOutcome.CONNECTION_LOST,
+    work.TaskOutcome.SUCCEEDED,
+    work.TaskOutcome.SUCCEEDED,
+    work.TaskOutcome.SUCCEEDED,
+    work.TaskOutcome.FAILED,
+    work.TaskOutcome.CONNECTION_LOST,
 )
 PICK = st.integers(min_value=0, max_value=1_000_000)
 AGENT = st.sampled_from(AGENTS)
@@ -43,7 +42,7 @@
         self.driver.learn()
         self.agents = {name: AgentModel(name) for name in AGENTS}
         self.submitted: dict[str, Submission] = {}
-        self.said: list[tuple[str, FromAgent]] = []
+        self.said: list[tuple[str, work.FromAgent]] = []
 
     @rule(count=st.integers(1, 5), max_runs=st.sampled_from([1, 1, 1, 2, 3]))
     def submit(self, count: int, max_runs: int) -> None:
@@ -100,12 +99,12 @@
             agent.start(dispatch_id)
 
     @rule(name=AGENT, outcome=st.sampled_from(OUTCOMES), pick=PICK)
-    def end(self, name: str, outcome: TaskOutcome, pick: int) -> None:
+    def end(self, name: str, outcome: work.TaskOutcome, pick: int) -> None:
         agent = self.agents[name]
         if agent.running:
             dispatch_id = list(agent.running)[pick % len(agent.running)]
             result = agent.end(dispatch_id, outcome)
-            self._say(agent, FromAgent(results=(result,)))
+            self._say(agent, work.FromAgent(results=(result,)))
 
     @precondition(lambda self: self.said)
     @rule(pick=PICK, name=AGENT)
@@ -192,7 +191,7 @@
         assert len(self.driver.engine.jobs) == 0
         assert len(self.driver.queue) == 0
 
-    def _say(self, agent: AgentModel, message: FromAgent | None) -> None:
+    def _say(self, agent: AgentModel, message: work.FromAgent | None) -> None:
         if message is None or not agent.connected:
             return
         self.said.append((agent.agent_id, message))
--- a/tests/entry/test_hedge.py
+++ b/tests/entry/test_hedge.py
@@ -3,8 +3,7 @@
 import pytest
 
 from entry.driver import Driver
-from verbenaplank.protocol.work import RevocationState
-from verbenaplank.protocol.work import TaskOutcome
+from verbenaplank.protocol import work
 
 
 def learned(*agents: str, hedge_share: float = 1.0) -> Driver:
@@ -37,7 +36,7 @@
     driver.submit(claimed=False, max_runs=2, deadline_s=99.0)
     driver.advance(0.2)
 
-    driver.finish(1, TaskOutcome.FAILED)
+    driver.finish(1, work.TaskOutcome.FAILED)
     assert driver.failed == {}
     driver.finish(0)
 
@@ -83,7 +82,9 @@
     assert [revoke.task_index for _, revoke in driver.revokes] == [0, 1, 2, 3]
     for index in range(4):
         started = index < 2
-        state = RevocationState.STARTED if started else RevocationState.REVOKED
+        state = (
+            work.RevocationState.STARTED if started else work.RevocationState.REVOKED
+        )
         driver.answer_revoke(index, state)
 
     moved = driver.dispatches[4:]
--- a/tests/entry/test_pipeline.py
+++ b/tests/entry/test_pipeline.py
@@ -41,8 +41,7 @@
 ) -> None:
     agent = await site.agent()
     agent.automatic = False
-    owner = await site.caller(await site.entry("entry-1"))
-    other = await site.caller(await site.entry("entry-2"))
+    owner, other = await site.two_callers()
     body = job()
 
     first = asyncio.create_task(owner.post("/v1/jobs", json=body))
@@ -61,8 +60,7 @@
 ) -> None:
     agent = await site.agent()
     agent.automatic = False
-    owner = await site.caller(await site.entry("entry-1"))
-    other = await site.caller(await site.entry("entry-2"))
+    owner, other = await site.two_callers()
     body = job()
 
     first = asyncio.create_task(owner.post("/v1/jobs", json=body))
@@ -81,8 +79,7 @@
     site: Site,
 ) -> None:
     await site.agent()
-    owner = await site.caller(await site.entry("entry-1"))
-    other = await site.caller(await site.entry("entry-2"))
+    owner, other = await site.two_callers()
     body = job(tasks=[{"payload": "x" * 15_000}] * 4)
     first = await owner.post("/v1/jobs", json=body)
 
@@ -132,8 +129,7 @@
     site: Site, fault: str
 ) -> None:
     await site.agent()
-    owner = await site.caller(await site.entry("entry-1"))
-    other = await site.caller(await site.entry("entry-2"))
+    owner, other = await site.two_callers()
     body = job()
     first = await owner.post("/v1/jobs", json=body)
     site.registrars.available = fault != "no quorum"
@@ -229,8 +225,7 @@
 async def test_cancel_through_another_entry_stops_the_job(site: Site) -> None:
     agent = await site.agent(slots=1)
     agent.automatic = False
-    owner = await site.caller(await site.entry("entry-1"))
-    other = await site.caller(await site.entry("entry-2"))
+    owner, other = await site.two_callers()
     body = job(count=20)
     first = asyncio.create_task(owner.post("/v1/jobs", json=body))
     await agent.wait_started(1)
