Serve callers and operators with one HTTP server

Cause: entry and control each ran uvicorn in a module of its own, with the same handling of sockets, signals and graceful ends. Change: verbenaplank.http.server, taken from the entry; control uses it. Measured: control and entry tests pass.

--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -20,7 +20,6 @@
 from verbenaplank.control.currency import Currency
 from verbenaplank.control.first_document import load_first_document
 from verbenaplank.control.http import http_application
-from verbenaplank.control.http_server import serve_http
 from verbenaplank.control.join_service import JoinService
 from verbenaplank.control.join_session import SessionContext
 from verbenaplank.control.lease_keeper import LeaseKeeper
@@ -28,6 +27,7 @@
 from verbenaplank.control.registrar_epochs import RegistrarEpochs
 from verbenaplank.control.renewal_forwarder import RenewalForwarder
 from verbenaplank.control.replication import SharedBarrier
+from verbenaplank.http.server import HttpServer
 from verbenaplank.observability.metrics import Metrics
 from verbenaplank.rpc.endpoint import serve
 
@@ -47,6 +47,7 @@
 """A read barrier may take so many election timeouts, so that it outlives one."""
 
 TICK_S = 0.05
+HTTP_STOP_TIMEOUT_S = 10.0
 
 
 class ControlInstance:
@@ -127,8 +128,9 @@
             http = http_application(
                 self._administration, self.is_ready, self._metrics.render
             )
-            listening = serve_http(http, self._settings.http.address)
-            self.http_address = await stack.enter_async_context(listening)
+            server = HttpServer(http, self._settings.http.address, HTTP_STOP_TIMEOUT_S)
+            await stack.enter_async_context(server)
+            self.http_address = server.address
             self._stack = stack.pop_all()
         return self
 
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -22,7 +22,6 @@
 from verbenaplank.entry.http import HttpParts
 from verbenaplank.entry.http import http_application
 from verbenaplank.entry.http import no_metrics
-from verbenaplank.entry.http_server import HttpServer
 from verbenaplank.entry.neighbours import claims_factory
 from verbenaplank.entry.neighbours import membership_factory
 from verbenaplank.entry.peer_client import PeerClient
@@ -37,6 +36,7 @@
 from verbenaplank.history.event import EventHook
 from verbenaplank.history.event import EventKind
 from verbenaplank.history.event import ignore_event
+from verbenaplank.http.server import HttpServer
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
 from verbenaplank.protocol.membership import Member
--- /dev/null
+++ b/src/verbenaplank/http/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP servers towards callers and operators."""
+
+from __future__ import annotations
--- a/src/verbenaplank/entry/http_server.py
+++ b/src/verbenaplank/http/server.py
@@ -1,4 +1,4 @@
-"""Runs the HTTP interface in the event loop of the entry."""
+"""Runs an HTTP interface in the event loop of its program."""
 
 from __future__ import annotations
 
