--- a/tests/consensus/test_admission.py
+++ b/tests/consensus/test_admission.py
@@ -78,19 +78,23 @@
     cluster.settle()
 
 
-def test_learner_waits_for_the_first_commit_of_the_leader_s_term() -> None:
+def test_learner_is_admitted_once_it_and_the_leader_s_term_have_caught_up() -> None:
     cluster, leader = settled_cluster(3)
     state = leader.state
     learner = Replica(instance_id=others_than(cluster, leader)[0].name)
     last = state.log.last_index
-    state.progress[learner] = Progress(next_index=last + 1, match_index=last)
-
-    state.term_start_index = state.commit_index + 1
-    admit_learners(state)
-    assert state.log.last_index == last
-    state.term_start_index = state.commit_index
-    admit_learners(state)
-    assert state.log.last_index == last + 1
+    progress = Progress(next_index=last + 1)
+    state.progress[learner] = progress
+
+    def admitted(match_index: int, term_start_index: int) -> bool:
+        progress.match_index = match_index
+        state.term_start_index = term_start_index
+        admit_learners(state)
+        return state.log.last_index > last
+
+    assert not admitted(last - 1, term_start_index=last)
+    assert not admitted(last, term_start_index=last + 1)
+    assert admitted(last, term_start_index=last)
 
 
 def test_hello_of_an_unknown_instance_is_not_followed_up() -> None:
