--- a/tests/entry/test_pipeline.py
+++ b/tests/entry/test_pipeline.py
@@ -41,8 +41,7 @@
 ) -> None:
     agent = await site.agent()
     agent.automatic = False
-    owner = await site.caller(await site.entry("entry-1"))
-    other = await site.caller(await site.entry("entry-2"))
+    owner, other = await site.two_callers()
     body = job()
 
     first = asyncio.create_task(owner.post("/v1/jobs", json=body))
@@ -61,8 +60,7 @@
 ) -> None:
     agent = await site.agent()
     agent.automatic = False
-    owner = await site.caller(await site.entry("entry-1"))
-    other = await site.caller(await site.entry("entry-2"))
+    owner, other = await site.two_callers()
     body = job()
 
     first = asyncio.create_task(owner.post("/v1/jobs", json=body))
@@ -81,8 +79,7 @@
     site: Site,
 ) -> None:
     await site.agent()
-    owner = await site.caller(await site.entry("entry-1"))
-    other = await site.caller(await site.entry("entry-2"))
+    owner, other = await site.two_callers()
     body = job(tasks=[{"payload": "x" * 15_000}] * 4)
     first = await owner.post("/v1/jobs", json=body)
 
@@ -127,6 +124,44 @@
     assert len(agent.starts) == 3
 
 
+@pytest.mark.parametrize("fault", ["no quorum", "drain ordered", "no lease"])
+async def test_resubmission_is_never_told_that_it_was_not_run(
+    site: Site, fault: str
+) -> None:
+    await site.agent()
+    owner, other = await site.two_callers()
+    body = job()
+    first = await owner.post("/v1/jobs", json=body)
+    site.registrars.available = fault != "no quorum"
+    site.membership.drain_ordered = fault == "drain ordered"
+    if fault == "no lease":
+        site.membership.lease_since_s = float("inf")
+
+    again = await other.post("/v1/jobs", json=body)
+    changed = await other.post("/v1/jobs", json=body | {"tasks": [{"payload": 1}]})
+    fresh = await other.post("/v1/jobs", json=job())
+
+    assert again.content == first.content
+    assert failure_of(changed) == ("id_reused", "not_run")
+    assert failure_of(fresh)[1] == "not_run"
+
+
+async def test_entries_without_a_quorum_do_not_wait_for_each_other(
+    site: Site,
+) -> None:
+    await site.agent()
+    callers = [await site.caller(await site.entry(f"entry-{n}")) for n in range(3)]
+    site.registrars.available = False
+    body = job()
+
+    refused = await asyncio.gather(
+        *(caller.post("/v1/jobs", json=body) for caller in callers * 2),
+        callers[0].post("/v1/jobs", json=body | {"tasks": [{"payload": 1}]}),
+    )
+
+    assert {failure_of(response) for response in refused} == {("no_quorum", "not_run")}
+
+
 async def test_without_a_majority_nothing_starts(site: Site) -> None:
     agent = await site.agent()
     caller = await site.caller(await site.entry())
@@ -190,8 +225,7 @@
 async def test_cancel_through_another_entry_stops_the_job(site: Site) -> None:
     agent = await site.agent(slots=1)
     agent.automatic = False
-    owner = await site.caller(await site.entry("entry-1"))
-    other = await site.caller(await site.entry("entry-2"))
+    owner, other = await site.two_callers()
     body = job(count=20)
     first = asyncio.create_task(owner.post("/v1/jobs", json=body))
     await agent.wait_started(1)
