Tell no "not run" of an id whose past the registrars forgot; name incarnations

Cause 1: after restarts of registrars a claim ends UNAVAILABLE with the hint that an earlier submission may have run; the entry answered no_quorum, not_run. The test reported ('no_quorum', 'not_run'). Change: outcome_unknown, may_have_run, unless a peer knows the answer. Cause 2: a revocation did not name the agent's incarnation, so that a restarted agent could not tell it from one of its own life. The test reported {''}. Change: the incarnation of the dispatch goes along. Cause 3: uuid6's uuid7 adds 1 ms for each id made within one millisecond; above 1,000 ids a second the stamps run ahead of the clock until registrars abstain. Ruled out: making the ids ourselves; uuid-utils keeps to the clock: 20,000 ids in a row ended at the clock's millisecond (trial), sorted and distinct. Change: uuid-utils in place of uuid6; command ids are random UUIDs.

--- a/src/verbenaplank/console/commands/config.py
+++ b/src/verbenaplank/console/commands/config.py
@@ -8,9 +8,9 @@
 from pathlib import Path
 from typing import Annotated
 from typing import Any
+from uuid import uuid4
 
 import typer
-from uuid6 import uuid7
 
 from verbenaplank.console.exit_code import ExitCode
 from verbenaplank.console.options import DEFAULT_CONTROL_URL
@@ -207,7 +207,7 @@
     command_id: str,
     as_json: bool,
 ) -> None:
-    body["command_id"] = command_id or str(uuid7())
+    body["command_id"] = command_id or str(uuid4())
     if not as_json:
         error_console.print(f"command id {body['command_id']}", markup=False)
     content = send_or_exit(urls, token, method, path, body, as_json).content
--- a/src/verbenaplank/console/commands/members.py
+++ b/src/verbenaplank/console/commands/members.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from typing import Annotated
+from uuid import uuid4
 
 import typer
-from uuid6 import uuid7
 
 from verbenaplank.console.options import DEFAULT_CONTROL_URL
 from verbenaplank.console.options import AsJson
@@ -79,7 +79,7 @@
     command_id: str,
     as_json: bool,
 ) -> None:
-    body = {"command_id": command_id or str(uuid7())}
+    body = {"command_id": command_id or str(uuid4())}
     path = f"{MEMBERS}/{member_id}/{action}"
     content = send_or_exit(urls, token, "POST", path, body, as_json).content
     if as_json:
--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -163,6 +163,7 @@
             job_id=task.job_id,
             task_index=task.task_index,
             attempt=task.attempt,
+            agent_incarnation=record.agent_incarnation,
         )
         self._effects.append(Send(record.agent_id, revoke))
 
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -53,6 +53,11 @@
     detail="no majority of registrars granted the id",
     retry_after_s=RETRY_AFTER_S,
 )
+MAY_BE_USED = Rejection(
+    kind=FailureKind.OUTCOME_UNKNOWN,
+    detail="the registrars no longer know whether the id was used before",
+    retry_after_s=RETRY_AFTER_S,
+)
 ANSWER_DROPPED = Rejection(
     kind=FailureKind.OUTCOME_UNKNOWN, detail="the answer is no longer kept"
 )
@@ -208,7 +213,8 @@
         if decision.state is ClaimState.CONFLICT:
             return self.refuse(ID_REUSED, submission.job_id)
         record.decided.set()
-        return await self._refuse_unless_known(submission, NO_QUORUM)
+        rejection = MAY_BE_USED if decision.may_have_run else NO_QUORUM
+        return await self._refuse_unless_known(submission, rejection)
 
     async def _refuse_unless_known(
         self, submission: Submission, rejection: Rejection
--- a/src/verbenaplank/identifiers/job_id.py
+++ b/src/verbenaplank/identifiers/job_id.py
@@ -4,7 +4,7 @@
 
 from uuid import UUID
 
-from uuid6 import uuid7
+from uuid_utils import uuid7
 
 UUID_VERSION = 7
 TIMESTAMP_SHIFT_BITS = 80
--- a/tests/control/test_registrar_groups.py
+++ b/tests/control/test_registrar_groups.py
@@ -13,7 +13,6 @@
 from control_helpers import eventually
 from control_helpers import link_to
 from fake_log import FakeLog
-from uuid6 import uuid7
 
 from verbenaplank.claims.client import ClaimClient
 from verbenaplank.claims.decision import ClaimState
@@ -22,6 +21,7 @@
 from verbenaplank.control.machine import ControlMachine
 from verbenaplank.control.registrar_epochs import RegistrarEpochs
 from verbenaplank.control.replication import SharedBarrier
+from verbenaplank.identifiers.job_id import new_job_id
 from verbenaplank.membership.commands import SetRegistrars
 from verbenaplank.protocol.membership import Registrar
 from verbenaplank.rpc.endpoint import serve
@@ -48,7 +48,7 @@
     tmp_path: Path,
 ) -> None:
     settings = control_settings(tmp_path)
-    job_id = str(uuid7())
+    job_id = new_job_id()
     states = []
     for _ in range(2):
         async with (
@@ -70,7 +70,7 @@
         instances = [cluster.instances[index] for index in cluster.followers()]
         async with link_to(entry(), *instances) as link:
             await eventually(lambda: link.registrars is not None)
-            old_id = str(uuid7())
+            old_id = new_job_id()
             first = await claim(link.registrars, "entry-1", old_id)
             members = ["control-0", "control-1"]
             async with cluster.http(0) as http:
@@ -90,7 +90,7 @@
             new = ClaimState.UNAVAILABLE
             async with asyncio.timeout(DEADLINE_S):
                 while new is ClaimState.UNAVAILABLE:
-                    new = await claim(link.registrars, "entry-2", str(uuid7()))
+                    new = await claim(link.registrars, "entry-2", new_job_id())
 
     assert first is ClaimState.OWNED_HERE
     assert again is ClaimState.OWNED_ELSEWHERE
@@ -115,12 +115,12 @@
         )
         group = machine.membership.registrars.open_group
         following = asyncio.create_task(epochs.run())
-        cut_off = await claim(group, "entry-1", str(uuid7()))
+        cut_off = await claim(group, "entry-1", new_job_id())
         log.has_quorum = True
         state = ClaimState.UNAVAILABLE
         async with asyncio.timeout(DEADLINE_S):
             while state is ClaimState.UNAVAILABLE:
-                state = await claim(group, "entry-1", str(uuid7()))
+                state = await claim(group, "entry-1", new_job_id())
         following.cancel()
 
     assert cut_off is ClaimState.UNAVAILABLE
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -100,6 +100,7 @@
     def __init__(self) -> None:
         self.owners: dict[str, tuple[Member, bytes]] = {}
         self.available = True
+        self.forgetful = False
         self.gate = asyncio.Event()
         self.gate.set()
         self.claims = 0
@@ -133,7 +134,9 @@
         await self.registrars.count_claim()
         await self.registrars.gate.wait()
         if not self.registrars.available:
-            return ClaimDecision(state=ClaimState.UNAVAILABLE)
+            return ClaimDecision(
+                state=ClaimState.UNAVAILABLE, may_have_run=self.registrars.forgetful
+            )
         owner, known = self.registrars.owners.setdefault(job_id, (self.member, digest))
         if known != digest:
             return ClaimDecision(state=ClaimState.CONFLICT)
--- a/tests/entry/test_engine.py
+++ b/tests/entry/test_engine.py
@@ -213,6 +213,8 @@
 
     driver.connect("a")
     assert len(driver.revokes) == 3
+    incarnations = {revoke.agent_incarnation for _, revoke in driver.revokes}
+    assert incarnations == {driver.dispatches[0][1].agent_incarnation}
     driver.answer_revoke(0, work.RevocationState.REVOKED)
     driver.answer_revoke(1, work.RevocationState.STARTED)
     driver.answer_revoke(2, work.RevocationState.FINISHED)
--- a/tests/entry/test_pipeline.py
+++ b/tests/entry/test_pipeline.py
@@ -203,6 +203,19 @@
     assert (await attached).body == first.content
 
 
+async def test_id_that_registrars_may_have_granted_before_is_not_told_as_not_run(
+    site: Site,
+) -> None:
+    await site.agent()
+    caller = await site.caller(await site.entry())
+    site.registrars.available = False
+    site.registrars.forgetful = True
+
+    refused = await caller.post("/v1/jobs", json=job())
+
+    assert failure_of(refused) == ("outcome_unknown", "may_have_run")
+
+
 async def test_request_without_an_id_and_idempotent_ones_need_no_claim(
     site: Site,
 ) -> None:
--- a/tests/identifiers/test_job_id.py
+++ b/tests/identifiers/test_job_id.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from verbenaplank.clock.sources import wall_clock_ms
 from verbenaplank.identifiers.job_id import InvalidJobIdError
 from verbenaplank.identifiers.job_id import job_timestamp_ms
 from verbenaplank.identifiers.job_id import new_job_id
@@ -14,6 +15,15 @@
     assert parse_job_id(job_id.upper()) == job_id
 
 
+def test_stamps_of_many_ids_do_not_run_ahead_of_the_clock() -> None:
+    made = [new_job_id() for _ in range(20_000)]
+
+    after_ms = wall_clock_ms()
+
+    assert job_timestamp_ms(made[-1]) <= after_ms
+    assert len(set(made)) == len(made)
+
+
 def test_timestamp_is_read_from_the_first_bits() -> None:
     assert job_timestamp_ms("00000000-0123-7000-8000-000000000000") == 0x123
 
