Renew leases only where something is open; a dispatch brings its lease along

Ruled out: longer leases; they only divide the waste, and keep what a lost entry left waiting for longer. Change: RenewalSchedule decides; with nothing open no renewal goes out, the first dispatch after a pause carries one in its message, and results that nothing has acknowledged are acknowledged within a second.

--- a/src/verbenaplank/entry/agent_link.py
+++ b/src/verbenaplank/entry/agent_link.py
@@ -11,6 +11,9 @@
 from grpclib.exceptions import ProtocolError
 from grpclib.exceptions import StreamTerminatedError
 
+from verbenaplank.entry.renewal import RENEWAL_PERIOD_S
+from verbenaplank.entry.renewal import TASK_LEASE_MS
+from verbenaplank.entry.renewal import RenewalSchedule
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import LeaseRenewal
 from verbenaplank.protocol.work import Revoke
@@ -39,8 +42,6 @@
 MAX_RECONNECT_PAUSE_S = 1.0
 CONNECT_TIMEOUT_S = 3.0
 MAX_PAYLOAD_BYTES_PER_MESSAGE = 1024 * 1024
-TASK_LEASE_MS = 3_000.0
-RENEWAL_PERIOD_S = 1.0
 RENEWAL = LeaseRenewal(lease_ms=TASK_LEASE_MS)
 
 BROKEN = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
@@ -60,6 +61,9 @@
     def agent_disconnected(self, agent_id: str) -> None:
         """Take in the end of a stream."""
 
+    def has_open_dispatches(self, agent_id: str) -> bool:
+        """Return whether a dispatch at an agent may still start or runs."""
+
 
 class AgentLink:
     """Keeps one stream to an agent open, and opens it again when it breaks.
@@ -84,6 +88,7 @@
         self._outbox: Outbox[OutboxItem] | None = None
         self._retired = False
         self._results_received = 0
+        self._renewals = RenewalSchedule()
 
     def send(self, item: OutboxItem) -> None:
         """Send an item with what else is ready."""
@@ -133,11 +138,12 @@
         outbox: Outbox[OutboxItem] = Outbox()
         self._outbox = outbox
         self._results_received = 0
+        self._renewals = RenewalSchedule()
         self._listener.agent_connected(welcome)
         directions = {
             asyncio.create_task(self._receive(stream)),
             asyncio.create_task(self._send_forever(stream, outbox)),
-            asyncio.create_task(_renew_forever(outbox)),
+            asyncio.create_task(self._renew_forever(outbox)),
         }
         try:
             await asyncio.wait(directions, return_when=asyncio.FIRST_COMPLETED)
@@ -160,17 +166,31 @@
     async def _send_forever(
         self, stream: Stream[ToAgent, FromAgent], outbox: Outbox[OutboxItem]
     ) -> None:
+        clock = asyncio.get_running_loop().time
         while True:
             items = await outbox.take()
+            if self._renewals.due(clock(), has_dispatches=_has_dispatch(items)):
+                items.insert(0, RENEWAL)
             for message in envelopes(items, self._results_received):
                 self._traffic.sent(message)
+                self._renewals.sent(
+                    clock(),
+                    message.results_received,
+                    renewal=message.renewal is not None,
+                )
                 await stream.send_message(message)
 
+    async def _renew_forever(self, outbox: Outbox[OutboxItem]) -> None:
+        while True:
+            has_open = self._listener.has_open_dispatches(self._member.member_id)
+            received = self._results_received
+            if self._renewals.due_unasked(received, has_open=has_open):
+                outbox.put(RENEWAL)
+            await asyncio.sleep(RENEWAL_PERIOD_S)
+
 
-async def _renew_forever(outbox: Outbox[OutboxItem]) -> None:
-    while True:
-        outbox.put(RENEWAL)
-        await asyncio.sleep(RENEWAL_PERIOD_S)
+def _has_dispatch(items: Iterable[OutboxItem]) -> bool:
+    return any(isinstance(item, Dispatch) for item in items)
 
 
 def envelopes(
--- a/src/verbenaplank/entry/agent_links.py
+++ b/src/verbenaplank/entry/agent_links.py
@@ -44,6 +44,10 @@
         self._runner.engine.agent_disconnected(agent_id, self._clock())
         self._runner.flush_soon()
 
+    def has_open_dispatches(self, agent_id: str) -> bool:
+        """Return whether a dispatch at an agent may still start or runs."""
+        return self._runner.engine.book.has_open(agent_id)
+
 
 class AgentLinks:
     """One link to each agent; closes them at the end of its context."""
--- a/src/verbenaplank/entry/book.py
+++ b/src/verbenaplank/entry/book.py
@@ -164,6 +164,10 @@
         """Return the open dispatches of an agent, oldest first."""
         return tuple(self._by_agent.get(agent_id, {}).values())
 
+    def has_open(self, agent_id: str) -> bool:
+        """Return whether an agent has dispatches whose state is not final."""
+        return bool(self._by_agent.get(agent_id))
+
     def of_job(self, job_id: str) -> tuple[DispatchRecord, ...]:
         """Return the open dispatches of a job, oldest first."""
         return tuple(self._by_job.get(job_id, {}).values())
--- /dev/null
+++ b/tests/entry/test_renewal.py
@@ -0,0 +1,28 @@
+from __future__ import annotations
+
+from verbenaplank.entry.renewal import RENEWAL_PERIOD_S
+from verbenaplank.entry.renewal import RenewalSchedule
+
+
+def test_entry_with_nothing_at_an_agent_sends_it_no_renewal() -> None:
+    schedule = RenewalSchedule()
+
+    assert not schedule.due_unasked(0, has_open=False)
+    assert schedule.due_unasked(0, has_open=True)
+
+
+def test_first_dispatch_after_a_pause_brings_a_renewal_along() -> None:
+    schedule = RenewalSchedule()
+    schedule.sent(10.0, 0, renewal=True)
+
+    assert not schedule.due(10.0 + RENEWAL_PERIOD_S / 2, has_dispatches=True)
+    assert schedule.due(10.0 + RENEWAL_PERIOD_S, has_dispatches=True)
+    assert not schedule.due(10.0 + RENEWAL_PERIOD_S, has_dispatches=False)
+
+
+def test_results_are_acknowledged_although_nothing_else_is_ready() -> None:
+    schedule = RenewalSchedule()
+    schedule.sent(10.0, 3, renewal=False)
+
+    assert not schedule.due_unasked(3, has_open=False)
+    assert schedule.due_unasked(4, has_open=False)
