Let the state machine of the entry's decisions make progress

Change: rules that let agents receive, start and end what they have; one fault at a time; a member that leaves and joins while its stream stands.

--- a/tests/entry/agent_model.py
+++ b/tests/entry/agent_model.py
@@ -25,7 +25,6 @@
     agent_id: str
     incarnation: int = 1
     connected: bool = True
-    member: bool = True
     in_flight: deque[Item] = attrs.field(factory=deque)
     strayed: list[Item] = attrs.field(factory=list)
     accepted: dict[int, work.Dispatch] = attrs.field(factory=dict)
--- a/tests/entry/test_engine_stateful.py
+++ b/tests/entry/test_engine_stateful.py
@@ -14,20 +14,18 @@
 from entry.agent_model import Task
 from entry.driver import Driver
 from entry.driver import submission
+from entry.messages import SUCCEEDED
 from entry.messages import agent_member
 from verbenaplank.outcome.failure import Run
-from verbenaplank.protocol import work
+from verbenaplank.protocol.work import FromAgent
+from verbenaplank.protocol.work import TaskOutcome
 
 if TYPE_CHECKING:
     from verbenaplank.entry.submission import Submission
 
 AGENTS = ("a", "b", "c")
-OUTCOMES = (
-    work.TaskOutcome.SUCCEEDED,
-    work.TaskOutcome.SUCCEEDED,
-    work.TaskOutcome.SUCCEEDED,
-    work.TaskOutcome.FAILED,
-    work.TaskOutcome.CONNECTION_LOST,
+OUTCOME = st.sampled_from(
+    [SUCCEEDED, SUCCEEDED, TaskOutcome.FAILED, TaskOutcome.CONNECTION_LOST]
 )
 PICK = st.integers(min_value=0, max_value=1_000_000)
 AGENT = st.sampled_from(AGENTS)
@@ -42,7 +40,7 @@
         self.driver.learn()
         self.agents = {name: AgentModel(name) for name in AGENTS}
         self.submitted: dict[str, Submission] = {}
-        self.said: list[tuple[str, work.FromAgent]] = []
+        self.said: list[tuple[str, FromAgent]] = []
 
     @rule(count=st.integers(1, 5), max_runs=st.sampled_from([1, 1, 1, 2, 3]))
     def submit(self, count: int, max_runs: int) -> None:
@@ -59,52 +57,26 @@
         self.driver.engine.submit(request, self.driver.now_s)
         self._settle()
 
-    @precondition(lambda self: self.submitted)
-    @rule(pick=PICK)
-    def cancel(self, pick: int) -> None:
-        self.driver.cancel(f"job-{pick % len(self.submitted)}")
-        self._settle()
-
-    @rule(seconds=st.sampled_from([0.01, 0.3, 0.6, 3.0]))
-    def pass_time(self, seconds: float) -> None:
-        self.driver.advance(seconds)
-        self._settle()
-
-    @rule()
-    def lapse_lease(self) -> None:
-        self.driver.lease_since_s = float("inf")
-        self.driver.advance(0.0)
-        self.driver.lease_since_s = self.driver.now_s
-        self._settle()
+    @rule(steps=st.lists(st.sampled_from(["deliver", "start", "end"]), max_size=5))
+    def work(self, steps: list[str]) -> None:
+        """Let agents receive, start and end what they have, in some order."""
+        for agent in self.agents.values():
+            for step in steps:
+                self._work(agent, step)
 
-    @rule(name=AGENT, count=st.integers(1, 4))
-    def deliver(self, name: str, count: int) -> None:
+    @rule(name=AGENT, outcome=OUTCOME)
+    def work_to_an_end(self, name: str, outcome: TaskOutcome) -> None:
         agent = self.agents[name]
-        for _ in range(min(count, len(agent.in_flight))):
-            if agent.in_flight:
-                self._say(agent, agent.receive(agent.in_flight.popleft()))
+        for step in ("deliver", "start", "end"):
+            self._work(agent, step, outcome)
 
     @precondition(lambda self: any(a.strayed for a in self.agents.values()))
-    @rule(name=AGENT, pick=PICK)
-    def deliver_strayed(self, name: str, pick: int) -> None:
-        agent = self.agents[name]
-        if agent.strayed:
-            item = agent.strayed.pop(pick % len(agent.strayed))
-            self._say(agent, agent.receive(item))
-
-    @rule(name=AGENT, count=st.integers(1, 3))
-    def start(self, name: str, count: int) -> None:
-        agent = self.agents[name]
-        for dispatch_id in list(agent.accepted)[:count]:
-            agent.start(dispatch_id)
-
-    @rule(name=AGENT, outcome=st.sampled_from(OUTCOMES), pick=PICK)
-    def end(self, name: str, outcome: work.TaskOutcome, pick: int) -> None:
-        agent = self.agents[name]
-        if agent.running:
-            dispatch_id = list(agent.running)[pick % len(agent.running)]
-            result = agent.end(dispatch_id, outcome)
-            self._say(agent, work.FromAgent(results=(result,)))
+    @rule(pick=PICK)
+    def deliver_strayed(self, pick: int) -> None:
+        agents = [agent for agent in self.agents.values() if agent.strayed]
+        agent = agents[pick % len(agents)]
+        item = agent.strayed.pop(pick % len(agent.strayed))
+        self._say(agent, agent.receive(item))
 
     @precondition(lambda self: self.said)
     @rule(pick=PICK, name=AGENT)
@@ -115,42 +87,50 @@
             self.driver.say(name, message)
             self._settle()
 
-    @rule(name=AGENT)
-    def break_stream(self, name: str) -> None:
+    @precondition(lambda self: all(agent.connected for agent in self.agents.values()))
+    @rule(name=AGENT, fault=st.sampled_from(["break", "break", "restart", "leave"]))
+    def fail(self, name: str, fault: str) -> None:
         agent = self.agents[name]
-        if agent.connected:
+        if fault == "restart":
+            agent.restart()
+        else:
             agent.break_stream()
-            self.driver.disconnect(name)
-            self._settle()
-
-    @rule(name=AGENT)
-    def restart(self, name: str) -> None:
-        agent = self.agents[name]
-        was_connected = agent.connected
-        agent.restart()
-        if was_connected:
-            self.driver.disconnect(name)
-            self._settle()
-
-    @rule(name=AGENT)
-    def leave(self, name: str) -> None:
-        agent = self.agents[name]
-        if agent.member:
-            agent.member = False
+        self.driver.disconnect(name)
+        if fault == "leave":
             self.driver.leave(name)
-            self._settle()
+        self._settle()
+
+    @precondition(
+        lambda self: not all(agent.connected for agent in self.agents.values())
+    )
+    @rule()
+    def come_back(self) -> None:
+        for agent in self.agents.values():
+            if not agent.connected:
+                agent.connected = True
+                self.driver.join(agent.agent_id, str(agent.incarnation), slots=2)
+        self._settle()
 
     @rule(name=AGENT)
-    def come_back(self, name: str) -> None:
+    def blink(self, name: str) -> None:
+        """A member leaves and joins again while its stream stands."""
         agent = self.agents[name]
-        if agent.member and agent.connected:
-            return
-        agent.member = True
+        self.driver.leave(name)
         member = agent_member(name, str(agent.incarnation), slots=2)
         self.driver.engine.member_joined(member, self.driver.now_s)
-        if not agent.connected:
-            agent.connected = True
-            self.driver.connect(name, str(agent.incarnation), slots=2)
+        self._settle()
+
+    @precondition(lambda self: self.submitted)
+    @rule(pick=PICK, event=st.sampled_from(["cancel", "time", "time", "lapse"]))
+    def pass_time(self, pick: int, event: str) -> None:
+        if event == "cancel":
+            self.driver.cancel(f"job-{pick % len(self.submitted)}")
+        elif event == "lapse":
+            self.driver.lease_since_s = float("inf")
+            self.driver.advance(0.0)
+            self.driver.lease_since_s = self.driver.now_s
+        else:
+            self.driver.advance((0.01, 0.2, 0.6, 3.0)[pick % 4])
         self._settle()
 
     @invariant()
@@ -191,7 +171,21 @@
         assert len(self.driver.engine.jobs) == 0
         assert len(self.driver.queue) == 0
 
-    def _say(self, agent: AgentModel, message: work.FromAgent | None) -> None:
+    def _work(
+        self, agent: AgentModel, step: str, outcome: TaskOutcome = SUCCEEDED
+    ) -> None:
+        if step == "deliver" and agent.in_flight:
+            for _ in range(len(agent.in_flight)):
+                self._say(agent, agent.receive(agent.in_flight.popleft()))
+        elif step == "start":
+            for dispatch_id in list(agent.accepted):
+                agent.start(dispatch_id)
+        elif step == "end":
+            for dispatch_id in list(agent.running)[:2]:
+                ended = agent.end(dispatch_id, outcome)
+                self._say(agent, FromAgent(results=(ended,)))
+
+    def _say(self, agent: AgentModel, message: FromAgent | None) -> None:
         if message is None or not agent.connected:
             return
         self.said.append((agent.agent_id, message))
