--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -20,7 +20,6 @@
 from verbenaplank.control.currency import Currency
 from verbenaplank.control.first_document import load_first_document
 from verbenaplank.control.http import http_application
-from verbenaplank.control.http_server import serve_http
 from verbenaplank.control.join_service import JoinService
 from verbenaplank.control.join_session import SessionContext
 from verbenaplank.control.lease_keeper import LeaseKeeper
@@ -28,6 +27,7 @@
 from verbenaplank.control.registrar_epochs import RegistrarEpochs
 from verbenaplank.control.renewal_forwarder import RenewalForwarder
 from verbenaplank.control.replication import SharedBarrier
+from verbenaplank.http.server import HttpServer
 from verbenaplank.observability.metrics import Metrics
 from verbenaplank.rpc.endpoint import serve
 
@@ -38,6 +38,7 @@
 
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
+    from verbenaplank.configuration.commands import LoadDocument
     from verbenaplank.membership.renewals import RenewalReply
     from verbenaplank.settings.common import ControlPeer
     from verbenaplank.settings.control import ControlSettings
@@ -46,6 +47,7 @@
 """A read barrier may take so many election timeouts, so that it outlives one."""
 
 TICK_S = 0.05
+HTTP_STOP_TIMEOUT_S = 10.0
 
 
 class ControlInstance:
@@ -122,15 +124,13 @@
             await stack.enter_async_context(_running(self._forwarder.run()))
             await stack.enter_async_context(_running(self._registrar.run()))
             await stack.enter_async_context(_running(self._tick()))
-            first = bootstrap(
-                self.log, self.machine, document, self._peers(), self._wall_clock
-            )
-            await stack.enter_async_context(_running(first))
+            await stack.enter_async_context(_running(self._bootstrap(document)))
             http = http_application(
-                self._administration, self._is_ready, self._metrics.render
+                self._administration, self.is_ready, self._metrics.render
             )
-            listening = serve_http(http, self._settings.http.address)
-            self.http_address = await stack.enter_async_context(listening)
+            server = HttpServer(http, self._settings.http.address, HTTP_STOP_TIMEOUT_S)
+            await stack.enter_async_context(server)
+            self.http_address = server.address
             self._stack = stack.pop_all()
         return self
 
@@ -158,7 +158,7 @@
             ("member_streams", streams, lambda: len(self._members)),
             ("commit_index", commits, lambda: self.log.commit_index),
             ("leads", "1 if this instance leads", lambda: self.log.is_leader),
-            ("ready", "1 if a quorum backs this instance", self._is_ready),
+            ("ready", "1 if a quorum backs this instance", self.is_ready),
         )
         for name, description, read in gauges:
             self._metrics.gauge(f"verbenaplank_control_{name}", description, read)
@@ -166,9 +166,18 @@
     def _configuration_version(self) -> int:
         return self.machine.configuration.version
 
-    def _is_ready(self) -> bool:
+    async def _bootstrap(self, document: LoadDocument | None) -> None:
+        await bootstrap(
+            self.log, self.machine, document, self._peers(), self._wall_clock
+        )
+        self._administration.open()
+
+    def is_ready(self) -> bool:
+        """Return whether a quorum backs the instance and it answers operators."""
         if self._currency.is_retired or self.log.storage_error:
             return False
+        if not self._administration.is_open:
+            return False
         return self._currency.is_current()
 
     def _session_context(self) -> SessionContext:
