Measure a fleet with faults; one benchmark of processes in place of two

Cause 1: demo.benchmark and benchmarks.fleet_load did the same; the latter waited for nothing, since probe() now returns a response, which is always true. Cause 2: faults had been measured in the model only.

--- a/benchmarks/fleet_load.py
+++ b/benchmarks/fleet_load.py
@@ -9,17 +9,20 @@
 import json
 import tempfile
 import time
+from contextlib import contextmanager
+from enum import StrEnum
 from pathlib import Path
+from typing import TYPE_CHECKING
 from typing import Annotated
+from typing import Any
 
 import attrs
-import tomlkit
+import httpx
 import typer
-from demo.__main__ import probe
-from demo.__main__ import section
+from demo.__main__ import first_document
+from demo.__main__ import wait_for_agents
 from demo.cluster import Processes
-from demo.documents import CARE_TOKEN
-from demo.documents import FIXTURES_TOKEN
+from demo.documents import HOST
 from demo.documents import SERVICES
 from demo.fleet import Fleet
 from demo.fleet import start_fleet
@@ -31,12 +34,35 @@
 from verbenaplank.bench.process_use import processor_time_s
 from verbenaplank.bench.scenario import SLOWNESS
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from verbenaplank.bench.load_report import LoadReport
+
 CONTROL_COUNT = 3
 ENTRY_COUNT = 3
 TEAM = "fixtures"
 MEASURED = ("control-1", "entry-1", "agent-1")
 SETTLING_S = 8.0
-POLL_PERIOD_S = 0.1
+MICROSECONDS_PER_SECOND = 1_000_000
+
+
+class Fault(StrEnum):
+    """What is wrong with some backend servers."""
+
+    NONE = "none"
+    TWO_SLOW = "two_slow"
+    ONE_FAILING = "one_failing"
+    ONE_STALLED = "one_stalled"
+
+
+FAULTS: dict[Fault, tuple[int, dict[str, Any]]] = {
+    Fault.NONE: (0, {}),
+    Fault.TWO_SLOW: (2, {"slow_factor": 4.0}),
+    Fault.ONE_FAILING: (1, {"failure": "fail"}),
+    Fault.ONE_STALLED: (1, {"failure": "stall"}),
+}
+"""How many backend servers have a fault, and what it changes in them."""
 
 
 def main(
@@ -45,12 +71,42 @@
     length_s: float = 30.0,
     seed: int = 1,
     burst_factor: float = 1.0,
+    fault: Fault = Fault.NONE,
     slopes_path: str = "",
     json_path: str = "",
 ) -> None:
     """Run the loads one after the other on one fleet."""
-    console = Console(width=100)
-    reports = []
+    settings = LoadSettings(
+        entry_urls=(),
+        workload=workload,
+        burst_factor=burst_factor,
+        length_s=length_s,
+        seed=seed,
+        slowness=SLOWNESS,
+        service=SERVICES[0],
+        team=TEAM,
+    )
+    with running_fleet() as (processes, fleet):
+        uses = {"idle": measure_all(processes)} if slopes_path else {}
+        bring_about(fault, fleet)
+        urls = tuple(fleet.entry_urls.values())
+        reports = [
+            measure_load(
+                processes, fleet, attrs.evolve(settings, entry_urls=urls, load=each)
+            )
+            for each in load
+        ]
+        if slopes_path:
+            uses["loaded"] = measure_all(processes)
+            write_uses(Path(slopes_path), uses, reports)
+    if json_path:
+        Path(json_path).write_text(json.dumps(reports, indent=1) + "\n")
+
+
+@contextmanager
+def running_fleet() -> Iterator[tuple[Processes, Fleet]]:
+    """Start a fleet and wait until it serves and has settled."""
+    speeds = [1 / slowness for slowness in SLOWNESS]
     with tempfile.TemporaryDirectory() as name, Processes(Path(name)) as processes:
         fleet = start_fleet(
             processes,
@@ -58,60 +114,55 @@
             first_document(),
             CONTROL_COUNT,
             ENTRY_COUNT,
-            [1 / slowness for slowness in SLOWNESS],
+            speeds,
         )
         wait_for_agents(fleet)
         time.sleep(SETTLING_S)
-        uses = {"idle": measure_all(processes, fleet)} if slopes_path else {}
-        for each in load:
-            settings = LoadSettings(
-                entry_urls=tuple(fleet.entry_urls.values()),
-                workload=workload,
-                load=each,
-                burst_factor=burst_factor,
-                length_s=length_s,
-                seed=seed,
-                slowness=SLOWNESS,
-                service=SERVICES[0],
-                team=TEAM,
-            )
-            before_s = processor_times_s(processes, fleet)
-            report = run_load(settings)
-            after_s = processor_times_s(processes, fleet)
-            console.print(f"load {each} of {workload}, {length_s} s, seed {seed}")
-            console.print(report.to_table())
-            tasks = max(1.0, report.goodput_tasks_per_s * length_s)
-            spent_us = {
-                role: round((after_s[role] - before_s[role]) / tasks * 1e6)
-                for role in after_s
-            }
-            console.print(f"processor time per task, us, all instances: {spent_us}")
-            reports.append({"load": each, **attrs.asdict(report), "us": spent_us})
-        if slopes_path:
-            uses["loaded"] = measure_all(processes, fleet)
-            write_uses(Path(slopes_path), uses, reports)
-    if json_path:
-        Path(json_path).write_text(json.dumps(reports, indent=1) + "\n")
-
-
-def first_document() -> str:
-    """Return the first configuration document as TOML text."""
-    services = {"services": {name: {"run_time_ms": 200.0} for name in SERVICES}}
-    sections = {
-        TEAM: section(TEAM, FIXTURES_TOKEN, tomlkit.dumps(services)),
-        "care": {**section("care", CARE_TOKEN, ""), "grants": ["drains"]},
+        yield processes, fleet
+
+
+def bring_about(fault: Fault, fleet: Fleet) -> None:
+    """Change the behaviour of some backend servers of middling speed."""
+    count, changes = FAULTS[fault]
+    ports = list(fleet.backend_ports.values())
+    middle = (len(ports) - count) // 2
+    speeds = [1 / slowness for slowness in SLOWNESS]
+    for index in range(middle, middle + count):
+        behaviour = {"speed": speeds[index], **changes}
+        url = f"http://{HOST}:{ports[index]}/behaviour"
+        httpx.put(url, json=behaviour, trust_env=False).raise_for_status()
+
+
+def measure_load(
+    processes: Processes, fleet: Fleet, settings: LoadSettings
+) -> dict[str, Any]:
+    """Run one load, print its figures and return them."""
+    before_s = processor_times_s(processes, fleet)
+    report = run_load(settings)
+    after_s = processor_times_s(processes, fleet)
+    tasks = max(1.0, report.goodput_tasks_per_s * settings.length_s)
+    spent_us = {
+        role: round((after_s[role] - before_s[role]) / tasks * MICROSECONDS_PER_SECOND)
+        for role in after_s
     }
-    return tomlkit.dumps({"sections": sections})
+    print_report(settings, report, spent_us)
+    return {"load": settings.load, **attrs.asdict(report), "us": spent_us}
 
 
-def wait_for_agents(fleet: Fleet) -> None:
-    """Wait until every entry has a route to the service."""
-    for url in fleet.entry_urls.values():
-        while not probe(url):
-            time.sleep(POLL_PERIOD_S)
+def print_report(
+    settings: LoadSettings, report: LoadReport, spent_us: dict[str, int]
+) -> None:
+    """Print the figures of one load."""
+    console = Console(width=100)
+    console.print(
+        f"load {settings.load} of {settings.workload}, {settings.length_s} s, "
+        f"seed {settings.seed}"
+    )
+    console.print(report.to_table())
+    console.print(f"processor time per task, us, all instances: {spent_us}")
 
 
-def measure_all(processes: Processes, fleet: Fleet) -> dict[str, dict[str, float]]:
+def measure_all(processes: Processes) -> dict[str, dict[str, float]]:
     """Measure one process of each role."""
     return {
         name.partition("-")[0]: attrs.asdict(measure_process(processes.pid(name)))
@@ -133,7 +184,9 @@
 
 
 def write_uses(
-    path: Path, uses: dict[str, dict[str, dict[str, float]]], reports: list[object]
+    path: Path,
+    uses: dict[str, dict[str, dict[str, float]]],
+    reports: list[dict[str, Any]],
 ) -> None:
     """Add what the processes use to the slopes file."""
     document = json.loads(path.read_text())
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -35,7 +35,12 @@
     control_urls: dict[str, str]
     entry_urls: dict[str, str]
     agents: tuple[str, ...]
-    backend_servers: tuple[str, ...]
+    backend_ports: dict[str, int]
+
+    @property
+    def backend_servers(self) -> tuple[str, ...]:
+        """Return the names of the backend servers' processes."""
+        return tuple(self.backend_ports)
 
 
 def start_fleet(
@@ -66,7 +71,7 @@
         control_urls=control_urls,
         entry_urls=entry_urls,
         agents=agents,
-        backend_servers=tuple(backend_ports),
+        backend_ports=backend_ports,
     )
 
 
