--- a/src/verbenaplank/claims/link.py
+++ b/src/verbenaplank/claims/link.py
@@ -7,15 +7,12 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from grpclib.exceptions import GRPCError
-from grpclib.exceptions import ProtocolError
-from grpclib.exceptions import StreamTerminatedError
-
 from verbenaplank.protocol.claims import Claim
 from verbenaplank.protocol.claims import ClaimRelease
 from verbenaplank.protocol.claims import ToRegistrar
 from verbenaplank.rpc.address import parse_address
 from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.failures import STREAM_FAILURES
 from verbenaplank.rpc.outbox import Outbox
 from verbenaplank.rpc.services import CLAIM
 
@@ -33,7 +30,6 @@
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 1.0
-LINK_FAILURES = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
 
 
 class RegistrarLink:
@@ -88,7 +84,7 @@
     async def _run(self) -> None:
         delay_s = RECONNECT_MIN_S
         while True:
-            with suppress(*LINK_FAILURES):
+            with suppress(*STREAM_FAILURES):
                 await self._serve_one_stream()
             delay_s = RECONNECT_MIN_S if self.connected else delay_s * 2
             delay_s = min(RECONNECT_MAX_S, delay_s)
--- a/src/verbenaplank/consensus/links.py
+++ b/src/verbenaplank/consensus/links.py
@@ -6,13 +6,10 @@
 import logging
 from typing import TYPE_CHECKING
 
-from grpclib.exceptions import GRPCError
-from grpclib.exceptions import ProtocolError
-from grpclib.exceptions import StreamTerminatedError
-
 from verbenaplank.protocol.consensus import ConsensusEnvelope
 from verbenaplank.protocol.consensus import PeerMessage
 from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.failures import STREAM_FAILURES
 from verbenaplank.rpc.method import StreamMethod
 from verbenaplank.rpc.outbox import Outbox
 
@@ -34,7 +31,6 @@
 MAX_ENVELOPE_BYTES = 2 * 1024 * 1024
 
 _logger = logging.getLogger(__name__)
-_LINK_ERRORS = (OSError, GRPCError, StreamTerminatedError, ProtocolError)
 
 
 class PeerLink:
@@ -69,7 +65,7 @@
             with connect(self._peer.address, self._tls) as channel:
                 try:
                     await self._use(channel)
-                except* _LINK_ERRORS as group:
+                except* STREAM_FAILURES as group:
                     _logger.debug(
                         "link to %s: %s", self._peer.instance_id, group.exceptions
                     )
--- a/src/verbenaplank/control/renewal_forwarder.py
+++ b/src/verbenaplank/control/renewal_forwarder.py
@@ -6,15 +6,12 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from grpclib.exceptions import GRPCError
-from grpclib.exceptions import ProtocolError
-from grpclib.exceptions import StreamTerminatedError
-
 from verbenaplank.membership.renewals import RENEW
 from verbenaplank.membership.renewals import Renewal
 from verbenaplank.membership.renewals import RenewalBatch
 from verbenaplank.membership.renewals import RenewalReply
 from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.failures import STREAM_FAILURES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,8 +30,6 @@
 REPLY_TIMEOUT_S = 1.0
 RETRY_S = 0.1
 
-LEADER_FAILURES = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
-
 
 class RenewalForwarder:
     """Collects renewals and hands the leader's answers to a listener.
@@ -90,7 +85,7 @@
     async def _forward(self, leader_id: str) -> None:
         """Keep a stream to one leader until it fails or no longer leads."""
         address = self._addresses[leader_id]
-        with suppress(*LEADER_FAILURES), connect(address, self._tls) as channel:
+        with suppress(*STREAM_FAILURES), connect(address, self._tls) as channel:
             async with RENEW.open(channel) as stream:
                 while self._log.leader_id == leader_id:
                     await self._ready.wait()
@@ -112,7 +107,7 @@
             if reply is not None and reply.leads:
                 self._deliver(reply)
                 return True
-        except LEADER_FAILURES:
+        except STREAM_FAILURES:
             self._put_back(batch)
             raise
         self._put_back(batch)
--- a/src/verbenaplank/entry/peer_client.py
+++ b/src/verbenaplank/entry/peer_client.py
@@ -6,9 +6,6 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from grpclib.exceptions import GRPCError
-from grpclib.exceptions import ProtocolError
-from grpclib.exceptions import StreamTerminatedError
 
 from verbenaplank.clock.sources import MonotonicClock
 from verbenaplank.entry.answer import Answer
@@ -23,6 +20,7 @@
 from verbenaplank.protocol.peer import CancelRequest
 from verbenaplank.rpc.address import parse_address
 from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.failures import STREAM_FAILURES
 from verbenaplank.rpc.services import ATTACH
 from verbenaplank.rpc.services import CANCEL
 from verbenaplank.settings.common import TlsSettings
@@ -40,7 +38,6 @@
 ANSWER_GRACE_S = 2.0
 """How long after its deadline the owner's answer is still waited for."""
 
-UNREACHABLE = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
 
 OWNER_GONE = Rejection(
     kind=FailureKind.OUTCOME_UNKNOWN, detail="the entry that owns the job is gone"
@@ -81,7 +78,7 @@
         while self.clock() < give_up_s:
             try:
                 reply = await self._ask(decision.owner_address, request)
-            except UNREACHABLE:
+            except STREAM_FAILURES:
                 if not self._is_member(decision):
                     return self._failed(OWNER_GONE, submission.job_id)
                 await asyncio.sleep(RETRY_PAUSE_S)
@@ -132,7 +129,7 @@
         while self.clock() < deadline_s + ANSWER_GRACE_S:
             try:
                 reply = await self._ask(peer.address, request)
-            except UNREACHABLE:
+            except STREAM_FAILURES:
                 return None
             if reply.state is AttachState.ANSWERED:
                 return Answer(status=reply.status, body=reply.body)
@@ -147,7 +144,7 @@
             with connect(parse_address(peer.address), self.tls) as channel:
                 request = CancelRequest(job_id=job_id)
                 await CANCEL.call(channel, request, CALL_TIMEOUT_S)
-        except UNREACHABLE:
+        except STREAM_FAILURES:
             return
 
     async def _ask(self, address: str, request: AttachRequest) -> AttachReply:
--- a/src/verbenaplank/membership/link.py
+++ b/src/verbenaplank/membership/link.py
@@ -7,16 +7,13 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from grpclib.exceptions import GRPCError
-from grpclib.exceptions import ProtocolError
-from grpclib.exceptions import StreamTerminatedError
-
 from verbenaplank.membership.link_state import LinkEvent
 from verbenaplank.membership.link_state import LinkState
 from verbenaplank.protocol.membership import Heartbeat
 from verbenaplank.protocol.membership import Member
 from verbenaplank.protocol.membership import ToControl
 from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.failures import STREAM_FAILURES
 from verbenaplank.rpc.services import JOIN
 
 if TYPE_CHECKING:
@@ -47,8 +44,6 @@
 MAX_BACKOFF_S = 2.0
 LEAVE_TIMEOUT_S = 2.0
 
-LINK_FAILURES = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
-
 
 class MemberLink:
     """Keeps a member joined to the system through one control instance.
@@ -190,7 +185,7 @@
     async def _try_session(self, peer: ControlPeer) -> bool:
         """Stay with one instance; return whether it ever was current."""
         self._joined = False
-        with suppress(*LINK_FAILURES), connect(peer.address, self._tls) as channel:
+        with suppress(*STREAM_FAILURES), connect(peer.address, self._tls) as channel:
             async with JOIN.open(channel) as stream:
                 await self._session(stream)
         return self._joined
@@ -204,7 +199,7 @@
             await self._receive(stream)
         finally:
             sender.cancel()
-            with suppress(asyncio.CancelledError, *LINK_FAILURES):
+            with suppress(asyncio.CancelledError, *STREAM_FAILURES):
                 await sender
 
     async def _send_heartbeats(self, stream: Stream[ToControl, FromControl]) -> None:
--- /dev/null
+++ b/src/verbenaplank/rpc/failures.py
@@ -0,0 +1,10 @@
+"""What a call or stream between two processes fails with."""
+
+from __future__ import annotations
+
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import ProtocolError
+from grpclib.exceptions import StreamTerminatedError
+
+STREAM_FAILURES = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
+"""The peer refused, is gone, or did not answer; ``OSError`` covers timeouts."""
