Say why a program cannot start, without a traceback

Cause: an occupied port, a data folder in use or damaged, or a faulty first document ended a program with a traceback. Change: storage errors have a common base; the cause is printed and the exit code is 2.

--- a/src/verbenaplank/console/program.py
+++ b/src/verbenaplank/console/program.py
@@ -8,6 +8,7 @@
 import sys
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
+from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -17,6 +18,7 @@
 from verbenaplank.observability.logs import configure_logging
 from verbenaplank.settings.checker import SettingsError
 from verbenaplank.settings.checker import load_settings
+from verbenaplank.storage.errors import StorageError
 
 if TYPE_CHECKING:
     from verbenaplank.settings.common import LoggingSettings
@@ -88,14 +90,32 @@
 async def run_until_stopped(
     context: AbstractAsyncContextManager[Instance],
 ) -> None:
-    """Run an instance until a signal stops it, then drain it."""
+    """Run an instance until a signal stops it, then drain it.
+
+    Raises
+    ------
+    SystemExit
+        With ``ExitCode.USAGE`` if the instance cannot start; the cause is
+        printed.
+    """
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stopped.set)
-    async with context as instance:
+    async with AsyncExitStack() as stack:
+        instance = await _enter_or_exit(stack, context)
         logger.info("serving")
         await stopped.wait()
         logger.info("draining")
         await instance.drain()
     logger.info("stopped")
+
+
+async def _enter_or_exit(
+    stack: AsyncExitStack, context: AbstractAsyncContextManager[Instance]
+) -> Instance:
+    try:
+        return await stack.enter_async_context(context)
+    except (OSError, SettingsError, StorageError) as error:
+        print(f"cannot start: {error}", file=sys.stderr)
+        raise SystemExit(ExitCode.USAGE) from error
--- a/src/verbenaplank/storage/errors.py
+++ b/src/verbenaplank/storage/errors.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 
-class DamagedFileError(Exception):
+class StorageError(Exception):
+    """The data folder cannot be used."""
+
+
+class DamagedFileError(StorageError):
     """A file holds something else than what was synced to it.
 
     Attributes
@@ -20,13 +24,13 @@
         self.offset_bytes = offset_bytes
 
 
-class StorageFullError(Exception):
+class StorageFullError(StorageError):
     """There is no room for a write; nothing that was synced is lost."""
 
 
-class WrongInstanceError(Exception):
+class WrongInstanceError(StorageError):
     """The data folder belongs to another instance."""
 
 
-class FolderInUseError(Exception):
+class FolderInUseError(StorageError):
     """Another process holds the data folder."""
