--- a/src/verbenaplank/bench/capacity_model.py
+++ b/src/verbenaplank/bench/capacity_model.py
@@ -10,6 +10,8 @@
 from verbenaplank.bench.target import SECONDS_PER_DAY
 from verbenaplank.bench.target import Layout
 from verbenaplank.bench.target import Target
+from verbenaplank.entry.renewal import ACKNOWLEDGEMENT_PERIOD_S
+from verbenaplank.entry.renewal import RENEWAL_PERIOD_S
 
 FRAME_BYTES = 14
 """gRPC prefix and HTTP/2 frame header."""
@@ -104,7 +106,7 @@
     entry_starts_per_s = target.starts_per_s / entries
     agent_starts_per_s = target.starts_per_s / target.workers
     renewal_us = slopes.us("stream.message.1_dispatches")
-    renewals_per_s = _renewals_per_s(target, layout, agent_streams)
+    renewals_per_s = _renewals_per_s(target, agent_streams)
     renewal_share = entry_streams * renewal_us * renewals_per_s
     stream_bytes = slopes.size("stream.open")
     claims_per_s = target.starts_per_s / target.tasks_per_job
@@ -167,13 +169,21 @@
     return entry_streams, math.ceil(entry_streams * entries / target.workers)
 
 
-def _renewals_per_s(target: Target, layout: Layout, agent_streams: int) -> float:
-    """Return the renewals a second on one stream."""
-    if layout.renews_idle_streams:
-        return 1.0 / layout.renewal_period_s
-    in_progress = target.starts_per_s / target.workers * target.run_time_s
-    busy_share = 1.0 - math.exp(-in_progress / max(agent_streams, 1))
-    return busy_share / layout.renewal_period_s
+def _renewals_per_s(target: Target, agent_streams: int) -> float:
+    """Return the messages a second on one stream that carry no dispatch.
+
+    One goes out in a period in which a task is open and no dispatch leaves, and
+    one for results that no dispatch acknowledges in time.
+    """
+    streams = max(agent_streams, 1)
+    starts_per_s = target.starts_per_s / target.workers / streams
+    open_share = 1.0 - math.exp(-starts_per_s * target.run_time_s)
+    quiet_share = math.exp(-starts_per_s * RENEWAL_PERIOD_S)
+    unacknowledged = math.exp(-starts_per_s * ACKNOWLEDGEMENT_PERIOD_S)
+    return (
+        open_share * quiet_share / RENEWAL_PERIOD_S
+        + unacknowledged * (1.0 - unacknowledged) / ACKNOWLEDGEMENT_PERIOD_S
+    )
 
 
 def _claims_at_each(claims_per_s: float, layout: Layout) -> float:
@@ -199,7 +209,7 @@
 ) -> float:
     heartbeat_us = slopes.us("stream.heartbeat_and_lease") / layout.heartbeat_period_s
     renewal_us = slopes.us("stream.message.1_dispatches")
-    renewal_us *= _renewals_per_s(target, layout, streams)
+    renewal_us *= _renewals_per_s(target, streams)
     rebuild_us = target.teams * slopes.us("member.build_section")
     changes_per_s = target.changes_per_day / SECONDS_PER_DAY
     messages_us = heartbeat_us + streams * renewal_us + changes_per_s * rebuild_us
@@ -222,7 +232,7 @@
     change = slopes.size("section.wire") + MESSAGE_OVERHEAD_BYTES
     return (
         heartbeat / layout.heartbeat_period_s
-        + streams * renewal * _renewals_per_s(target, layout, streams)
+        + streams * renewal * _renewals_per_s(target, streams)
         + change * target.changes_per_day / SECONDS_PER_DAY
     )
 
--- a/src/verbenaplank/entry/agent_link.py
+++ b/src/verbenaplank/entry/agent_link.py
@@ -7,9 +7,6 @@
 from typing import Protocol
 
 import attrs
-from grpclib.exceptions import GRPCError
-from grpclib.exceptions import ProtocolError
-from grpclib.exceptions import StreamTerminatedError
 
 from verbenaplank.entry.renewal import RENEWAL_PERIOD_S
 from verbenaplank.entry.renewal import TASK_LEASE_MS
@@ -21,6 +18,7 @@
 from verbenaplank.protocol.work import ToAgent
 from verbenaplank.rpc.address import parse_address
 from verbenaplank.rpc.endpoint import connect
+from verbenaplank.rpc.failures import STREAM_FAILURES
 from verbenaplank.rpc.outbox import Outbox
 from verbenaplank.rpc.services import WORK
 
@@ -44,7 +42,6 @@
 MAX_PAYLOAD_BYTES_PER_MESSAGE = 1024 * 1024
 RENEWAL = LeaseRenewal(lease_ms=TASK_LEASE_MS)
 
-BROKEN = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
 
 OutboxItem = Dispatch | Revoke | Stop | LeaseRenewal
 
@@ -124,7 +121,7 @@
                         return False
                     await self._serve(stream, welcome)
                     return True
-        except BROKEN:
+        except STREAM_FAILURES:
             return False
 
     async def _greet(self, stream: Stream[ToAgent, FromAgent]) -> AgentWelcome | None:
@@ -181,10 +178,11 @@
                 await stream.send_message(message)
 
     async def _renew_forever(self, outbox: Outbox[OutboxItem]) -> None:
+        clock = asyncio.get_running_loop().time
         while True:
             has_open = self._listener.has_open_dispatches(self._member.member_id)
             received = self._results_received
-            if self._renewals.due_unasked(received, has_open=has_open):
+            if self._renewals.due_unasked(clock(), received, has_open=has_open):
                 outbox.put(RENEWAL)
             await asyncio.sleep(RENEWAL_PERIOD_S)
 
--- a/src/verbenaplank/entry/renewal.py
+++ b/src/verbenaplank/entry/renewal.py
@@ -10,6 +10,8 @@
 
 TASK_LEASE_MS = 3_000.0
 RENEWAL_PERIOD_S = 1.0
+ACKNOWLEDGEMENT_PERIOD_S = 10.0
+"""How long results wait for a message that acknowledges them anyway."""
 
 
 @attrs.define
@@ -20,18 +22,23 @@
     ----------
     renewed_s
         Monotonic time of the last renewal.
+    sent_s
+        Monotonic time of the last message.
     acknowledged_results
         How many results the last message acknowledged.
     """
 
     renewed_s: float = float("-inf")
+    sent_s: float = float("-inf")
     acknowledged_results: int = 0
 
     def due(self, now_s: float, *, has_dispatches: bool) -> bool:
         """Return whether a message with or without dispatches renews the lease."""
-        return has_dispatches and now_s - self.renewed_s >= RENEWAL_PERIOD_S
+        return has_dispatches and self._is_old(now_s)
 
-    def due_unasked(self, received_results: int, *, has_open: bool) -> bool:
+    def due_unasked(
+        self, now_s: float, received_results: int, *, has_open: bool
+    ) -> bool:
         """Return whether a message goes out although nothing else is ready.
 
         Parameters
@@ -41,10 +48,17 @@
         has_open
             Whether a dispatch is open at the agent.
         """
-        return has_open or received_results > self.acknowledged_results
+        if has_open and self._is_old(now_s):
+            return True
+        unacknowledged = received_results > self.acknowledged_results
+        return unacknowledged and now_s - self.sent_s >= ACKNOWLEDGEMENT_PERIOD_S
 
     def sent(self, now_s: float, received_results: int, *, renewal: bool) -> None:
         """Note a message that acknowledged so many results."""
+        self.sent_s = now_s
         self.acknowledged_results = received_results
         if renewal:
             self.renewed_s = now_s
+
+    def _is_old(self, now_s: float) -> bool:
+        return now_s - self.renewed_s >= RENEWAL_PERIOD_S
