Let an entry without a current state vouch for no id

Cause: the check stage judged requests by whatever configuration the entry held. Ruled out: the registrars and the peers' answers; the check stage refuses before either is asked. Change: until a current control instance told the newest state, a request gets 503 not_ready with Retry-After; one that carries an id is told may_have_run.

--- a/src/verbenaplank/entry/book.py
+++ b/src/verbenaplank/entry/book.py
@@ -200,7 +200,7 @@
         return Failure(
             kind=rejection.kind,
             detail=rejection.detail,
-            run=self._run(rejection.kind, self._counts.get(job_id)),
+            run=self._run(rejection, self._counts.get(job_id)),
             findings=rejection.findings,
             retry_after_s=rejection.retry_after_s,
         )
@@ -212,8 +212,9 @@
             self._counts[job_id].answered = True
             self._drop_if_done(job_id)
 
-    def _run(self, kind: FailureKind, counts: _JobCounts | None) -> Run:
-        if kind in (FailureKind.OUTCOME_UNKNOWN, FailureKind.UNKNOWN_JOB):
+    def _run(self, rejection: Rejection, counts: _JobCounts | None) -> Run:
+        unknown = (FailureKind.OUTCOME_UNKNOWN, FailureKind.UNKNOWN_JOB)
+        if rejection.kind in unknown or not rejection.knows_id:
             return Run.MAY_HAVE_RUN
         if counts is None:
             return Run.NOT_RUN
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -53,6 +53,11 @@
     detail="no majority of registrars granted the id",
     retry_after_s=RETRY_AFTER_S,
 )
+NOT_CURRENT = Rejection(
+    kind=FailureKind.NOT_READY,
+    detail="no control instance has told this entry the newest state yet",
+    retry_after_s=RETRY_AFTER_S,
+)
 MAY_BE_USED = Rejection(
     kind=FailureKind.OUTCOME_UNKNOWN,
     detail="the registrars no longer know whether the id was used before",
@@ -103,6 +108,9 @@
     async def submit(self, body: bytes, token: str, *, single: bool) -> Answer:
         """Answer ``POST /v1/jobs`` or, if ``single``, ``POST /v1/requests``."""
         draft = decode_request(body) if single else decode_job(body)
+        if not self._parts.condition().current:
+            has_id = bool(draft.job_id)
+            return self.refuse(attrs.evolve(NOT_CURRENT, knows_id=not has_id))
         checked = check(draft, self._context(token))
         if checked.is_error():
             return self.refuse(checked.error, draft.job_id)
--- a/src/verbenaplank/outcome/rejection.py
+++ b/src/verbenaplank/outcome/rejection.py
@@ -25,9 +25,13 @@
         The places of the input at fault, if any.
     retry_after_s
         After how many seconds a retry makes sense; ``None`` if it does not.
+    knows_id
+        Whether the process could know if the request's id was used before; if
+        not, an earlier submission of it may have run.
     """
 
     kind: FailureKind
     detail: str
     findings: tuple[Finding, ...] = ()
     retry_after_s: float | None = None
+    knows_id: bool = True
