--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -12,6 +12,7 @@
 import attrs
 
 from verbenaplank.agent.availability import BackendWatch
+from verbenaplank.agent.backend import Backend
 from verbenaplank.agent.backend import BackendClient
 from verbenaplank.agent.gate import Gate
 from verbenaplank.agent.gate import GateLimits
@@ -25,6 +26,7 @@
 from verbenaplank.history.event import ignore_event
 from verbenaplank.membership.link import MemberLink
 from verbenaplank.membership.link_state import LinkEventKind
+from verbenaplank.placement.task import Needs
 from verbenaplank.protocol.membership import Member
 from verbenaplank.protocol.membership import MemberRole
 from verbenaplank.protocol.membership import WorkerSize
@@ -48,6 +50,7 @@
 
     STOPPING = "stopping"
     ORDERED = "ordered"
+    BACKEND_SERVER_LEAVING = "backend_server_leaving"
     BACKEND_SERVER_DOWN = "backend_server_down"
 
 
@@ -60,6 +63,9 @@
         Receives an event for each start, end, refusal and for leaving.
     incarnation
         Must differ between two lives of the same agent.
+    backend
+        Runs the tasks and lasts longer than the agent; the worker's size then
+        limits what runs.  By default, a client of the settings' address.
     """
 
     def __init__(
@@ -68,6 +74,7 @@
         clock: MonotonicClock = monotonic_s,
         record: EventHook = ignore_event,
         incarnation: str = "",
+        backend: Backend | None = None,
     ) -> None:
         self._settings = settings
         self._record = record
@@ -75,9 +82,10 @@
         self._gate = Gate(
             incarnation,
             frozenset(settings.backend_server.services),
-            _gate_limits(settings),
+            _gate_limits(settings, sized=backend is not None),
         )
-        self._backend = BackendClient(settings.backend_server)
+        self._owned_backend = BackendClient(settings.backend_server)
+        self._backend = backend or self._owned_backend
         self._watch = BackendWatch(self._backend, self._on_backend_change)
         self._runner = TaskRunner(
             settings.instance_id,
@@ -107,7 +115,7 @@
             If the address cannot be listened on.
         """
         async with AsyncExitStack() as resources:
-            await resources.enter_async_context(self._backend)
+            await resources.enter_async_context(self._owned_backend)
             await resources.enter_async_context(self._runner)
             self._note(EventKind.JOINED)
             await resources.enter_async_context(self._watch)
@@ -143,6 +151,10 @@
         if self._link is not None:
             await self._link.wait_ready()
 
+    def set_draining(self, *, on: bool) -> None:
+        """Refuse dispatches while the backend server is about to leave."""
+        self._set_drain(DrainReason.BACKEND_SERVER_LEAVING, on=on)
+
     async def drain(self) -> None:
         """Refuse new dispatches at once, finish what runs, then leave."""
         self._set_drain(DrainReason.STOPPING, on=True)
@@ -155,6 +167,11 @@
         if self._link is not None:
             await self._link.leave()
 
+    async def leave(self) -> None:
+        """Leave at once, as the backend server is gone."""
+        if self._link is not None:
+            await self._link.leave()
+
     async def _listen(self, resources: AsyncExitStack) -> Address:
         listening = serve(
             [self._streams.service()],
@@ -200,11 +217,18 @@
     return min(settings.backend_server.slots, settings.backend_server.connections)
 
 
-def _gate_limits(settings: AgentSettings) -> GateLimits:
+def _gate_limits(settings: AgentSettings, *, sized: bool) -> GateLimits:
+    worker = settings.worker
+    size = Needs(
+        cores=worker.cores,
+        memory_mb=worker.memory_mb,
+        accelerators=worker.accelerators,
+    )
     return GateLimits(
         slots=_slots(settings),
         max_queued_tasks=settings.limits.max_queued_tasks,
         retention_s=settings.limits.retention_s,
+        size=size if sized else None,
     )
 
 
--- a/src/verbenaplank/agent/availability.py
+++ b/src/verbenaplank/agent/availability.py
@@ -13,7 +13,7 @@
     from types import TracebackType
     from typing import Self
 
-    from verbenaplank.agent.backend import BackendClient
+    from verbenaplank.agent.backend import Backend
 
 PROBE_PERIOD_S = 0.5
 
@@ -25,9 +25,7 @@
     that it is there.
     """
 
-    def __init__(
-        self, backend: BackendClient, on_change: Callable[[bool], None]
-    ) -> None:
+    def __init__(self, backend: Backend, on_change: Callable[[bool], None]) -> None:
         self._backend = backend
         self._on_change = on_change
         self._down = asyncio.Event()
--- a/src/verbenaplank/agent/backend.py
+++ b/src/verbenaplank/agent/backend.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Any
+from typing import Protocol
 
 import attrs
 import msgspec
@@ -37,6 +39,39 @@
     error: str = ""
 
 
+class Backend(Protocol):
+    """What runs the tasks of one agent."""
+
+    @property
+    def can_stop(self) -> bool:
+        """Whether a run can be stopped."""
+
+    async def connect(self) -> object:
+        """Return what one run needs; hand it to :meth:`run`.
+
+        Raises
+        ------
+        BackendServerDownError
+            If the backend server cannot be reached.
+        """
+
+    def give_back(self, connection: Any) -> None:
+        """Take back what :meth:`connect` returned."""
+
+    async def run(
+        self,
+        connection: Any,
+        task_id: str,
+        service: str,
+        payload: bytes,
+        timeout_s: float,
+    ) -> RunReport:
+        """Run a task once; return when it surely runs no longer."""
+
+    async def stop(self, task_id: str) -> None:
+        """Ask that a run is stopped."""
+
+
 class BackendClient:
     """Keeps connections to the backend server; an async context manager."""
 
@@ -99,7 +134,7 @@
         path = self._settings.run_path.replace("{service}", service)
         try:
             async with asyncio.timeout(timeout_s):
-                answer = await connection.post(path, payload, task_id)
+                answer = await connection.post(path, payload, {"Task-Id": task_id})
         except TimeoutError:
             return RunReport(TaskOutcome.TIMED_OUT, error="the run budget is spent")
         except BackendServerError as error:
@@ -113,7 +148,7 @@
         try:
             async with asyncio.timeout(STOP_TIMEOUT_S):
                 connection = await self._open()
-                await connection.post(path, b"{}", task_id)
+                await connection.post(path, b"{}", {"Task-Id": task_id})
         except (BackendServerDownError, BackendServerError, TimeoutError):
             return
         finally:
--- a/src/verbenaplank/agent/connection.py
+++ b/src/verbenaplank/agent/connection.py
@@ -10,6 +10,7 @@
 import h11
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from typing import Self
 
 READ_BYTES = 65_536
@@ -71,7 +72,9 @@
         """Close the connection without waiting."""
         self._writer.close()
 
-    async def post(self, path: str, payload: bytes, task_id: str) -> Answer:
+    async def post(
+        self, path: str, payload: bytes, headers: Mapping[str, str]
+    ) -> Answer:
         """Send one request and return its response.
 
         Raises
@@ -80,7 +83,7 @@
             If no whole response came; the request may have been received.
         """
         try:
-            self._write_request(path, payload, task_id)
+            self._write_request(path, payload, headers)
             await self._writer.drain()
             answer = await self._read_answer()
         except (OSError, h11.ProtocolError) as error:
@@ -89,7 +92,9 @@
             self._http.start_next_cycle()
         return answer
 
-    def _write_request(self, path: str, payload: bytes, task_id: str) -> None:
+    def _write_request(
+        self, path: str, payload: bytes, headers: Mapping[str, str]
+    ) -> None:
         head = h11.Request(
             method="POST",
             target=path,
@@ -97,7 +102,7 @@
                 ("Host", self._host),
                 ("Content-Type", "application/json"),
                 ("Content-Length", str(len(payload))),
-                ("Task-Id", task_id),
+                *headers.items(),
             ],
         )
         parts = (head, h11.Data(payload), h11.EndOfMessage())
--- a/src/verbenaplank/agent/entries.py
+++ b/src/verbenaplank/agent/entries.py
@@ -38,7 +38,8 @@
 class Entries:
     """Entries by key; one that is gone is remembered for a while."""
 
-    def __init__(self) -> None:
+    def __init__(self, first_lease_s: float = FIRST_LEASE_S) -> None:
+        self._first_lease_s = first_lease_s
         self._entries: dict[EntryKey, Entry] = {}
         self._numbers = itertools.count(1)
 
@@ -51,7 +52,7 @@
         if entry is None:
             entry = self._entries[key] = Entry(key, next(self._numbers), now_s)
         entry.connected = True
-        self.renew(key, FIRST_LEASE_S, now_s)
+        self.renew(key, self._first_lease_s, now_s)
 
     def renew(self, key: EntryKey, lease_s: float, now_s: float) -> None:
         """Renew the lease of an entry; it never gets shorter."""
--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -25,8 +25,11 @@
 from verbenaplank.agent.replies import lost_result_reply
 from verbenaplank.agent.replies import refusal_reply
 from verbenaplank.agent.replies import revocation_reply
+from verbenaplank.agent.room import WorkerRoom
+from verbenaplank.agent.room import total
 from verbenaplank.agent.waiting import Waiting
 from verbenaplank.agent.waiting import WaitingQueue
+from verbenaplank.placement.task import Needs
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import LoadReport
 from verbenaplank.protocol.work import RefusalReason
@@ -48,6 +51,8 @@
     ----------
     slots
         How many tasks run at a time.
+    size
+        What the tasks that run may need together; ``None`` if slots decide alone.
     retention_s
         How long a start is remembered and a result kept.
     """
@@ -55,6 +60,7 @@
     slots: int
     max_queued_tasks: int
     retention_s: float
+    size: Needs | None = None
 
 
 @attrs.define
@@ -73,6 +79,7 @@
         self._incarnation = incarnation
         self._services = services
         self._limits = limits
+        self._room = WorkerRoom(slots=limits.slots, size=limits.size)
         self._draining = False
         self._entries = Entries()
         self._waiting = WaitingQueue()
@@ -91,21 +98,43 @@
         """Whether nothing runs and nothing waits."""
         return not (self._running or self._reserved or self._waiting)
 
-    def load(self) -> LoadReport:
+    def load(self, now_s: float | None = None) -> LoadReport:
         """Return what the agent has of all entries together."""
+        held = total(self._held())
         return LoadReport(
             running=self._slots_taken(),
             queued=len(self._waiting),
             draining=self._draining,
+            cores_used=held.cores,
+            memory_used_mb=held.memory_mb,
+            clock_s=now_s,
         )
 
+    def has_work_of(self, key: EntryKey) -> bool:
+        """Return whether an entry has anything that waits or runs here."""
+        entry = self._entries[key]
+        owners = [waiting.entry for waiting in self._waiting]
+        owners += [waiting.entry for waiting in self._reserved.values()]
+        owners += [running.entry for running in self._running.values()]
+        return any(owner is entry for owner in owners)
+
     def on_hello(self, key: EntryKey, now_s: float) -> None:
         """Take in that an entry opened a stream."""
         self._entries.connect(key, now_s)
 
-    def on_renewal(self, key: EntryKey, lease_s: float, now_s: float) -> None:
-        """Renew the lease of everything that an entry has here."""
-        self._entries.renew(key, lease_s, now_s)
+    def on_renewal(
+        self,
+        key: EntryKey,
+        lease_s: float,
+        now_s: float,
+        heard_clock_s: float | None = None,
+    ) -> None:
+        """Renew the lease of everything that an entry has here.
+
+        It counts from the time of this agent that the entry had heard, if any.
+        """
+        since_s = now_s if heard_clock_s is None else min(now_s, heard_clock_s)
+        self._entries.renew(key, lease_s, since_s)
 
     def on_disconnect(self, key: EntryKey, now_s: float) -> list[Effect]:
         """Refuse what an entry has waiting, as its stream is gone."""
@@ -128,7 +157,8 @@
             return []
         if self._starts.get(task_id) == StartedBy(entry.number, dispatch.dispatch_id):
             return self._result_again(entry, task_id)
-        reason = self._reason_to_refuse(waiting, now_s) or self._reason_not_to_queue()
+        reason = self._reason_to_refuse(waiting, now_s)
+        reason = reason or self._reason_not_to_queue(dispatch)
         if reason is not None:
             return [*self._refuse(waiting, reason)]
         self._waiting.append(waiting)
@@ -173,7 +203,9 @@
     def start_ready(self, now_s: float) -> list[Effect]:
         """Give free slots to what waits, urgent dispatches first."""
         effects: list[Effect] = []
-        while self._waiting and self._slots_taken() < self._limits.slots:
+        while (first := self._waiting.first()) is not None:
+            if not self._room.has_room_for(first.dispatch.needs, self._held()):
+                break
             waiting = self._waiting.pop()
             reason = self._reason_to_refuse(waiting, now_s)
             if reason is not None:
@@ -266,7 +298,13 @@
         dispatch_id = waiting.dispatch.dispatch_id
         return self._starts.may_have_forgotten(waiting.entry.number, dispatch_id)
 
-    def _reason_not_to_queue(self) -> RefusalReason | None:
+    def _held(self) -> list[Needs]:
+        reserved = [waiting.dispatch.needs for waiting in self._reserved.values()]
+        return reserved + [run.dispatch.needs for run in self._running.values()]
+
+    def _reason_not_to_queue(self, dispatch: Dispatch) -> RefusalReason | None:
+        if not self._room.holds(dispatch.needs):
+            return RefusalReason.FULL
         free_slots = self._limits.slots - self._slots_taken()
         is_full = len(self._waiting) >= self._limits.max_queued_tasks + free_slots
         return RefusalReason.FULL if is_full else None
--- /dev/null
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -0,0 +1,381 @@
+"""Runs tasks on a backend server that keeps them alive under a lease.
+
+A run is reported as over only when the backend server listed its end, or when
+its lease has surely lapsed, so that the gate frees its room no sooner.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from verbenaplank.agent.backend import BackendServerDownError
+from verbenaplank.agent.backend import RunReport
+from verbenaplank.agent.leased_calls import CallFailedError
+from verbenaplank.agent.leased_calls import EndKind
+from verbenaplank.agent.leased_calls import HoldOrder
+from verbenaplank.agent.leased_calls import OtherLifeError
+from verbenaplank.agent.leased_calls import RunName
+from verbenaplank.agent.leased_calls import StartOrder
+from verbenaplank.agent.leased_calls import StartReply
+from verbenaplank.agent.leased_calls import StartVerdict
+from verbenaplank.agent.leased_run import decode_task
+from verbenaplank.agent.run_numbers import RunNumbers
+from verbenaplank.agent.worker_clock import WorkerClock
+from verbenaplank.protocol.work import TaskOutcome
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    from types import TracebackType
+    from typing import Any
+    from typing import Self
+
+    from verbenaplank.agent.leased_calls import HoldReply
+    from verbenaplank.agent.leased_calls import LeasedWorker
+    from verbenaplank.clock.sources import MonotonicClock
+
+HOLD_WAIT_MS = 300
+"""How long the backend server waits for an end; a third of the shortest lease."""
+
+CALL_TIMEOUT_S = 0.4
+RETRY_S = 0.05
+LAPSE_MARGIN_S = 0.15
+"""For clocks that run 2% slow and for the end of what is being stopped."""
+
+MAX_OUTDATED_STARTS = 4
+OUTDATED_STEP = 16
+"""After an outdated run number, the next try is so much higher."""
+
+OK = b"null"
+"""The output of a task that only tells that it is done."""
+
+OUTCOMES = {
+    EndKind.DONE: TaskOutcome.SUCCEEDED,
+    EndKind.FAILED: TaskOutcome.FAILED,
+    EndKind.STOPPED: TaskOutcome.STOPPED,
+    EndKind.LAPSED: TaskOutcome.CONNECTION_LOST,
+    EndKind.OTHER: TaskOutcome.CONNECTION_LOST,
+}
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class _Run:
+    """A run whose end is not known.
+
+    Attributes
+    ----------
+    started_call
+        Number of the newest hold call when the start was acknowledged; an
+        answer to a later one lists the run unless it is over.
+    """
+
+    name: RunName
+    end: asyncio.Future[EndKind]
+    started_call: int | None = None
+    stop_asked: bool = False
+
+
+class LeasedBackend:
+    """A backend server in one of its lives; an async context manager.
+
+    Entering it waits until nothing of an earlier agent runs there.
+
+    Parameters
+    ----------
+    lease_s
+        The longest lease that the backend server grants.
+    on_gone
+        Called when this life of the backend server is surely over.
+    """
+
+    can_stop = True
+
+    def __init__(
+        self,
+        worker: LeasedWorker,
+        lease_s: float,
+        clock: MonotonicClock,
+        on_gone: Callable[[], None],
+    ) -> None:
+        self._worker = worker
+        self._lease_s = lease_s
+        self._clock = clock
+        self._worker_clock = WorkerClock(clock)
+        self._on_gone = on_gone
+        self._numbers = RunNumbers()
+        self._fence = 0
+        self._acknowledged = 0
+        self._unacknowledged = False
+        self._runs: dict[RunName, _Run] = {}
+        self._by_task_id: dict[str, _Run] = {}
+        self._hold_calls = 0
+        self._extended_s = clock()
+        self._answered_s = clock()
+        self._down = False
+        self._wake = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> Self:
+        """Take the backend server over from an earlier agent.
+
+        Raises
+        ------
+        CallFailedError
+            If it does not answer.
+        OtherLifeError
+            If this life of it is over.
+        """
+        await self._take_over()
+        self._spawn(self._hold_forever())
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._worker.close()
+
+    async def connect(self) -> object:
+        """Return nothing of use, as all runs share the connections.
+
+        Raises
+        ------
+        BackendServerDownError
+            If the backend server does not answer now.
+        """
+        if self._down:
+            raise BackendServerDownError("the backend server does not answer")
+        return self
+
+    def give_back(self, connection: object) -> None:
+        """Do nothing, as all runs share the connections."""
+
+    async def run(
+        self,
+        connection: object,
+        task_id: str,
+        service: str,
+        payload: bytes,
+        timeout_s: float,
+    ) -> RunReport:
+        """Run a task once; return when it surely runs no longer."""
+        try:
+            task = decode_task(payload)
+        except msgspec.MsgspecError as error:
+            return RunReport(TaskOutcome.NOT_STARTED, error=str(error))
+        attempt = int(task_id.rpartition("/")[2])
+        reply = StartReply(verdict=StartVerdict.OUTDATED)
+        for _ in range(MAX_OUTDATED_STARTS):
+            number = self._numbers.next(task.name, attempt)
+            name = RunName(task=task.name, number=number)
+            run = _Run(name, asyncio.get_running_loop().create_future())
+            self._runs[name] = self._by_task_id[task_id] = run
+            try:
+                reply = await self._start(run, task.content)
+                if reply.verdict is StartVerdict.STARTED:
+                    return _report(await self._wait_for_end(run, timeout_s))
+            except CallFailedError:
+                await self._stop_surely(run)
+                return _report(run.end.result(), "the order to start was not answered")
+            finally:
+                self._runs.pop(name, None)
+                self._by_task_id.pop(task_id, None)
+            if reply.verdict is not StartVerdict.OUTDATED:
+                break
+            attempt = number + OUTDATED_STEP
+        return RunReport(TaskOutcome.NOT_STARTED, error=reply.verdict)
+
+    async def stop(self, task_id: str) -> None:
+        """Stop a run; its end is reported by :meth:`run`."""
+        run = self._by_task_id.get(task_id)
+        if run is not None:
+            await self._stop_surely(run)
+
+    async def _start(self, run: _Run, content: str) -> StartReply:
+        """Order a start; the order also extends the lease.
+
+        Raises
+        ------
+        CallFailedError
+            If no answer came.
+        """
+        order = StartOrder(
+            run=run.name,
+            content=content,
+            deadline_ms=self._new_deadline_ms(),
+            fence=self._fence,
+        )
+        try:
+            reply = await self._worker.start(order, CALL_TIMEOUT_S)
+        except OtherLifeError:
+            self._gone()
+            raise CallFailedError("the backend server restarted") from None
+        if reply.clock_ms is not None:
+            self._worker_clock.learn(reply.clock_ms)
+        if reply.verdict is StartVerdict.STARTED:
+            run.started_call = self._hold_calls
+            self._wake.set()
+        return reply
+
+    async def _wait_for_end(self, run: _Run, timeout_s: float) -> EndKind:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await asyncio.shield(run.end)
+        except TimeoutError:
+            await self._stop_surely(run)
+            return run.end.result()
+
+    async def _stop_surely(self, run: _Run) -> None:
+        """Stop a run and wait until it is over.
+
+        A stopped run that is not there yet can never start; so one that no
+        later answer lists is over.
+        """
+        if run.stop_asked:
+            await asyncio.wait([run.end])
+            return
+        run.stop_asked = True
+        while not run.end.done():
+            try:
+                await self._worker.stop(run.name, self._fence, CALL_TIMEOUT_S)
+            except CallFailedError:
+                self._wake.set()
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(RETRY_S):
+                        await asyncio.shield(run.end)
+            except OtherLifeError:
+                self._gone()
+            else:
+                run.started_call = self._hold_calls
+                self._wake.set()
+                await asyncio.wait([run.end])
+
+    async def _take_over(self) -> None:
+        """Outbid an earlier agent's fence and stop what it left behind."""
+        first = HoldOrder(fence=0, deadline_ms=None, acknowledged=0)
+        reply = await self._worker.hold(first, CALL_TIMEOUT_S)
+        self._worker_clock.learn(reply.clock_ms)
+        self._fence = reply.clock_ms
+        give_up_s = self._clock() + 2 * (self._lease_s + LAPSE_MARGIN_S)
+        while self._clock() < give_up_s:
+            order = HoldOrder(
+                fence=self._fence, deadline_ms=None, acknowledged=self._acknowledged
+            )
+            reply = await self._worker.hold(order, CALL_TIMEOUT_S)
+            self._acknowledge(reply)
+            if not reply.active:
+                self._answered_s = self._clock()
+                return
+            for progress in reply.active:
+                await self._worker.stop(progress.run, self._fence, CALL_TIMEOUT_S)
+            await asyncio.sleep(RETRY_S)
+        raise CallFailedError("runs of an earlier agent do not end")
+
+    async def _hold_forever(self) -> None:
+        while True:
+            if not (self._runs or self._unacknowledged or self._down):
+                self._wake.clear()
+                await self._wake.wait()
+            if self._down:
+                await asyncio.sleep(RETRY_S)
+            try:
+                await self._hold_once()
+            except OtherLifeError:
+                self._gone()
+                return
+            except CallFailedError as error:
+                self._note_silence(error)
+                await asyncio.sleep(RETRY_S)
+
+    async def _hold_once(self) -> None:
+        self._hold_calls += 1
+        call = self._hold_calls
+        self._unacknowledged = False
+        lively = self._clock() - self._answered_s < self._lease_s
+        waits = lively and not any(run.stop_asked for run in self._runs.values())
+        order = HoldOrder(
+            fence=self._fence,
+            deadline_ms=self._new_deadline_ms() if lively and self._runs else None,
+            acknowledged=self._acknowledged,
+            wait_ms=HOLD_WAIT_MS if waits and self._runs else 0,
+        )
+        timeout_s = CALL_TIMEOUT_S + order.wait_ms / 1_000
+        reply = await self._worker.hold(order, timeout_s)
+        if reply.fenced:
+            logger.error("another agent has taken the backend server over")
+            raise OtherLifeError
+        self._answered_s = self._clock()
+        self._down = False
+        self._take(reply, call)
+        if any(run.stop_asked for run in self._runs.values()):
+            await asyncio.sleep(RETRY_S / 5)
+
+    def _take(self, reply: HoldReply, call: int) -> None:
+        self._worker_clock.learn(reply.clock_ms)
+        self._acknowledge(reply)
+        active = {progress.run for progress in reply.active}
+        for name, run in list(self._runs.items()):
+            listed_since = run.started_call
+            if listed_since is None or call <= listed_since or name in active:
+                continue
+            _end(run, EndKind.STOPPED if run.stop_asked else EndKind.LAPSED)
+
+    def _acknowledge(self, reply: HoldReply) -> None:
+        for ended in reply.ended:
+            self._acknowledged = max(self._acknowledged, ended.sequence)
+            self._unacknowledged = True
+            run = self._runs.get(ended.run)
+            if run is not None:
+                _end(run, ended.kind)
+
+    def _note_silence(self, error: CallFailedError) -> None:
+        """Give runs up once their lease has surely lapsed."""
+        now_s = self._clock()
+        if not self._down and now_s - self._answered_s >= self._lease_s / 2:
+            self._down = True
+            logger.warning("the backend server is silent: %s", error)
+        if now_s - self._extended_s < self._lease_s * 1.02 + LAPSE_MARGIN_S:
+            return
+        for run in list(self._runs.values()):
+            _end(run, EndKind.LAPSED)
+
+    def _new_deadline_ms(self) -> int:
+        self._extended_s = self._clock()
+        return self._worker_clock.now_ms() + round(self._lease_s * 1_000)
+
+    def _gone(self) -> None:
+        """Take in that this life of the backend server, and all its runs, are over."""
+        self._down = True
+        for run in list(self._runs.values()):
+            _end(run, EndKind.LAPSED)
+        self._on_gone()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _end(run: _Run, kind: EndKind) -> None:
+    if not run.end.done():
+        run.end.set_result(kind)
+
+
+def _report(kind: EndKind, error: str = "") -> RunReport:
+    outcome = OUTCOMES[kind]
+    if outcome is TaskOutcome.SUCCEEDED:
+        return RunReport(outcome, output=OK)
+    return RunReport(outcome, error=error or kind)
--- /dev/null
+++ b/src/verbenaplank/agent/report.py
@@ -0,0 +1,36 @@
+"""What a backend server says of itself to the agent beside it."""
+
+from __future__ import annotations
+
+import attrs
+
+from verbenaplank.placement.task import Needs
+
+
+@attrs.frozen(kw_only=True)
+class BackendServerReport:
+    """A status report.
+
+    Attributes
+    ----------
+    server_id
+        May come back with another life.
+    life
+        Differs between two lives under the same id.
+    sequence
+        Grows with each report of one life.
+    size
+        What the worker under it holds.
+    labels
+        Kind and rack of the worker.
+    """
+
+    server_id: str
+    life: str
+    sequence: int
+    service: str
+    address: str
+    slots: int
+    draining: bool
+    size: Needs
+    labels: tuple[str, ...] = ()
--- a/src/verbenaplank/agent/runner.py
+++ b/src/verbenaplank/agent/runner.py
@@ -31,8 +31,7 @@
     from typing import Any
     from typing import Self
 
-    from verbenaplank.agent.backend import BackendClient
-    from verbenaplank.agent.connection import Connection
+    from verbenaplank.agent.backend import Backend
     from verbenaplank.agent.effects import Effect
     from verbenaplank.agent.gate import Gate
     from verbenaplank.clock.sources import MonotonicClock
@@ -53,7 +52,7 @@
         self,
         agent_id: str,
         gate: Gate,
-        backend: BackendClient,
+        backend: Backend,
         clock: MonotonicClock,
         record: EventHook,
         on_backend_down: Callable[[], None] = lambda: None,
@@ -105,6 +104,10 @@
         self.gate.resume()
         self._tell_load()
 
+    def load(self) -> LoadReport:
+        """Return the load of the gate now."""
+        return self.gate.load(self.clock())
+
     async def wait_idle(self) -> None:
         """Wait until nothing runs and nothing waits."""
         while not self.gate.idle:
@@ -119,7 +122,7 @@
 
     def _tell_load(self) -> None:
         for outbox in self._outboxes.values():
-            outbox.put(self.gate.load())
+            outbox.put(self.load())
 
     def _perform(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
@@ -155,7 +158,7 @@
         finally:
             self._backend.give_back(connection)
 
-    async def _run_on(self, connection: Connection, start: StartRun) -> None:
+    async def _run_on(self, connection: object, start: StartRun) -> None:
         began_s = self.clock()
         begin = self.gate.begin(start, began_s)
         if not begin.allowed:
--- a/src/verbenaplank/agent/waiting.py
+++ b/src/verbenaplank/agent/waiting.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
 MS_PER_S = 1_000.0
 
@@ -67,6 +68,14 @@
         _, waiting = (self._urgent or self._routine).popitem(last=False)
         return waiting
 
+    def __iter__(self) -> Iterator[Waiting]:
+        yield from self._urgent.values()
+        yield from self._routine.values()
+
+    def first(self) -> Waiting | None:
+        """Return the next dispatch without removing it."""
+        return next(iter(self), None)
+
     def holds(self, entry: Entry, dispatch_id: int) -> bool:
         """Return whether a dispatch waits."""
         key = _Key(entry.number, dispatch_id)
--- a/src/verbenaplank/agent/work_service.py
+++ b/src/verbenaplank/agent/work_service.py
@@ -39,6 +39,12 @@
 """Results beyond this go into another envelope."""
 
 
+BUSY_REPORT_PERIOD_S = 0.2
+"""How often an entry that has tasks here hears of the agent."""
+
+IDLE_REPORT_PERIOD_S = 1.0
+
+
 class WorkStreams:
     """The open streams of entries."""
 
@@ -105,6 +111,7 @@
         """Handle messages until the entry ends the stream."""
         self._runner.attach(self._key, self._outbox)
         sender = asyncio.create_task(self._send(welcome))
+        reporter = asyncio.create_task(self._report_forever())
         _cancel_current_when_done(sender)
         try:
             self._handle(first)
@@ -112,14 +119,17 @@
                 self._handle(message)
         finally:
             sender.cancel()
-            await asyncio.gather(sender, return_exceptions=True)
+            reporter.cancel()
+            await asyncio.gather(sender, reporter, return_exceptions=True)
             self._runner.detach(self._key, self._outbox)
 
     def _handle(self, message: ToAgent) -> None:
         gate, clock = self._runner.gate, self._runner.clock
         self._forget_received(message.results_received)
         if message.renewal is not None:
-            gate.on_renewal(self._key, message.renewal.lease_ms / MS_PER_S, clock())
+            lease_s = message.renewal.lease_ms / MS_PER_S
+            heard_s = message.renewal.heard_clock_s
+            gate.on_renewal(self._key, lease_s, clock(), heard_s)
         effects: list[Effect] = []
         for revoke in message.revokes:
             effects += gate.on_revoke(self._key, revoke, clock())
@@ -139,7 +149,7 @@
         self._changed.set()
 
     async def _send(self, welcome: AgentWelcome) -> None:
-        load = self._runner.gate.load()
+        load = self._runner.load()
         welcome = attrs.evolve(welcome, draining=load.draining)
         await self._stream.send_message(FromAgent(welcome=welcome, load=load))
         while True:
@@ -150,6 +160,13 @@
             self._sending = False
             self._changed.set()
 
+    async def _report_forever(self) -> None:
+        """Report the load often enough that an entry notices a silent stream."""
+        while True:
+            busy = self._runner.gate.has_work_of(self._key)
+            await asyncio.sleep(BUSY_REPORT_PERIOD_S if busy else IDLE_REPORT_PERIOD_S)
+            self._outbox.put(self._runner.load())
+
     async def _send_part(self, items: Sequence[ReplyItem | LoadReport]) -> None:
         results = tuple(item for item in items if isinstance(item, TaskResult))
         self._results_sent.extend(
@@ -160,7 +177,7 @@
             results=results,
             refusals=tuple(item for item in items if isinstance(item, DispatchRefusal)),
             revocations=tuple(item for item in items if isinstance(item, Revocation)),
-            load=self._runner.gate.load(),
+            load=self._runner.load(),
         )
         await self._stream.send_message(envelope)
 
--- /dev/null
+++ b/src/verbenaplank/agent/worker_clock.py
@@ -0,0 +1,28 @@
+"""A backend server's clock, as its answers tell it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from verbenaplank.clock.sources import MonotonicClock
+
+MS_PER_S = 1_000.0
+
+
+class WorkerClock:
+    """Estimates the clock from the newest answer; it runs slightly behind."""
+
+    def __init__(self, clock: MonotonicClock) -> None:
+        self._clock = clock
+        self._told_ms = 0
+        self._told_at_s = clock()
+
+    def learn(self, clock_ms: int) -> None:
+        """Take in the clock that an answer told."""
+        self._told_ms = clock_ms
+        self._told_at_s = self._clock()
+
+    def now_ms(self) -> int:
+        """Return the estimated time of the backend server's clock."""
+        return self._told_ms + round((self._clock() - self._told_at_s) * MS_PER_S)
--- a/src/verbenaplank/clock/sources.py
+++ b/src/verbenaplank/clock/sources.py
@@ -13,8 +13,11 @@
 
 
 def monotonic_s() -> float:
-    """Return the seconds of the machine's monotonic clock."""
-    return time.monotonic()
+    """Return the seconds since the machine started.
+
+    The clock goes on while the machine is suspended, so that leases lapse then.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def wall_clock_ms() -> int:
--- a/src/verbenaplank/consensus/core.py
+++ b/src/verbenaplank/consensus/core.py
@@ -24,6 +24,7 @@
 from verbenaplank.consensus.events import TimePassed
 from verbenaplank.consensus.events import WritesSynced
 from verbenaplank.consensus.initial_state import initial_state
+from verbenaplank.consensus.state import GroupRules
 from verbenaplank.consensus.state import Role
 from verbenaplank.consensus.state import become_follower
 from verbenaplank.consensus.state import on_synced
@@ -43,6 +44,8 @@
     from verbenaplank.protocol.consensus import PeerMessage
     from verbenaplank.storage.model import Stored
 
+FIXED_GROUP = GroupRules()
+
 _UNFORMED_BODIES = frozenset(
     {"hello", "hello_reply", "foundation", "append_request", "snapshot_chunk"}
 )
@@ -80,6 +83,8 @@
         Source of the election timeouts.
     now_s
         The monotonic time of the start.
+    group
+        How the voters come together; by default they are the instances named.
     """
 
     def __init__(
@@ -89,8 +94,9 @@
         timing: Timing,
         random: random.Random,
         now_s: float,
+        group: GroupRules = FIXED_GROUP,
     ) -> None:
-        self.state = initial_state(stored, peer_ids, timing, random, now_s)
+        self.state = initial_state(stored, peer_ids, timing, random, now_s, group)
 
     def start(self, now_s: float) -> list[Effect]:
         """Return what is to be done before the first event."""
--- a/src/verbenaplank/consensus/formation.py
+++ b/src/verbenaplank/consensus/formation.py
@@ -1,6 +1,8 @@
 """How a cluster is founded and how a replica finds one.
 
-A replica that no leader talks to announces itself.  A cluster is founded only
+A replica that no leader talks to announces itself.  In an open group it knows
+only a few instances at first; their answers name the voters, and any instance
+may join through the leader.  A cluster is founded only
 by the instance with the lowest identifier, and only after every other instance
 has answered that its storage is empty too.  An instance with lost storage is
 answered by one that belongs to a cluster, so it cannot found another: it waits
@@ -47,7 +49,8 @@
         found_cluster(state)
         return
     hello = Hello(state=state.identity.state)
-    for instance_id in state.peer_ids:
+    voters = {member.instance_id for member in state.members}
+    for instance_id in sorted({*state.peer_ids, *state.contact_ids, *voters}):
         if instance_id != state.replica.instance_id:
             anyone = Replica(instance_id=instance_id)
             send(state, anyone, after_sync=True, hello=hello)
@@ -61,7 +64,8 @@
         if message.cluster_id == state.identity.cluster_id:
             _take_in(state, message.sender)
         return
-    reply = HelloReply(state=state.identity.state)
+    voters = tuple(member.instance_id for member in state.members)
+    reply = HelloReply(state=state.identity.state, voter_ids=voters)
     send(state, message.sender, after_sync=True, hello_reply=reply)
     if state.is_member:
         _repeat_foundation(state, message.sender)
@@ -72,6 +76,8 @@
     """Note what another instance's storage holds."""
     statement = (message.sender, reply.state)
     state.statements[message.sender.instance_id] = statement
+    if state.group.open:
+        state.contact_ids.update(reply.voter_ids)
     if _may_found(state):
         found_cluster(state)
 
@@ -87,7 +93,11 @@
 
 def found_cluster(state: State) -> None:
     """Found a cluster of all instances."""
-    replicas = [statement[0] for statement in state.statements.values()]
+    replicas = [
+        sender
+        for sender, _ in state.statements.values()
+        if sender.instance_id in state.peer_ids
+    ]
     members = tuple(
         sorted([state.replica, *replicas], key=lambda member: member.instance_id)
     )
@@ -111,7 +121,7 @@
 
 
 def _may_found(state: State) -> bool:
-    if state.identity.state is not StorageState.EMPTY:
+    if state.identity.state is not StorageState.EMPTY or not state.group.may_found:
         return False
     if not _is_founder(state, state.replica.instance_id):
         return False
@@ -151,8 +161,7 @@
     """Replicate to a learner; only one incarnation of an instance at a time."""
     if state.role is not Role.LEADER or replica in state.progress:
         return
-    others = set(state.peer_ids) - {state.replica.instance_id}
-    if replica.instance_id not in others:
+    if not state.is_peer(replica.instance_id):
         return
     for other in list(state.progress):
         if other.instance_id == replica.instance_id and other not in state.members:
--- a/src/verbenaplank/consensus/initial_state.py
+++ b/src/verbenaplank/consensus/initial_state.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     import random
 
+    from verbenaplank.consensus.state import GroupRules
     from verbenaplank.consensus.state import Timing
     from verbenaplank.storage.model import Stored
 
@@ -21,6 +22,7 @@
     timing: Timing,
     random: random.Random,
     now_s: float,
+    group: GroupRules,
 ) -> State:
     """Return a follower that holds what its storage held.
 
@@ -51,4 +53,5 @@
         commit_index=base[0],
         heard_s=now_s,
         now_s=now_s,
+        group=group,
     )
--- a/src/verbenaplank/consensus/links.py
+++ b/src/verbenaplank/consensus/links.py
@@ -20,7 +20,7 @@
     from grpclib.client import Channel
     from grpclib.client import Stream
 
-    from verbenaplank.settings.common import ControlPeer
+    from verbenaplank.rpc.address import Address
     from verbenaplank.settings.common import TlsSettings
 
 CONSENSUS = StreamMethod(
@@ -40,8 +40,11 @@
     replicated log repeats what it still needs.
     """
 
-    def __init__(self, peer: ControlPeer, tls: TlsSettings | None) -> None:
-        self._peer = peer
+    def __init__(
+        self, instance_id: str, address: Address, tls: TlsSettings | None
+    ) -> None:
+        self._instance_id = instance_id
+        self._address = address
         self._tls = tls
         self._outbox: Outbox[PeerMessage] = Outbox()
         self._closed = False
@@ -62,13 +65,11 @@
     async def run(self) -> None:
         """Keep a stream open until the link is closed and the task cancelled."""
         while not self._closed:
-            with connect(self._peer.address, self._tls) as channel:
+            with connect(self._address, self._tls) as channel:
                 try:
                     await self._use(channel)
                 except* STREAM_FAILURES as group:
-                    _logger.debug(
-                        "link to %s: %s", self._peer.instance_id, group.exceptions
-                    )
+                    _logger.debug("link to %s: %s", self._instance_id, group.exceptions)
             await asyncio.sleep(RECONNECT_S)
             await self._drop_waiting()
 
--- a/src/verbenaplank/consensus/node.py
+++ b/src/verbenaplank/consensus/node.py
@@ -19,11 +19,13 @@
 from verbenaplank.consensus.events import HandOverAsked
 from verbenaplank.consensus.events import MessageReceived
 from verbenaplank.consensus.links import CONSENSUS
-from verbenaplank.consensus.links import PeerLink
+from verbenaplank.consensus.peer_links import PeerLinks
+from verbenaplank.consensus.state import GroupRules
 from verbenaplank.consensus.state import Role
 from verbenaplank.consensus.state import Timing
 from verbenaplank.consensus.waiting import AppliedIndex
 from verbenaplank.consensus.writer import SyncWriter
+from verbenaplank.settings.peers import peer_addresses
 from verbenaplank.storage.errors import DamagedFileError
 from verbenaplank.storage.folder_lock import folder_lock
 from verbenaplank.storage.store import Store
@@ -93,11 +95,7 @@
         )
         self._applied = AppliedIndex()
         self._writer = SyncWriter(self._store, self._on_synced, self._on_writable)
-        self._links = {
-            peer.instance_id: PeerLink(peer, settings.tls)
-            for peer in settings.peers
-            if peer.instance_id != settings.instance_id
-        }
+        self._links = PeerLinks(peer_addresses(settings), settings.tls)
         self._running: Driver | None = None
         self._caller_side: Calls | None = None
         self._stack = AsyncExitStack()
@@ -119,17 +117,15 @@
             stack.callback(self._writer.close)
             stored = await self._writer.call(self._open_store)
             driver = self._driver_of(stored)
-            calls = Calls(driver, self._applied, self._send, lambda: self.storage_error)
+            send = self._links.send
+            calls = Calls(driver, self._applied, send, lambda: self.storage_error)
             self._running = driver
             self._caller_side = calls
             stack.callback(driver.stop)
-            duties = (self._writer.run, *(link.run for link in self._links.values()))
-            tasks = [asyncio.create_task(duty()) for duty in duties]
-            for task in tasks:
-                task.add_done_callback(_log_failure)
-            stack.push_async_callback(_cancel, tasks)
-            for link in self._links.values():
-                stack.callback(link.close)
+            writing = asyncio.create_task(self._writer.run())
+            writing.add_done_callback(_log_failure)
+            stack.push_async_callback(_cancel, [writing])
+            await stack.enter_async_context(self._links)
             stack.callback(calls.close)
             driver.start()
             self._stack = stack.pop_all()
@@ -213,7 +209,7 @@
 
     async def hand_over(self) -> None:
         """Pass the leadership on, if this instance leads and another can."""
-        if not self.is_leader or not self._links:
+        if not self.is_leader or not self._has_peers:
             return
         self._driver.step(HandOverAsked())
         own_id = self._settings.instance_id
@@ -240,6 +236,12 @@
     def _core(self) -> Core:
         return self._driver.core
 
+    @property
+    def _has_peers(self) -> bool:
+        own_id = self._settings.instance_id
+        others = (peer for peer in self._settings.peers if peer.instance_id != own_id)
+        return self._settings.group.open or any(others)
+
     def _open_store(self) -> Stored:
         """Open the storage; damaged files are set aside if others have copies."""
         instance_id = self._settings.instance_id
@@ -248,19 +250,25 @@
             return self._store.open(instance_id, incarnation)
         except DamagedFileError as error:
             _logger.critical("damaged storage: %s", error)
-            if not self._links:
+            if not self._has_peers:
                 raise
             return self._store.replace_damaged(instance_id, incarnation)
 
     def _driver_of(self, stored: Stored) -> Driver:
         peer_ids = tuple(peer.instance_id for peer in self._settings.peers)
+        group = GroupRules(
+            may_found=self._settings.group.may_found,
+            open=self._settings.group.open,
+            tolerated_losses=self._settings.group.tolerated_losses,
+        )
+        now_s = self._clock()
         return Driver(
-            Core(stored, peer_ids, self._timing, self._random, self._clock()),
+            Core(stored, peer_ids, self._timing, self._random, now_s, group),
             self._machine,
             self._clock,
             applied=self._applied,
             put_write=self._writer.put,
-            send=self._send,
+            send=self._links.send,
             snapshot_every_entries=self._settings.consensus.snapshot_every_entries,
         )
 
@@ -270,11 +278,6 @@
     def _on_writable(self, writable: bool) -> None:
         self._driver.writable(writable)
 
-    def _send(self, message: PeerMessage) -> None:
-        link = self._links.get(message.recipient.instance_id)
-        if link is not None:
-            link.send(message)
-
     async def _receive_all(
         self, stream: Stream[ConsensusEnvelope, ConsensusEnvelope]
     ) -> None:
--- a/src/verbenaplank/consensus/state.py
+++ b/src/verbenaplank/consensus/state.py
@@ -57,6 +57,31 @@
         return self.election_timeout_s * LEASE_SHARE
 
 
+@attrs.frozen(kw_only=True)
+class GroupRules:
+    """How the voters come together and which losses they bear.
+
+    Attributes
+    ----------
+    may_found
+        Whether a replica with empty storage may take part in a foundation.
+    open
+        Whether replicas that the settings do not name may join; then the voters
+        are kept at ``2 * tolerated_losses + 1``.
+    tolerated_losses
+        Storages that may be lost at the same time; a quorum is always larger.
+    """
+
+    may_found: bool = True
+    open: bool = False
+    tolerated_losses: int = 0
+
+    @property
+    def voters(self) -> int:
+        """Return how many voters an open group aims at."""
+        return 2 * self.tolerated_losses + 1
+
+
 @attrs.define(kw_only=True)
 class Progress:
     """What the leader knows of another replica.
@@ -112,6 +137,11 @@
     heard_s
         When a live leader was last heard; votes are refused for an election
         timeout after it, and after a start, when it is unknown.
+    group
+        How the voters come together.
+    contact_ids
+        Instances to which an open group's replica announces itself besides
+        ``peer_ids``; learned from those that answered.
     backed_s
         A time at which a quorum backed the leader that this follower hears,
         on this follower's clock.
@@ -131,6 +161,8 @@
     commit_index: int
     heard_s: float
     now_s: float
+    group: GroupRules = GroupRules()
+    contact_ids: set[str] = attrs.field(factory=set)
     election_due_s: float = math.inf
     heartbeat_due_s: float = math.inf
     hello_due_s: float = math.inf
@@ -178,13 +210,23 @@
 
     @property
     def quorum(self) -> int:
-        """Return how many voters make a majority."""
-        return len(self.members) // 2 + 1
+        """Return how many voters make a quorum: a majority, and more than may be lost.
+
+        A small group that is still growing needs all of its voters.
+        """
+        count = len(self.members)
+        return max(count // 2 + 1, min(count, self.group.tolerated_losses + 1))
 
     def has_quorum(self, replicas: set[Replica]) -> bool:
         """Return whether these replicas hold a majority of the voters."""
         return len(replicas.intersection(self.members)) >= self.quorum
 
+    def is_peer(self, instance_id: str) -> bool:
+        """Return whether an instance may belong to this group."""
+        if instance_id == self.replica.instance_id:
+            return False
+        return self.group.open or instance_id in self.peer_ids
+
 
 def send(state: State, recipient: Replica, *, after_sync: bool, **body: Any) -> None:
     """Send a message in the current term, unless ``body`` names another."""
--- a/src/verbenaplank/control/administration.py
+++ b/src/verbenaplank/control/administration.py
@@ -36,6 +36,7 @@
 from verbenaplank.rpc.endpoint import connect
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from verbenaplank.clock.sources import WallClock
@@ -49,6 +50,7 @@
     from verbenaplank.membership.renewals import LeaseReport
     from verbenaplank.membership.renewals import LeasesReply
     from verbenaplank.protocol.membership import Registrar
+    from verbenaplank.rpc.address import Address
     from verbenaplank.settings.common import ControlPeer
     from verbenaplank.settings.common import TlsSettings
 
@@ -68,6 +70,7 @@
         barrier: SharedBarrier,
         keeper: LeaseKeeper,
         peers: Sequence[ControlPeer],
+        address_of: Callable[[str], Address | None],
         tls: TlsSettings | None,
         administrator_sha256: str,
         wall_clock: WallClock,
@@ -77,6 +80,7 @@
         self._barrier = barrier
         self._keeper = keeper
         self._peers = {peer.instance_id: peer for peer in peers}
+        self._address_of = address_of
         self._tls = tls
         self._administrator_sha256 = administrator_sha256
         self._wall_clock = wall_clock
@@ -272,10 +276,11 @@
     async def _leases(self) -> LeasesReply:
         reply = self._keeper.report()
         leader_id = self._log.leader_id
-        if reply.leads or leader_id is None:
+        address = self._address_of(leader_id) if leader_id is not None else None
+        if reply.leads or address is None:
             return reply
         try:
-            with connect(self._peers[leader_id].address, self._tls) as channel:
+            with connect(address, self._tls) as channel:
                 return await LEASES.call(channel, LeasesRequest(), LEASES_TIMEOUT_S)
         except (OSError, GRPCError) as error:
             detail = f"the leader does not answer: {error!r}"
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -27,9 +27,11 @@
 from verbenaplank.control.registrar_epochs import RegistrarEpochs
 from verbenaplank.control.renewal_forwarder import RenewalForwarder
 from verbenaplank.control.replication import SharedBarrier
+from verbenaplank.control.routing import RoutingAdministration
 from verbenaplank.http.server import HttpServer
 from verbenaplank.observability.metrics import Metrics
 from verbenaplank.rpc.endpoint import serve
+from verbenaplank.settings.peers import peer_addresses
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -53,6 +55,11 @@
 class ControlInstance:
     """Serves members, the other control instances and operators.
 
+    Attributes
+    ----------
+    routing
+        Replaces and reads the routing document.
+
     Use it as an asynchronous context manager; leaving it hands leadership over.
 
     Raises
@@ -84,9 +91,9 @@
         self.keeper = LeaseKeeper(
             self.log, self.machine, settings.membership.lease_ms / 1_000, clock
         )
-        self._addresses = {peer.instance_id: peer.address for peer in settings.peers}
+        self._address_of = peer_addresses(settings)
         self._forwarder = RenewalForwarder(
-            self.log, self.keeper, self._addresses, settings.tls, self._deliver
+            self.log, self.keeper, self._address_of, settings.tls, self._deliver
         )
         self._registrar = RegistrarEpochs(
             settings, self.log, self.machine, self._barrier, wall_clock
@@ -98,10 +105,14 @@
             barrier=self._barrier,
             keeper=self.keeper,
             peers=settings.peers,
+            address_of=self._address_of,
             tls=settings.tls,
             administrator_sha256=settings.administration.token_sha256,
             wall_clock=wall_clock,
         )
+        self.routing = RoutingAdministration(
+            self.log, self.machine, self._barrier, wall_clock
+        )
         self._register_metrics()
         self.rpc_address = settings.rpc.address
         self.http_address = settings.http.address
@@ -193,7 +204,12 @@
         )
 
     def _peers(self) -> list[ControlPeer]:
-        """Return the instances; a port of its own that was 0 is the chosen one."""
+        """Return the instances; a port of its own that was 0 is the chosen one.
+
+        An open group has no fixed instances that could be registrars.
+        """
+        if self._settings.group.open:
+            return []
         own = self._settings.instance_id
         return [
             attrs.evolve(peer, port=self.rpc_address.port)
--- a/src/verbenaplank/control/bootstrap.py
+++ b/src/verbenaplank/control/bootstrap.py
@@ -50,13 +50,14 @@
 ) -> None:
     """Propose what an empty state lacks, until it is there.
 
+    Without ``peers`` there are no registrars, so that jobs need no claims.
     Every instance does so; the command ids let only one proposal take effect.
     """
     await _wait_for_all(log, len(peers))
     while True:
         try:
             await log.read_barrier(PROPOSAL_TIMEOUT_S)
-            if machine.membership.registrars.change.epoch == 0:
+            if peers and machine.membership.registrars.change.epoch == 0:
                 origin = _origin(FIRST_REGISTRARS_COMMAND_ID, wall_clock)
                 registrars = choose_registrars(peers, log.members)
                 change = SetRegistrars(expected_epoch=0, registrars=registrars)
--- a/src/verbenaplank/control/commands.py
+++ b/src/verbenaplank/control/commands.py
@@ -16,6 +16,8 @@
 from verbenaplank.membership.commands import Leave
 from verbenaplank.membership.commands import OrderDrain
 from verbenaplank.membership.commands import SetRegistrars
+from verbenaplank.routing.state import ReplaceRouting
+from verbenaplank.routing.state import RoutingVerdict
 
 
 @attrs.frozen(kw_only=True)
@@ -42,6 +44,7 @@
     announce: Announce | None = None
     leave: Leave | None = None
     enter: EnterEpoch | None = None
+    routing: ReplaceRouting | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -54,10 +57,13 @@
         Of an operator's command.
     changed
         Whether a member's command took effect.
+    routing
+        What became of a routing document.
     """
 
     outcome: CommandOutcome | None = None
     changed: bool = False
+    routing: RoutingVerdict | None = None
 
 
 _command_decoder = msgspec.msgpack.Decoder(ControlCommand)
--- a/src/verbenaplank/control/machine.py
+++ b/src/verbenaplank/control/machine.py
@@ -30,6 +30,10 @@
 from verbenaplank.control.commands import encode
 from verbenaplank.membership.state import MembershipSnapshot
 from verbenaplank.membership.state import MembershipState
+from verbenaplank.routing.state import ReplaceRouting
+from verbenaplank.routing.state import RoutingState
+from verbenaplank.routing.state import RoutingVerdict
+from verbenaplank.routing.table import RoutingDocument
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,6 +45,9 @@
 
 logger = logging.getLogger(__name__)
 
+ROUTING_ACTOR = "operator"
+ROUTING_SUBJECT = "routing"
+
 _NO_ORIGIN = Origin(command_id="", sent_at_ms=0)
 
 
@@ -53,6 +60,7 @@
     audit: tuple[AuditRecord, ...] = ()
     audit_anchor: str = EMPTY_DIGEST
     commands: tuple[RememberedCommand, ...] = ()
+    routing: RoutingDocument | None = None
 
 
 class ControlMachine:
@@ -88,6 +96,7 @@
                 audit=self.audit.records,
                 audit_anchor=self.audit.anchor,
                 commands=self._commands.commands,
+                routing=self.routing.document,
             )
         )
 
@@ -101,13 +110,15 @@
         self.membership = MembershipState(snapshot.membership)
         self.audit = AuditTrail(snapshot.audit, snapshot.audit_anchor)
         self._commands = CommandMemory(snapshot.commands)
+        self.routing = RoutingState(snapshot.routing)
         self.effective = EffectiveConfiguration()
         self._refresh_effective()
 
-    def _stamp(self) -> tuple[int, int, RegistrarChange]:
+    def _stamp(self) -> tuple[int, int, RegistrarChange, int]:
         membership = self.membership
         version = self.configuration.version
-        return version, membership.revision, membership.registrars.change
+        change = membership.registrars.change
+        return version, membership.revision, change, self.routing.version
 
     def _refresh_effective(self) -> None:
         sections = self.configuration.sections.values()
@@ -124,10 +135,26 @@
         if command.enter is not None:
             entered = self.membership.registrars.enter(command.enter)
             return ControlResult(changed=entered)
+        if command.routing is not None:
+            return ControlResult(routing=self._replace_routing(command.routing))
         if command.operator is not None:
             return ControlResult(outcome=self._operate(command.operator))
         return ControlResult()
 
+    def _replace_routing(self, command: ReplaceRouting) -> RoutingVerdict:
+        verdict = self.routing.replace(command)
+        self.audit.append(
+            at_ms=command.sent_at_ms,
+            actor=ROUTING_ACTOR,
+            command_id="",
+            action="routing",
+            subject=ROUTING_SUBJECT,
+            version=command.document.table.version,
+            outcome=verdict.value,
+            detail="",
+        )
+        return verdict
+
     def _operate(self, command: OperatorCommand) -> CommandOutcome:
         origin = command.origin
         actor = actor_of(origin)
--- a/src/verbenaplank/control/member_view.py
+++ b/src/verbenaplank/control/member_view.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from verbenaplank.control.machine import ControlMachine
+    from verbenaplank.routing.table import RoutingTable
 
 
 class MemberView:
@@ -40,6 +41,7 @@
         self._configuration_version = configuration_version
         self._members_revision = members_revision
         self._epoch = 0
+        self._routing_version = 0
         self._drain = False
         self._first = True
         self._lease: LeaseGrant | None = None
@@ -56,6 +58,7 @@
             or self._lacks_configuration()
             or self._lacks_members()
             or self._lacks_registrars()
+            or self._lacks_routing()
             or self._drain != self._is_drain_ordered()
         )
 
@@ -66,6 +69,7 @@
             configuration=self._configuration(),
             members=self._members(),
             registrars=self._registrars(),
+            routing=self._routing(),
             drain=self._is_drain_ordered(),
         )
         self._drain = message.drain
@@ -95,6 +99,17 @@
         self._epoch = group.epoch
         return group
 
+    def _routing(self) -> RoutingTable | None:
+        document = self._machine.routing.document
+        if document is None or not self._lacks_routing():
+            return None
+        self._routing_version = document.table.version
+        return document.table
+
+    def _lacks_routing(self) -> bool:
+        version = self._machine.routing.version
+        return self._wants_members and self._routing_version != version
+
     def _lacks_configuration(self) -> bool:
         return self._configuration_version != self._machine.configuration.version
 
--- a/src/verbenaplank/control/renewal_forwarder.py
+++ b/src/verbenaplank/control/renewal_forwarder.py
@@ -15,7 +15,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Mapping
 
     from grpclib.client import Stream
 
@@ -36,8 +35,8 @@
 
     Parameters
     ----------
-    addresses
-        Addresses of the control instances by id.
+    address_of
+        Returns where a control instance listens.
     deliver
         Called with each reply of a leader.
     """
@@ -46,13 +45,13 @@
         self,
         log: ReplicatedLog,
         keeper: LeaseKeeper,
-        addresses: Mapping[str, Address],
+        address_of: Callable[[str], Address | None],
         tls: TlsSettings | None,
         deliver: Callable[[RenewalReply], None],
     ) -> None:
         self._log = log
         self._keeper = keeper
-        self._addresses = addresses
+        self._address_of = address_of
         self._tls = tls
         self._deliver = deliver
         self._pending: dict[str, Renewal] = {}
@@ -84,7 +83,9 @@
 
     async def _forward(self, leader_id: str) -> None:
         """Keep a stream to one leader until it fails or no longer leads."""
-        address = self._addresses[leader_id]
+        address = self._address_of(leader_id)
+        if address is None:
+            return
         with suppress(*STREAM_FAILURES), connect(address, self._tls) as channel:
             async with RENEW.open(channel) as stream:
                 while self._log.leader_id == leader_id:
--- /dev/null
+++ b/src/verbenaplank/control/routing.py
@@ -0,0 +1,63 @@
+"""Operators' side of the routing document."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from verbenaplank.control.commands import ControlCommand
+from verbenaplank.control.commands import decode_result
+from verbenaplank.control.commands import encode
+from verbenaplank.routing.state import ReplaceRouting
+from verbenaplank.routing.state import RoutingVerdict
+
+if TYPE_CHECKING:
+    from verbenaplank.clock.sources import WallClock
+    from verbenaplank.control.machine import ControlMachine
+    from verbenaplank.control.replication import ReplicatedLog
+    from verbenaplank.control.replication import SharedBarrier
+    from verbenaplank.routing.table import RoutingDocument
+
+PROPOSAL_TIMEOUT_S = 3.0
+"""Longer than an election, so that a change survives the loss of a leader."""
+
+
+class RoutingAdministration:
+    """Replaces and reads the routing document; every answer has a quorum's backing."""
+
+    def __init__(
+        self,
+        log: ReplicatedLog,
+        machine: ControlMachine,
+        barrier: SharedBarrier,
+        wall_clock: WallClock,
+    ) -> None:
+        self._log = log
+        self._machine = machine
+        self._barrier = barrier
+        self._wall_clock = wall_clock
+
+    async def replace(self, document: RoutingDocument) -> RoutingVerdict:
+        """Put a checked document in force, unless a higher version is.
+
+        Raises
+        ------
+        NotAcceptedError
+            If it surely has no effect.
+        OutcomeUnknownError
+            If it may have one; sending it again is safe.
+        """
+        command = ReplaceRouting(document=document, sent_at_ms=self._wall_clock())
+        data = encode(ControlCommand(routing=command))
+        result = decode_result(await self._log.propose(data, PROPOSAL_TIMEOUT_S))
+        return result.routing or RoutingVerdict.CONFLICT
+
+    async def newest(self) -> RoutingDocument | None:
+        """Return the document in force, or ``None`` if there is none yet.
+
+        Raises
+        ------
+        NoQuorumError
+            If no quorum confirmed in time that it is the newest.
+        """
+        await self._barrier.wait()
+        return self._machine.routing.document
--- a/src/verbenaplank/entry/agent_link.py
+++ b/src/verbenaplank/entry/agent_link.py
@@ -9,8 +9,8 @@
 import attrs
 
 from verbenaplank.entry.renewal import RENEWAL_PERIOD_S
-from verbenaplank.entry.renewal import TASK_LEASE_MS
 from verbenaplank.entry.renewal import RenewalSchedule
+from verbenaplank.entry.silence import TASK_LEASE_S
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import LeaseRenewal
 from verbenaplank.protocol.work import Revoke
@@ -40,7 +40,12 @@
 MAX_RECONNECT_PAUSE_S = 1.0
 CONNECT_TIMEOUT_S = 3.0
 MAX_PAYLOAD_BYTES_PER_MESSAGE = 1024 * 1024
-RENEWAL = LeaseRenewal(lease_ms=TASK_LEASE_MS)
+MS_PER_S = 1_000.0
+
+BUSY_SILENCE_S = 0.7
+"""A stream with open dispatches is given up after so long without a message."""
+
+IDLE_SILENCE_S = 2.5
 
 
 OutboxItem = Dispatch | Revoke | Stop | LeaseRenewal
@@ -86,6 +91,8 @@
         self._retired = False
         self._results_received = 0
         self._renewals = RenewalSchedule()
+        self._heard_s = 0.0
+        self._agent_clock_s: float | None = None
 
     def send(self, item: OutboxItem) -> None:
         """Send an item with what else is ready."""
@@ -136,11 +143,14 @@
         self._outbox = outbox
         self._results_received = 0
         self._renewals = RenewalSchedule()
+        self._heard_s = asyncio.get_running_loop().time()
+        self._agent_clock_s = None
         self._listener.agent_connected(welcome)
         directions = {
             asyncio.create_task(self._receive(stream)),
             asyncio.create_task(self._send_forever(stream, outbox)),
             asyncio.create_task(self._renew_forever(outbox)),
+            asyncio.create_task(self._wait_for_silence()),
         }
         try:
             await asyncio.wait(directions, return_when=asyncio.FIRST_COMPLETED)
@@ -153,12 +163,38 @@
 
     async def _receive(self, stream: Stream[ToAgent, FromAgent]) -> None:
         agent_id = self._member.member_id
+        clock = asyncio.get_running_loop().time
         async for message in stream:
+            self._heard_s = clock()
             self._traffic.received(message)
             self._results_received += len(message.results)
             self._listener.agent_message(agent_id, message)
-            if message.load is not None and message.load.draining:
-                self.send(RENEWAL)
+            if message.load is None:
+                continue
+            self._agent_clock_s = message.load.clock_s
+            if message.load.draining or self._listener.has_open_dispatches(agent_id):
+                self.send(self._renewal())
+
+    def _renewal(self) -> LeaseRenewal:
+        return LeaseRenewal(
+            lease_ms=TASK_LEASE_S * MS_PER_S, heard_clock_s=self._agent_clock_s
+        )
+
+    async def _wait_for_silence(self) -> None:
+        """Return once the agent has been silent for too long."""
+        clock = asyncio.get_running_loop().time
+        busy_since_s: float | None = None
+        while True:
+            now_s = clock()
+            busy = self._listener.has_open_dispatches(self._member.member_id)
+            if not busy:
+                busy_since_s = None
+            elif busy_since_s is None:
+                busy_since_s = now_s
+            limit_s = BUSY_SILENCE_S if busy else IDLE_SILENCE_S
+            if now_s - max(self._heard_s, busy_since_s or 0.0) > limit_s:
+                return
+            await asyncio.sleep(RENEWAL_PERIOD_S / 2)
 
     async def _send_forever(
         self, stream: Stream[ToAgent, FromAgent], outbox: Outbox[OutboxItem]
@@ -167,7 +203,7 @@
         while True:
             items = await outbox.take()
             if self._renewals.due(clock(), has_dispatches=_has_dispatch(items)):
-                items.insert(0, RENEWAL)
+                items.insert(0, self._renewal())
             for message in envelopes(items, self._results_received):
                 self._traffic.sent(message)
                 self._renewals.sent(
@@ -183,7 +219,7 @@
             has_open = self._listener.has_open_dispatches(self._member.member_id)
             received = self._results_received
             if self._renewals.due_unasked(clock(), received, has_open=has_open):
-                outbox.put(RENEWAL)
+                outbox.put(self._renewal())
             await asyncio.sleep(RENEWAL_PERIOD_S)
 
 
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -5,6 +5,7 @@
 import asyncio
 import random as random_module
 from contextlib import AsyncExitStack
+from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import Self
 from uuid import uuid4
@@ -29,6 +30,7 @@
 from verbenaplank.entry.pipeline import Pipeline
 from verbenaplank.entry.pipeline import PipelineParts
 from verbenaplank.entry.registry import RequestRegistry
+from verbenaplank.entry.routed import RoutedJobs
 from verbenaplank.entry.runner import EngineRunner
 from verbenaplank.entry.standing import Standing
 from verbenaplank.entry.traffic import Traffic
@@ -65,6 +67,8 @@
 """How long a stop waits further for jobs that it has let fail."""
 
 EXPIRY_PERIOD_S = 1.0
+INCARNATION_CHARACTERS = 8
+"""Enough of an incarnation to tell the jobs of two entries apart."""
 
 
 class EntryInstance:
@@ -81,6 +85,8 @@
         The decisions, with counts for metrics.
     pipeline
         Takes requests to their answers, once the context is entered.
+    routed
+        Runs the jobs that come by a route.
     queue
         The tasks that wait for a backend server.
     traffic
@@ -132,6 +138,14 @@
             max_records=MAX_RECORDS, max_answer_bytes=MAX_ANSWER_BYTES
         )
         self._runner = EngineRunner(self.engine, clock)
+        self.routed = RoutedJobs(
+            runner=self._runner,
+            fleet=self._fleet,
+            clock=clock,
+            entry_name=self._incarnation[:INCARNATION_CHARACTERS],
+            accepts=lambda: self._standing.condition().current and not self._closing,
+        )
+        self._closing = False
         self._peer_service = PeerService(self._registry, self._runner.cancel)
 
     @property
@@ -153,6 +167,38 @@
     ) -> None:
         await self._resources.aclose()
 
+    @property
+    def ready_for_routes(self) -> bool:
+        """Whether routed jobs can be served."""
+        condition = self._standing.condition()
+        has_agents = self._fleet.has_connected()
+        has_routes = self.routed.table.version > 0
+        return (
+            condition.current and not condition.draining and has_routes and has_agents
+        )
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether callers should go elsewhere."""
+        return self._standing.draining
+
+    async def drain_routes(self, linger_s: float, timeout_s: float) -> None:
+        """Turn unready, take routed jobs on for a while, then finish them.
+
+        Parameters
+        ----------
+        linger_s
+            How long jobs are still taken on, until callers go elsewhere.
+        timeout_s
+            How long the jobs in progress may take after that.
+        """
+        self._standing.draining = True
+        await asyncio.sleep(linger_s)
+        self._closing = True
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.routed.join()
+
     async def drain(self) -> None:
         """Stop gracefully: refuse new requests and answer those in progress.
 
@@ -189,6 +235,7 @@
             links=links,
             admission=self._admission,
             fleet=self._fleet,
+            routed=self.routed,
             clock=self._clock,
         )
 
--- a/src/verbenaplank/entry/collect.py
+++ b/src/verbenaplank/entry/collect.py
@@ -27,6 +27,9 @@
 
 MILLISECONDS_PER_SECOND = 1000
 
+COUNTED_FAILURES = frozenset({TaskOutcome.FAILED, TaskOutcome.TIMED_OUT})
+"""Ends that count as attempts of a task."""
+
 _RAW = msgspec.json.Decoder(msgspec.Raw)
 
 
@@ -86,7 +89,10 @@
         if rejection is None:
             self._latencies.learn(task.service, now_s - record.sent_s)
             self._jobs.succeed(job, task.task_index, result.output)
-        elif not self._retries.run_again(job, record, now_s):
+            return
+        if result.outcome in COUNTED_FAILURES:
+            self._retries.count_failure(job, record)
+        if not self._retries.run_again(job, record, now_s):
             self._jobs.fail(job, rejection, now_s)
 
     def refusal(self, agent_id: str, refusal: DispatchRefusal, now_s: float) -> None:
@@ -134,9 +140,18 @@
                 self._jobs.revoke(record)
 
     def agent_lost(self, agent_id: str, now_s: float) -> None:
-        """Give up every open dispatch of an agent that is gone."""
+        """Give up the open dispatches of an agent that is gone.
+
+        Those of exclusive tasks may still run; :meth:`agent_silent` ends them.
+        """
+        for record in self._book.of_agent(agent_id):
+            if not record.task.exclusive:
+                self._lose(record, f"agent {agent_id} was lost", now_s)
+
+    def agent_silent(self, agent_id: str, now_s: float) -> None:
+        """Give up every dispatch of an agent whose runs must have ended by now."""
         for record in self._book.of_agent(agent_id):
-            self._lose(record, f"agent {agent_id} was lost", now_s)
+            self._lose(record, f"agent {agent_id} was silent", now_s)
 
     def _find(
         self, agent_id: str, message: TaskResult | DispatchRefusal | Revocation
--- a/src/verbenaplank/entry/effects.py
+++ b/src/verbenaplank/entry/effects.py
@@ -36,5 +36,7 @@
     failure: Failure
 
 
-Effect = Send | JobCompleted | JobFailed
+JobEnd = JobCompleted | JobFailed
+
+Effect = Send | JobEnd
 """One thing to do; effects are carried out in the order of their list."""
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -17,6 +17,7 @@
 from verbenaplank.entry.jobs import JobTable
 from verbenaplank.entry.place import Placer
 from verbenaplank.entry.retry import Retries
+from verbenaplank.entry.silence import Silences
 from verbenaplank.entry.timetable import Timetable
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
@@ -112,6 +113,7 @@
         )
         self._on_dispatch = on_dispatch
         self._stalls_checked_s = float("-inf")
+        self._silences = Silences()
         self.counts = self._collector.counts
 
     def submit(self, submission: Submission, now_s: float) -> None:
@@ -154,6 +156,7 @@
     def agent_connected(self, welcome: AgentWelcome, now_s: float) -> None:
         """Take in the start of an agent's stream."""
         agent_id = welcome.agent_id
+        self._silences.ended(agent_id)
         self._connected[agent_id] = welcome
         self._collector.connected(agent_id, welcome.incarnation, now_s)
         if agent_id in self._members:
@@ -161,6 +164,7 @@
 
     def agent_disconnected(self, agent_id: str, now_s: float) -> None:
         """Take in the end of an agent's stream."""
+        self._silences.began(agent_id, now_s)
         self._connected.pop(agent_id, None)
         self._placer.disconnected(agent_id)
         self._fleet.disconnected(agent_id, now_s)
@@ -184,6 +188,8 @@
         self._check_lease(now_s)
         for job_id in self._deadlines.take_due(now_s):
             self._fail(job_id, DEADLINE_EXCEEDED, now_s)
+        for agent_id in self._silences.take_over(now_s):
+            self._collector.agent_silent(agent_id, now_s)
         self._retries.queue_due(now_s)
         self._hedger.hedge_due(now_s, self._placer.place_again)
         self._revoke_stalled(now_s)
--- a/src/verbenaplank/entry/follow.py
+++ b/src/verbenaplank/entry/follow.py
@@ -10,6 +10,7 @@
     from verbenaplank.entry.agent_links import AgentLinks
     from verbenaplank.entry.ports import Claims
     from verbenaplank.entry.ports import Membership
+    from verbenaplank.entry.routed import RoutedJobs
     from verbenaplank.entry.runner import EngineRunner
     from verbenaplank.placement.fleet import Fleet
     from verbenaplank.protocol.membership import Member
@@ -25,12 +26,14 @@
         links: AgentLinks,
         admission: Admission,
         fleet: Fleet,
+        routed: RoutedJobs,
         clock: MonotonicClock,
     ) -> None:
         self._runner = runner
         self._links = links
         self._admission = admission
         self._fleet = fleet
+        self._routed = routed
         self._clock = clock
         self._agents: dict[str, Member] = {}
         self._followed: tuple[Membership, Claims] | None = None
@@ -54,6 +57,7 @@
         for member in membership.members.values():
             if self._agents.get(member.member_id) != member:
                 self._join(member, now_s)
+        self._routed.use(membership.routing)
         self._fleet.set_drained(configuration.drained_backend_servers)
         self._runner.flush_soon()
 
--- a/src/verbenaplank/entry/hedge.py
+++ b/src/verbenaplank/entry/hedge.py
@@ -64,7 +64,9 @@
     def watch(self, record: DispatchRecord) -> None:
         """Look at a dispatch again when it is late, if a second run is allowed."""
         job = self._jobs.running(record.task.job_id)
-        if job is None or job.runs >= job.submission.max_runs:
+        if job is None or job.submission.exclusive:
+            return
+        if job.runs >= job.submission.max_runs:
             return
         late_s = self.latencies.late_s(record.task.service)
         if late_s is not None:
--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -40,6 +41,8 @@
         How many tasks have no output.
     runs
         How many runs have been allowed to the tasks of a single call.
+    failed_runs
+        How many runs of each task failed, for exclusive tasks.
     rejection
         Why the job fails, once it does.
     answer_by_s
@@ -50,6 +53,7 @@
     results: list[bytes | None]
     remaining: int
     runs: int = 1
+    failed_runs: Counter[int] = attrs.field(factory=Counter)
     rejection: Rejection | None = None
     answer_by_s: float = float("inf")
 
@@ -198,5 +202,7 @@
         urgent=submission.urgent,
         needs=submission.needs,
         declared_run_time_s=submission.declared_run_time_s,
+        workload=submission.workload,
+        exclusive=submission.exclusive,
         deadline_s=submission.deadline_s,
     )
--- a/src/verbenaplank/entry/place.py
+++ b/src/verbenaplank/entry/place.py
@@ -128,4 +128,5 @@
         run_budget_ms=submission.run_timeout_ms,
         attempt=task.attempt,
         urgent=task.urgent,
+        needs=task.needs,
     )
--- a/src/verbenaplank/entry/ports.py
+++ b/src/verbenaplank/entry/ports.py
@@ -14,6 +14,7 @@
     from verbenaplank.configuration.effective import EffectiveConfiguration
     from verbenaplank.protocol.membership import Member
     from verbenaplank.protocol.membership import RegistrarGroup
+    from verbenaplank.routing.table import RoutingTable
 
 
 class Membership(Protocol):
@@ -39,6 +40,10 @@
     def registrars(self) -> RegistrarGroup | None:
         """The registrars in force, once known."""
 
+    @property
+    def routing(self) -> RoutingTable:
+        """The routing table in force."""
+
     @property
     def ready(self) -> bool:
         """Whether a quorum backed what is known."""
--- a/src/verbenaplank/entry/renewal.py
+++ b/src/verbenaplank/entry/renewal.py
@@ -8,8 +8,7 @@
 
 import attrs
 
-TASK_LEASE_MS = 3_000.0
-RENEWAL_PERIOD_S = 1.0
+RENEWAL_PERIOD_S = 0.25
 ACKNOWLEDGEMENT_PERIOD_S = 10.0
 """How long results wait for a message that acknowledges them anyway."""
 
--- a/src/verbenaplank/entry/retry.py
+++ b/src/verbenaplank/entry/retry.py
@@ -49,6 +49,10 @@
         for task in self._pauses.take_due(now_s):
             self._queue.push(task, now_s)
 
+    def count_failure(self, job: Job, record: DispatchRecord) -> None:
+        """Count a run that failed by the task's fault or the backend server's."""
+        job.failed_runs[record.task.task_index] += 1
+
     def run_again(self, job: Job, record: DispatchRecord, now_s: float) -> bool:
         """Allow a task one more run, if its caller and the budget permit it.
 
@@ -58,6 +62,8 @@
             Whether a run of the task is still to come or in progress.
         """
         task = record.task
+        if job.submission.exclusive:
+            return self._run_exclusive_again(job, record, now_s)
         if self._book.of_task(task.job_id, task.task_index):
             return True
         if job.runs >= job.submission.max_runs or now_s >= task.deadline_s:
@@ -69,3 +75,16 @@
         again = attrs.evolve(task, attempt=job.runs, avoided_members=avoided)
         self._queue.push(again, now_s)
         return True
+
+    def _run_exclusive_again(
+        self, job: Job, record: DispatchRecord, now_s: float
+    ) -> bool:
+        """Queue another run of a task whose last one is surely over."""
+        task = record.task
+        failed_runs = job.failed_runs[task.task_index]
+        if failed_runs >= job.submission.max_runs or now_s >= task.deadline_s:
+            return False
+        avoided = task.avoided_members | {record.agent_id}
+        again = attrs.evolve(task, attempt=task.attempt + 1, avoided_members=avoided)
+        self._queue.push(again, now_s)
+        return True
--- /dev/null
+++ b/src/verbenaplank/entry/routed.py
@@ -0,0 +1,242 @@
+"""Jobs that come by a route: admission, run and end.
+
+A routed job is run by the entry that took it on; its tasks may run again, but
+never two runs of one at a time.  When its caller goes away, it is stopped.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.agent.leased_run import NamedTask
+from verbenaplank.agent.leased_run import encode_task
+from verbenaplank.entry.effects import JobCompleted
+from verbenaplank.entry.submission import Submission
+from verbenaplank.outcome.failure import FailureKind
+from verbenaplank.outcome.failure import Run
+from verbenaplank.placement.possibility import Possibility
+from verbenaplank.placement.task import Needs
+from verbenaplank.routing.lookup import RouteLookup
+from verbenaplank.routing.table import Route
+from verbenaplank.routing.table import RoutingTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.entry.effects import JobEnd
+    from verbenaplank.entry.runner import EngineRunner
+    from verbenaplank.placement.fleet import Fleet
+    from verbenaplank.routing.lookup import Match
+
+MS_PER_S = 1_000.0
+RETRY_AFTER_S = 1.0
+LATE_FACTOR = 3.0
+"""An answer later than so many objectives is worth nothing to its caller."""
+
+STUCK_FACTOR = 12.0
+MIN_RUN_TIMEOUT_S = 4.0
+
+
+class RoutedState(StrEnum):
+    """How a routed job ended.
+
+    ``REFUSED`` means that none of its tasks ran, nor ever will.  ``UNKNOWN``
+    means that some may have run, or run still until their lease lapses.
+    """
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen(kw_only=True)
+class RoutedEnd:
+    """The end of a routed job.
+
+    Attributes
+    ----------
+    retry_after_s
+        When a refused job may be sent again.
+    """
+
+    state: RoutedState
+    detail: str = ""
+    retry_after_s: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class RoutedJob:
+    """Equal tasks that a caller sent by a route.
+
+    Attributes
+    ----------
+    key
+        The caller's id within the route.
+    tasks
+        Each under the name that the backend server is to know it by.
+    estimate_s
+        Run time of a task by the caller's word.
+    patience_s
+        How long the caller waits.
+    """
+
+    key: str
+    route: Route
+    tasks: tuple[NamedTask, ...]
+    needs: Needs
+    estimate_s: float
+    patience_s: float
+
+
+class RoutedJobs:
+    """The routed jobs in progress at this entry."""
+
+    def __init__(
+        self,
+        *,
+        runner: EngineRunner,
+        fleet: Fleet,
+        clock: MonotonicClock,
+        entry_name: str,
+        accepts: Callable[[], bool],
+    ) -> None:
+        self._runner = runner
+        self._fleet = fleet
+        self._clock = clock
+        self._entry_name = entry_name
+        self._accepts = accepts
+        self._numbers = itertools.count(1)
+        self._lookup = RouteLookup(RoutingTable())
+        self._running: dict[tuple[str, str], _RunningJob] = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def table(self) -> RoutingTable:
+        """Return the routing table in force here."""
+        return self._lookup.table
+
+    def use(self, table: RoutingTable) -> None:
+        """Put a routing table in force, unless a newer one is."""
+        if table.version > self.table.version:
+            self._lookup = RouteLookup(table)
+
+    def find(self, host: str, path: str) -> Match | None:
+        """Return the route of a request."""
+        return self._lookup.find(host, path)
+
+    def count(self, route: Route) -> int:
+        """Return how many jobs of a route are in progress here."""
+        return sum(1 for name, _ in self._running if name == route.name)
+
+    def is_running(self, route: Route, key: str) -> bool:
+        """Return whether a job is in progress here."""
+        return (route.name, key) in self._running
+
+    def cancel(self, route: Route, key: str) -> bool:
+        """Stop a job; return whether it was in progress here."""
+        running = self._running.get((route.name, key))
+        return running is not None and self._runner.cancel(running.job_id)
+
+    async def run(self, job: RoutedJob) -> RoutedEnd:
+        """Run a job, or join it if it runs here already.
+
+        The job is stopped once nobody waits for it any more.
+        """
+        place = (job.route.name, job.key)
+        running = self._running.get(place)
+        if running is None:
+            refusal = self._refusal(job)
+            if refusal is not None:
+                return refusal
+            running = self._start(job, place)
+        running.waiting += 1
+        try:
+            return await asyncio.shield(running.end)
+        finally:
+            running.waiting -= 1
+            if not (running.waiting or running.end.done()):
+                self._runner.cancel(running.job_id)
+
+    async def join(self) -> None:
+        """Wait until no job is in progress."""
+        await self._idle.wait()
+
+    def _refusal(self, job: RoutedJob) -> RoutedEnd | None:
+        if not self._accepts():
+            return _refused("the entry is stopping or not ready")
+        possibility = self._fleet.possibility(job.route.service, job.needs)
+        if possibility is Possibility.NO_SERVICE:
+            return _refused(f"no backend server offers {job.route.service!r} now")
+        if possibility is Possibility.IMPOSSIBLE_NEEDS:
+            return _refused("no worker could ever hold a task of this job")
+        return None
+
+    def _start(self, job: RoutedJob, place: tuple[str, str]) -> _RunningJob:
+        submission = self._submission(job)
+        task = asyncio.get_running_loop().create_task(self._run(submission))
+        running = _RunningJob(submission.job_id, task)
+        self._running[place] = running
+        self._idle.clear()
+        task.add_done_callback(lambda _: self._ended(place))
+        return running
+
+    async def _run(self, submission: Submission) -> RoutedEnd:
+        return _end_of(await self._runner.run_to_end(submission))
+
+    def _ended(self, place: tuple[str, str]) -> None:
+        del self._running[place]
+        if not self._running:
+            self._idle.set()
+
+    def _submission(self, job: RoutedJob) -> Submission:
+        now_s = self._clock()
+        run_timeout_s = max(MIN_RUN_TIMEOUT_S, STUCK_FACTOR * job.estimate_s)
+        return Submission(
+            job_id=f"{job.key}.{self._entry_name}.{next(self._numbers)}",
+            service=job.route.service,
+            team=job.route.name,
+            digest=b"",
+            payloads=tuple(encode_task(task) for task in job.tasks),
+            received_s=now_s,
+            deadline_s=now_s + job.patience_s,
+            urgent=job.route.priority == 0,
+            claimed=False,
+            max_runs=max(1, job.route.max_attempts),
+            exclusive=True,
+            workload=job.route.name,
+            needs=job.needs,
+            declared_run_time_s=job.estimate_s,
+            run_timeout_ms=run_timeout_s * MS_PER_S,
+        )
+
+
+@attrs.define
+class _RunningJob:
+    job_id: str
+    end: asyncio.Task[RoutedEnd]
+    waiting: int = 0
+
+
+def _refused(detail: str, retry_after_s: float = RETRY_AFTER_S) -> RoutedEnd:
+    return RoutedEnd(
+        state=RoutedState.REFUSED, detail=detail, retry_after_s=retry_after_s
+    )
+
+
+def _end_of(end: JobEnd) -> RoutedEnd:
+    if isinstance(end, JobCompleted):
+        return RoutedEnd(state=RoutedState.SUCCEEDED)
+    failure = end.failure
+    if failure.kind is FailureKind.TASK_FAILED:
+        return RoutedEnd(state=RoutedState.FAILED, detail=failure.detail)
+    if failure.run is Run.NOT_RUN:
+        return _refused(failure.detail, failure.retry_after_s or RETRY_AFTER_S)
+    return RoutedEnd(state=RoutedState.UNKNOWN, detail=failure.detail)
--- a/src/verbenaplank/entry/runner.py
+++ b/src/verbenaplank/entry/runner.py
@@ -17,6 +17,7 @@
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.entry.answer import Answer
     from verbenaplank.entry.effects import Effect
+    from verbenaplank.entry.effects import JobEnd
     from verbenaplank.entry.effects import ToAgentItem
     from verbenaplank.entry.engine import Engine
     from verbenaplank.entry.submission import Submission
@@ -35,7 +36,7 @@
         self.engine = engine
         self._clock = clock
         self._send: Callable[[str, ToAgentItem], None] = _drop
-        self._waiting: dict[str, tuple[Submission, asyncio.Future[Answer]]] = {}
+        self._waiting: dict[str, asyncio.Future[JobEnd]] = {}
         self._flush_due = False
 
     def use(self, send: Callable[[str, ToAgentItem], None]) -> None:
@@ -44,11 +45,18 @@
 
     async def run(self, submission: Submission) -> Answer:
         """Run a request and return its answer."""
-        answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self._waiting[submission.job_id] = (submission, answer)
+        end = await self.run_to_end(submission)
+        if isinstance(end, JobCompleted):
+            return _completed(submission, end)
+        return failure_answer(end.failure, end.job_id)
+
+    async def run_to_end(self, submission: Submission) -> JobEnd:
+        """Run a request and return how it ended."""
+        end: asyncio.Future[JobEnd] = asyncio.get_running_loop().create_future()
+        self._waiting[submission.job_id] = end
         self.engine.submit(submission, self._clock())
         self.flush_soon()
-        return await answer
+        return await end
 
     def cancel(self, job_id: str) -> bool:
         """Cancel a request; tell whether it was in progress."""
@@ -84,13 +92,9 @@
         if isinstance(effect, Send):
             self._send(effect.agent_id, effect.item)
             return
-        submission, waiting = self._waiting.pop(effect.job_id)
-        if isinstance(effect, JobCompleted):
-            answer = _completed(submission, effect)
-        else:
-            answer = failure_answer(effect.failure, effect.job_id)
+        waiting = self._waiting.pop(effect.job_id)
         if not waiting.done():
-            waiting.set_result(answer)
+            waiting.set_result(effect)
 
 
 def _completed(submission: Submission, effect: JobCompleted) -> Answer:
--- a/src/verbenaplank/entry/submission.py
+++ b/src/verbenaplank/entry/submission.py
@@ -21,6 +21,11 @@
         Whether a majority of registrars must grant the id before a start.
     max_runs
         How often each task may run; above 1 only for idempotent calls.
+    exclusive
+        Whether no two runs of a task may overlap.  ``max_runs`` then counts the
+        runs that failed; one that was lost or refused does not count.
+    workload
+        Names tasks of similar run times within the service.
     received_s
         Monotonic time at which the request arrived.
     deadline_s
@@ -38,6 +43,8 @@
     urgent: bool = False
     claimed: bool = True
     max_runs: int = 1
+    exclusive: bool = False
+    workload: str = ""
     needs: Needs = attrs.field(factory=Needs)
     declared_run_time_s: float = 0.2
     run_timeout_ms: float = 30_000.0
--- /dev/null
+++ b/src/verbenaplank/http/exchange.py
@@ -0,0 +1,121 @@
+"""Plain HTTP handlers as ASGI applications, for interfaces without a framework."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+
+Application = Callable[[Any, Any, Any], Awaitable[None]]
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """A whole HTTP request; header names are in lower case."""
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class Response:
+    """A whole HTTP response."""
+
+    status: int
+    body: bytes = b""
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+def application(handler: Handler, max_body_bytes: Callable[[], int]) -> Application:
+    """Return an ASGI application that answers with a handler.
+
+    The handler is cancelled when its caller hangs up.
+
+    Parameters
+    ----------
+    max_body_bytes
+        Returns the largest body that is read; a larger one is refused.
+    """
+
+    async def serve(scope: Any, receive: Any, send: Any) -> None:
+        body = await _read_body(receive, max_body_bytes())
+        if body is None:
+            response = Response(status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            await _send(send, response)
+            return
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        request = Request(
+            method=scope["method"], path=scope["path"], headers=headers, body=body
+        )
+        answer = await _answer(handler, request, receive)
+        if answer is not None:
+            await _send(send, answer)
+
+    return serve
+
+
+async def _answer(handler: Handler, request: Request, receive: Any) -> Response | None:
+    """Return the handler's response, or ``None`` if the caller has hung up."""
+    handling = asyncio.ensure_future(handler(request))
+    hanging_up = asyncio.ensure_future(_wait_for_hang_up(receive))
+    try:
+        await asyncio.wait((handling, hanging_up), return_when=asyncio.FIRST_COMPLETED)
+        if not handling.done():
+            return None
+        return handling.result()
+    except Exception:
+        logger.exception("a request failed within", extra={"path": request.path})
+        return Response(status=HTTPStatus.BAD_GATEWAY)
+    finally:
+        handling.cancel()
+        hanging_up.cancel()
+        await asyncio.gather(handling, hanging_up, return_exceptions=True)
+
+
+async def _wait_for_hang_up(receive: Any) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        continue
+
+
+async def _read_body(receive: Any, limit_bytes: int) -> bytes | None:
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return bytes(body)
+        body += message.get("body", b"")
+        if len(body) > limit_bytes:
+            return None
+        if not message.get("more_body", False):
+            return bytes(body)
+
+
+async def _send(send: Any, response: Response) -> None:
+    headers = [(b"content-length", str(len(response.body)).encode())]
+    headers += [
+        (name.lower().encode("latin-1"), value.encode("latin-1"))
+        for name, value in response.headers.items()
+    ]
+    start = {
+        "type": "http.response.start",
+        "status": int(response.status),
+        "headers": headers,
+    }
+    await send(start)
+    await send({"type": "http.response.body", "body": response.body})
--- a/src/verbenaplank/http/server.py
+++ b/src/verbenaplank/http/server.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
-    from litestar import Litestar
+    from verbenaplank.http.exchange import Application
 
 BACKLOG = 2048
 KEEP_ALIVE_S = 75
@@ -33,7 +33,7 @@
     """
 
     def __init__(
-        self, application: Litestar, address: Address, stop_timeout_s: float
+        self, application: Application, address: Address, stop_timeout_s: float
     ) -> None:
         config = uvicorn.Config(
             application,
--- a/src/verbenaplank/membership/link.py
+++ b/src/verbenaplank/membership/link.py
@@ -27,6 +27,7 @@
     from verbenaplank.configuration.effective import EffectiveConfiguration
     from verbenaplank.protocol.membership import FromControl
     from verbenaplank.protocol.membership import RegistrarGroup
+    from verbenaplank.routing.table import RoutingTable
     from verbenaplank.settings.common import ControlPeer
     from verbenaplank.settings.common import TlsSettings
 
@@ -118,6 +119,11 @@
         """Return the registrar group in force, once it is known."""
         return self._state.registrars
 
+    @property
+    def routing(self) -> RoutingTable:
+        """Return the newest routing table; it never goes back."""
+        return self._state.routing
+
     @property
     def ready(self) -> bool:
         """Return whether a current instance told the newest state since the start."""
--- a/src/verbenaplank/membership/link_state.py
+++ b/src/verbenaplank/membership/link_state.py
@@ -11,6 +11,7 @@
 from verbenaplank.configuration.effective import EffectiveConfiguration
 from verbenaplank.protocol.membership import Member
 from verbenaplank.protocol.membership import MemberRole
+from verbenaplank.routing.table import RoutingTable
 
 if TYPE_CHECKING:
     from verbenaplank.protocol.membership import ConfigurationUpdate
@@ -31,6 +32,7 @@
     CONFIGURATION = "configuration"
     REGISTRARS = "registrars"
     DRAIN = "drain"
+    ROUTING = "routing"
 
 
 @attrs.frozen(kw_only=True)
@@ -65,6 +67,7 @@
         self.entries: dict[str, Member] = {}
         self.members_revision = 0
         self.registrars: RegistrarGroup | None = None
+        self.routing = RoutingTable()
         self.ready = False
         self.drain_ordered = False
         self.lease_until_s = float("-inf")
@@ -98,6 +101,8 @@
             events.extend(self._take_members(message.members))
         if message.registrars is not None:
             events.extend(self._take_registrars(message.registrars))
+        if message.routing is not None:
+            events.extend(self._take_routing(message.routing))
         if message.drain != self.drain_ordered:
             self.drain_ordered = message.drain
             events.append(
@@ -151,6 +156,12 @@
         )
         return [event]
 
+    def _take_routing(self, table: RoutingTable) -> list[LinkEvent]:
+        if table.version <= self.routing.version:
+            return []
+        self.routing = table
+        return [LinkEvent(kind=LinkEventKind.ROUTING)]
+
     def _take_registrars(self, group: RegistrarGroup) -> list[LinkEvent]:
         if self.registrars is not None and group.epoch <= self.registrars.epoch:
             return []
--- a/src/verbenaplank/placement/backend_server.py
+++ b/src/verbenaplank/placement/backend_server.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from verbenaplank.placement.task import NO_NEEDS
 from verbenaplank.placement.task import Needs
 from verbenaplank.protocol.membership import Member
 
@@ -17,7 +18,6 @@
 TaskKey = tuple[str, int, int]
 """Job identifier, task index and attempt."""
 
-NO_NEEDS = Needs()
 SLOWNESS_GAIN = 0.05
 DOUBT = 0.3
 """Log slowness that is conceded after one run; it shrinks with further runs."""
@@ -160,7 +160,7 @@
         mine = self.needs_held()
         size = self.member.worker
         free = Needs(
-            cores=size.cores - mine.cores - math.ceil(self.cores_of_others),
+            cores=size.cores - mine.cores - self.cores_of_others,
             memory_mb=size.memory_mb
             - mine.memory_mb
             - math.ceil(self.memory_of_others_mb),
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from verbenaplank.placement.backend_server import NO_NEEDS
 from verbenaplank.placement.backend_server import BackendServer
 from verbenaplank.placement.backend_server import fits
 from verbenaplank.placement.health import Health
@@ -14,6 +13,7 @@
 from verbenaplank.placement.possibility import Possibility
 from verbenaplank.placement.run_time import RunTimes
 from verbenaplank.placement.settings import PlacementSettings
+from verbenaplank.placement.task import NO_NEEDS
 from verbenaplank.placement.task import Needs
 from verbenaplank.protocol.membership import MemberRole
 from verbenaplank.protocol.work import TaskOutcome
@@ -28,7 +28,12 @@
 
 USUAL_SHARE_GAIN = 0.02
 FAILURES = frozenset(
-    {TaskOutcome.FAILED, TaskOutcome.TIMED_OUT, TaskOutcome.CONNECTION_LOST}
+    {
+        TaskOutcome.FAILED,
+        TaskOutcome.TIMED_OUT,
+        TaskOutcome.CONNECTION_LOST,
+        TaskOutcome.NOT_STARTED,
+    }
 )
 
 
@@ -162,7 +167,7 @@
             return
         server.quiet_since_s = now_s
         if outcome is TaskOutcome.SUCCEEDED:
-            self._run_times.learn(task.service, server, run_time_s)
+            self._run_times.learn(task, server, run_time_s)
             self._health.succeeded(server, task)
         elif outcome in FAILURES:
             peers = self._services.get(task.service, [])
@@ -216,6 +221,10 @@
             if server.outstanding and self._is_overdue(server, now_s)
         ]
 
+    def has_connected(self) -> bool:
+        """Return whether the stream of any agent is open."""
+        return any(server.connected for server in self._servers.values())
+
     def slots_of(self, service: str) -> int:
         """Return the slots of the service's connected backend servers."""
         servers = self._services.get(service, ())
--- a/src/verbenaplank/placement/task.py
+++ b/src/verbenaplank/placement/task.py
@@ -7,13 +7,16 @@
 
 @attrs.frozen(kw_only=True)
 class Needs:
-    """What one task needs of a worker."""
+    """What one task needs of a worker; a core may be shared by several."""
 
-    cores: int = 0
+    cores: float = 0
     memory_mb: int = 0
     accelerators: int = 0
 
 
+NO_NEEDS = Needs()
+
+
 @attrs.frozen(kw_only=True)
 class TaskRequest:
     """One task that waits for, or runs on, a backend server.
@@ -24,6 +27,10 @@
         The run time that the caller or the configuration declares.
     deadline_s
         Monotonic time by which the answer is due.
+    workload
+        Tasks of one service and workload have similar run times.
+    exclusive
+        Whether no two runs of the task may overlap.
     avoided_members
         Agents that an earlier attempt of this task went to.
     """
@@ -37,4 +44,6 @@
     declared_run_time_s: float = 0.2
     deadline_s: float = float("inf")
     attempt: int = 1
+    workload: str = ""
+    exclusive: bool = False
     avoided_members: frozenset[str] = frozenset()
--- a/src/verbenaplank/protocol/consensus.py
+++ b/src/verbenaplank/protocol/consensus.py
@@ -157,9 +157,16 @@
 
 @attrs.frozen(kw_only=True)
 class HelloReply:
-    """Tells the announced replica what the sender's storage holds."""
+    """Tells the announced replica what the sender's storage holds.
+
+    Attributes
+    ----------
+    voter_ids
+        The voters as far as the sender knows them.
+    """
 
     state: StorageState
+    voter_ids: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/verbenaplank/protocol/membership.py
+++ b/src/verbenaplank/protocol/membership.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from verbenaplank.routing.table import RoutingTable
+
 
 class MemberRole(StrEnum):
     """What a member does."""
@@ -18,7 +20,7 @@
 class WorkerSize:
     """What one worker holds."""
 
-    cores: int = 1
+    cores: float = 1
     memory_mb: int = 1024
     accelerators: int = 0
 
@@ -172,6 +174,8 @@
 
     Attributes
     ----------
+    routing
+        The routing table in force, for entries.
     current
         Whether a quorum backed that this is the newest state.
     drain
@@ -184,6 +188,7 @@
     members: MembersUpdate | None = None
     configuration: ConfigurationUpdate | None = None
     registrars: RegistrarGroup | None = None
+    routing: RoutingTable | None = None
     current: bool = True
     drain: bool = False
     left: bool = False
--- a/src/verbenaplank/protocol/work.py
+++ b/src/verbenaplank/protocol/work.py
@@ -6,14 +6,21 @@
 
 import attrs
 
+from verbenaplank.placement.task import NO_NEEDS
+from verbenaplank.placement.task import Needs
+
 
 class TaskOutcome(StrEnum):
-    """How the run of a task ended."""
+    """How the run of a task ended.
+
+    ``NOT_STARTED`` means that the backend server refused to start it.
+    """
 
     SUCCEEDED = "succeeded"
     FAILED = "failed"
     TIMED_OUT = "timed_out"
     STOPPED = "stopped"
+    NOT_STARTED = "not_started"
     CONNECTION_LOST = "connection_lost"
 
 
@@ -93,6 +100,7 @@
     run_budget_ms: float
     attempt: int = 1
     urgent: bool = False
+    needs: Needs = NO_NEEDS
 
 
 @attrs.frozen(kw_only=True)
@@ -125,9 +133,17 @@
 
 @attrs.frozen(kw_only=True)
 class LeaseRenewal:
-    """Renews the lease of everything that the entry has at the agent."""
+    """Renews the lease of everything that the entry has at the agent.
+
+    Attributes
+    ----------
+    heard_clock_s
+        The newest time of the agent's clock that the entry was told; the lease
+        counts from it, so that a late renewal extends nothing.
+    """
 
     lease_ms: float
+    heard_clock_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -186,13 +202,20 @@
 
 @attrs.frozen(kw_only=True)
 class LoadReport:
-    """What an agent has of all entries together, sent along with replies."""
+    """What an agent has of all entries together, sent along with replies.
+
+    Attributes
+    ----------
+    clock_s
+        The agent's monotonic clock when it made the report.
+    """
 
     running: int
     queued: int
     draining: bool = False
     cores_used: float = 0.0
     memory_used_mb: float = 0.0
+    clock_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/src/verbenaplank/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes from callers' hosts and paths to services, as one versioned document."""
--- a/src/verbenaplank/rpc/endpoint.py
+++ b/src/verbenaplank/rpc/endpoint.py
@@ -23,14 +23,17 @@
     from verbenaplank.rpc.method import Service
     from verbenaplank.settings.common import TlsSettings
 
-KEEPALIVE_PERIOD_S = 10.0
-KEEPALIVE_TIMEOUT_S = 5.0
+KEEPALIVE_PERIOD_S = 1.5
+KEEPALIVE_TIMEOUT_S = 1.5
+"""A connection that went silent without a reset is given up in three seconds."""
+
 WINDOW_BYTES = 8 * 1024 * 1024
 CONFIGURATION = Configuration(
     _keepalive_time=KEEPALIVE_PERIOD_S,
     _keepalive_timeout=KEEPALIVE_TIMEOUT_S,
     _keepalive_permit_without_calls=True,
     _http2_max_pings_without_data=0,
+    _http2_min_sent_ping_interval_without_data=KEEPALIVE_PERIOD_S / 2,
     http2_connection_window_size=WINDOW_BYTES,
     http2_stream_window_size=WINDOW_BYTES,
 )
--- a/src/verbenaplank/settings/agent.py
+++ b/src/verbenaplank/settings/agent.py
@@ -40,7 +40,7 @@
 class WorkerSettings:
     """What the worker under the backend server holds."""
 
-    cores: int = attrs.field(default=1, validator=positive)
+    cores: float = attrs.field(default=1.0, validator=positive)
     memory_mb: int = attrs.field(default=1024, validator=positive)
     accelerators: int = attrs.field(default=0, validator=validators.ge(0))
 
--- a/src/verbenaplank/settings/control.py
+++ b/src/verbenaplank/settings/control.py
@@ -24,6 +24,27 @@
     snapshot_every_entries: int = attrs.field(default=500, validator=positive)
 
 
+@attrs.frozen(kw_only=True)
+class GroupSettings:
+    """How the control instances come together.
+
+    Attributes
+    ----------
+    open
+        Whether instances that ``peers`` does not name may join.  The id of each
+        is then its RPC address, and the group is kept at twice
+        ``tolerated_losses`` plus one voters.
+    may_found
+        Whether instances with empty storage found a group.
+    tolerated_losses
+        Storages that may be lost at the same time.
+    """
+
+    open: bool = False
+    may_found: bool = True
+    tolerated_losses: int = attrs.field(default=0, validator=validators.ge(0))
+
+
 @attrs.frozen(kw_only=True)
 class MembershipSettings:
     """Leases of members."""
@@ -65,7 +86,8 @@
 class ControlSettings:
     """Everything that ``verbena-control`` reads from its settings file.
 
-    ``peers`` names every control instance, this one included.
+    ``peers`` names every control instance, this one included; of an open group
+    it names some, which found it.
     """
 
     instance_id: str = attrs.field(validator=not_empty)
@@ -76,6 +98,7 @@
     peers: tuple[ControlPeer, ...] = attrs.field(validator=validators.min_len(1))
     administration: AdministrationSettings
     consensus: ConsensusSettings = attrs.field(factory=ConsensusSettings)
+    group: GroupSettings = attrs.field(factory=GroupSettings)
     membership: MembershipSettings = attrs.field(factory=MembershipSettings)
     claims: ClaimSettings = attrs.field(factory=ClaimSettings)
     tls: TlsSettings | None = None
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -20,6 +20,7 @@
 from verbenaplank.configuration.effective import TeamRules
 from verbenaplank.protocol import work
 from verbenaplank.protocol.membership import Member
+from verbenaplank.routing.table import RoutingTable
 from verbenaplank.rpc.address import Address
 from verbenaplank.rpc.endpoint import serve
 from verbenaplank.rpc.services import WORK
@@ -59,6 +60,7 @@
         self.members: dict[str, Member] = {}
         self.entries: dict[str, Member] = {}
         self.registrars: RegistrarGroup | None = None
+        self.routing = RoutingTable()
         self.ready = True
         self.drain_ordered = False
         self.lease_since_s = float("-inf")
--- a/tests/entry/test_renewal.py
+++ b/tests/entry/test_renewal.py
@@ -2,8 +2,8 @@
 
 from verbenaplank.entry.renewal import ACKNOWLEDGEMENT_PERIOD_S
 from verbenaplank.entry.renewal import RENEWAL_PERIOD_S
-from verbenaplank.entry.renewal import TASK_LEASE_MS
 from verbenaplank.entry.renewal import RenewalSchedule
+from verbenaplank.entry.silence import TASK_LEASE_S
 
 
 def test_entry_with_nothing_at_an_agent_sends_it_no_renewal() -> None:
@@ -22,7 +22,7 @@
 
 
 def test_lease_outlasts_two_renewal_periods() -> None:
-    assert 2 * RENEWAL_PERIOD_S < TASK_LEASE_MS / 1_000
+    assert 2 * RENEWAL_PERIOD_S < TASK_LEASE_S
 
 
 def test_first_dispatch_after_a_pause_brings_a_renewal_along() -> None:
