--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -33,6 +33,7 @@
 from verbenaplank.rpc.endpoint import serve
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from types import TracebackType
     from typing import Self
 
@@ -40,6 +41,7 @@
     from verbenaplank.membership.link_state import LinkEvent
     from verbenaplank.rpc.address import Address
     from verbenaplank.settings.agent import AgentSettings
+    from verbenaplank.settings.common import ControlPeer
 
 DELIVERY_TIMEOUT_S = 2.0
 """How long a drain waits for the entries to take the last replies."""
@@ -167,6 +169,11 @@
         if self._link is not None:
             await self._link.leave()
 
+    def use_control(self, control: Sequence[ControlPeer]) -> None:
+        """Look for other control instances from now on."""
+        if self._link is not None:
+            self._link.use_control(control)
+
     async def leave(self) -> None:
         """Leave at once, as the backend server is gone."""
         if self._link is not None:
--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -27,6 +27,7 @@
     from verbenaplank.agent.report import BackendServerReport
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.settings.agent import AgentSettings
+    from verbenaplank.settings.common import ControlPeer
 
 RETRY_S = 0.2
 
@@ -97,6 +98,12 @@
         if self._newest is not None and self._newest.server_id == server_id:
             self._gone(self._newest)
 
+    def use_control(self, control: tuple[ControlPeer, ...]) -> None:
+        """Look for other control instances from now on."""
+        self._settings = attrs.evolve(self._settings, control=control)
+        if self._agent is not None:
+            self._agent.use_control(control)
+
     async def drain(self) -> None:
         """Refuse new dispatches, finish what runs, then leave."""
         self._stopping = True
--- a/src/verbenaplank/consensus/links.py
+++ b/src/verbenaplank/consensus/links.py
@@ -27,6 +27,7 @@
     "/verbenaplank.Control/Consensus", ConsensusEnvelope, ConsensusEnvelope
 )
 RECONNECT_S = 0.2
+CONNECT_TIMEOUT_S = 1.0
 MAX_QUEUED_MESSAGES = 1_000
 MAX_ENVELOPE_BYTES = 2 * 1024 * 1024
 
@@ -75,7 +76,8 @@
 
     async def _use(self, channel: Channel) -> None:
         async with CONSENSUS.open(channel) as stream:
-            await stream.send_request()
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await stream.send_request()
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._send_all(stream))
                 tasks.create_task(_watch_end(stream))
--- a/src/verbenaplank/console/program.py
+++ b/src/verbenaplank/console/program.py
@@ -87,11 +87,22 @@
         raise SystemExit(ExitCode.USAGE) from error
 
 
+def note_reload() -> None:
+    """Tell that a reload was asked for, which changes nothing here."""
+    logger.info("reload asked for; the settings are read at the next start")
+
+
 async def run_until_stopped(
     context: AbstractAsyncContextManager[Instance],
+    on_reload: Callable[[], None] = note_reload,
 ) -> None:
     """Run an instance until a signal stops it, then drain it.
 
+    Parameters
+    ----------
+    on_reload
+        Called at SIGHUP.
+
     Raises
     ------
     SystemExit
@@ -102,6 +113,7 @@
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, on_reload)
     async with AsyncExitStack() as stack:
         instance = await _enter_or_exit(stack, context)
         logger.info("serving")
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -39,6 +39,7 @@
 from verbenaplank.history.event import EventKind
 from verbenaplank.history.event import ignore_event
 from verbenaplank.http.server import HttpServer
+from verbenaplank.membership.link import MemberLink
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
 from verbenaplank.protocol.membership import Member
@@ -47,6 +48,7 @@
 from verbenaplank.rpc.endpoint import serve
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from types import TracebackType
 
     from verbenaplank.clock.sources import MonotonicClock
@@ -59,6 +61,7 @@
     from verbenaplank.entry.ports import MembershipFactory
     from verbenaplank.placement.policy import Policy
     from verbenaplank.rpc.address import Address
+    from verbenaplank.settings.common import ControlPeer
     from verbenaplank.settings.entry import EntrySettings
 
 MAX_RECORDS = 1_000_000
@@ -177,6 +180,11 @@
             condition.current and not condition.draining and has_routes and has_agents
         )
 
+    def use_control(self, control: Sequence[ControlPeer]) -> None:
+        """Look for other control instances from now on."""
+        if isinstance(self._membership, MemberLink):
+            self._membership.use_control(control)
+
     @property
     def is_draining(self) -> bool:
         """Whether callers should go elsewhere."""
--- a/src/verbenaplank/membership/link.py
+++ b/src/verbenaplank/membership/link.py
@@ -34,7 +34,10 @@
 FIRST_HEARTBEAT_S = 0.5
 """Time between heartbeats until an instance has named another."""
 
-FIRST_ANSWER_TIMEOUT_S = 3.0
+CONNECT_TIMEOUT_S = 0.5
+"""An instance that does not take a connection so soon is passed over."""
+
+FIRST_ANSWER_TIMEOUT_S = 1.0
 """How long an instance may take to answer the first message of a stream."""
 
 SILENT_HEARTBEATS = 3.0
@@ -156,6 +159,10 @@
         self._member_changed = True
         self._wake.set()
 
+    def use_control(self, control: Sequence[ControlPeer]) -> None:
+        """Look for other control instances from the next stream on."""
+        self._control = control
+
     async def leave(self) -> None:
         """Leave the member list; returns when it is logged, or after a while."""
         self._leaving = True
@@ -167,9 +174,13 @@
                 await self._left.wait()
 
     async def _run(self) -> None:
-        peers = self._peers_by_preference()
+        peers: list[ControlPeer] = []
+        control: Sequence[ControlPeer] = ()
         failures = 0
         while not self._left.is_set():
+            if control is not self._control:
+                control = self._control
+                peers = self._peers_by_preference()
             peer = peers[failures % len(peers)]
             if await self._try_session(peer):
                 failures = 0
@@ -199,7 +210,8 @@
     async def _session(self, stream: Stream[ToControl, FromControl]) -> None:
         self._state.start_stream()
         self._member_changed = False
-        await self._send(stream, 1, first=True)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            await self._send(stream, 1, first=True)
         sender = asyncio.create_task(self._send_heartbeats(stream))
         try:
             await self._receive(stream)
