Queue routed jobs by priority and goal, refuse early, move standing runs

Change: strict priorities, on-time jobs by earliest goal, then late ones; a job is refused at once when the work ahead outlasts its slack, and given up at three goals; agents push changes of their load within 10 ms and refuse at once what does not fit; backend servers over 2.5 times the median slowness get tasks on trial only; runs without progress are stopped and run elsewhere.

--- /dev/null
+++ b/src/verbenaplank/admission/goal_queue.py
@@ -0,0 +1,159 @@
+"""A queue of tasks whose callers have a goal: on time first, then merely late.
+
+Within a priority, jobs that can still be answered by their goal come first, the
+earliest goal ahead; then those that can only be late.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+from sortedcontainers import SortedKeyList
+
+from verbenaplank.placement.task import TaskRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+MAX_JOBS_TRIED = 8
+"""Jobs looked at for one that fits; tasks of one fleet need much the same."""
+
+
+@attrs.define(eq=False)
+class _QueuedJob:
+    """A job's queued tasks; those that run again come first."""
+
+    job_id: str
+    priority: int
+    goal_s: float
+    run_time_s: float
+    sequence: int
+    tasks: deque[TaskRequest] = attrs.field(factory=deque)
+    is_late: bool = False
+
+    def order(self) -> tuple[float, int]:
+        return (self.goal_s, self.sequence)
+
+
+class _Class:
+    """The jobs of one priority."""
+
+    def __init__(self) -> None:
+        self.on_time: SortedKeyList[_QueuedJob] = SortedKeyList(key=_QueuedJob.order)
+        self.late: SortedKeyList[_QueuedJob] = SortedKeyList(key=_QueuedJob.order)
+
+    def add(self, job: _QueuedJob) -> None:
+        (self.late if job.is_late else self.on_time).add(job)
+
+    def remove(self, job: _QueuedJob) -> None:
+        (self.late if job.is_late else self.on_time).remove(job)
+
+    def demote(self, now_s: float) -> None:
+        while self.on_time:
+            first = self.on_time[0]
+            if now_s + first.run_time_s <= first.goal_s:
+                return
+            self.on_time.remove(first)
+            first.is_late = True
+            self.late.add(first)
+
+
+class GoalQueue:
+    """Tasks that wait at an entry for a backend server, strictly by priority.
+
+    Parameters
+    ----------
+    run_time_s_of
+        Returns the expected run time of a task, in seconds.
+    """
+
+    def __init__(self, run_time_s_of: Callable[[TaskRequest], float]) -> None:
+        self._run_time_s_of = run_time_s_of
+        self._classes: dict[int, _Class] = {}
+        self._jobs: dict[str, _QueuedJob] = {}
+        self._sequence = 0
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def push(self, task: TaskRequest, now_s: float) -> None:
+        """Add a task."""
+        job = self._jobs.get(task.job_id)
+        if job is None:
+            job = self._open(task)
+        if task.attempt > 1:
+            job.tasks.appendleft(task)
+        else:
+            job.tasks.append(task)
+        self._size += 1
+
+    def pop(
+        self, now_s: float, placeable: Callable[[TaskRequest], bool]
+    ) -> TaskRequest | None:
+        """Remove and return the next task that can be placed now, if any."""
+        for job in self._in_order(now_s):
+            if placeable(job.tasks[0]):
+                return self._take(job)
+        return None
+
+    def remove_job(self, job_id: str) -> list[TaskRequest]:
+        """Remove all tasks of a job and return them."""
+        job = self._jobs.get(job_id)
+        if job is None:
+            return []
+        self._close(job)
+        self._size -= len(job.tasks)
+        return list(job.tasks)
+
+    def waiting_before(self, urgent: bool) -> int:
+        """Return how many tasks leave before a new one of that priority."""
+        if not urgent:
+            return self._size
+        return sum(len(job.tasks) for job in self._jobs.values() if not job.priority)
+
+    def work_before_core_s(self, priority: int) -> float:
+        """Return the work that leaves before a new job of a priority."""
+        return sum(
+            len(job.tasks) * job.run_time_s * job.tasks[0].needs.cores
+            for job in self._jobs.values()
+            if job.priority <= priority
+        )
+
+    def _open(self, task: TaskRequest) -> _QueuedJob:
+        self._sequence += 1
+        job = _QueuedJob(
+            job_id=task.job_id,
+            priority=task.priority,
+            goal_s=task.goal_s,
+            run_time_s=self._run_time_s_of(task),
+            sequence=self._sequence,
+        )
+        self._jobs[task.job_id] = job
+        self._classes.setdefault(job.priority, _Class()).add(job)
+        return job
+
+    def _in_order(self, now_s: float) -> Iterator[_QueuedJob]:
+        tried = 0
+        for priority in sorted(self._classes):
+            jobs = self._classes[priority]
+            jobs.demote(now_s)
+            for job in [*jobs.on_time[:MAX_JOBS_TRIED], *jobs.late[:MAX_JOBS_TRIED]]:
+                if tried == MAX_JOBS_TRIED:
+                    return
+                tried += 1
+                yield job
+
+    def _take(self, job: _QueuedJob) -> TaskRequest:
+        task = job.tasks.popleft()
+        self._size -= 1
+        if not job.tasks:
+            self._close(job)
+        return task
+
+    def _close(self, job: _QueuedJob) -> None:
+        del self._jobs[job.job_id]
+        self._classes[job.priority].remove(job)
--- /dev/null
+++ b/src/verbenaplank/admission/waiting_tasks.py
@@ -0,0 +1,32 @@
+"""What the entry needs of a queue of tasks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenaplank.placement.task import TaskRequest
+
+
+class WaitingTasks(Protocol):
+    """Tasks that wait at an entry for a backend server."""
+
+    def __len__(self) -> int:
+        """Return how many tasks wait."""
+
+    def push(self, task: TaskRequest, now_s: float) -> None:
+        """Add a task."""
+
+    def pop(
+        self, now_s: float, placeable: Callable[[TaskRequest], bool]
+    ) -> TaskRequest | None:
+        """Remove and return the next task that can be placed now, if any."""
+
+    def remove_job(self, job_id: str) -> list[TaskRequest]:
+        """Remove all tasks of a job and return them."""
+
+    def waiting_before(self, urgent: bool) -> int:
+        """Return how many tasks leave before a new one of that priority."""
--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -102,6 +102,7 @@
             self._runner, settings.instance_id, incarnation, slots
         )
         self._member = _member(settings, incarnation)
+        self._tells_load = backend is not None
         self._clock = clock
         self._drain_reasons: set[DrainReason] = set()
         self._link: MemberLink | None = None
@@ -131,6 +132,9 @@
                 self._on_link_event,
             )
             self._link = await resources.enter_async_context(link)
+            if self._tells_load:
+                telling = asyncio.create_task(self._streams.report_changes())
+                resources.callback(telling.cancel)
             self._resources = resources.pop_all()
         return self
 
--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -305,6 +305,12 @@
     def _reason_not_to_queue(self, dispatch: Dispatch) -> RefusalReason | None:
         if not self._room.holds(dispatch.needs):
             return RefusalReason.FULL
+        if self._limits.size is not None:
+            ahead = [*self._held(), *(item.dispatch.needs for item in self._waiting)]
+            if self._room.has_room_for(dispatch.needs, ahead):
+                return None
+            is_full = len(self._waiting) >= self._limits.max_queued_tasks
+            return RefusalReason.FULL if is_full else None
         free_slots = self._limits.slots - self._slots_taken()
         is_full = len(self._waiting) >= self._limits.max_queued_tasks + free_slots
         return RefusalReason.FULL if is_full else None
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -48,6 +48,12 @@
 LAPSE_MARGIN_S = 0.15
 """For clocks that run 2% slow and for the end of what is being stopped."""
 
+STANDSTILL_S = 0.7
+"""A run without progress for so long is stopped."""
+
+STANDSTILL_STEPS = 4.0
+"""Unless one step of its progress takes that long, so many times over."""
+
 MAX_OUTDATED_STARTS = 4
 OUTDATED_STEP = 16
 """After an outdated run number, the next try is so much higher."""
@@ -81,6 +87,19 @@
     end: asyncio.Future[EndKind]
     started_call: int | None = None
     stop_asked: bool = False
+    stood_still: bool = False
+    started_s: float = 0.0
+    percent: int = 0
+    moved_s: float = 0.0
+
+    def stands_still(self, percent: int, now_s: float) -> bool:
+        """Note the progress; return whether there has been none for too long."""
+        if percent != self.percent:
+            self.percent = percent
+            self.moved_s = now_s
+        usual_s = (self.moved_s - self.started_s) / max(self.percent, 1)
+        limit_s = max(STANDSTILL_S, STANDSTILL_STEPS * usual_s)
+        return now_s - max(self.moved_s, self.started_s) > limit_s
 
 
 class LeasedBackend:
@@ -186,7 +205,7 @@
             try:
                 reply = await self._start(run, task.content)
                 if reply.verdict is StartVerdict.STARTED:
-                    return _report(await self._wait_for_end(run, timeout_s))
+                    return _run_report(run, await self._wait_for_end(run, timeout_s))
             except CallFailedError:
                 await self._stop_surely(run)
                 return _report(run.end.result(), "the order to start was not answered")
@@ -227,6 +246,7 @@
             self._worker_clock.learn(reply.clock_ms)
         if reply.verdict is StartVerdict.STARTED:
             run.started_call = self._hold_calls
+            run.started_s = run.moved_s = self._clock()
             self._wake.set()
         return reply
 
@@ -327,12 +347,27 @@
         self._worker_clock.learn(reply.clock_ms)
         self._acknowledge(reply)
         active = {progress.run for progress in reply.active}
+        self._stop_standing(reply)
         for name, run in list(self._runs.items()):
             listed_since = run.started_call
             if listed_since is None or call <= listed_since or name in active:
                 continue
             _end(run, EndKind.STOPPED if run.stop_asked else EndKind.LAPSED)
 
+    def _stop_standing(self, reply: HoldReply) -> None:
+        now_s = self._clock()
+        for progress in reply.active:
+            run = self._runs.get(progress.run)
+            if run is None or run.started_call is None or run.stop_asked:
+                continue
+            if run.stands_still(progress.percent, now_s):
+                logger.warning(
+                    "a run stands still",
+                    extra={"task": run.name.task, "percent": run.percent},
+                )
+                run.stood_still = True
+                self._spawn(self._stop_surely(run))
+
     def _acknowledge(self, reply: HoldReply) -> None:
         for ended in reply.ended:
             self._acknowledged = max(self._acknowledged, ended.sequence)
@@ -374,6 +409,12 @@
         run.end.set_result(kind)
 
 
+def _run_report(run: _Run, kind: EndKind) -> RunReport:
+    if run.stood_still and kind is EndKind.STOPPED:
+        return RunReport(TaskOutcome.CONNECTION_LOST, error="the run stood still")
+    return _report(kind)
+
+
 def _report(kind: EndKind, error: str = "") -> RunReport:
     outcome = OUTCOMES[kind]
     if outcome is TaskOutcome.SUCCEEDED:
--- a/src/verbenaplank/agent/runner.py
+++ b/src/verbenaplank/agent/runner.py
@@ -67,6 +67,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopped: set[str] = set()
         self._changed = asyncio.Event()
+        self._load_changed = asyncio.Event()
 
     async def __aenter__(self) -> Self:
         self._spawn(self._expire_periodically())
@@ -104,6 +105,11 @@
         self.gate.resume()
         self._tell_load()
 
+    async def wait_changed(self) -> None:
+        """Wait for the next effects of the gate."""
+        self._load_changed.clear()
+        await self._load_changed.wait()
+
     def load(self) -> LoadReport:
         """Return the load of the gate now."""
         return self.gate.load(self.clock())
@@ -119,6 +125,7 @@
         self._perform(effects)
         self._perform(self.gate.start_ready(self.clock()))
         self._changed.set()
+        self._load_changed.set()
 
     def _tell_load(self) -> None:
         for outbox in self._outboxes.values():
--- a/src/verbenaplank/agent/work_service.py
+++ b/src/verbenaplank/agent/work_service.py
@@ -44,6 +44,9 @@
 
 IDLE_REPORT_PERIOD_S = 1.0
 
+REPORT_DELAY_S = 0.01
+"""Changes of the load within this time are told together."""
+
 
 class WorkStreams:
     """The open streams of entries."""
@@ -62,6 +65,15 @@
         """Return the service that entries open their streams on."""
         return WORK.handler(self._serve)
 
+    async def report_changes(self) -> None:
+        """Tell every entry of each change of the load, until cancelled."""
+        while True:
+            await self._runner.wait_changed()
+            await asyncio.sleep(REPORT_DELAY_S)
+            load = self._runner.load()
+            for stream in self._streams:
+                stream.report(load)
+
     async def wait_delivered(self) -> None:
         """Wait until every reply has been sent to the entries that are there."""
         while not all(stream.delivered for stream in self._streams):
@@ -100,6 +112,7 @@
         self._sending = False
         self._results_sent: deque[str] = deque()
         self._results_received = 0
+        self._told: LoadReport | None = None
 
     @property
     def delivered(self) -> bool:
@@ -167,6 +180,11 @@
             await asyncio.sleep(BUSY_REPORT_PERIOD_S if busy else IDLE_REPORT_PERIOD_S)
             self._outbox.put(self._runner.load())
 
+    def report(self, load: LoadReport) -> None:
+        """Report a load that differs from the one that the entry was told."""
+        if not self._outbox and _differs(load, self._told):
+            self._outbox.put(load)
+
     async def _send_part(self, items: Sequence[ReplyItem | LoadReport]) -> None:
         results = tuple(item for item in items if isinstance(item, TaskResult))
         self._results_sent.extend(
@@ -179,9 +197,14 @@
             revocations=tuple(item for item in items if isinstance(item, Revocation)),
             load=self._runner.load(),
         )
+        self._told = envelope.load
         await self._stream.send_message(envelope)
 
 
+def _differs(load: LoadReport, told: LoadReport | None) -> bool:
+    return told is None or attrs.evolve(load, clock_s=told.clock_s) != told
+
+
 def _cancel_current_when_done(sender: asyncio.Task[None]) -> None:
     """End the stream if its sender fails, so that no reply is waited for in vain."""
     reader = asyncio.current_task()
--- a/src/verbenaplank/entry/admit.py
+++ b/src/verbenaplank/entry/admit.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from verbenaplank.admission.queue import TaskQueue
+    from verbenaplank.admission.waiting_tasks import WaitingTasks
     from verbenaplank.configuration.effective import TeamRules
     from verbenaplank.entry.standing import Condition
     from verbenaplank.entry.submission import Submission
@@ -29,7 +29,9 @@
 class Admission:
     """Bounds what the entry takes on; quotas count until a request has ended."""
 
-    def __init__(self, fleet: Fleet, queue: TaskQueue, max_queued_tasks: int) -> None:
+    def __init__(
+        self, fleet: Fleet, queue: WaitingTasks, max_queued_tasks: int
+    ) -> None:
         self._fleet = fleet
         self._queue = queue
         self._max_queued_tasks = max_queued_tasks
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -12,7 +12,9 @@
 
 from verbenaplank.admission.budget import hedge_budget
 from verbenaplank.admission.budget import retry_budget
+from verbenaplank.admission.goal_queue import GoalQueue
 from verbenaplank.admission.queue import TaskQueue
+from verbenaplank.admission.waiting_tasks import WaitingTasks
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.clock.sources import wall_clock_ms
 from verbenaplank.entry.admit import Admission
@@ -77,6 +79,12 @@
 class EntryInstance:
     """An entry, for as long as its context lasts.
 
+    Parameters
+    ----------
+    by_goal
+        Whether jobs leave the queue by priority and goal, as routes set them,
+        instead of by class and team.
+
     Entering it starts to serve; it is ready once a quorum has told it the
     newest state.  Call :meth:`drain` before leaving for a graceful stop.
 
@@ -108,6 +116,7 @@
         random: random_module.Random | None = None,
         open_membership: MembershipFactory | None = None,
         open_claims: ClaimsFactory | None = None,
+        by_goal: bool = False,
     ) -> None:
         self.http_address: Address = settings.http.address
         self.rpc_address: Address = settings.rpc.address
@@ -125,9 +134,12 @@
         self._resources = AsyncExitStack()
         limits = settings.limits
         self._fleet = Fleet(policy, self._random, settings.data_centre)
-        self.queue = TaskQueue(
-            self._standing.weight_of, self._fleet.expected_run_time_s
-        )
+        goals = GoalQueue(self._fleet.expected_run_time_s)
+        self.queue: WaitingTasks = goals
+        if not by_goal:
+            self.queue = TaskQueue(
+                self._standing.weight_of, self._fleet.expected_run_time_s
+            )
         self._admission = Admission(self._fleet, self.queue, limits.max_queued_tasks)
         self.engine = Engine(
             fleet=self._fleet,
@@ -145,6 +157,8 @@
             runner=self._runner,
             fleet=self._fleet,
             clock=clock,
+            queue=goals,
+            entries=lambda: len(self._membership.entries),
             entry_name=self._incarnation[:INCARNATION_CHARACTERS],
             accepts=lambda: self._standing.condition().current and not self._closing,
         )
--- a/src/verbenaplank/entry/collect.py
+++ b/src/verbenaplank/entry/collect.py
@@ -105,7 +105,8 @@
             self._fleet.released(agent_id, record.task, now_s)
             self._lose(record, "an earlier dispatch of a task had started", now_s)
             return
-        self._never_started(record, now_s)
+        avoid = refusal.reason is not RefusalReason.FULL or not record.task.exclusive
+        self._never_started(record, now_s, avoid=avoid)
 
     def revocation(self, agent_id: str, revocation: Revocation, now_s: float) -> None:
         """Take in the answer to a revocation."""
@@ -162,7 +163,9 @@
             return None
         return record
 
-    def _never_started(self, record: DispatchRecord, now_s: float) -> None:
+    def _never_started(
+        self, record: DispatchRecord, now_s: float, *, avoid: bool = True
+    ) -> None:
         task = record.task
         self._book.never_started(record)
         self._fleet.released(record.agent_id, task, now_s)
@@ -170,7 +173,7 @@
         if job is None:
             self._jobs.settle(task.job_id, now_s)
             return
-        self._retries.place_elsewhere(job, record, now_s)
+        self._retries.place_elsewhere(job, record, now_s, avoid=avoid)
 
     def _lose(self, record: DispatchRecord, detail: str, now_s: float) -> None:
         self.counts.lost += 1
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from verbenaplank.admission.queue import TaskQueue
+    from verbenaplank.admission.waiting_tasks import WaitingTasks
     from verbenaplank.entry.book import DispatchRecord
     from verbenaplank.entry.effects import Effect
     from verbenaplank.entry.submission import Submission
@@ -77,7 +77,7 @@
         self,
         *,
         fleet: Fleet,
-        queue: TaskQueue,
+        queue: WaitingTasks,
         retry_budget: StartBudget,
         hedge_budget: StartBudget | None = None,
         lease_since: Callable[[float], float],
--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from verbenaplank.admission.queue import TaskQueue
+    from verbenaplank.admission.waiting_tasks import WaitingTasks
     from verbenaplank.entry.book import DispatchBook
     from verbenaplank.entry.book import DispatchRecord
 
@@ -62,7 +62,7 @@
     """State of the jobs in progress; every answer leaves through it once."""
 
     def __init__(
-        self, book: DispatchBook, queue: TaskQueue, effects: list[Effect]
+        self, book: DispatchBook, queue: WaitingTasks, effects: list[Effect]
     ) -> None:
         self._book = book
         self._queue = queue
@@ -203,6 +203,8 @@
         needs=submission.needs,
         declared_run_time_s=submission.declared_run_time_s,
         workload=submission.workload,
+        priority=submission.priority,
+        goal_s=submission.goal_s,
         exclusive=submission.exclusive,
         deadline_s=submission.deadline_s,
     )
--- a/src/verbenaplank/entry/retry.py
+++ b/src/verbenaplank/entry/retry.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from verbenaplank.admission.budget import StartBudget
-    from verbenaplank.admission.queue import TaskQueue
+    from verbenaplank.admission.waiting_tasks import WaitingTasks
     from verbenaplank.entry.book import DispatchBook
     from verbenaplank.entry.book import DispatchRecord
     from verbenaplank.entry.jobs import Job
@@ -24,16 +24,24 @@
     """Queues tasks again, where that cannot run one more often than allowed."""
 
     def __init__(
-        self, *, book: DispatchBook, queue: TaskQueue, budget: StartBudget
+        self, *, book: DispatchBook, queue: WaitingTasks, budget: StartBudget
     ) -> None:
         self._book = book
         self._queue = queue
         self._budget = budget
         self._pauses: Timetable[TaskRequest] = Timetable()
 
-    def place_elsewhere(self, job: Job, record: DispatchRecord, now_s: float) -> None:
-        """Queue a task whose dispatch never started; its attempt is unused."""
+    def place_elsewhere(
+        self, job: Job, record: DispatchRecord, now_s: float, *, avoid: bool = True
+    ) -> None:
+        """Queue a task whose dispatch never started; its attempt is unused.
+
+        Unless ``avoid``, it may go back to the same agent.
+        """
         task = record.task
+        if not avoid:
+            self._queue.push(task, now_s)
+            return
         if job.runs > 1 and self._book.of_task(task.job_id, task.task_index):
             job.runs -= 1
             return
--- a/src/verbenaplank/entry/routed.py
+++ b/src/verbenaplank/entry/routed.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from verbenaplank.admission.goal_queue import GoalQueue
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.entry.effects import JobEnd
     from verbenaplank.entry.runner import EngineRunner
@@ -39,6 +40,12 @@
 LATE_FACTOR = 3.0
 """An answer later than so many objectives is worth nothing to its caller."""
 
+ESTIMATE_DOUBT = 1.4
+"""How far a caller's estimate may be below the truth."""
+
+WAIT_PER_SLACK = 1.0
+"""A job is refused if it would wait longer than its goal leaves, times this."""
+
 STUCK_FACTOR = 12.0
 MIN_RUN_TIMEOUT_S = 4.0
 
@@ -104,12 +111,16 @@
         runner: EngineRunner,
         fleet: Fleet,
         clock: MonotonicClock,
+        queue: GoalQueue,
         entry_name: str,
+        entries: Callable[[], int],
         accepts: Callable[[], bool],
     ) -> None:
         self._runner = runner
         self._fleet = fleet
         self._clock = clock
+        self._queue = queue
+        self._entries = entries
         self._entry_name = entry_name
         self._accepts = accepts
         self._numbers = itertools.count(1)
@@ -177,7 +188,28 @@
             return _refused(f"no backend server offers {job.route.service!r} now")
         if possibility is Possibility.IMPOSSIBLE_NEEDS:
             return _refused("no worker could ever hold a task of this job")
-        return None
+        return self._overload(job)
+
+    def _overload(self, job: RoutedJob) -> RoutedEnd | None:
+        """Refuse a job that would wait so long that it could not be on time."""
+        queued_core_s = self._queue.work_before_core_s(job.route.priority)
+        cores = self._fleet.cores_of(job.route.service) / max(1, self._entries())
+        if not queued_core_s or not cores:
+            return None
+        wait_s = queued_core_s / cores
+        slack_s = self._goal_s(job) - job.estimate_s
+        if wait_s <= slack_s * WAIT_PER_SLACK:
+            return None
+        return _refused(
+            f"{wait_s:.2f} s of work wait ahead, {slack_s:.2f} s can be waited",
+            wait_s,
+        )
+
+    def _goal_s(self, job: RoutedJob) -> float:
+        """Return until when an answer is on time, as far as can be told."""
+        return job.route.stretch * job.estimate_s + (
+            job.route.target_latency_ms / MS_PER_S
+        )
 
     def _start(self, job: RoutedJob, place: tuple[str, str]) -> _RunningJob:
         submission = self._submission(job)
@@ -198,6 +230,8 @@
 
     def _submission(self, job: RoutedJob) -> Submission:
         now_s = self._clock()
+        goal_s = self._goal_s(job)
+        worthless_s = LATE_FACTOR * goal_s * ESTIMATE_DOUBT
         run_timeout_s = max(MIN_RUN_TIMEOUT_S, STUCK_FACTOR * job.estimate_s)
         return Submission(
             job_id=f"{job.key}.{self._entry_name}.{next(self._numbers)}",
@@ -206,12 +240,14 @@
             digest=b"",
             payloads=tuple(encode_task(task) for task in job.tasks),
             received_s=now_s,
-            deadline_s=now_s + job.patience_s,
+            deadline_s=now_s + min(job.patience_s, worthless_s),
             urgent=job.route.priority == 0,
             claimed=False,
             max_runs=max(1, job.route.max_attempts),
             exclusive=True,
             workload=job.route.name,
+            priority=job.route.priority,
+            goal_s=now_s + goal_s,
             needs=job.needs,
             declared_run_time_s=job.estimate_s,
             run_timeout_ms=run_timeout_s * MS_PER_S,
--- a/src/verbenaplank/entry/submission.py
+++ b/src/verbenaplank/entry/submission.py
@@ -24,6 +24,10 @@
     exclusive
         Whether no two runs of a task may overlap.  ``max_runs`` then counts the
         runs that failed; one that was lost or refused does not count.
+    priority
+        0 is served first; used where there are more than two.
+    goal_s
+        Monotonic time until which the answer is still on time.
     workload
         Names tasks of similar run times within the service.
     received_s
@@ -45,6 +49,8 @@
     max_runs: int = 1
     exclusive: bool = False
     workload: str = ""
+    priority: int = 0
+    goal_s: float = float("inf")
     needs: Needs = attrs.field(factory=Needs)
     declared_run_time_s: float = 0.2
     run_timeout_ms: float = 30_000.0
--- a/src/verbenaplank/placement/backend_server.py
+++ b/src/verbenaplank/placement/backend_server.py
@@ -128,7 +128,7 @@
         self.others = max(0.0, float(report.running + report.queued - seen))
         self.reported_s = now_s
         self.report_draining = report.draining
-        mine = self.needs_held()
+        mine = self.needs_held(now_s - self.round_trip_s)
         self.cores_of_others = max(0.0, report.cores_used - mine.cores)
         self.memory_of_others_mb = max(0.0, report.memory_used_mb - mine.memory_mb)
 
@@ -142,11 +142,15 @@
         doubt = DOUBT / math.sqrt(self.slowness_samples)
         self.slowness = math.exp(self.log_slowness - doubt)
 
-    def needs_held(self) -> Needs:
-        """Return what this entry's tasks there need together."""
+    def needs_held(self, until_s: float = math.inf) -> Needs:
+        """Return what this entry's tasks, dispatched until then, need together."""
         if not self.held:
             return NO_NEEDS
-        held = self.held.values()
+        held = [
+            needs
+            for key, needs in self.held.items()
+            if self.outstanding[key] <= until_s
+        ]
         return Needs(
             cores=sum(needs.cores for needs in held),
             memory_mb=sum(needs.memory_mb for needs in held),
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -221,6 +221,15 @@
             if server.outstanding and self._is_overdue(server, now_s)
         ]
 
+    def cores_of(self, service: str) -> float:
+        """Return the cores of a service, as if each were of slowness 1."""
+        servers = self._services.get(service, ())
+        return sum(
+            server.member.worker.cores / server.slowness
+            for server in servers
+            if server.open_for_work
+        )
+
     def has_connected(self) -> bool:
         """Return whether the stream of any agent is open."""
         return any(server.connected for server in self._servers.values())
@@ -238,9 +247,28 @@
         ]
         if task.needs != NO_NEEDS:
             usable = [server for server in usable if server.has_room_for(task.needs)]
+        if task.exclusive:
+            usable = self._without_stragglers(usable, task.service, now_s)
         avoids = self._health.avoids
         return [server for server in usable if not avoids(task, server)] or usable
 
+    def _without_stragglers(
+        self, servers: list[BackendServer], service: str, now_s: float
+    ) -> list[BackendServer]:
+        """Leave out servers far slower than the rest, but try them now and then.
+
+        A task that cannot run twice at a time is not rescued by a second run.
+        """
+        known = sorted(server.slowness for server in self._services[service])
+        limit = known[len(known) // 2] * self._settings.straggler_factor
+        pause_s = self._settings.straggler_trial_s
+        return [
+            server
+            for server in servers
+            if server.slowness <= limit
+            or (not server.outstanding and now_s - server.quiet_since_s >= pause_s)
+        ]
+
     def _sample(self, service: str) -> list[BackendServer]:
         servers = self._services.get(service, [])
         limit = self._settings.max_candidates
--- a/src/verbenaplank/placement/settings.py
+++ b/src/verbenaplank/placement/settings.py
@@ -63,6 +63,11 @@
     stall_factor
         Multiple of the expected run time without a finished task after which
         a backend server counts as stalled.
+    straggler_factor
+        Multiple of the median slowness from which on a backend server gets
+        exclusive tasks only on trial.
+    straggler_trial_s
+        Pause between two such trials.
     minimum_silence_s
         No backend server counts as stalled before this time, so that the first
         longer task of a short service is not taken for a stall.
@@ -79,4 +84,6 @@
     tie_share: float = 0.02
     stall_factor: float = 4.0
     minimum_silence_s: float = 0.5
+    straggler_factor: float = 2.5
+    straggler_trial_s: float = 0.5
     health: HealthSettings = HealthSettings()
--- a/src/verbenaplank/placement/task.py
+++ b/src/verbenaplank/placement/task.py
@@ -27,6 +27,10 @@
         The run time that the caller or the configuration declares.
     deadline_s
         Monotonic time by which the answer is due.
+    priority
+        0 is served first; used where there are more than two.
+    goal_s
+        Monotonic time until which the answer is still on time.
     workload
         Tasks of one service and workload have similar run times.
     exclusive
@@ -45,5 +49,7 @@
     deadline_s: float = float("inf")
     attempt: int = 1
     workload: str = ""
+    priority: int = 0
+    goal_s: float = float("inf")
     exclusive: bool = False
     avoided_members: frozenset[str] = frozenset()
--- a/src/verbenaplank/settings/agent.py
+++ b/src/verbenaplank/settings/agent.py
@@ -60,7 +60,7 @@
     """
 
     retention_s: float = attrs.field(default=300.0, validator=positive)
-    max_queued_tasks: int = attrs.field(default=64, validator=positive)
+    max_queued_tasks: int = attrs.field(default=64, validator=validators.ge(0))
     drain_timeout_s: float = attrs.field(default=30.0, validator=positive)
 
 
