Refuse at a fifth of the slack; tell no failure that was none

Cause: with refusals only beyond the whole slack, jobs that were taken on came at the edge of their goal, and late. Starts that were refused or never carried out made a job count as run, so that its refusal was a 504. Change: jobs are refused once the wait passes 0.2 of the slack; an exclusive job without time for another run is told so, and only counted failures make it failed; a start that never took place leaves the job not run.

--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -66,6 +66,7 @@
     EndKind.FAILED: TaskOutcome.FAILED,
     EndKind.STOPPED: TaskOutcome.STOPPED,
     EndKind.LAPSED: TaskOutcome.CONNECTION_LOST,
+    EndKind.NEVER: TaskOutcome.NOT_STARTED,
     EndKind.OTHER: TaskOutcome.CONNECTION_LOST,
 }
 
@@ -78,6 +79,8 @@
 
     Attributes
     ----------
+    acknowledged
+        Whether the order to start was answered.
     started_call
         Number of the newest hold call when the start was acknowledged; an
         answer to a later one lists the run unless it is over.
@@ -86,6 +89,7 @@
     name: RunName
     end: asyncio.Future[EndKind]
     started_call: int | None = None
+    acknowledged: bool = False
     stop_asked: bool = False
     stood_still: bool = False
     started_s: float = 0.0
@@ -247,6 +251,7 @@
         if reply.verdict is StartVerdict.STARTED:
             run.started_call = self._hold_calls
             run.started_s = run.moved_s = self._clock()
+            run.acknowledged = True
             self._wake.set()
         return reply
 
@@ -352,7 +357,7 @@
             listed_since = run.started_call
             if listed_since is None or call <= listed_since or name in active:
                 continue
-            _end(run, EndKind.STOPPED if run.stop_asked else EndKind.LAPSED)
+            _end(run, _unlisted_end(run))
 
     def _stop_standing(self, reply: HoldReply) -> None:
         now_s = self._clock()
@@ -404,6 +409,16 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _unlisted_end(run: _Run) -> EndKind:
+    """Return how a run ended that is listed neither as active nor as ended.
+
+    Every end of a run that has started is listed until it is acknowledged.
+    """
+    if run.stop_asked and not run.acknowledged:
+        return EndKind.NEVER
+    return EndKind.STOPPED if run.stop_asked else EndKind.LAPSED
+
+
 def _end(run: _Run, kind: EndKind) -> None:
     if not run.end.done():
         run.end.set_result(kind)
--- a/src/verbenaplank/agent/leased_calls.py
+++ b/src/verbenaplank/agent/leased_calls.py
@@ -33,12 +33,16 @@
 
 
 class EndKind(StrEnum):
-    """How a run ended, by the backend server's word."""
+    """How a run ended, by the backend server's word.
+
+    ``NEVER`` is a run that was stopped before it had started.
+    """
 
     DONE = "done"
     FAILED = "failed"
     STOPPED = "stopped"
     LAPSED = "lapsed"
+    NEVER = "never"
     OTHER = "other"
 
 
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -14,7 +14,6 @@
 from verbenaplank.admission.budget import retry_budget
 from verbenaplank.admission.goal_queue import GoalQueue
 from verbenaplank.admission.queue import TaskQueue
-from verbenaplank.admission.waiting_tasks import WaitingTasks
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.clock.sources import wall_clock_ms
 from verbenaplank.entry.admit import Admission
@@ -53,6 +52,7 @@
     from collections.abc import Sequence
     from types import TracebackType
 
+    from verbenaplank.admission.waiting_tasks import WaitingTasks
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
     from verbenaplank.entry.book import DispatchRecord
--- a/src/verbenaplank/entry/book.py
+++ b/src/verbenaplank/entry/book.py
@@ -66,6 +66,11 @@
     state: DispatchState = DispatchState.OUTSTANDING
     revoke_sent: bool = False
 
+    @property
+    def is_started(self) -> bool:
+        """Return whether the dispatch is known to have started."""
+        return self.state is DispatchState.STARTED
+
 
 @attrs.define
 class _JobCounts:
--- a/src/verbenaplank/entry/collect.py
+++ b/src/verbenaplank/entry/collect.py
@@ -30,6 +30,11 @@
 COUNTED_FAILURES = frozenset({TaskOutcome.FAILED, TaskOutcome.TIMED_OUT})
 """Ends that count as attempts of a task."""
 
+OUT_OF_TIME = Rejection(
+    kind=FailureKind.DEADLINE_EXCEEDED,
+    detail="no time is left to run a task again",
+)
+
 _RAW = msgspec.json.Decoder(msgspec.Raw)
 
 
@@ -77,7 +82,10 @@
         record = self._find(agent_id, result)
         if record is None:
             return
-        self._book.finished(record)
+        if result.outcome is TaskOutcome.NOT_STARTED and not record.is_started:
+            self._book.never_started(record)
+        else:
+            self._book.finished(record)
         run_time_s = result.run_time_ms / MILLISECONDS_PER_SECOND
         task = record.task
         self._fleet.finished(agent_id, task, result.outcome, run_time_s, now_s)
@@ -92,8 +100,11 @@
             return
         if result.outcome in COUNTED_FAILURES:
             self._retries.count_failure(job, record)
-        if not self._retries.run_again(job, record, now_s):
-            self._jobs.fail(job, rejection, now_s)
+        if self._retries.run_again(job, record, now_s):
+            return
+        if job.submission.exclusive and not self._retries.is_exhausted(job, record):
+            rejection = OUT_OF_TIME
+        self._jobs.fail(job, rejection, now_s)
 
     def refusal(self, agent_id: str, refusal: DispatchRefusal, now_s: float) -> None:
         """Take in a refusal; the dispatch never starts."""
--- a/src/verbenaplank/entry/retry.py
+++ b/src/verbenaplank/entry/retry.py
@@ -61,6 +61,10 @@
         """Count a run that failed by the task's fault or the backend server's."""
         job.failed_runs[record.task.task_index] += 1
 
+    def is_exhausted(self, job: Job, record: DispatchRecord) -> bool:
+        """Return whether a task has failed as often as allowed."""
+        return job.failed_runs[record.task.task_index] >= job.submission.max_runs
+
     def run_again(self, job: Job, record: DispatchRecord, now_s: float) -> bool:
         """Allow a task one more run, if its caller and the budget permit it.
 
@@ -89,8 +93,7 @@
     ) -> bool:
         """Queue another run of a task whose last one is surely over."""
         task = record.task
-        failed_runs = job.failed_runs[task.task_index]
-        if failed_runs >= job.submission.max_runs or now_s >= task.deadline_s:
+        if self.is_exhausted(job, record) or now_s >= task.deadline_s:
             return False
         avoided = task.avoided_members | {record.agent_id}
         again = attrs.evolve(task, attempt=task.attempt + 1, avoided_members=avoided)
--- a/src/verbenaplank/entry/routed.py
+++ b/src/verbenaplank/entry/routed.py
@@ -43,7 +43,7 @@
 ESTIMATE_DOUBT = 1.4
 """How far a caller's estimate may be below the truth."""
 
-WAIT_PER_SLACK = 1.0
+WAIT_PER_SLACK = 0.2
 """A job is refused if it would wait longer than its goal leaves, times this."""
 
 STUCK_FACTOR = 12.0
