--- /dev/null
+++ b/tests/entry/test_routed.py
@@ -0,0 +1,164 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+
+from entry.messages import SERVICE
+from entry.messages import result
+from verbenaplank.agent.leased_run import NamedTask
+from verbenaplank.agent.leased_run import decode_task
+from verbenaplank.entry.routed import RoutedJob
+from verbenaplank.entry.routed import RoutedState
+from verbenaplank.placement.task import Needs
+from verbenaplank.protocol import work
+from verbenaplank.routing.table import Route
+from verbenaplank.routing.table import RoutedService
+from verbenaplank.routing.table import RoutingTable
+
+if TYPE_CHECKING:
+    from entry.fakes import FakeAgent
+    from entry.site import Site
+    from verbenaplank.entry.application import EntryInstance
+
+FAILED = work.TaskOutcome.FAILED
+ROUTE = Route(
+    name="r",
+    host="one.example",
+    path_prefix="/a/",
+    service=SERVICE,
+    timeout_ms=1_500,
+    target_latency_ms=60,
+    stretch=1.6,
+    max_attempts=2,
+)
+TABLE = RoutingTable(
+    version=3, routes=(ROUTE,), services=(RoutedService(name=SERVICE),)
+)
+
+
+def routed_job(key: str = "0123456789abcdef", **changes: object) -> RoutedJob:
+    job = RoutedJob(
+        key=key,
+        route=ROUTE,
+        tasks=tuple(NamedTask(name=f"{key}.{i}", content="do") for i in range(2)),
+        needs=Needs(),
+        estimate_s=1.0,
+        patience_s=10.0,
+    )
+    return attrs.evolve(job, **changes)  # type: ignore[arg-type]
+
+
+async def served(site: Site) -> tuple[FakeAgent, EntryInstance]:
+    agent = await site.agent()
+    agent.automatic = False
+    site.membership.routing = TABLE
+    entry = await site.entry(by_goal=True)
+    async with asyncio.timeout(10):
+        while not entry.ready_for_routes:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+    return agent, entry
+
+
+async def finish(agent: FakeAgent, outcome: work.TaskOutcome) -> None:
+    for dispatch in agent.starts[-2:]:
+        reply = work.FromAgent(results=(result(dispatch, outcome, b"null"),))
+        await agent.streams[dispatch.job_id, dispatch.dispatch_id].send_message(reply)
+
+
+async def test_job_succeeds_once_all_its_tasks_are_done(site: Site) -> None:
+    agent, entry = await served(site)
+    running = asyncio.create_task(entry.routed.run(routed_job()))
+    await agent.wait_started(2)
+    names = {decode_task(dispatch.payload).name for dispatch in agent.starts}
+    assert names == {"0123456789abcdef.0", "0123456789abcdef.1"}
+    await finish(agent, work.TaskOutcome.SUCCEEDED)
+    assert (await running).state is RoutedState.SUCCEEDED
+
+
+async def test_same_id_again_joins_the_job(site: Site) -> None:
+    agent, entry = await served(site)
+    both = [asyncio.create_task(entry.routed.run(routed_job())) for _ in range(2)]
+    await agent.wait_started(2)
+    await finish(agent, work.TaskOutcome.SUCCEEDED)
+    ends = await asyncio.gather(*both)
+    assert {end.state for end in ends} == {RoutedState.SUCCEEDED}
+    assert len(agent.starts) == 2
+
+
+async def test_job_that_nobody_waits_for_is_stopped(site: Site) -> None:
+    agent, entry = await served(site)
+    running = asyncio.create_task(entry.routed.run(routed_job()))
+    await agent.wait_started(2)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    await agent.wait_revoked(2)
+    async with asyncio.timeout(10):
+        await entry.routed.join()
+
+
+async def test_failed_attempts_use_up_the_job(site: Site) -> None:
+    agent, entry = await served(site)
+    running = asyncio.create_task(entry.routed.run(routed_job()))
+    failed = 0
+    while not running.done():
+        await agent.wait_started(failed + 1)
+        for dispatch in agent.starts[failed:]:
+            failed += 1
+            reply = work.FromAgent(results=(result(dispatch, FAILED),))
+            await agent.streams[dispatch.job_id, dispatch.dispatch_id].send_message(
+                reply
+            )
+        if failed > ROUTE.max_attempts:
+            break
+    assert (await running).state is RoutedState.FAILED
+
+
+async def test_job_of_a_service_that_nobody_offers_is_refused(site: Site) -> None:
+    _, entry = await served(site)
+    route = attrs.evolve(ROUTE, service="none")
+    end = await entry.routed.run(routed_job(route=route))
+    assert end.state is RoutedState.REFUSED
+    assert end.retry_after_s
+
+
+async def test_job_that_would_wait_beyond_its_goal_is_refused_at_once(
+    site: Site,
+) -> None:
+    agent = await site.agent(slots=1)
+    agent.automatic = False
+    site.membership.routing = TABLE
+    entry = await site.entry(by_goal=True)
+    async with asyncio.timeout(10):
+        while not entry.ready_for_routes:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+    needs = Needs(cores=1.0)
+    first = [
+        asyncio.create_task(entry.routed.run(routed_job(f"job-{number}", needs=needs)))
+        for number in range(3)
+    ]
+    await agent.wait_started(1)
+    ends = [await entry.routed.run(routed_job("last", needs=needs))]
+    assert ends[0].state is RoutedState.REFUSED
+    for task in first:
+        task.cancel()
+    await asyncio.gather(*first, return_exceptions=True)
+
+
+async def test_entry_that_closes_finishes_its_jobs_and_takes_no_more(
+    site: Site,
+) -> None:
+    agent, entry = await served(site)
+    running = asyncio.create_task(entry.routed.run(routed_job()))
+    await agent.wait_started(2)
+    closing = asyncio.create_task(entry.drain_routes(0.0, 10.0))
+    async with asyncio.timeout(10):
+        while not entry.is_draining:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+    assert not entry.ready_for_routes
+    await finish(agent, work.TaskOutcome.SUCCEEDED)
+    assert (await running).state is RoutedState.SUCCEEDED
+    await closing
+    late = await entry.routed.run(routed_job("late"))
+    assert late.state is RoutedState.REFUSED
--- /dev/null
+++ b/tests/routing/test_routing.py
@@ -0,0 +1,70 @@
+from __future__ import annotations
+
+import attrs
+
+from verbenaplank.routing.check import check_table
+from verbenaplank.routing.lookup import RouteLookup
+from verbenaplank.routing.state import ReplaceRouting
+from verbenaplank.routing.state import RoutingState
+from verbenaplank.routing.state import RoutingVerdict
+from verbenaplank.routing.table import Route
+from verbenaplank.routing.table import RoutedService
+from verbenaplank.routing.table import RoutingDocument
+from verbenaplank.routing.table import RoutingTable
+
+
+def route(prefix: str = "/a/", host: str = "one.example", **changes: object) -> Route:
+    fields: dict[str, object] = {
+        "name": prefix,
+        "host": host,
+        "path_prefix": prefix,
+        "service": "draw",
+        "timeout_ms": 1_500,
+    }
+    return Route(**(fields | changes))  # type: ignore[arg-type]
+
+
+def table(*routes: Route, version: int = 1) -> RoutingTable:
+    services = (RoutedService(name="draw"),)
+    return RoutingTable(version=version, routes=routes, services=services)
+
+
+def replace(state: RoutingState, version: int, source: bytes) -> RoutingVerdict:
+    document = RoutingDocument(table=table(version=version), source=source)
+    return state.replace(ReplaceRouting(document=document))
+
+
+def test_sound_table_has_no_findings() -> None:
+    assert check_table(table(route(), route("/b/"), route(host="two.example"))) == ()
+
+
+def test_all_faults_are_reported_together_with_their_places() -> None:
+    faulty = table(
+        route(), route(), route("/c/", service="none"), route("/d/", timeout_ms=0)
+    )
+    findings = check_table(attrs.evolve(faulty, version=0))
+    assert [finding.place for finding in findings] == [
+        "version",
+        "routes[1]",
+        "routes[2].service",
+        "routes[3].timeout_ms",
+    ]
+
+
+def test_longest_prefix_of_the_host_wins() -> None:
+    lookup = RouteLookup(table(route("/a/"), route("/a/b/"), route("/", "two.example")))
+    match = lookup.find("one.example", "/a/b/0123")
+    assert match is not None
+    assert (match.route.path_prefix, match.rest) == ("/a/b/", "0123")
+    assert lookup.find("one.example", "/b/0123") is None
+    assert lookup.find("three.example", "/a/0123") is None
+
+
+def test_highest_version_wins_and_never_goes_back() -> None:
+    state = RoutingState()
+    assert replace(state, 7, b"seven") is RoutingVerdict.IN_FORCE
+    assert replace(state, 5, b"five") is RoutingVerdict.OVERTAKEN
+    assert replace(state, 7, b"seven") is RoutingVerdict.IN_FORCE
+    assert replace(state, 7, b"other") is RoutingVerdict.CONFLICT
+    assert state.document is not None
+    assert (state.version, state.document.source) == (7, b"seven")
--- /dev/null
+++ b/tests/verbena_platform/test_formats.py
@@ -0,0 +1,184 @@
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from verbena_platform.jobs import InvalidJobError
+from verbena_platform.jobs import UnservedJobError
+from verbena_platform.jobs import decode_job
+from verbena_platform.node import decode_node
+from verbena_platform.reports import InvalidReportError
+from verbena_platform.reports import decode_report
+from verbena_platform.routing import InvalidDocumentError
+from verbena_platform.routing import decode_document
+from verbena_platform.settings import agent_settings
+from verbena_platform.settings import control_settings
+from verbena_platform.settings import entry_settings
+from verbenaplank.routing.table import Route
+
+ROUTE = Route(
+    name="r", host="one.example", path_prefix="/a/", service="s", timeout_ms=1_500
+)
+
+
+def document(**changes: Any) -> bytes:
+    route = {
+        "name": "r",
+        "host": "one.example",
+        "path-prefix": "/a/",
+        "service": "s",
+        "timeout-ms": 1_500,
+        "kind": "unsafe",
+        "max-attempts": 4,
+        "stretch": 1.6,
+    }
+    fields: dict[str, Any] = {
+        "version": 7,
+        "routes": [route],
+        "services": [{"name": "s", "rejects-overload": False}],
+        "limits": {"max-body-bytes": 1_000},
+        "unknown": {"kept": True},
+    }
+    return msgspec.json.encode(fields | changes)
+
+
+def report(**changes: Any) -> bytes:
+    fields: dict[str, Any] = {
+        "service": "s",
+        "address": "10.0.0.9:8080",
+        "state": "ready",
+        "sequence": 4,
+        "born": 1_700,
+        "capacity": {"cpu": 16_500, "mem-mb": 32_768, "gpu": 0},
+        "labels": ["a", "r1-3"],
+    }
+    return msgspec.json.encode(fields | changes)
+
+
+def job(step: dict[str, Any] | None = None, **changes: Any) -> bytes:
+    first = {"count": 2, "cpu": 1_600, "mem-mb": 64, "estimate-ms": 120.0}
+    fields: dict[str, Any] = {
+        "spec": "text",
+        "best-effort": True,
+        "steps": [first | (step or {})],
+    }
+    return msgspec.json.encode(fields | changes)
+
+
+def node(role: str = "core") -> dict[str, Any]:
+    listen = {"control": "10.1.0.17:8166"}
+    if role == "edge":
+        listen = {"frontend": "10.1.0.13:8161", "readiness": "10.1.0.13:8167"}
+    return {
+        "node": "n",
+        "ip": "10.1.0.17",
+        "zone": "kochi",
+        "internal-ports": [7720, 7735],
+        "seeds": ["10.1.0.17:8166", "10.2.0.34:8166"],
+        "bootstrap": True,
+        "data-dir": "/data/n",
+        "listen-addrs": listen,
+        "fault-tolerance": {"machines": 2},
+        "bounds": {"hold-max-ms": 1_000, "grace-s": 6},
+        "something-new": 1,
+    }
+
+
+def test_document_is_decoded_and_kept_whole() -> None:
+    decoded = decode_document(document())
+    route = decoded.table.routes[0]
+    assert (decoded.table.version, route.max_attempts, route.stretch) == (7, 4, 1.6)
+    assert decoded.table.limits.max_body_bytes == 1_000
+    assert msgspec.json.decode(decoded.source) == msgspec.json.decode(document())
+
+
+def test_document_resent_in_another_spelling_is_the_same() -> None:
+    fields = msgspec.json.decode(document())
+    turned = msgspec.json.encode(dict(reversed(fields.items())))
+    assert decode_document(turned) == decode_document(document())
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        document()[:-9],
+        b"",
+        b"\xff",
+        document(version="7"),
+        document(services=[]),
+        document(routes="none"),
+    ],
+)
+def test_document_with_a_fault_is_refused(body: bytes) -> None:
+    with pytest.raises(InvalidDocumentError):
+        decode_document(body)
+
+
+def test_job_is_decoded_into_named_tasks() -> None:
+    decoded = decode_job(job(), "0123456789abcdef", ROUTE, 2.0)
+    names = [task.name for task in decoded.tasks]
+    assert names == ["0123456789abcdef.0.0.0", "0123456789abcdef.0.0.1"]
+    assert (decoded.needs.cores, decoded.estimate_s) == (1.6, 0.12)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        job({"gang": True}),
+        job({"constraints": "a"}),
+        job({"depends-on": [0]}),
+        job(**{"best-effort": False}),
+        job(**{"repeat-count": 3}),
+        job(steps=[]),
+    ],
+)
+def test_job_that_is_not_served_is_told_apart(body: bytes) -> None:
+    with pytest.raises(UnservedJobError):
+        decode_job(body, "0123456789abcdef", ROUTE, 2.0)
+
+
+@pytest.mark.parametrize("body", [b"{", job({"count": 0}), job(steps=3)])
+def test_body_that_is_no_job(body: bytes) -> None:
+    with pytest.raises(InvalidJobError):
+        decode_job(body, "0123456789abcdef", ROUTE, 2.0)
+
+
+def test_report_is_decoded() -> None:
+    decoded = decode_report("i-1", report())
+    assert (decoded.life, decoded.size.cores, decoded.labels[-1]) == (
+        "1700",
+        16.5,
+        "r1-3",
+    )
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"\xff\x00",
+        report(state="resting"),
+        report(sequence="4"),
+        report(address="nowhere"),
+        report(capacity=None),
+    ],
+)
+def test_report_of_another_writer_names_no_server(body: bytes) -> None:
+    with pytest.raises(InvalidReportError):
+        decode_report("i-1", body)
+
+
+def test_settings_are_built_for_each_role() -> None:
+    core = control_settings(decode_node(node()))
+    assert core.instance_id == "10.1.0.17:7720"
+    assert (core.group.tolerated_losses, core.group.may_found) == (2, True)
+    assert [peer.instance_id for peer in core.peers] == [
+        "10.1.0.17:7720",
+        "10.2.0.34:7720",
+    ]
+    side = decode_node(node())
+    assert agent_settings(side).limits.drain_timeout_s < side.grace_s
+    edge = decode_node(node("edge"))
+    assert edge.ingress is not None
+    assert entry_settings(edge).control == core.peers
