--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -99,10 +99,14 @@
         )
         slots = _slots(settings)
         self._streams = WorkStreams(
-            self._runner, settings.instance_id, incarnation, slots
+            self._runner,
+            settings.instance_id,
+            incarnation,
+            slots,
+            reports=backend is not None,
         )
         self._member = _member(settings, incarnation)
-        self._tells_load = backend is not None
+        self._reports = backend is not None
         self._clock = clock
         self._drain_reasons: set[DrainReason] = set()
         self._link: MemberLink | None = None
@@ -132,7 +136,7 @@
                 self._on_link_event,
             )
             self._link = await resources.enter_async_context(link)
-            if self._tells_load:
+            if self._reports:
                 telling = asyncio.create_task(self._streams.report_changes())
                 resources.callback(telling.cancel)
             self._resources = resources.pop_all()
--- a/src/verbenaplank/agent/work_service.py
+++ b/src/verbenaplank/agent/work_service.py
@@ -49,12 +49,26 @@
 
 
 class WorkStreams:
-    """The open streams of entries."""
+    """The open streams of entries.
+
+    Parameters
+    ----------
+    reports
+        Whether entries are told of the load without asking, so that they notice
+        a silent stream; otherwise it only comes along with replies.
+    """
 
     def __init__(
-        self, runner: TaskRunner, agent_id: str, incarnation: str, slots: int
+        self,
+        runner: TaskRunner,
+        agent_id: str,
+        incarnation: str,
+        slots: int,
+        *,
+        reports: bool = False,
     ) -> None:
         self._runner = runner
+        self._reports = reports
         self._welcome = AgentWelcome(
             agent_id=agent_id, incarnation=incarnation, slots=slots
         )
@@ -85,7 +99,7 @@
         if first is None or first.hello is None:
             raise GRPCError(Status.INVALID_ARGUMENT, "the first message needs a hello")
         key = EntryKey(first.hello.entry_id, first.hello.incarnation)
-        work = _WorkStream(stream, self._runner, key, self._changed)
+        work = _WorkStream(stream, self._runner, key, self._changed, self._reports)
         self._streams.add(work)
         try:
             await work.serve(first, self._welcome)
@@ -103,6 +117,7 @@
         runner: TaskRunner,
         key: EntryKey,
         changed: asyncio.Event,
+        reports: bool,
     ) -> None:
         self._stream = stream
         self._runner = runner
@@ -113,6 +128,7 @@
         self._results_sent: deque[str] = deque()
         self._results_received = 0
         self._told: LoadReport | None = None
+        self._reports = reports
 
     @property
     def delivered(self) -> bool:
@@ -175,7 +191,7 @@
 
     async def _report_forever(self) -> None:
         """Report the load often enough that an entry notices a silent stream."""
-        while True:
+        while self._reports:
             busy = self._runner.gate.has_work_of(self._key)
             await asyncio.sleep(BUSY_REPORT_PERIOD_S if busy else IDLE_REPORT_PERIOD_S)
             self._outbox.put(self._runner.load())
--- a/src/verbenaplank/bench/capacity_model.py
+++ b/src/verbenaplank/bench/capacity_model.py
@@ -11,7 +11,7 @@
 from verbenaplank.bench.target import Layout
 from verbenaplank.bench.target import Target
 from verbenaplank.entry.renewal import ACKNOWLEDGEMENT_PERIOD_S
-from verbenaplank.entry.renewal import RENEWAL_PERIOD_S
+from verbenaplank.entry.renewal import LONG_LEASE
 
 FRAME_BYTES = 14
 """gRPC prefix and HTTP/2 frame header."""
@@ -178,10 +178,10 @@
     streams = max(agent_streams, 1)
     starts_per_s = target.starts_per_s / target.workers / streams
     open_share = 1.0 - math.exp(-starts_per_s * target.run_time_s)
-    quiet_share = math.exp(-starts_per_s * RENEWAL_PERIOD_S)
+    quiet_share = math.exp(-starts_per_s * LONG_LEASE.renewal_period_s)
     unacknowledged = math.exp(-starts_per_s * ACKNOWLEDGEMENT_PERIOD_S)
     return (
-        open_share * quiet_share / RENEWAL_PERIOD_S
+        open_share * quiet_share / LONG_LEASE.renewal_period_s
         + unacknowledged * (1.0 - unacknowledged) / ACKNOWLEDGEMENT_PERIOD_S
     )
 
--- a/src/verbenaplank/entry/agent_link.py
+++ b/src/verbenaplank/entry/agent_link.py
@@ -8,9 +8,9 @@
 
 import attrs
 
-from verbenaplank.entry.renewal import RENEWAL_PERIOD_S
+from verbenaplank.entry.renewal import LONG_LEASE
 from verbenaplank.entry.renewal import RenewalSchedule
-from verbenaplank.entry.silence import TASK_LEASE_S
+from verbenaplank.entry.renewal import TaskLease
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import LeaseRenewal
 from verbenaplank.protocol.work import Revoke
@@ -42,11 +42,6 @@
 MAX_PAYLOAD_BYTES_PER_MESSAGE = 1024 * 1024
 MS_PER_S = 1_000.0
 
-BUSY_SILENCE_S = 0.7
-"""A stream with open dispatches is given up after so long without a message."""
-
-IDLE_SILENCE_S = 2.5
-
 
 OutboxItem = Dispatch | Revoke | Stop | LeaseRenewal
 
@@ -81,8 +76,10 @@
         listener: AgentListener,
         tls: TlsSettings | None,
         traffic: Traffic,
+        lease: TaskLease = LONG_LEASE,
     ) -> None:
         self._traffic = traffic
+        self._lease = lease
         self._member = member
         self._hello = hello
         self._listener = listener
@@ -90,7 +87,7 @@
         self._outbox: Outbox[OutboxItem] | None = None
         self._retired = False
         self._results_received = 0
-        self._renewals = RenewalSchedule()
+        self._renewals = RenewalSchedule(lease.renewal_period_s)
         self._heard_s = 0.0
         self._agent_clock_s: float | None = None
 
@@ -142,7 +139,7 @@
         outbox: Outbox[OutboxItem] = Outbox()
         self._outbox = outbox
         self._results_received = 0
-        self._renewals = RenewalSchedule()
+        self._renewals = RenewalSchedule(self._lease.renewal_period_s)
         self._heard_s = asyncio.get_running_loop().time()
         self._agent_clock_s = None
         self._listener.agent_connected(welcome)
@@ -172,17 +169,19 @@
             if message.load is None:
                 continue
             self._agent_clock_s = message.load.clock_s
-            if message.load.draining or self._listener.has_open_dispatches(agent_id):
+            has_open = self._listener.has_open_dispatches(agent_id)
+            if message.load.draining or (self._lease.follows_reports and has_open):
                 self.send(self._renewal())
 
     def _renewal(self) -> LeaseRenewal:
-        return LeaseRenewal(
-            lease_ms=TASK_LEASE_S * MS_PER_S, heard_clock_s=self._agent_clock_s
-        )
+        heard_s = self._agent_clock_s if self._lease.follows_reports else None
+        lease_ms = self._lease.lease_s * MS_PER_S
+        return LeaseRenewal(lease_ms=lease_ms, heard_clock_s=heard_s)
 
     async def _wait_for_silence(self) -> None:
         """Return once the agent has been silent for too long."""
         clock = asyncio.get_running_loop().time
+        lease = self._lease
         busy_since_s: float | None = None
         while True:
             now_s = clock()
@@ -191,10 +190,10 @@
                 busy_since_s = None
             elif busy_since_s is None:
                 busy_since_s = now_s
-            limit_s = BUSY_SILENCE_S if busy else IDLE_SILENCE_S
+            limit_s = lease.busy_silence_s if busy else lease.idle_silence_s
             if now_s - max(self._heard_s, busy_since_s or 0.0) > limit_s:
                 return
-            await asyncio.sleep(RENEWAL_PERIOD_S / 2)
+            await asyncio.sleep(lease.renewal_period_s / 2)
 
     async def _send_forever(
         self, stream: Stream[ToAgent, FromAgent], outbox: Outbox[OutboxItem]
@@ -220,7 +219,7 @@
             received = self._results_received
             if self._renewals.due_unasked(clock(), received, has_open=has_open):
                 outbox.put(self._renewal())
-            await asyncio.sleep(RENEWAL_PERIOD_S)
+            await asyncio.sleep(self._lease.renewal_period_s)
 
 
 def _has_dispatch(items: Iterable[OutboxItem]) -> bool:
--- a/src/verbenaplank/entry/agent_links.py
+++ b/src/verbenaplank/entry/agent_links.py
@@ -7,12 +7,14 @@
 from typing import Self
 
 from verbenaplank.entry.agent_link import AgentLink
+from verbenaplank.entry.renewal import LONG_LEASE
 
 if TYPE_CHECKING:
     from types import TracebackType
 
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.entry.effects import ToAgentItem
+    from verbenaplank.entry.renewal import TaskLease
     from verbenaplank.entry.runner import EngineRunner
     from verbenaplank.entry.traffic import Traffic
     from verbenaplank.protocol.membership import Member
@@ -58,8 +60,10 @@
         listener: EngineListener,
         tls: TlsSettings | None,
         traffic: Traffic,
+        lease: TaskLease = LONG_LEASE,
     ) -> None:
         self._traffic = traffic
+        self._lease = lease
         self._hello = hello
         self._listener = listener
         self._tls = tls
@@ -92,7 +96,14 @@
         if link is not None:
             link.revive(member)
             return
-        link = AgentLink(member, self._hello, self._listener, self._tls, self._traffic)
+        link = AgentLink(
+            member,
+            self._hello,
+            self._listener,
+            self._tls,
+            self._traffic,
+            self._lease,
+        )
         self._links[member.member_id] = link
         task = asyncio.get_running_loop().create_task(link.run())
         self._tasks[member.member_id] = task
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -31,6 +31,8 @@
 from verbenaplank.entry.pipeline import Pipeline
 from verbenaplank.entry.pipeline import PipelineParts
 from verbenaplank.entry.registry import RequestRegistry
+from verbenaplank.entry.renewal import LONG_LEASE
+from verbenaplank.entry.renewal import SHORT_LEASE
 from verbenaplank.entry.routed import RoutedJobs
 from verbenaplank.entry.runner import EngineRunner
 from verbenaplank.entry.standing import Standing
@@ -134,6 +136,7 @@
         self._resources = AsyncExitStack()
         limits = settings.limits
         self._fleet = Fleet(policy, self._random, settings.data_centre)
+        self._by_goal = by_goal
         goals = GoalQueue(self._fleet.expected_run_time_s)
         self.queue: WaitingTasks = goals
         if not by_goal:
@@ -248,7 +251,8 @@
             data_centre=settings.data_centre,
         )
         listener = EngineListener(self._runner, self._clock)
-        links = AgentLinks(hello, listener, settings.tls, self.traffic)
+        lease = SHORT_LEASE if self._by_goal else LONG_LEASE
+        links = AgentLinks(hello, listener, settings.tls, self.traffic, lease)
         await stack.enter_async_context(links)
         self._runner.use(links.send)
         claims = await stack.enter_async_context(self._open_claims(self._member()))
--- a/src/verbenaplank/entry/renewal.py
+++ b/src/verbenaplank/entry/renewal.py
@@ -6,19 +6,58 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
-RENEWAL_PERIOD_S = 0.25
 ACKNOWLEDGEMENT_PERIOD_S = 10.0
 """How long results wait for a message that acknowledges them anyway."""
 
 
+@attrs.frozen(kw_only=True)
+class TaskLease:
+    """The lease of an entry's tasks at an agent.
+
+    Attributes
+    ----------
+    follows_reports
+        Whether agents report of their own accord: each report is answered by a
+        renewal, and the lease counts from the report.
+    busy_silence_s
+        A stream with open dispatches is given up after so long without a
+        message; infinity where agents report only along with replies.
+    idle_silence_s
+        The same for a stream without open dispatches.
+    """
+
+    lease_s: float
+    renewal_period_s: float
+    follows_reports: bool = False
+    busy_silence_s: float = math.inf
+    idle_silence_s: float = math.inf
+
+
+LONG_LEASE = TaskLease(lease_s=3.0, renewal_period_s=1.0)
+"""Few messages, for tasks that are never started again."""
+
+SHORT_LEASE = TaskLease(
+    lease_s=0.8,
+    renewal_period_s=0.25,
+    follows_reports=True,
+    busy_silence_s=0.7,
+    idle_silence_s=2.5,
+)
+"""For exclusive tasks, which start again once the lease has run out."""
+
+
 @attrs.define
 class RenewalSchedule:
     """Renewals on one stream, which begins with a lease of its own.
 
     Attributes
     ----------
+    period_s
+        Time between two renewals.
     renewed_s
         Monotonic time of the last renewal.
     sent_s
@@ -27,6 +66,7 @@
         How many results the last message acknowledged.
     """
 
+    period_s: float = LONG_LEASE.renewal_period_s
     renewed_s: float = float("-inf")
     sent_s: float = float("-inf")
     acknowledged_results: int = 0
@@ -60,4 +100,4 @@
             self.renewed_s = now_s
 
     def _is_old(self, now_s: float) -> bool:
-        return now_s - self.renewed_s >= RENEWAL_PERIOD_S
+        return now_s - self.renewed_s >= self.period_s
--- a/src/verbenaplank/entry/silence.py
+++ b/src/verbenaplank/entry/silence.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-TASK_LEASE_S = 0.8
-"""An agent stops an entry's runs so long after the last time it told the entry."""
+from verbenaplank.entry.renewal import SHORT_LEASE
 
 BACKEND_LEASE_S = 1.0
 """A backend server ends its runs so long after its agent's last renewal."""
@@ -11,7 +10,8 @@
 STOP_MARGIN_S = 0.3
 """For clocks that run 2% slow, and for stops on their way."""
 
-RUNS_OVER_S = TASK_LEASE_S + BACKEND_LEASE_S + STOP_MARGIN_S
+RUNS_OVER_S = SHORT_LEASE.lease_s + BACKEND_LEASE_S + STOP_MARGIN_S
+"""The entry's lease at the agent lapses first, then the backend server's."""
 
 
 class Silences:
--- a/tests/entry/test_renewal.py
+++ b/tests/entry/test_renewal.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
 from verbenaplank.entry.renewal import ACKNOWLEDGEMENT_PERIOD_S
-from verbenaplank.entry.renewal import RENEWAL_PERIOD_S
+from verbenaplank.entry.renewal import LONG_LEASE
+from verbenaplank.entry.renewal import SHORT_LEASE
 from verbenaplank.entry.renewal import RenewalSchedule
-from verbenaplank.entry.silence import TASK_LEASE_S
+
+PERIOD_S = LONG_LEASE.renewal_period_s
 
 
 def test_entry_with_nothing_at_an_agent_sends_it_no_renewal() -> None:
@@ -17,21 +19,22 @@
     schedule = RenewalSchedule()
     schedule.sent(10.0, 0, renewal=True)
 
-    assert not schedule.due_unasked(10.0 + RENEWAL_PERIOD_S / 2, 0, has_open=True)
-    assert schedule.due_unasked(10.0 + RENEWAL_PERIOD_S, 0, has_open=True)
+    assert not schedule.due_unasked(10.0 + PERIOD_S / 2, 0, has_open=True)
+    assert schedule.due_unasked(10.0 + PERIOD_S, 0, has_open=True)
 
 
 def test_lease_outlasts_two_renewal_periods() -> None:
-    assert 2 * RENEWAL_PERIOD_S < TASK_LEASE_S
+    for lease in (LONG_LEASE, SHORT_LEASE):
+        assert 2 * lease.renewal_period_s < lease.lease_s
 
 
 def test_first_dispatch_after_a_pause_brings_a_renewal_along() -> None:
     schedule = RenewalSchedule()
     schedule.sent(10.0, 0, renewal=True)
 
-    assert not schedule.due(10.0 + RENEWAL_PERIOD_S / 2, has_dispatches=True)
-    assert schedule.due(10.0 + RENEWAL_PERIOD_S, has_dispatches=True)
-    assert not schedule.due(10.0 + RENEWAL_PERIOD_S, has_dispatches=False)
+    assert not schedule.due(10.0 + PERIOD_S / 2, has_dispatches=True)
+    assert schedule.due(10.0 + PERIOD_S, has_dispatches=True)
+    assert not schedule.due(10.0 + PERIOD_S, has_dispatches=False)
 
 
 def test_results_are_acknowledged_although_nothing_else_is_ready() -> None:
