--- a/src/verbenaplank/observability/logs.py
+++ b/src/verbenaplank/observability/logs.py
@@ -1,4 +1,4 @@
-"""Logs on standard error: one JSON object a line."""
+"""Logs on standard output: one JSON object a line."""
 
 from __future__ import annotations
 
@@ -9,11 +9,14 @@
 
 LOG_FIELDS = ("asctime", "levelname", "name", "message")
 RENAMED_FIELDS = {"asctime": "time", "levelname": "level", "name": "logger"}
-QUIET_LOGGERS = ("hpack", "httpx", "httpcore", "uvicorn.access")
+QUIET_LOGGERS = (
+    *("hpack", "httpx", "httpcore"),
+    *("uvicorn.access", "uvicorn.error", "grpclib.server"),
+)
 
 
 def configure_logging(instance_id: str, data_centre: str, level: str) -> None:
-    """Send every log record to standard error as JSON.
+    """Send every log record to standard output as JSON.
 
     Each line carries the instance and the data centre; a record's ``extra``
     values, such as ``job_id``, become fields of their own.
@@ -24,7 +27,7 @@
         rename_fields=RENAMED_FIELDS,
         static_fields={"instance": instance_id, "data_centre": data_centre},
     )
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers = [handler]
--- a/src/verbenaplank/settings/common.py
+++ b/src/verbenaplank/settings/common.py
@@ -67,7 +67,7 @@
 
 @attrs.frozen(kw_only=True)
 class LoggingSettings:
-    """What a program logs on standard error, as JSON lines."""
+    """What a program logs on standard output, as JSON lines."""
 
     level: str = attrs.field(
         default="INFO",
