--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -11,7 +11,6 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-import attrs
 import msgspec
 
 from verbenaplank.agent.backend import BackendServerDownError
@@ -25,6 +24,11 @@
 from verbenaplank.agent.leased_calls import StartReply
 from verbenaplank.agent.leased_calls import StartVerdict
 from verbenaplank.agent.leased_run import decode_task
+from verbenaplank.agent.open_run import OpenRun
+from verbenaplank.agent.open_run import end_run
+from verbenaplank.agent.open_run import report_of
+from verbenaplank.agent.open_run import run_report
+from verbenaplank.agent.open_run import unlisted_end
 from verbenaplank.agent.run_numbers import RunNumbers
 from verbenaplank.agent.worker_clock import WorkerClock
 from verbenaplank.protocol.work import TaskOutcome
@@ -48,64 +52,15 @@
 LAPSE_MARGIN_S = 0.15
 """For clocks that run 2% slow and for the end of what is being stopped."""
 
-STANDSTILL_S = 0.7
-"""A run without progress for so long is stopped."""
-
-STANDSTILL_STEPS = 4.0
-"""Unless one step of its progress takes that long, so many times over."""
-
 MAX_OUTDATED_STARTS = 4
 OUTDATED_STEP = 16
 """After an outdated run number, the next try is so much higher."""
 
-OK = b"null"
-"""The output of a task that only tells that it is done."""
-
-OUTCOMES = {
-    EndKind.DONE: TaskOutcome.SUCCEEDED,
-    EndKind.FAILED: TaskOutcome.FAILED,
-    EndKind.STOPPED: TaskOutcome.STOPPED,
-    EndKind.LAPSED: TaskOutcome.CONNECTION_LOST,
-    EndKind.NEVER: TaskOutcome.NOT_STARTED,
-    EndKind.OTHER: TaskOutcome.CONNECTION_LOST,
-}
+UNANSWERED = "the order to start was not answered"
 
 logger = logging.getLogger(__name__)
 
 
-@attrs.define(eq=False)
-class _Run:
-    """A run whose end is not known.
-
-    Attributes
-    ----------
-    acknowledged
-        Whether the order to start was answered.
-    started_call
-        Number of the newest hold call when the start was acknowledged; an
-        answer to a later one lists the run unless it is over.
-    """
-
-    name: RunName
-    end: asyncio.Future[EndKind]
-    started_call: int | None = None
-    acknowledged: bool = False
-    stop_asked: bool = False
-    stood_still: bool = False
-    started_s: float = 0.0
-    percent: int = 0
-    moved_s: float = 0.0
-
-    def stands_still(self, percent: int, now_s: float) -> bool:
-        """Note the progress; return whether there has been none for too long."""
-        if percent != self.percent:
-            self.percent = percent
-            self.moved_s = now_s
-        usual_s = (self.moved_s - self.started_s) / max(self.percent, 1)
-        limit_s = max(STANDSTILL_S, STANDSTILL_STEPS * usual_s)
-        return now_s - max(self.moved_s, self.started_s) > limit_s
-
-
 class LeasedBackend:
     """A backend server in one of its lives; an async context manager.
 
@@ -137,8 +92,8 @@
         self._fence = 0
         self._acknowledged = 0
         self._unacknowledged = False
-        self._runs: dict[RunName, _Run] = {}
-        self._by_task_id: dict[str, _Run] = {}
+        self._runs: dict[RunName, OpenRun] = {}
+        self._by_task_id: dict[str, OpenRun] = {}
         self._hold_calls = 0
         self._extended_s = clock()
         self._answered_s = clock()
@@ -204,15 +159,17 @@
         for _ in range(MAX_OUTDATED_STARTS):
             number = self._numbers.next(task.name, attempt)
             name = RunName(task=task.name, number=number)
-            run = _Run(name, asyncio.get_running_loop().create_future())
+            run = OpenRun(name, asyncio.get_running_loop().create_future())
             self._runs[name] = self._by_task_id[task_id] = run
             try:
                 reply = await self._start(run, task.content)
                 if reply.verdict is StartVerdict.STARTED:
-                    return _run_report(run, await self._wait_for_end(run, timeout_s))
+                    return run_report(run, await self._wait_for_end(run, timeout_s))
             except CallFailedError:
                 await self._stop_surely(run)
-                return _report(run.end.result(), "the order to start was not answered")
+                return report_of(
+                    run.end.result(), "the order to start was not answered"
+                )
             finally:
                 self._runs.pop(name, None)
                 self._by_task_id.pop(task_id, None)
@@ -227,7 +184,7 @@
         if run is not None:
             await self._stop_surely(run)
 
-    async def _start(self, run: _Run, content: str) -> StartReply:
+    async def _start(self, run: OpenRun, content: str) -> StartReply:
         """Order a start; the order also extends the lease.
 
         Raises
@@ -255,7 +212,7 @@
             self._wake.set()
         return reply
 
-    async def _wait_for_end(self, run: _Run, timeout_s: float) -> EndKind:
+    async def _wait_for_end(self, run: OpenRun, timeout_s: float) -> EndKind:
         try:
             async with asyncio.timeout(timeout_s):
                 return await asyncio.shield(run.end)
@@ -263,7 +220,7 @@
             await self._stop_surely(run)
             return run.end.result()
 
-    async def _stop_surely(self, run: _Run) -> None:
+    async def _stop_surely(self, run: OpenRun) -> None:
         """Stop a run and wait until it is over.
 
         A stopped run that is not there yet can never start; so one that no
@@ -357,7 +314,7 @@
             listed_since = run.started_call
             if listed_since is None or call <= listed_since or name in active:
                 continue
-            _end(run, _unlisted_end(run))
+            end_run(run, unlisted_end(run))
 
     def _stop_standing(self, reply: HoldReply) -> None:
         now_s = self._clock()
@@ -379,7 +336,7 @@
             self._unacknowledged = True
             run = self._runs.get(ended.run)
             if run is not None:
-                _end(run, ended.kind)
+                end_run(run, ended.kind)
 
     def _note_silence(self, error: CallFailedError) -> None:
         """Give runs up once their lease has surely lapsed."""
@@ -390,7 +347,7 @@
         if now_s - self._extended_s < self._lease_s * 1.02 + LAPSE_MARGIN_S:
             return
         for run in list(self._runs.values()):
-            _end(run, EndKind.LAPSED)
+            end_run(run, EndKind.LAPSED)
 
     def _new_deadline_ms(self) -> int:
         self._extended_s = self._clock()
@@ -400,38 +357,10 @@
         """Take in that this life of the backend server, and all its runs, are over."""
         self._down = True
         for run in list(self._runs.values()):
-            _end(run, EndKind.LAPSED)
+            end_run(run, EndKind.LAPSED)
         self._on_gone()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _unlisted_end(run: _Run) -> EndKind:
-    """Return how a run ended that is listed neither as active nor as ended.
-
-    Every end of a run that has started is listed until it is acknowledged.
-    """
-    if run.stop_asked and not run.acknowledged:
-        return EndKind.NEVER
-    return EndKind.STOPPED if run.stop_asked else EndKind.LAPSED
-
-
-def _end(run: _Run, kind: EndKind) -> None:
-    if not run.end.done():
-        run.end.set_result(kind)
-
-
-def _run_report(run: _Run, kind: EndKind) -> RunReport:
-    if run.stood_still and kind is EndKind.STOPPED:
-        return RunReport(TaskOutcome.CONNECTION_LOST, error="the run stood still")
-    return _report(kind)
-
-
-def _report(kind: EndKind, error: str = "") -> RunReport:
-    outcome = OUTCOMES[kind]
-    if outcome is TaskOutcome.SUCCEEDED:
-        return RunReport(outcome, output=OK)
-    return RunReport(outcome, error=error or kind)
--- a/src/verbenaplank/entry/routed.py
+++ b/src/verbenaplank/entry/routed.py
@@ -143,10 +143,6 @@
         """Return the route of a request."""
         return self._lookup.find(host, path)
 
-    def count(self, route: Route) -> int:
-        """Return how many jobs of a route are in progress here."""
-        return sum(1 for name, _ in self._running if name == route.name)
-
     def is_running(self, route: Route, key: str) -> bool:
         """Return whether a job is in progress here."""
         return (route.name, key) in self._running
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -6,13 +6,13 @@
 import pytest
 from fake_worker import FakeWorker
 
-from verbenaplank.agent.leased_backend import STANDSTILL_S
 from verbenaplank.agent.leased_backend import LeasedBackend
 from verbenaplank.agent.leased_calls import EndKind
 from verbenaplank.agent.leased_calls import RunName
 from verbenaplank.agent.leased_calls import StartVerdict
 from verbenaplank.agent.leased_run import NamedTask
 from verbenaplank.agent.leased_run import encode_task
+from verbenaplank.agent.open_run import STANDSTILL_S
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.protocol.work import TaskOutcome
 
