--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -259,6 +259,8 @@
 
         A task that cannot run twice at a time is not rescued by a second run.
         """
+        if not servers:
+            return servers
         known = sorted(server.slowness for server in self._services[service])
         limit = known[len(known) // 2] * self._settings.straggler_factor
         pause_s = self._settings.straggler_trial_s
--- a/tests/entry/test_exclusive_tasks.py
+++ b/tests/entry/test_exclusive_tasks.py
@@ -92,3 +92,13 @@
         driver.say(agent_id, work.FromAgent(results=(result(dispatch),)))
     assert "job" in driver.completed
     assert attrs.asdict(again[0][1])["attempt"] == 2
+
+
+def test_task_whose_service_has_left_waits_for_another_server() -> None:
+    driver = Driver("a")
+    driver.submit(**EXCLUSIVE)
+    driver.leave("a")
+    driver.refuse(0)
+    assert not driver.failed
+    driver.join("b")
+    assert [agent_id for agent_id, _ in driver.dispatches] == ["a", "b"]
