--- a/tests/verbena_platform/test_whole_path.py
+++ b/tests/verbena_platform/test_whole_path.py
@@ -106,7 +106,7 @@
     async def put(self, body: dict[str, Any], number: int = 0) -> int:
         """Send a document until it has a clear answer."""
         async with httpx.AsyncClient(trust_env=False, timeout=10) as client:
-            async with asyncio.timeout(60):
+            async with asyncio.timeout(20):
                 while True:
                     answer = await client.put(self.control_url(number), json=body)
                     if answer.status_code < 500:
@@ -125,7 +125,7 @@
         self, path: str, accepts: Callable[[httpx.Response], bool]
     ) -> httpx.Response:
         """Send jobs until an answer is accepted."""
-        async with asyncio.timeout(60):
+        async with asyncio.timeout(20):
             number = 0
             while True:
                 number += 1
@@ -215,7 +215,7 @@
     await platform.until("/draw/", succeeded)
     platform.executor.task_s = 30.0
     waiting = asyncio.create_task(platform.call("POST", "/draw/00000000000000dd", JOB))
-    async with asyncio.timeout(60):
+    async with asyncio.timeout(10):
         while not platform.executor.active:  # noqa: ASYNC110
             await asyncio.sleep(0.01)
         waiting.cancel()
