Come back sooner after a restart of everything

Refusals came from entries that had no routing table for another second. Ruled out: joins and status reports (0.3 s together).

--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -19,7 +19,6 @@
 from verbenaplank.control.bootstrap import bootstrap
 from verbenaplank.control.currency import Currency
 from verbenaplank.control.first_document import load_first_document
-from verbenaplank.control.http import http_application
 from verbenaplank.control.join_service import JoinService
 from verbenaplank.control.join_session import SessionContext
 from verbenaplank.control.lease_keeper import LeaseKeeper
@@ -55,6 +54,11 @@
 class ControlInstance:
     """Serves members, the other control instances and operators.
 
+    Parameters
+    ----------
+    own_interface
+        Whether operators are also served by the product's own HTTP interface.
+
     Attributes
     ----------
     routing
@@ -74,8 +78,11 @@
         clock: MonotonicClock = monotonic_s,
         wall_clock: WallClock = wall_clock_ms,
         generator: random.Random | None = None,
+        *,
+        own_interface: bool = True,
     ) -> None:
         self._settings = settings
+        self._own_interface = own_interface
         self._clock = clock
         self._wall_clock = wall_clock
         self._metrics = Metrics(settings.instance_id, settings.data_centre)
@@ -136,15 +143,21 @@
             await stack.enter_async_context(_running(self._registrar.run()))
             await stack.enter_async_context(_running(self._tick()))
             await stack.enter_async_context(_running(self._bootstrap(document)))
-            http = http_application(
-                self._administration, self.is_ready, self._metrics.render
-            )
-            server = HttpServer(http, self._settings.http.address, HTTP_STOP_TIMEOUT_S)
-            await stack.enter_async_context(server)
-            self.http_address = server.address
+            if self._own_interface:
+                await self._serve_operators(stack)
             self._stack = stack.pop_all()
         return self
 
+    async def _serve_operators(self, stack: AsyncExitStack) -> None:
+        from verbenaplank.control.http import http_application
+
+        http = http_application(
+            self._administration, self.is_ready, self._metrics.render
+        )
+        server = HttpServer(http, self._settings.http.address, HTTP_STOP_TIMEOUT_S)
+        await stack.enter_async_context(server)
+        self.http_address = server.address
+
     async def __aexit__(self, *_: object) -> None:
         """Stop serving, after :meth:`drain`."""
         await self.drain()
--- a/src/verbenaplank/control/http.py
+++ b/src/verbenaplank/control/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 from typing import Any
@@ -39,14 +38,14 @@
 from verbenaplank.membership.commands import SetRegistrars
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from verbenaplank.control.administration import Administration
+    from verbenaplank.observability.rendering import Metrics
 
 JsonRequest = Request[Any, Any, Any]
 PathText = FromPath[str]
 QueryNumber = FromQuery[int]
-Metrics = Callable[[], tuple[bytes, str]]
-"""Returns the metrics as text and their media type."""
-
 MAX_BODY_BYTES = 4 * MAX_TEXT_BYTES
 MAX_AUDIT_RECORDS = 1_000
 PROBLEM_MEDIA_TYPE = "application/problem+json"
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random as random_module
 from contextlib import AsyncExitStack
 from contextlib import suppress
@@ -21,9 +22,6 @@
 from verbenaplank.entry.agent_links import EngineListener
 from verbenaplank.entry.engine import Engine
 from verbenaplank.entry.follow import Follower
-from verbenaplank.entry.http import HttpParts
-from verbenaplank.entry.http import http_application
-from verbenaplank.entry.http import no_metrics
 from verbenaplank.entry.neighbours import claims_factory
 from verbenaplank.entry.neighbours import membership_factory
 from verbenaplank.entry.peer_client import PeerClient
@@ -43,6 +41,7 @@
 from verbenaplank.history.event import ignore_event
 from verbenaplank.http.server import HttpServer
 from verbenaplank.membership.link import MemberLink
+from verbenaplank.observability.rendering import no_metrics
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
 from verbenaplank.protocol.membership import Member
@@ -58,11 +57,11 @@
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
     from verbenaplank.entry.book import DispatchRecord
-    from verbenaplank.entry.http import Metrics
     from verbenaplank.entry.ports import Claims
     from verbenaplank.entry.ports import ClaimsFactory
     from verbenaplank.entry.ports import Membership
     from verbenaplank.entry.ports import MembershipFactory
+    from verbenaplank.observability.rendering import Metrics
     from verbenaplank.placement.policy import Policy
     from verbenaplank.rpc.address import Address
     from verbenaplank.settings.common import ControlPeer
@@ -86,6 +85,10 @@
     by_goal
         Whether jobs leave the queue by priority and goal, as routes set them,
         instead of by class and team.
+    own_interface
+        Whether callers are also served by the product's own HTTP interface.  Its
+        framework takes a third of a program's start, so it is left out where
+        nobody can reach it.
 
     Entering it starts to serve; it is ready once a quorum has told it the
     newest state.  Call :meth:`drain` before leaving for a graceful stop.
@@ -119,6 +122,7 @@
         open_membership: MembershipFactory | None = None,
         open_claims: ClaimsFactory | None = None,
         by_goal: bool = False,
+        own_interface: bool = True,
     ) -> None:
         self.http_address: Address = settings.http.address
         self.rpc_address: Address = settings.rpc.address
@@ -137,6 +141,7 @@
         limits = settings.limits
         self._fleet = Fleet(policy, self._random, settings.data_centre)
         self._by_goal = by_goal
+        self._own_interface = own_interface
         goals = GoalQueue(self._fleet.expected_run_time_s)
         self.queue: WaitingTasks = goals
         if not by_goal:
@@ -163,9 +168,11 @@
             queue=goals,
             entries=lambda: len(self._membership.entries),
             entry_name=self._incarnation[:INCARNATION_CHARACTERS],
-            accepts=lambda: self._standing.condition().current and not self._closing,
+            is_current=lambda: self._standing.condition().current,
+            time_left_s=self._time_left_s,
         )
-        self._closing = False
+        self._closes_s = math.inf
+        self._http_server: HttpServer | None = None
         self._peer_service = PeerService(self._registry, self._runner.cancel)
 
     @property
@@ -213,16 +220,18 @@
         Parameters
         ----------
         linger_s
-            How long jobs are still taken on, until callers go elsewhere.
+            How long to wait for callers to go elsewhere.
         timeout_s
-            How long the jobs in progress may take after that.
+            How long the jobs in progress may take after that; one that comes
+            meanwhile is taken on if it ends in time.
         """
         self._standing.draining = True
+        self._closes_s = self._clock() + linger_s + timeout_s
         await asyncio.sleep(linger_s)
-        self._closing = True
         with suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 await self.routed.join()
+        self._closes_s = self._clock()
 
     async def drain(self) -> None:
         """Stop gracefully: refuse new requests and answer those in progress.
@@ -238,7 +247,8 @@
             self._runner.stop()
             await self.pipeline.stop(STOP_GRACE_S)
         await self._peer_service.join()
-        await self._http_server.close()
+        if self._http_server is not None:
+            await self._http_server.close()
         await self._membership.leave()
 
     async def _start(self, stack: AsyncExitStack) -> None:
@@ -270,14 +280,14 @@
         follower.follow(membership, claims)
         self._membership = membership
         self._standing.use(membership)
-        await self._start_http(stack, membership, claims)
+        self.pipeline = self._new_pipeline(membership, claims)
+        if self._own_interface:
+            await self._serve_callers(stack)
         for run in (self._runner.tick_forever, self._expire_forever):
             task = asyncio.create_task(run())
             stack.callback(task.cancel)
 
-    async def _start_http(
-        self, stack: AsyncExitStack, membership: Membership, claims: Claims
-    ) -> None:
+    def _new_pipeline(self, membership: Membership, claims: Claims) -> Pipeline:
         settings = self._settings
         peers = PeerClient(
             member=self._member(),
@@ -298,17 +308,22 @@
             admission=self._admission,
             condition=self._standing.condition,
         )
-        self.pipeline = Pipeline(parts)
+        return Pipeline(parts)
+
+    async def _serve_callers(self, stack: AsyncExitStack) -> None:
+        from verbenaplank.entry.http import HttpParts
+        from verbenaplank.entry.http import http_application
+
+        limits = self._settings.limits
         application = http_application(
             HttpParts(
                 pipeline=self.pipeline,
                 ready=lambda: self.ready,
                 metrics=self._metrics,
-                max_body_bytes=settings.limits.max_body_bytes,
+                max_body_bytes=limits.max_body_bytes,
             )
         )
-        timeout_s = settings.limits.drain_timeout_s
-        server = HttpServer(application, self.http_address, timeout_s)
+        server = HttpServer(application, self.http_address, limits.drain_timeout_s)
         self._http_server = await stack.enter_async_context(server)
         self.http_address = server.address
 
@@ -330,6 +345,9 @@
             )
         )
 
+    def _time_left_s(self) -> float:
+        return self._closes_s - self._clock()
+
     def _member(self, *, draining: bool = False) -> Member:
         return Member(
             member_id=self._settings.instance_id,
--- a/src/verbenaplank/entry/http.py
+++ b/src/verbenaplank/entry/http.py
@@ -21,6 +21,7 @@
 from verbenaplank.entry.pipeline import Pipeline
 from verbenaplank.identifiers.job_id import InvalidJobIdError
 from verbenaplank.identifiers.job_id import parse_job_id
+from verbenaplank.observability.rendering import Metrics
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.finding import Finding
 from verbenaplank.outcome.rejection import Rejection
@@ -30,9 +31,6 @@
 
     from verbenaplank.entry.answer import Answer
 
-Metrics = Callable[[], tuple[bytes, str]]
-"""Returns the metrics as text and their media type."""
-
 BEARER = "bearer "
 UTF_8 = "; charset=utf-8"
 
@@ -53,11 +51,6 @@
     max_body_bytes: int
 
 
-def no_metrics() -> tuple[bytes, str]:
-    """Return an empty text."""
-    return b"", MediaType.TEXT
-
-
 def http_application(parts: HttpParts) -> Litestar:
     """Return the ASGI application."""
     return Litestar(
--- a/src/verbenaplank/entry/routed.py
+++ b/src/verbenaplank/entry/routed.py
@@ -46,6 +46,14 @@
 WAIT_PER_SLACK = 0.2
 """A job is refused if it would wait longer than its goal leaves, times this."""
 
+OPENING_S = 2.0
+"""So long after its start an entry holds jobs, instead of refusing them, until it
+knows the routes and a backend server; longer than an election and a join."""
+
+OPENING_POLL_S = 0.01
+CLOSING_DOUBT = 2.0
+"""A closing entry takes on what ends in time even if it takes so much longer."""
+
 STUCK_FACTOR = 12.0
 MIN_RUN_TIMEOUT_S = 4.0
 
@@ -103,7 +111,15 @@
 
 
 class RoutedJobs:
-    """The routed jobs in progress at this entry."""
+    """The routed jobs in progress at this entry.
+
+    Parameters
+    ----------
+    is_current
+        Returns whether the entry was told the newest state since its start.
+    time_left_s
+        Returns how long the entry will still run jobs; infinity unless it closes.
+    """
 
     def __init__(
         self,
@@ -114,7 +130,8 @@
         queue: GoalQueue,
         entry_name: str,
         entries: Callable[[], int],
-        accepts: Callable[[], bool],
+        is_current: Callable[[], bool],
+        time_left_s: Callable[[], float],
     ) -> None:
         self._runner = runner
         self._fleet = fleet
@@ -122,13 +139,20 @@
         self._queue = queue
         self._entries = entries
         self._entry_name = entry_name
-        self._accepts = accepts
+        self._is_current = is_current
+        self._time_left_s = time_left_s
+        self._opened_s = clock() + OPENING_S
         self._numbers = itertools.count(1)
         self._lookup = RouteLookup(RoutingTable())
         self._running: dict[tuple[str, str], _RunningJob] = {}
         self._idle = asyncio.Event()
         self._idle.set()
 
+    @property
+    def now_s(self) -> float:
+        """Return the monotonic time by which jobs are received."""
+        return self._clock()
+
     @property
     def table(self) -> RoutingTable:
         """Return the routing table in force here."""
@@ -139,6 +163,10 @@
         if table.version > self.table.version:
             self._lookup = RouteLookup(table)
 
+    async def wait_for_routes(self) -> None:
+        """Wait for the routing table if the entry has only just started."""
+        await self._wait_while_opening(lambda: self.table.version > 0)
+
     def find(self, host: str, path: str) -> Match | None:
         """Return the route of a request."""
         return self._lookup.find(host, path)
@@ -152,18 +180,26 @@
         running = self._running.get((route.name, key))
         return running is not None and self._runner.cancel(running.job_id)
 
-    async def run(self, job: RoutedJob) -> RoutedEnd:
+    async def run(self, job: RoutedJob, received_s: float | None = None) -> RoutedEnd:
         """Run a job, or join it if it runs here already.
 
         The job is stopped once nobody waits for it any more.
+
+        Parameters
+        ----------
+        received_s
+            When the job was received, if not just now.
         """
+        if received_s is None:
+            received_s = self._clock()
+        await self._wait_while_opening(lambda: self._is_open_for(job.route.service))
         place = (job.route.name, job.key)
         running = self._running.get(place)
         if running is None:
             refusal = self._refusal(job)
             if refusal is not None:
                 return refusal
-            running = self._start(job, place)
+            running = self._start(job, received_s, place)
         running.waiting += 1
         try:
             return await asyncio.shield(running.end)
@@ -176,9 +212,19 @@
         """Wait until no job is in progress."""
         await self._idle.wait()
 
+    async def _wait_while_opening(self, is_open: Callable[[], bool]) -> None:
+        while self._clock() < self._opened_s and not is_open():  # noqa: ASYNC110
+            await asyncio.sleep(OPENING_POLL_S)
+
+    def _is_open_for(self, service: str) -> bool:
+        return self._is_current() and self._fleet.slots_of(service) > 0
+
     def _refusal(self, job: RoutedJob) -> RoutedEnd | None:
-        if not self._accepts():
-            return _refused("the entry is stopping or not ready")
+        if not self._is_current():
+            return _refused("the entry has not been told the newest state")
+        time_left_s = self._time_left_s()
+        if CLOSING_DOUBT * job.estimate_s > time_left_s:
+            return _refused(f"the entry stops in {time_left_s:.2f} s")
         possibility = self._fleet.possibility(job.route.service, job.needs)
         if possibility is Possibility.NO_SERVICE:
             return _refused(f"no backend server offers {job.route.service!r} now")
@@ -207,8 +253,10 @@
             job.route.target_latency_ms / MS_PER_S
         )
 
-    def _start(self, job: RoutedJob, place: tuple[str, str]) -> _RunningJob:
-        submission = self._submission(job)
+    def _start(
+        self, job: RoutedJob, received_s: float, place: tuple[str, str]
+    ) -> _RunningJob:
+        submission = self._submission(job, received_s)
         task = asyncio.get_running_loop().create_task(self._run(submission))
         running = _RunningJob(submission.job_id, task)
         self._running[place] = running
@@ -224,8 +272,7 @@
         if not self._running:
             self._idle.set()
 
-    def _submission(self, job: RoutedJob) -> Submission:
-        now_s = self._clock()
+    def _submission(self, job: RoutedJob, received_s: float) -> Submission:
         goal_s = self._goal_s(job)
         worthless_s = LATE_FACTOR * goal_s * ESTIMATE_DOUBT
         run_timeout_s = max(MIN_RUN_TIMEOUT_S, STUCK_FACTOR * job.estimate_s)
@@ -235,15 +282,15 @@
             team=job.route.name,
             digest=b"",
             payloads=tuple(encode_task(task) for task in job.tasks),
-            received_s=now_s,
-            deadline_s=now_s + min(job.patience_s, worthless_s),
+            received_s=received_s,
+            deadline_s=received_s + min(job.patience_s, worthless_s),
             urgent=job.route.priority == 0,
             claimed=False,
             max_runs=max(1, job.route.max_attempts),
             exclusive=True,
             workload=job.route.name,
             priority=job.route.priority,
-            goal_s=now_s + goal_s,
+            goal_s=received_s + goal_s,
             needs=job.needs,
             declared_run_time_s=job.estimate_s,
             run_timeout_ms=run_timeout_s * MS_PER_S,
--- a/tests/entry/test_routed.py
+++ b/tests/entry/test_routed.py
@@ -162,3 +162,40 @@
     await closing
     late = await entry.routed.run(routed_job("late"))
     assert late.state is RoutedState.REFUSED
+
+
+async def test_entry_that_has_just_started_holds_a_job_until_it_can_run(
+    site: Site,
+) -> None:
+    entry = await site.entry(by_goal=True)
+    waiting = asyncio.create_task(entry.routed.wait_for_routes())
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    entry.routed.use(TABLE)
+    async with asyncio.timeout(10):
+        await waiting
+    running = asyncio.create_task(entry.routed.run(routed_job()))
+    agent = await site.agent()
+    agent.automatic = False
+    await agent.wait_started(2)
+    await finish(agent, work.TaskOutcome.SUCCEEDED)
+    assert (await running).state is RoutedState.SUCCEEDED
+
+
+async def test_entry_that_closes_takes_on_what_ends_in_time(site: Site) -> None:
+    agent, entry = await served(site)
+    first = asyncio.create_task(entry.routed.run(routed_job()))
+    await agent.wait_started(2)
+    closing = asyncio.create_task(entry.drain_routes(0.0, 10.0))
+    await asyncio.sleep(0)
+    long = await entry.routed.run(routed_job("long", estimate_s=6.0))
+    assert long.state is RoutedState.REFUSED
+    short = asyncio.create_task(entry.routed.run(routed_job("short", estimate_s=0.1)))
+    await agent.wait_started(4)
+    await finish(agent, work.TaskOutcome.SUCCEEDED)
+    assert (await short).state is RoutedState.SUCCEEDED
+    for dispatch in agent.starts[:2]:
+        reply = work.FromAgent(results=(result(dispatch, output=b"null"),))
+        await agent.streams[dispatch.job_id, dispatch.dispatch_id].send_message(reply)
+    assert (await first).state is RoutedState.SUCCEEDED
+    await closing
