--- a/src/verbenaplank/entry/routed.py
+++ b/src/verbenaplank/entry/routed.py
@@ -235,7 +235,7 @@
     def _overload(self, job: RoutedJob) -> RoutedEnd | None:
         """Refuse a job that would wait so long that it could not be on time."""
         queued_core_s = self._queue.work_before_core_s(job.route.priority)
-        cores = self._fleet.cores_of(job.route.service) / max(1, self._entries())
+        cores = self._cores_of(job.route.service) / max(1, self._entries())
         if not queued_core_s or not cores:
             return None
         wait_s = queued_core_s / cores
@@ -247,6 +247,12 @@
             wait_s,
         )
 
+    def _cores_of(self, service: str) -> float:
+        """Return the cores to count on; an opening entry meets its agents soon."""
+        if self._clock() < self._opened_s:
+            return self._fleet.announced_cores_of(service)
+        return self._fleet.cores_of(service)
+
     def _goal_s(self, job: RoutedJob) -> float:
         """Return until when an answer is on time, as far as can be told."""
         return job.route.stretch * job.estimate_s + (
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -230,6 +230,11 @@
             if server.open_for_work
         )
 
+    def announced_cores_of(self, service: str) -> float:
+        """Return the cores of a service, those without a stream included."""
+        servers = self._services.get(service, ())
+        return sum(server.member.worker.cores / server.slowness for server in servers)
+
     def has_connected(self) -> bool:
         """Return whether the stream of any agent is open."""
         return any(server.connected for server in self._servers.values())
--- a/tests/entry/test_routed.py
+++ b/tests/entry/test_routed.py
@@ -199,3 +199,27 @@
         await agent.streams[dispatch.job_id, dispatch.dispatch_id].send_message(reply)
     assert (await first).state is RoutedState.SUCCEEDED
     await closing
+
+
+async def test_opening_entry_counts_on_workers_that_are_not_connected_yet(
+    site: Site,
+) -> None:
+    agent = await site.agent(slots=1)
+    agent.automatic = False
+    for number in range(9):
+        absent = attrs.evolve(agent.member(), member_id=f"absent-{number}")
+        site.membership.join(attrs.evolve(absent, address="127.0.0.1:1"))
+    site.membership.routing = TABLE
+    entry = await site.entry(by_goal=True)
+    needs = Needs(cores=1.0)
+    jobs = [
+        asyncio.create_task(entry.routed.run(routed_job(f"job-{number}", needs=needs)))
+        for number in range(3)
+    ]
+    await agent.wait_started(1)
+    jobs.append(asyncio.create_task(entry.routed.run(routed_job("last", needs=needs))))
+    await asyncio.wait(jobs, timeout=0.1)
+    assert not any(job.done() for job in jobs)
+    for job in jobs:
+        job.cancel()
+    await asyncio.gather(*jobs, return_exceptions=True)
--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -250,3 +250,14 @@
 
     assert driver.place(task()) in {"a", "b", "c"}
     assert make_driver(name).place(task()) is None
+
+
+def test_announced_cores_include_servers_that_are_not_connected(
+    driver: FleetDriver,
+) -> None:
+    driver.add("a", "b")
+    driver.fleet.disconnected("b", driver.now_s)
+
+    assert driver.fleet.cores_of("fixtures") == 64
+    assert driver.fleet.announced_cores_of("fixtures") == 128
+    assert driver.fleet.announced_cores_of("none") == 0
