--- a/tests/entry/test_routed.py
+++ b/tests/entry/test_routed.py
@@ -206,7 +206,7 @@
 ) -> None:
     agent = await site.agent(slots=1)
     agent.automatic = False
-    for number in range(9):
+    for number in range(99):
         absent = attrs.evolve(agent.member(), member_id=f"absent-{number}")
         site.membership.join(attrs.evolve(absent, address="127.0.0.1:1"))
     site.membership.routing = TABLE
