Log each decision without blocking; serve metrics on the platform

Cause: on-call engineers have only logs and metrics, and the programs wrote one line a request. Change: entry/decision_log.py and agent/decision_log.py hold one function an event; the lines leave through a bounded buffer and a thread, at most 400 lines a second of one event, drops counted and told, lines of failures kept longest. Entries and control instances serve their metrics at the address of the deploy file, with a histogram of the answers' duration by outcome.

--- a/src/verbenaplank/agent/effects.py
+++ b/src/verbenaplank/agent/effects.py
@@ -31,9 +31,16 @@
 
 @attrs.frozen
 class StopRun:
-    """Stop a running task where the backend server offers that."""
+    """Stop a running task where the backend server offers that.
+
+    Attributes
+    ----------
+    cause
+        Why, for the log only.
+    """
 
     task_id: str
+    cause: str = attrs.field(default="its time is over", eq=False)
 
 
 @attrs.frozen
--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -186,7 +186,7 @@
         running = self._running.get(task_id)
         if running is None or running.entry is not entry:
             return []
-        return _stop(task_id, running)
+        return _stop(task_id, running, "its entry ordered it")
 
     def on_finished(
         self, task_id: str, result: TaskResult, now_s: float
@@ -258,7 +258,7 @@
         )
         for task_id, running in self._running.items():
             if running.entry.lease_until_s < now_s:
-                effects += _stop(task_id, running)
+                effects += _stop(task_id, running, "the lease of its entry lapsed")
         self._entries.forget_gone(now_s)
         return effects
 
@@ -361,8 +361,8 @@
         return [] if result is None else [Reply(entry.key, result)]
 
 
-def _stop(task_id: str, running: _Running) -> list[Effect]:
+def _stop(task_id: str, running: _Running, cause: str) -> list[Effect]:
     if running.stopping:
         return []
     running.stopping = True
-    return [StopRun(task_id)]
+    return [StopRun(task_id, cause)]
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from verbenaplank.agent import decision_log
 from verbenaplank.agent.backend import BackendServerDownError
 from verbenaplank.agent.backend import RunReport
 from verbenaplank.agent.leased_calls import CallFailedError
@@ -44,10 +45,13 @@
     from verbenaplank.agent.leased_calls import LeasedWorker
     from verbenaplank.clock.sources import MonotonicClock
 
-HOLD_WAIT_MS = 300
-"""How long the backend server waits for an end; a third of the shortest lease."""
+HOLD_WAIT_MS = 200
+"""How long the backend server waits for an end.  One call without an answer then
+leaves more than half of the shortest lease."""
+
+CALL_TIMEOUT_S = 0.2
+"""The backend server runs on the same machine and answers in a few milliseconds."""
 
-CALL_TIMEOUT_S = 0.4
 RETRY_S = 0.05
 LAPSE_MARGIN_S = 0.15
 """For clocks that run 2% slow and for the end of what is being stopped."""
@@ -165,11 +169,10 @@
                 reply = await self._start(run, task.content)
                 if reply.verdict is StartVerdict.STARTED:
                     return run_report(run, await self._wait_for_end(run, timeout_s))
-            except CallFailedError:
+            except CallFailedError as error:
+                decision_log.start_unanswered(name, str(error))
                 await self._stop_surely(run)
-                return report_of(
-                    run.end.result(), "the order to start was not answered"
-                )
+                return report_of(run.end.result(), UNANSWERED)
             finally:
                 self._runs.pop(name, None)
                 self._by_task_id.pop(task_id, None)
@@ -341,7 +344,9 @@
     def _note_silence(self, error: CallFailedError) -> None:
         """Give runs up once their lease has surely lapsed."""
         now_s = self._clock()
-        if not self._down and now_s - self._answered_s >= self._lease_s / 2:
+        silent_s = now_s - self._answered_s
+        decision_log.hold_unanswered(str(error), silent_s, len(self._runs))
+        if not self._down and silent_s >= self._lease_s / 2:
             self._down = True
             logger.warning("the backend server is silent: %s", error)
         if now_s - self._extended_s < self._lease_s * 1.02 + LAPSE_MARGIN_S:
--- a/src/verbenaplank/agent/runner.py
+++ b/src/verbenaplank/agent/runner.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from verbenaplank.agent import decision_log
 from verbenaplank.agent.backend import BackendServerDownError
 from verbenaplank.agent.backend import RunReport
 from verbenaplank.agent.effects import EntryKey
@@ -151,6 +152,7 @@
         if not self._backend.can_stop:
             return
         self._stopped.add(effect.task_id)
+        decision_log.stop_ordered(effect.task_id, effect.cause)
         self._spawn(self._backend.stop(effect.task_id))
 
     async def _run(self, start: StartRun) -> None:
--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -10,6 +10,7 @@
 import attrs
 
 from verbenaplank.agent.application import AgentInstance
+from verbenaplank.agent.decision_log import log_event
 from verbenaplank.agent.leased_backend import LeasedBackend
 from verbenaplank.agent.leased_calls import CallFailedError
 from verbenaplank.agent.leased_calls import OtherLifeError
@@ -139,7 +140,7 @@
             )
             await stack.enter_async_context(backend)
             settings = _settings_for(self._settings, report)
-            agent = AgentInstance(settings, self._clock, backend=backend)
+            agent = AgentInstance(settings, self._clock, log_event, backend=backend)
             await stack.enter_async_context(agent)
             self._agent = agent
             stack.callback(self._forget_agent)
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -163,6 +163,10 @@
         await self.drain()
         await self._stack.aclose()
 
+    def render_metrics(self) -> tuple[bytes, str]:
+        """Return the metrics as text, and the media type of that text."""
+        return self._metrics.render()
+
     async def drain(self) -> None:
         """Send the members on to other instances and hand leadership over."""
         if self._currency.is_retired:
--- a/src/verbenaplank/entry/agent_link.py
+++ b/src/verbenaplank/entry/agent_link.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from verbenaplank.entry import decision_log
 from verbenaplank.entry.renewal import LONG_LEASE
 from verbenaplank.entry.renewal import RenewalSchedule
 from verbenaplank.entry.renewal import TaskLease
@@ -160,6 +161,7 @@
         self._heard_s = asyncio.get_running_loop().time()
         self._agent_clock_s = None
         self._listener.agent_connected(welcome)
+        decision_log.agent_connected(welcome.agent_id, welcome.incarnation)
         directions: set[asyncio.Task[Any]] = {
             asyncio.create_task(self._receive(stream)),
             asyncio.create_task(self._send_forever(stream, outbox)),
@@ -173,6 +175,9 @@
                 direction.cancel()
             await asyncio.gather(*directions, return_exceptions=True)
             self._listener.agent_disconnected(welcome.agent_id)
+            cause = "silent" if self._given_up.is_set() else "closed"
+            silent_s = asyncio.get_running_loop().time() - self._heard_s
+            decision_log.agent_disconnected(welcome.agent_id, cause, silent_s)
 
     async def _receive(self, stream: Stream[ToAgent, FromAgent]) -> None:
         agent_id = self._member.member_id
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -17,6 +17,7 @@
 from verbenaplank.admission.queue import TaskQueue
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.clock.sources import wall_clock_ms
+from verbenaplank.entry import decision_log
 from verbenaplank.entry.admit import Admission
 from verbenaplank.entry.agent_links import AgentLinks
 from verbenaplank.entry.agent_links import EngineListener
@@ -57,6 +58,7 @@
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
     from verbenaplank.entry.book import DispatchRecord
+    from verbenaplank.entry.decision_log import Placement
     from verbenaplank.entry.ports import Claims
     from verbenaplank.entry.ports import ClaimsFactory
     from verbenaplank.entry.ports import Membership
@@ -73,6 +75,7 @@
 """How long a stop waits further for jobs that it has let fail."""
 
 EXPIRY_PERIOD_S = 1.0
+BELIEFS_PERIOD_S = 0.1
 INCARNATION_CHARACTERS = 8
 """Enough of an incarnation to tell the jobs of two entries apart."""
 
@@ -172,6 +175,7 @@
             time_left_s=self._time_left_s,
         )
         self._closes_s = math.inf
+        self._placements: dict[str, list[Placement]] = {}
         self._http_server: HttpServer | None = None
         self._peer_service = PeerService(self._registry, self._runner.cancel)
 
@@ -283,7 +287,11 @@
         self.pipeline = self._new_pipeline(membership, claims)
         if self._own_interface:
             await self._serve_callers(stack)
-        for run in (self._runner.tick_forever, self._expire_forever):
+        for run in (
+            self._runner.tick_forever,
+            self._expire_forever,
+            self._tell_beliefs_forever,
+        ):
             task = asyncio.create_task(run())
             stack.callback(task.cancel)
 
@@ -330,6 +338,7 @@
     def _on_dispatch(self, dispatch: DispatchRecord) -> None:
         now_s = self._clock()
         self._admission.dispatched(now_s)
+        self._note_placement(dispatch, now_s)
         if self._record is ignore_event:
             return
         task = dispatch.task
@@ -358,11 +367,45 @@
             draining=draining,
         )
 
+    def _note_placement(self, dispatch: DispatchRecord, now_s: float) -> None:
+        """Collect placements of one turn, so that a job gets one line for them."""
+        if not self._placements:
+            asyncio.get_running_loop().call_soon(self._log_placements)
+        task, agent_id = dispatch.task, dispatch.agent_id
+        age_ms = self._fleet.report_age_ms(agent_id, now_s)
+        placement = (task.task_index, task.attempt, agent_id, age_ms)
+        self._placements.setdefault(task.job_id, []).append(placement)
+
+    def _log_placements(self) -> None:
+        for job_id, placements in self._placements.items():
+            decision_log.tasks_placed(job_id, placements)
+        self._placements.clear()
+
     async def _expire_forever(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_PERIOD_S)
             self._registry.expire(self._clock())
 
+    async def _tell_beliefs_forever(self) -> None:
+        """Log changes of readiness and of quarantines."""
+        was_ready = False
+        quarantined: set[str] = set()
+        while True:
+            if self.ready_for_routes != was_ready:
+                was_ready = not was_ready
+                condition = self._standing.condition()
+                decision_log.readiness_changed(
+                    ready=was_ready,
+                    current=condition.current,
+                    draining=condition.draining,
+                )
+            now = set(self._fleet.quarantined(self._clock()))
+            if now != quarantined:
+                began, ended = sorted(now - quarantined), sorted(quarantined - now)
+                decision_log.quarantine_changed(began, ended)
+                quarantined = now
+            await asyncio.sleep(BELIEFS_PERIOD_S)
+
 
 def never_back(wall_clock: WallClock) -> WallClock:
     """Return a wall clock that stands still while the given one is set back."""
--- a/src/verbenaplank/entry/collect.py
+++ b/src/verbenaplank/entry/collect.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from verbenaplank.entry import decision_log
 from verbenaplank.entry.book import DispatchState
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
@@ -100,7 +101,10 @@
             return
         if result.outcome in COUNTED_FAILURES:
             self._retries.count_failure(job, record)
-        if self._retries.run_again(job, record, now_s):
+        again = self._retries.run_again(job, record, now_s)
+        failed_runs = job.failed_runs[task.task_index]
+        decision_log.run_ended_badly(record, result, failed_runs, again=again)
+        if again:
             return
         if job.submission.exclusive and not self._retries.is_exhausted(job, record):
             rejection = OUT_OF_TIME
@@ -112,6 +116,7 @@
         if record is None or record.state is DispatchState.STARTED:
             return
         self.counts.refused += 1
+        decision_log.dispatch_refused(record, refusal)
         if refusal.reason is RefusalReason.ALREADY_STARTED:
             self._fleet.released(agent_id, record.task, now_s)
             self._lose(record, "an earlier dispatch of a task had started", now_s)
@@ -128,6 +133,7 @@
             if record.state is DispatchState.STARTED:
                 return
             self.counts.revoked += 1
+            decision_log.dispatch_revoked(record)
             self._never_started(record, now_s)
             return
         self._book.started(record)
@@ -194,9 +200,10 @@
         if job is None:
             self._jobs.settle(job_id, now_s)
             return
-        if self._retries.run_again(job, record, now_s):
-            return
-        self._jobs.fail(job, _unknown(detail), now_s)
+        again = self._retries.run_again(job, record, now_s)
+        decision_log.dispatch_lost(record, detail, again=again)
+        if not again:
+            self._jobs.fail(job, _unknown(detail), now_s)
 
 
 def _same_task(
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -11,6 +11,7 @@
 
 from verbenaplank.admission.budget import HEDGE_SHARE
 from verbenaplank.admission.budget import StartBudget
+from verbenaplank.entry import decision_log
 from verbenaplank.entry.book import DispatchBook
 from verbenaplank.entry.collect import Collector
 from verbenaplank.entry.hedge import Hedger
@@ -189,6 +190,7 @@
         for job_id in self._deadlines.take_due(now_s):
             self._fail(job_id, DEADLINE_EXCEEDED, now_s)
         for agent_id in self._silences.take_over(now_s):
+            decision_log.agent_runs_over(agent_id)
             self._collector.agent_silent(agent_id, now_s)
         self._retries.queue_due(now_s)
         self._hedger.hedge_due(now_s, self._placer.place_again)
@@ -238,6 +240,7 @@
         job = self.jobs.running(job_id)
         if job is None:
             return False
+        decision_log.job_given_up(job_id, rejection)
         self.jobs.fail(job, rejection, now_s)
         return True
 
--- a/src/verbenaplank/entry/follow.py
+++ b/src/verbenaplank/entry/follow.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from verbenaplank.entry import decision_log
+
 if TYPE_CHECKING:
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.entry.admit import Admission
@@ -52,11 +54,20 @@
         self._admission.configure(configuration.teams, entries)
         if membership.registrars is not None:
             claims.set_registrars(membership.registrars)
-        for agent_id in self._agents.keys() - membership.members.keys():
+        left = self._agents.keys() - membership.members.keys()
+        changed = [
+            member
+            for member in membership.members.values()
+            if self._agents.get(member.member_id) != member
+        ]
+        for agent_id in left:
             self._leave(agent_id, now_s)
-        for member in membership.members.values():
-            if self._agents.get(member.member_id) != member:
-                self._join(member, now_s)
+        for member in changed:
+            self._join(member, now_s)
+        if left or changed:
+            joined = [member.member_id for member in changed]
+            version = membership.routing.version
+            decision_log.members_changed(joined, sorted(left), version)
         self._routed.use(membership.routing)
         self._fleet.set_drained(configuration.drained_backend_servers)
         self._runner.flush_soon()
--- a/src/verbenaplank/entry/routed.py
+++ b/src/verbenaplank/entry/routed.py
@@ -15,6 +15,7 @@
 
 from verbenaplank.agent.leased_run import NamedTask
 from verbenaplank.agent.leased_run import encode_task
+from verbenaplank.entry import decision_log
 from verbenaplank.entry.effects import JobCompleted
 from verbenaplank.entry.submission import Submission
 from verbenaplank.outcome.failure import FailureKind
@@ -162,6 +163,7 @@
         """Put a routing table in force, unless a newer one is."""
         if table.version > self.table.version:
             self._lookup = RouteLookup(table)
+            decision_log.routing_in_force(table.version, len(table.routes))
 
     async def wait_for_routes(self) -> None:
         """Wait for the routing table if the entry has only just started."""
@@ -200,6 +202,8 @@
             if refusal is not None:
                 return refusal
             running = self._start(job, received_s, place)
+        else:
+            decision_log.job_joined(running.job_id)
         running.waiting += 1
         try:
             return await asyncio.shield(running.end)
@@ -263,6 +267,8 @@
         self, job: RoutedJob, received_s: float, place: tuple[str, str]
     ) -> _RunningJob:
         submission = self._submission(job, received_s)
+        queued = len(self._queue)
+        decision_log.job_admitted(submission, self.table.version, queued)
         task = asyncio.get_running_loop().create_task(self._run(submission))
         running = _RunningJob(submission.job_id, task)
         self._running[place] = running
--- a/src/verbenaplank/observability/entry_metrics.py
+++ b/src/verbenaplank/observability/entry_metrics.py
@@ -24,13 +24,14 @@
     metrics = Metrics(settings.instance_id, settings.data_centre)
     try:
         async with EntryInstance(settings, metrics=metrics.render) as instance:
-            _register(metrics, instance)
+            register_entry(metrics, instance)
             yield instance
     finally:
         metrics.close()
 
 
-def _register(metrics: Metrics, instance: EntryInstance) -> None:
+def register_entry(metrics: Metrics, instance: EntryInstance) -> None:
+    """Add the counts and gauges of an entry."""
     for field in attrs.fields(Traffic):
         name = f"verbenaplank_entry_{field.name}"
         read = _reader(instance.traffic, field.name)
--- a/src/verbenaplank/observability/logs.py
+++ b/src/verbenaplank/observability/logs.py
@@ -5,7 +5,9 @@
 import logging
 import sys
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
+
+from verbenaplank.observability.log_output import BoundedLogHandler
 
 LOG_FIELDS = ("asctime", "levelname", "name", "message")
 RENAMED_FIELDS = {"asctime": "time", "levelname": "level", "name": "logger"}
@@ -21,13 +23,13 @@
     Each line carries the instance and the data centre; a record's ``extra``
     values, such as ``job_id``, become fields of their own.
     """
-    formatter = JsonFormatter(
+    formatter = MsgspecFormatter(
         LOG_FIELDS,
         style="%",
         rename_fields=RENAMED_FIELDS,
         static_fields={"instance": instance_id, "data_centre": data_centre},
     )
-    handler = logging.StreamHandler(sys.stdout)
+    handler = BoundedLogHandler(sys.stdout.buffer)
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers = [handler]
--- a/src/verbenaplank/observability/metrics.py
+++ b/src/verbenaplank/observability/metrics.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from opentelemetry.metrics import Meter
 
@@ -61,6 +62,22 @@
             name, [_observe(read)], description=description
         )
 
+    def histogram(
+        self, name: str, description: str, bounds: Sequence[float]
+    ) -> Callable[[str, float], None]:
+        """Add a histogram of seconds; return what takes in an outcome and a value."""
+        instrument = self.meter.create_histogram(
+            name,
+            unit="s",
+            description=description,
+            explicit_bucket_boundaries_advisory=bounds,
+        )
+
+        def record(outcome: str, value_s: float) -> None:
+            instrument.record(value_s, {"outcome": outcome})
+
+        return record
+
 
 def _observe(
     read: Callable[[], float],
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -28,6 +28,7 @@
     from verbenaplank.protocol.work import LoadReport
 
 USUAL_SHARE_GAIN = 0.02
+MS_PER_S = 1_000.0
 STRAGGLER_LIMIT_VALIDITY_S = 0.1
 FAILURES = frozenset(
     {
@@ -233,6 +234,13 @@
             if server.open_for_work
         )
 
+    def report_age_ms(self, member_id: str, now_s: float) -> float | None:
+        """Return the age of an agent's last load report; ``None`` before the first."""
+        server = self._servers.get(member_id)
+        if server is None or server.reported_s == -math.inf:
+            return None
+        return round((now_s - server.reported_s) * MS_PER_S, 1)
+
     def announced_cores_of(self, service: str) -> float:
         """Return the cores of a service, those without a stream included."""
         servers = self._services.get(service, ())
--- a/tests/verbena_platform/test_whole_path.py
+++ b/tests/verbena_platform/test_whole_path.py
@@ -85,6 +85,7 @@
             readiness=Address(host, self.port + 12),
             lease_s=1.0,
             grace_s=3.0,
+            metrics_port=self.port + 14,
         )
         return attrs.evolve(node, **changes)
 
@@ -156,6 +157,14 @@
 
     await platform.until("/draw/", succeeded)
 
+    async with httpx.AsyncClient(trust_env=False, timeout=10) as client:
+        for host in (ENTRY_HOST, CONTROL_HOSTS[0]):
+            url = f"http://{host}:{platform.port + 14}/metrics"
+            metrics = (await client.get(url)).text
+            assert "verbenaplank_" in metrics
+            if host == ENTRY_HOST:
+                assert 'duration_seconds_count{outcome="succeeded"' in metrics
+
     names = {start["task"].split(".", 1)[1] for start in platform.executor.starts}
     assert names == {"0.0.0", "0.0.1", "0.0.2"}
     assert {start["spec"] for start in platform.executor.starts} == {"text"}
