--- a/src/verbenaplank/console/application.py
+++ b/src/verbenaplank/console/application.py
@@ -8,6 +8,7 @@
 from verbenaplank.console.commands import bench
 from verbenaplank.console.commands import cancel
 from verbenaplank.console.commands import config
+from verbenaplank.console.commands import explain
 from verbenaplank.console.commands import members
 from verbenaplank.console.commands import request
 from verbenaplank.console.commands import settings
@@ -26,6 +27,7 @@
 application.command()(members.drain)
 application.command()(members.undrain)
 application.command()(audit.audit)
+application.command()(explain.explain)
 application.command()(standalone.standalone)
 application.add_typer(bench.application, name="bench")
 application.add_typer(config.application, name="config")
--- /dev/null
+++ b/src/verbenaplank/console/commands/explain.py
@@ -0,0 +1,49 @@
+"""``verbena explain``: what the logs tell of one request."""
+
+from __future__ import annotations
+
+from itertools import chain
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Annotated
+
+import typer
+
+from verbenaplank.console.exit_code import ExitCode
+from verbenaplank.console.output import error_console
+from verbenaplank.observability.explanation import explain as explain_request
+from verbenaplank.observability.explanation import read_log_lines
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from verbenaplank.observability.explanation import HistoryLine
+
+
+def explain(
+    request_id: Annotated[str, typer.Argument(help="Id of a request or of a job.")],
+    files: Annotated[
+        list[Path],
+        typer.Argument(exists=True, dir_okay=False, help="Log files of all processes."),
+    ],
+) -> None:
+    """Print the history of a request from the logs of all processes."""
+    texts = chain.from_iterable(_lines_of(path) for path in files)
+    history = explain_request(read_log_lines(texts), request_id)
+    if not history.lines:
+        error_console.print(f"No line tells of {request_id}.")
+        raise typer.Exit(ExitCode.FAILED)
+    for line in history.lines:
+        typer.echo(_text_of(line))
+    for process, shift_s in sorted(history.clock_shifts_s.items()):
+        typer.echo(f"the clock of {process} is at least {shift_s:.3f} s behind")
+
+
+def _lines_of(path: Path) -> Iterator[str]:
+    with path.open(encoding="utf-8", errors="replace") as file:
+        yield from file
+
+
+def _text_of(item: HistoryLine) -> str:
+    fields = " ".join(f"{name}={value}" for name, value in item.line.fields.items())
+    return f"{item.after_s:+8.3f} s  {item.line.process}  {item.line.event}  {fields}"
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -185,9 +185,13 @@
         )
         await stream.send_message(work.FromAgent(welcome=welcome))
         self.open_streams.append(stream)
-        async for message in stream:
-            self.received.append(message)
-            await self._take(stream, message)
+        try:
+            async for message in stream:
+                self.received.append(message)
+                await self._take(stream, message)
+        finally:
+            if stream in self.open_streams:
+                self.open_streams.remove(stream)
 
     async def _take(
         self, stream: Stream[work.ToAgent, work.FromAgent], message: work.ToAgent
--- a/tests/entry/test_agent_link.py
+++ b/tests/entry/test_agent_link.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 from entry.fakes import echo
@@ -91,6 +92,23 @@
     assert len(agent.starts) == 2
 
 
+async def test_streams_that_an_entry_has_ended_are_not_broken_again(
+    site: Site,
+) -> None:
+    agent = await site.agent()
+    async with AsyncExitStack() as first:
+        entry = await site.entry()
+        first.push_async_exit(entry)
+        async with asyncio.timeout(10):
+            while not agent.open_streams:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+    async with asyncio.timeout(10):
+        while agent.open_streams:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+
+    await agent.break_streams()
+
+
 async def test_draining_agent_hears_at_once_which_results_arrived(site: Site) -> None:
     agent = await site.agent()
     caller = await site.caller(await site.entry())
--- /dev/null
+++ b/tests/observability/test_log_output.py
@@ -0,0 +1,70 @@
+from __future__ import annotations
+
+import io
+import logging
+import os
+import threading
+
+import msgspec
+from pythonjsonlogger.msgspec import MsgspecFormatter
+
+from verbenaplank.observability.log_output import DROPPED
+from verbenaplank.observability.log_output import MAX_LINES_PER_EVENT_PER_S
+from verbenaplank.observability.log_output import MAX_WAITING_LINES
+from verbenaplank.observability.log_output import BoundedLogHandler
+
+
+def record(
+    event: str, level: int = logging.INFO, created_s: float = 1.0
+) -> logging.LogRecord:
+    made = logging.LogRecord("test", level, "", 0, event, None, None)
+    made.created = created_s
+    return made
+
+
+def written(stream: io.BytesIO) -> list[dict[str, object]]:
+    return [msgspec.json.decode(line) for line in stream.getvalue().splitlines()]
+
+
+def test_lines_beyond_the_limit_of_an_event_are_counted_and_told() -> None:
+    stream = io.BytesIO()
+    handler = BoundedLogHandler(stream)
+    handler.setFormatter(MsgspecFormatter(("message",)))
+    for _ in range(MAX_LINES_PER_EVENT_PER_S + 5):
+        handler.handle(record("often"))
+    handler.handle(record("seldom"))
+    handler.handle(record("seldom", created_s=2.0))
+    handler.close()
+
+    lines = written(stream)
+    events = [line["message"] for line in lines]
+    assert events.count("often") == MAX_LINES_PER_EVENT_PER_S
+    assert events.count("seldom") == 2
+    assert [line["events"] for line in lines if line["message"] == DROPPED] == [
+        {"often": 5}
+    ]
+    assert handler.dropped == {"often": 5}
+
+
+def test_reader_that_does_not_read_blocks_nobody_and_failures_are_kept() -> None:
+    reading, writing = os.pipe()
+    with os.fdopen(writing, "wb") as stream:
+        handler = BoundedLogHandler(stream)
+        seconds = 4 * MAX_WAITING_LINES // MAX_LINES_PER_EVENT_PER_S
+        for second in range(seconds):
+            for _ in range(MAX_LINES_PER_EVENT_PER_S):
+                handler.handle(record("x" * 200, created_s=float(second)))
+        handler.handle(record("failure", logging.WARNING, float(seconds)))
+
+        assert handler.dropped["x" * 200] > 0
+        assert handler.dropped["failure"] == 0
+        drained = threading.Thread(target=drain, args=(reading,), daemon=True)
+        drained.start()
+        handler.close()
+    drained.join(10)
+
+
+def drain(descriptor: int) -> None:
+    with os.fdopen(descriptor, "rb") as stream:
+        while stream.read(65_536):
+            pass
