--- a/src/verbenaplank/agent/connection.py
+++ b/src/verbenaplank/agent/connection.py
@@ -1,4 +1,4 @@
-"""One HTTP/1.1 connection to the backend server: h11 on asyncio streams."""
+"""One HTTP/1.1 connection to the backend server: httptools on asyncio streams."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
-import h11
+import httptools
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -29,6 +29,23 @@
     body: bytes
 
 
+class _Response:
+    """Takes in what its parser finds of one response."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.body = bytearray()
+        self.complete = False
+        self.keeps_alive = False
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+        self.keeps_alive = self.parser.should_keep_alive()
+
+
 class Connection:
     """A connection that carries one request at a time."""
 
@@ -38,7 +55,7 @@
         self._reader = reader
         self._writer = writer
         self._host = host
-        self._http = h11.Connection(h11.CLIENT)
+        self._idle = True
 
     @classmethod
     async def open(cls, host: str, port: int) -> Self:
@@ -59,7 +76,7 @@
         An idle connection that has something to read was closed by the other
         side or has spoken out of turn.
         """
-        if self._http.our_state is not h11.IDLE or self._writer.is_closing():
+        if not self._idle or self._writer.is_closing():
             return False
         return not (self._reader.at_eof() or self._readable())
 
@@ -82,50 +99,33 @@
         BackendServerError
             If no whole response came; the request may have been received.
         """
+        self._idle = False
         try:
-            self._write_request(path, payload, headers)
+            self._writer.write(_request(path, self._host, payload, headers))
             await self._writer.drain()
-            answer = await self._read_answer()
-        except (OSError, h11.ProtocolError) as error:
+            return await self._read_answer()
+        except (OSError, httptools.HttpParserError) as error:
             raise BackendServerError(str(error) or type(error).__name__) from error
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
-            self._http.start_next_cycle()
-        return answer
-
-    def _write_request(
-        self, path: str, payload: bytes, headers: Mapping[str, str]
-    ) -> None:
-        head = h11.Request(
-            method="POST",
-            target=path,
-            headers=[
-                ("Host", self._host),
-                ("Content-Type", "application/json"),
-                ("Content-Length", str(len(payload))),
-                *headers.items(),
-            ],
-        )
-        parts = (head, h11.Data(payload), h11.EndOfMessage())
-        self._writer.writelines(self._http.send(part) or b"" for part in parts)
 
     async def _read_answer(self) -> Answer:
-        status = 0
-        body = bytearray()
-        while True:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA:
-                self._http.receive_data(await self._reader.read(READ_BYTES))
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-            elif isinstance(event, h11.Data):
-                body += event.data
-                _check_size(body)
-            elif isinstance(event, h11.EndOfMessage):
-                return Answer(status, bytes(body))
-            elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+        response = _Response()
+        while not response.complete:
+            received = await self._reader.read(READ_BYTES)
+            if not received:
                 raise BackendServerError("the connection was closed")
-
-
-def _check_size(body: bytearray) -> None:
-    if len(body) > MAX_BODY_BYTES:
-        raise BackendServerError(f"the response is over {MAX_BODY_BYTES} bytes")
+            response.parser.feed_data(received)
+            if len(response.body) > MAX_BODY_BYTES:
+                raise BackendServerError(f"the response is over {MAX_BODY_BYTES} bytes")
+        self._idle = response.keeps_alive
+        return Answer(response.parser.get_status_code(), bytes(response.body))
+
+
+def _request(path: str, host: str, payload: bytes, headers: Mapping[str, str]) -> bytes:
+    fields = {
+        "Host": host,
+        "Content-Type": "application/json",
+        "Content-Length": str(len(payload)),
+        **headers,
+    }
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    return f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode("latin-1") + payload
