Let a task wait rather than fail thrice on one server; know what never left

Change: an exclusive task that failed on a server waits while another open server has not failed it; a call that could not open a connection extends no lease, and a start that never left is reported at once; the lease is extended only while the server was heard within half of it.

--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -58,6 +58,12 @@
 
 
 def hold_unanswered(cause: str, silent_s: float, runs: int) -> None:
-    """Tell that the backend server did not renew the lease of its runs."""
+    """Tell that the backend server falls silent, so that its runs' lease may lapse."""
     extra = {"cause": cause, "silent_ms": round(silent_s * 1_000), "runs": runs}
     logger.warning("lease not renewed", extra=extra)
+
+
+def hold_answered(silent_s: float) -> None:
+    """Tell that the backend server answers again, and how long it did not."""
+    extra = {"silent_ms": round(silent_s * 1_000)}
+    logger.info("lease renewed again", extra=extra)
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -19,6 +19,7 @@
 from verbenaplank.agent.leased_calls import CallFailedError
 from verbenaplank.agent.leased_calls import EndKind
 from verbenaplank.agent.leased_calls import HoldOrder
+from verbenaplank.agent.leased_calls import NotSentError
 from verbenaplank.agent.leased_calls import OtherLifeError
 from verbenaplank.agent.leased_calls import RunName
 from verbenaplank.agent.leased_calls import StartOrder
@@ -102,6 +103,7 @@
         self._extended_s = clock()
         self._answered_s = clock()
         self._down = False
+        self._silent = False
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -169,6 +171,8 @@
                 reply = await self._start(run, task.content)
                 if reply.verdict is StartVerdict.STARTED:
                     return run_report(run, await self._wait_for_end(run, timeout_s))
+            except NotSentError as error:
+                return RunReport(TaskOutcome.NOT_STARTED, error=str(error))
             except CallFailedError as error:
                 decision_log.start_unanswered(name, str(error))
                 await self._stop_surely(run)
@@ -195,6 +199,7 @@
         CallFailedError
             If no answer came.
         """
+        extended_s = self._extended_s
         order = StartOrder(
             run=run.name,
             content=content,
@@ -203,6 +208,11 @@
         )
         try:
             reply = await self._worker.start(order, CALL_TIMEOUT_S)
+        except NotSentError:
+            self._extended_s = extended_s
+            self._down = True
+            self._wake.set()
+            raise
         except OtherLifeError:
             self._gone()
             raise CallFailedError("the backend server restarted") from None
@@ -289,7 +299,8 @@
         self._hold_calls += 1
         call = self._hold_calls
         self._unacknowledged = False
-        lively = self._clock() - self._answered_s < self._lease_s
+        extended_s = self._extended_s
+        lively = self._clock() - self._answered_s < self._lease_s / 2
         waits = lively and not any(run.stop_asked for run in self._runs.values())
         order = HoldOrder(
             fence=self._fence,
@@ -298,12 +309,16 @@
             wait_ms=HOLD_WAIT_MS if waits and self._runs else 0,
         )
         timeout_s = CALL_TIMEOUT_S + order.wait_ms / 1_000
-        reply = await self._worker.hold(order, timeout_s)
+        try:
+            reply = await self._worker.hold(order, timeout_s)
+        except NotSentError:
+            self._extended_s = extended_s
+            self._down = True
+            raise
         if reply.fenced:
             logger.error("another agent has taken the backend server over")
             raise OtherLifeError
-        self._answered_s = self._clock()
-        self._down = False
+        self._note_answer()
         self._take(reply, call)
         if any(run.stop_asked for run in self._runs.values()):
             await asyncio.sleep(RETRY_S / 5)
@@ -344,16 +359,24 @@
     def _note_silence(self, error: CallFailedError) -> None:
         """Give runs up once their lease has surely lapsed."""
         now_s = self._clock()
-        silent_s = now_s - self._answered_s
-        decision_log.hold_unanswered(str(error), silent_s, len(self._runs))
-        if not self._down and silent_s >= self._lease_s / 2:
+        if not self._silent:
+            self._silent = True
+            silent_s = now_s - self._answered_s
+            decision_log.hold_unanswered(str(error), silent_s, len(self._runs))
+        if now_s - self._answered_s >= self._lease_s / 2:
             self._down = True
-            logger.warning("the backend server is silent: %s", error)
         if now_s - self._extended_s < self._lease_s * 1.02 + LAPSE_MARGIN_S:
             return
         for run in list(self._runs.values()):
             end_run(run, EndKind.LAPSED)
 
+    def _note_answer(self) -> None:
+        now_s = self._clock()
+        if self._silent:
+            decision_log.hold_answered(now_s - self._answered_s)
+        self._silent = self._down = False
+        self._answered_s = now_s
+
     def _new_deadline_ms(self) -> int:
         self._extended_s = self._clock()
         return self._worker_clock.now_ms() + round(self._lease_s * 1_000)
--- a/src/verbenaplank/agent/leased_calls.py
+++ b/src/verbenaplank/agent/leased_calls.py
@@ -12,6 +12,10 @@
     """No answer came; the call may have been carried out, or may be later."""
 
 
+class NotSentError(CallFailedError):
+    """The call never left, as no connection could be opened."""
+
+
 class OtherLifeError(Exception):
     """The backend server has restarted since it was last known."""
 
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -272,7 +272,20 @@
             usable.append(server)
             if not self._health.avoids(task, server):
                 preferred.append(server)
-        return preferred or usable
+        if preferred or (task.exclusive and self._has_unavoided(task)):
+            return preferred
+        return usable
+
+    def _has_unavoided(self, task: TaskRequest) -> bool:
+        """Return whether a task that failed somewhere has other servers to wait for.
+
+        A server that fails at once would else use up all runs of a task while the
+        others are full.
+        """
+        return any(
+            server.open_for_work and not self._health.avoids(task, server)
+            for server in self._services.get(task.service, ())
+        )
 
     def _straggler_limit(self, service: str, now_s: float) -> float:
         """Return the slowness from which on a server gets exclusive tasks on trial.
--- a/tests/agent/fake_worker.py
+++ b/tests/agent/fake_worker.py
@@ -6,6 +6,7 @@
 from verbenaplank.agent.leased_calls import EndKind
 from verbenaplank.agent.leased_calls import HoldOrder
 from verbenaplank.agent.leased_calls import HoldReply
+from verbenaplank.agent.leased_calls import NotSentError
 from verbenaplank.agent.leased_calls import OtherLifeError
 from verbenaplank.agent.leased_calls import RunEnd
 from verbenaplank.agent.leased_calls import RunName
@@ -29,6 +30,7 @@
         self.silent_starts: list[StartOrder] = []
         self.loses_starts = False
         self.mute = False
+        self.refuses = False
         self.restarted = False
         self.verdict: StartVerdict | None = None
         self.changed = asyncio.Event()
@@ -102,5 +104,7 @@
     def _check(self) -> None:
         if self.restarted:
             raise OtherLifeError
+        if self.refuses:
+            raise NotSentError("refused")
         if self.mute:
             raise CallFailedError("silent")
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -6,6 +6,8 @@
 import pytest
 from fake_worker import FakeWorker
 
+from verbenaplank.agent.backend import BackendServerDownError
+from verbenaplank.agent.leased_backend import LAPSE_MARGIN_S
 from verbenaplank.agent.leased_backend import LeasedBackend
 from verbenaplank.agent.leased_calls import EndKind
 from verbenaplank.agent.leased_calls import RunName
@@ -185,3 +187,28 @@
         await until(worker, lambda: worker.lease_until_ms > first_ms)
         worker.end(name, EndKind.DONE)
         await running
+
+
+async def test_start_that_never_left_is_reported_at_once() -> None:
+    worker = FakeWorker()
+    async with backend_of(worker) as backend:
+        worker.refuses = True
+        began_s = monotonic_s()
+        report = await run_on(backend)
+        assert report.outcome is TaskOutcome.NOT_STARTED
+        assert monotonic_s() - began_s < LEASE_S
+        with pytest.raises(BackendServerDownError):
+            await backend.connect()
+
+
+async def test_renewals_that_never_left_extend_no_lease() -> None:
+    worker = FakeWorker()
+    async with backend_of(worker) as backend:
+        running = run_on(backend)
+        await started(worker)
+        await until(worker, lambda: worker.lease_until_ms > worker.clock_ms)
+        worker.refuses = True
+        worker.changed.set()
+        refused_s = monotonic_s()
+        assert (await running).outcome is TaskOutcome.CONNECTION_LOST
+        assert monotonic_s() - refused_s < 1.5 * LEASE_S + LAPSE_MARGIN_S
--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -261,3 +261,16 @@
     assert driver.fleet.cores_of("fixtures") == 64
     assert driver.fleet.announced_cores_of("fixtures") == 128
     assert driver.fleet.announced_cores_of("none") == 0
+
+
+def test_exclusive_task_waits_for_another_server_than_the_one_it_failed_on(
+    driver: FleetDriver,
+) -> None:
+    driver.add("a", "b")
+    failed = task("job", exclusive=True, avoided_members=frozenset({"a"}))
+    for index in range(SLOTS):
+        driver.place(task("other", index, avoided_members=frozenset({"a"})))
+
+    assert driver.place(failed) is None
+    driver.fleet.leave("b", driver.now_s)
+    assert driver.place(failed) == "a"
