--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -267,9 +267,10 @@
     driver: FleetDriver,
 ) -> None:
     driver.add("a", "b")
-    failed = task("job", exclusive=True, avoided_members=frozenset({"a"}))
-    for index in range(SLOTS):
-        driver.place(task("other", index, avoided_members=frozenset({"a"})))
+    whole = Needs(cores=64)
+    avoided = frozenset({"a"})
+    failed = task("job", exclusive=True, avoided_members=avoided, needs=whole)
+    assert driver.place(task("other", needs=whole, avoided_members=avoided)) == "b"
 
     assert driver.place(failed) is None
     driver.fleet.leave("b", driver.now_s)
