--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -17,10 +17,11 @@
 from verbenaplank.admission.queue import TaskQueue
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.clock.sources import wall_clock_ms
-from verbenaplank.entry import decision_log
 from verbenaplank.entry.admit import Admission
 from verbenaplank.entry.agent_links import AgentLinks
 from verbenaplank.entry.agent_links import EngineListener
+from verbenaplank.entry.beliefs import PlacementNotes
+from verbenaplank.entry.beliefs import tell_beliefs_forever
 from verbenaplank.entry.engine import Engine
 from verbenaplank.entry.follow import Follower
 from verbenaplank.entry.neighbours import claims_factory
@@ -51,14 +52,15 @@
 from verbenaplank.rpc.endpoint import serve
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
     from collections.abc import Sequence
     from types import TracebackType
+    from typing import Any
 
     from verbenaplank.admission.waiting_tasks import WaitingTasks
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
     from verbenaplank.entry.book import DispatchRecord
-    from verbenaplank.entry.decision_log import Placement
     from verbenaplank.entry.ports import Claims
     from verbenaplank.entry.ports import ClaimsFactory
     from verbenaplank.entry.ports import Membership
@@ -75,7 +77,6 @@
 """How long a stop waits further for jobs that it has let fail."""
 
 EXPIRY_PERIOD_S = 1.0
-BELIEFS_PERIOD_S = 0.1
 INCARNATION_CHARACTERS = 8
 """Enough of an incarnation to tell the jobs of two entries apart."""
 
@@ -175,7 +176,7 @@
             time_left_s=self._time_left_s,
         )
         self._closes_s = math.inf
-        self._placements: dict[str, list[Placement]] = {}
+        self._placements = PlacementNotes()
         self._http_server: HttpServer | None = None
         self._peer_service = PeerService(self._registry, self._runner.cancel)
 
@@ -338,10 +339,12 @@
     def _on_dispatch(self, dispatch: DispatchRecord) -> None:
         now_s = self._clock()
         self._admission.dispatched(now_s)
-        self._note_placement(dispatch, now_s)
+        task, agent_id = dispatch.task, dispatch.agent_id
+        age_ms = self._fleet.report_age_ms(agent_id, now_s)
+        placement = (task.task_index, task.attempt, agent_id, age_ms)
+        self._placements.add(task.job_id, placement)
         if self._record is ignore_event:
             return
-        task = dispatch.task
         self._record(
             Event(
                 kind=EventKind.DISPATCHED,
@@ -350,7 +353,7 @@
                 job_id=task.job_id,
                 task_index=task.task_index,
                 attempt=task.attempt,
-                detail=dispatch.agent_id,
+                detail=agent_id,
             )
         )
 
@@ -367,44 +370,17 @@
             draining=draining,
         )
 
-    def _note_placement(self, dispatch: DispatchRecord, now_s: float) -> None:
-        """Collect placements of one turn, so that a job gets one line for them."""
-        if not self._placements:
-            asyncio.get_running_loop().call_soon(self._log_placements)
-        task, agent_id = dispatch.task, dispatch.agent_id
-        age_ms = self._fleet.report_age_ms(agent_id, now_s)
-        placement = (task.task_index, task.attempt, agent_id, age_ms)
-        self._placements.setdefault(task.job_id, []).append(placement)
-
-    def _log_placements(self) -> None:
-        for job_id, placements in self._placements.items():
-            decision_log.tasks_placed(job_id, placements)
-        self._placements.clear()
-
     async def _expire_forever(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_PERIOD_S)
             self._registry.expire(self._clock())
 
-    async def _tell_beliefs_forever(self) -> None:
-        """Log changes of readiness and of quarantines."""
-        was_ready = False
-        quarantined: set[str] = set()
-        while True:
-            if self.ready_for_routes != was_ready:
-                was_ready = not was_ready
-                condition = self._standing.condition()
-                decision_log.readiness_changed(
-                    ready=was_ready,
-                    current=condition.current,
-                    draining=condition.draining,
-                )
-            now = set(self._fleet.quarantined(self._clock()))
-            if now != quarantined:
-                began, ended = sorted(now - quarantined), sorted(quarantined - now)
-                decision_log.quarantine_changed(began, ended)
-                quarantined = now
-            await asyncio.sleep(BELIEFS_PERIOD_S)
+    def _tell_beliefs_forever(self) -> Coroutine[Any, Any, None]:
+        return tell_beliefs_forever(
+            lambda: self.ready_for_routes,
+            self._standing.condition,
+            lambda: self._fleet.quarantined(self._clock()),
+        )
 
 
 def never_back(wall_clock: WallClock) -> WallClock:
--- /dev/null
+++ b/src/verbenaplank/entry/beliefs.py
@@ -0,0 +1,59 @@
+"""Tells the log what an entry decided in one turn, and what it believes."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from verbenaplank.entry import decision_log
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+
+    from verbenaplank.entry.decision_log import Placement
+    from verbenaplank.entry.standing import Condition
+
+BELIEFS_PERIOD_S = 0.1
+
+
+class PlacementNotes:
+    """Collects the placements of one turn, so that a job gets one line for them."""
+
+    def __init__(self) -> None:
+        self._placements: dict[str, list[Placement]] = {}
+
+    def add(self, job_id: str, placement: Placement) -> None:
+        """Take in where a task was sent."""
+        if not self._placements:
+            asyncio.get_running_loop().call_soon(self._tell)
+        self._placements.setdefault(job_id, []).append(placement)
+
+    def _tell(self) -> None:
+        for job_id, placements in self._placements.items():
+            decision_log.tasks_placed(job_id, placements)
+        self._placements.clear()
+
+
+async def tell_beliefs_forever(
+    is_ready: Callable[[], bool],
+    condition: Callable[[], Condition],
+    quarantined: Callable[[], Collection[str]],
+) -> None:
+    """Log changes of readiness and of quarantines, until cancelled."""
+    was_ready = False
+    known: set[str] = set()
+    while True:
+        if is_ready() != was_ready:
+            was_ready = not was_ready
+            now = condition()
+            decision_log.readiness_changed(
+                ready=was_ready, current=now.current, draining=now.draining
+            )
+        found = set(quarantined())
+        if found != known:
+            decision_log.quarantine_changed(
+                sorted(found - known), sorted(known - found)
+            )
+            known = found
+        await asyncio.sleep(BELIEFS_PERIOD_S)
