Name the caller's request where its job is admitted; refuse less while closing

A request for a job of two seconds was refused with four seconds left. Change: 'job admitted' carries the request's id; a closing entry doubts estimates by half, not by as much again.

--- a/src/verbenaplank/entry/decision_log.py
+++ b/src/verbenaplank/entry/decision_log.py
@@ -23,11 +23,14 @@
 logger = logging.getLogger(__name__)
 
 
-def job_admitted(submission: Submission, routing_version: int, queued: int) -> None:
+def job_admitted(
+    submission: Submission, request_id: str, routing_version: int, queued: int
+) -> None:
     """Tell that a routed job was taken on."""
     logger.info(
         "job admitted",
         extra={
+            "request_id": request_id,
             "job_id": submission.job_id,
             "route": submission.workload,
             "priority": submission.priority,
@@ -42,9 +45,10 @@
     )
 
 
-def job_joined(job_id: str) -> None:
+def job_joined(job_id: str, request_id: str) -> None:
     """Tell that a caller waits for a job that runs already."""
-    logger.info("job joined", extra={"job_id": job_id})
+    extra = {"request_id": request_id, "job_id": job_id}
+    logger.info("job joined", extra=extra)
 
 
 def tasks_placed(job_id: str, placements: Sequence[Placement]) -> None:
--- a/src/verbenaplank/entry/routed.py
+++ b/src/verbenaplank/entry/routed.py
@@ -52,7 +52,7 @@
 knows the routes and a backend server; longer than an election and a join."""
 
 OPENING_POLL_S = 0.01
-CLOSING_DOUBT = 2.0
+CLOSING_DOUBT = 1.5
 """A closing entry takes on what ends in time even if it takes so much longer."""
 
 STUCK_FACTOR = 12.0
@@ -101,6 +101,8 @@
         Run time of a task by the caller's word.
     patience_s
         How long the caller waits.
+    request_id
+        The caller's name for this request, for the log.
     """
 
     key: str
@@ -109,6 +111,7 @@
     needs: Needs
     estimate_s: float
     patience_s: float
+    request_id: str = ""
 
 
 class RoutedJobs:
@@ -203,7 +206,7 @@
                 return refusal
             running = self._start(job, received_s, place)
         else:
-            decision_log.job_joined(running.job_id)
+            decision_log.job_joined(running.job_id, job.request_id)
         running.waiting += 1
         try:
             return await asyncio.shield(running.end)
@@ -268,7 +271,8 @@
     ) -> _RunningJob:
         submission = self._submission(job, received_s)
         queued = len(self._queue)
-        decision_log.job_admitted(submission, self.table.version, queued)
+        version = self.table.version
+        decision_log.job_admitted(submission, job.request_id, version, queued)
         task = asyncio.get_running_loop().create_task(self._run(submission))
         running = _RunningJob(submission.job_id, task)
         self._running[place] = running
--- a/src/verbenaplank/observability/explanation.py
+++ b/src/verbenaplank/observability/explanation.py
@@ -125,7 +125,7 @@
     ids = {request_id}
     for line in lines:
         if line.fields.get("request_id") == request_id and line.fields.get("job_id"):
-            ids.add(line.fields["job_id"])
+            ids.add(line.fields["job_id"].partition(".")[0])
     return frozenset(ids)
 
 
