--- a/src/verbenaplank/consensus/node.py
+++ b/src/verbenaplank/consensus/node.py
@@ -51,6 +51,8 @@
 LOG_FOLDER = "log"
 INCARNATION_BYTES = 8
 RESET_TIMEOUT_S = 1.0
+FAILED_LOG_STATUS = 1
+"""Exit status of a program whose log failed by a fault of the program."""
 
 _logger = logging.getLogger(__name__)
 
@@ -123,7 +125,7 @@
             self._caller_side = calls
             stack.callback(driver.stop)
             writing = asyncio.create_task(self._writer.run())
-            writing.add_done_callback(_log_failure)
+            writing.add_done_callback(_end_program_on_failure)
             stack.push_async_callback(_cancel, [writing])
             await stack.enter_async_context(self._links)
             stack.callback(calls.close)
@@ -301,9 +303,18 @@
             self._driver.step(MessageReceived(message=message))
 
 
-def _log_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception():
-        _logger.critical("a task of the log failed", exc_info=task.exception())
+def _end_program_on_failure(task: asyncio.Task[None]) -> None:
+    """End the program, since an instance without its log would stay useless.
+
+    Raises
+    ------
+    SystemExit
+        If the task failed; the event loop hands it on to its caller.
+    """
+    if task.cancelled() or task.exception() is None:
+        return
+    _logger.critical("a task of the log failed", exc_info=task.exception())
+    raise SystemExit(FAILED_LOG_STATUS)
 
 
 async def _cancel(tasks: Sequence[asyncio.Task[None]]) -> None:
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -16,7 +16,9 @@
 from verbenaplank.consensus.errors import NoQuorumError
 from verbenaplank.consensus.errors import NotAcceptedError
 from verbenaplank.consensus.errors import OutcomeUnknownError
+from verbenaplank.consensus.node import FAILED_LOG_STATUS
 from verbenaplank.consensus.node import LOG_FOLDER
+from verbenaplank.consensus.node import _end_program_on_failure
 from verbenaplank.storage.errors import DamagedFileError
 from verbenaplank.storage.errors import FolderInUseError
 from verbenaplank.storage.files import OperatingSystemFiles
@@ -182,3 +184,17 @@
         await instance.node.propose(b"four", TIMEOUT_S)
 
         assert instance.machine.applied == [b"one", b"two", b"four"]
+
+
+def test_program_ends_when_its_log_fails() -> None:
+    async def fail() -> None:
+        raise AttributeError("a fault of the program")
+
+    async def run() -> None:
+        task = asyncio.create_task(fail())
+        task.add_done_callback(_end_program_on_failure)
+        await asyncio.sleep(TIMEOUT_S)
+
+    with pytest.raises(SystemExit) as ended:
+        asyncio.run(run())
+    assert ended.value.code == FAILED_LOG_STATUS
