Keep a cancellation that arrives while another task ends

Cause: 'suppress(CancelledError)' around 'await task' also suppresses a cancellation of the caller that arrives while the task still ends. Ruled out: gather(return_exceptions=True), which would also hide unexpected errors. Change: cancel_and_wait in one place, used at the five places of that pattern. Measured: test_client_stops_while_its_stream_ends fails before (the task ends instead of being cancelled) and passes after.

--- a/src/verbenaplank/agent/health_check.py
+++ b/src/verbenaplank/agent/health_check.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from verbenaplank.agent.backend import BackendServerDownError
+from verbenaplank.concurrency.cancellation import cancel_and_wait
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,9 +50,7 @@
         traceback: TracebackType | None,
     ) -> None:
         if self._probe_task is not None:
-            self._probe_task.cancel()
-            with suppress(asyncio.CancelledError):
-                await self._probe_task
+            await cancel_and_wait(self._probe_task)
 
     def report_down(self) -> None:
         """Record that a connection could not be opened."""
--- a/src/verbenaplank/claims/ceiling.py
+++ b/src/verbenaplank/claims/ceiling.py
@@ -9,9 +9,10 @@
 import logging
 from collections.abc import Awaitable
 from collections.abc import Callable
-from contextlib import suppress
 from typing import TYPE_CHECKING
 
+from verbenaplank.concurrency.cancellation import cancel_and_wait
+
 if TYPE_CHECKING:
     from types import TracebackType
     from typing import Self
@@ -61,9 +62,7 @@
         traceback: TracebackType | None,
     ) -> None:
         if self._running is not None:
-            self._running.cancel()
-            with suppress(asyncio.CancelledError):
-                await self._running
+            await cancel_and_wait(self._running)
 
     async def raise_if_due(self) -> None:
         """Sync and then raise the ceiling if the clock requires a higher one.
--- /dev/null
+++ b/src/verbenaplank/concurrency/__init__.py
@@ -0,0 +1,3 @@
+"""Helpers for asyncio tasks."""
+
+from __future__ import annotations
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -6,7 +6,6 @@
 import random
 from contextlib import AsyncExitStack
 from contextlib import asynccontextmanager
-from contextlib import suppress
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
 
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.clock.sources import wall_clock_ms
+from verbenaplank.concurrency.cancellation import cancel_and_wait
 from verbenaplank.consensus.node import ConsensusNode
 from verbenaplank.control.administration import Administration
 from verbenaplank.control.bootstrap import bootstrap
@@ -274,6 +274,4 @@
     try:
         yield
     finally:
-        task.cancel()
-        with suppress(asyncio.CancelledError):
-            await task
+        await cancel_and_wait(task)
--- a/src/verbenaplank/membership/client.py
+++ b/src/verbenaplank/membership/client.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
+from verbenaplank.concurrency.cancellation import cancel_and_wait
 from verbenaplank.membership.client_state import ClientState
 from verbenaplank.membership.client_state import MembershipEvent
 from verbenaplank.protocol.membership import Heartbeat
@@ -105,9 +106,7 @@
         """
         if self._task is None:
             return
-        self._task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self._task
+        await cancel_and_wait(self._task)
 
     @property
     def configuration(self) -> EffectiveConfiguration:
@@ -229,9 +228,7 @@
         try:
             await self._receive(stream)
         finally:
-            sender.cancel()
-            with suppress(asyncio.CancelledError, *RPC_ERRORS):
-                await sender
+            await cancel_and_wait(sender, *RPC_ERRORS)
 
     async def _send_heartbeats(self, stream: Stream[ToControl, FromControl]) -> None:
         number = 1
