Drop a delayed retry of a job that has ended

Cause: a task that the same agent refuses twice waits 50 ms in the retry queue. If its job ended meanwhile, the task was queued all the same and stayed, since nobody removes tasks of a job that is gone. Ruled out: removing delayed tasks when a job ends; the timer queue has no removal. Change: requeue_due asks whether the job still runs.

--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -219,7 +219,7 @@
         for agent_id in self._disconnected_agents.pop_runs_ended(now_s):
             decision_log.agent_runs_ended(agent_id)
             self._message_handler.mark_all_lost(agent_id, now_s)
-        self._retry_queue.requeue_due(now_s)
+        self._retry_queue.requeue_due(now_s, self.jobs.is_running)
         self._hedger.hedge_due(now_s, self._dispatcher.dispatch_elsewhere)
         self._revoke_stalled(now_s)
         self.jobs.complete_ready_failures(now_s)
--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -90,6 +90,10 @@
         job = self._jobs.get(job_id)
         return job if job is not None and job.rejection is None else None
 
+    def is_running(self, job_id: str) -> bool:
+        """Return whether a job is neither answered nor failing."""
+        return self.find_running(job_id) is not None
+
     def add(self, submission: Submission, now_s: float) -> None:
         """Add a job and queue its tasks."""
         count = len(submission.payloads)
--- a/src/verbenaplank/entry/retry.py
+++ b/src/verbenaplank/entry/retry.py
@@ -9,6 +9,8 @@
 from verbenaplank.entry.timer_queue import TimerQueue
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from verbenaplank.admission.budget import StartBudget
     from verbenaplank.admission.queue_protocol import TaskQueueProtocol
     from verbenaplank.entry.dispatch_table import DispatchRecord
@@ -65,10 +67,17 @@
             return
         self._queue.push(requeued, now_s)
 
-    def requeue_due(self, now_s: float) -> None:
-        """Requeue the tasks whose delay has passed."""
+    def requeue_due(self, now_s: float, is_running: Callable[[str], bool]) -> None:
+        """Requeue the tasks whose delay has passed.
+
+        Parameters
+        ----------
+        is_running
+            Returns whether a job is still running; tasks of other jobs are dropped.
+        """
         for task in self._delayed.pop_due(now_s):
-            self._queue.push(task, now_s)
+            if is_running(task.job_id):
+                self._queue.push(task, now_s)
 
     def count_failure(self, job: Job, record: DispatchRecord) -> None:
         """Count a failed run of a task, caused by the task or the backend server."""
--- a/tests/entry/test_engine.py
+++ b/tests/entry/test_engine.py
@@ -97,6 +97,20 @@
     assert len(driver.dispatches) == 3
 
 
+def test_delayed_task_of_a_cancelled_job_is_not_requeued() -> None:
+    """Its job ends during the delay; the task would stay queued for ever."""
+    driver = Driver("a")
+    driver.submit()
+    driver.refuse(0, work.RefusalReason.FULL)
+    driver.refuse(1, work.RefusalReason.FULL)
+
+    driver.cancel()
+    driver.leave("a")
+    driver.advance(0.1)
+
+    assert len(driver.queue) == 0
+
+
 def test_failed_task_fails_the_whole_job() -> None:
     """One task of a job fails; its other tasks must be dequeued or revoked."""
     driver = Driver("a", slots=2)
