Repeat an unanswered start under its run number instead of stopping it

Cause: a start without a reply was given up after 200 ms and then stopped; its room was held, and its task waited, until the stop was confirmed. Orders that are not answered are carried out seconds later, so the first one had nearly never run. A poll without a reply hid all ends of a backend server for 400 ms and 50 ms of pause. Ruled out: freeing the room after the timeout (the order may still be carried out); a new run number (two runs of one task, if the first is late). Change: the same request again after 60, 120 and 200 ms. A run number starts at most once, so a repetition can do no harm; a repetition that is refused says nothing of the first request and leads to the stop as before. Polls and stops use the same timeouts, and the first failed poll is repeated at once. The lease has its own class. Measured: unit tests; 12 random histories with a third of the orders unanswered and carried out at any time: no reported run is active then or later.

--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 from contextlib import suppress
 from typing import TYPE_CHECKING
@@ -22,7 +23,7 @@
 from verbenaplank.agent.active_run import report_for_run
 from verbenaplank.agent.backend import BackendServerDownError
 from verbenaplank.agent.backend import RunReport
-from verbenaplank.agent.backend_clock import BackendClock
+from verbenaplank.agent.backend_lease import BackendLease
 from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import EndKind
@@ -51,14 +52,15 @@
 """How long the backend server may delay the reply to a poll while no run ends.  One
 poll without a reply then still leaves more than half of the shortest lease."""
 
-CALL_TIMEOUT_S = 0.2
-"""The backend server runs on the same machine and replies within milliseconds."""
+CALL_TIMEOUTS_S = (0.06, 0.12, 0.2)
+"""Timeouts of a call and of its repetitions; the last one applies to all further ones.
 
-RETRY_S = 0.05
-EXPIRY_MARGIN_S = 0.15
-"""Added to 102% of a lease before its runs count as ended.  This allows for clocks that
-run 2% slow and for the time that the backend server takes to end stopped runs."""
+The backend server runs on the same machine and replies within milliseconds, so a call
+that takes longer is probably lost.
+"""
 
+TAKE_OVER_TIMEOUT_S = 0.2
+RETRY_S = 0.05
 MAX_OUTDATED_STARTS = 4
 OUTDATED_STEP = 16
 """Added to a run number that was refused as outdated, to get the next one to try."""
@@ -96,21 +98,15 @@
         on_lost: Callable[[], None],
     ) -> None:
         self._client = client
-        self._lease_s = lease_s
         self._clock = clock
-        self._backend_clock = BackendClock(clock)
+        self._lease = BackendLease(lease_s, clock)
         self._on_lost = on_lost
         self._run_numbers = RunNumbers()
-        self._fence = 0
         self._acknowledged_sequence = 0
         self._has_unacknowledged_ends = False
         self._runs: dict[RunId, ActiveRun] = {}
         self._runs_by_task_id: dict[str, ActiveRun] = {}
         self._polls_sent = 0
-        self._lease_extended_s = clock()
-        self._last_reply_s = clock()
-        self._down = False
-        self._silent = False
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -149,7 +145,7 @@
             If the backend server cannot be reached, has not answered for half a lease,
             has restarted or is taken over.
         """
-        if self._down:
+        if self._lease.is_down:
             raise BackendServerDownError("the backend server does not answer")
         return self
 
@@ -186,8 +182,7 @@
                     return report_for_run(run, await self._wait_for_end(run, timeout_s))
             except NotSentError as error:
                 return RunReport(TaskOutcome.NOT_STARTED, error=str(error))
-            except CallFailedError as error:
-                decision_log.log_start_unanswered(run_id, str(error))
+            except CallFailedError:
                 await self._stop_and_wait(run)
                 return report_for_end(run.end.result(), START_UNANSWERED)
             finally:
@@ -205,35 +200,57 @@
             await self._stop_and_wait(run)
 
     async def _start(self, run: ActiveRun, content: str) -> StartReply:
-        """Send a start request, which also extends the lease.
+        """Send a start request, and repeat it while it is unanswered.
+
+        All requests carry the same run number, so at most one of them starts a run.
 
         Raises
         ------
         NotSentError
-            If the request was not sent, so that the run has not started.
+            If no request was sent, so that the run has not started.
         CallFailedError
             If no usable reply came, so that the run may have started or may start
             later.
         """
-        lease_extended_s = self._lease_extended_s
+        for repetition, timeout_s in enumerate(CALL_TIMEOUTS_S):
+            try:
+                reply = await self._send_start(run, content, timeout_s)
+            except NotSentError:
+                if repetition == 0:
+                    raise
+                break
+            except CallFailedError as error:
+                decision_log.log_start_unanswered(run.run_id, str(error))
+                if self._lease.is_down or run.end.done():
+                    raise
+            else:
+                if repetition == 0 or reply.status is StartStatus.STARTED:
+                    return reply
+                break
+        raise CallFailedError("a start request got no reply")
+
+    async def _send_start(
+        self, run: ActiveRun, content: str, timeout_s: float
+    ) -> StartReply:
+        """Send one start request, which also extends the lease."""
+        extended_s = self._lease.extended_s
         request = StartRequest(
             run=run.run_id,
             content=content,
-            deadline_ms=self._next_deadline_ms(),
-            fence=self._fence,
+            deadline_ms=self._lease.extend(),
+            fence=self._lease.fence,
         )
         try:
-            reply = await self._client.start(request, CALL_TIMEOUT_S)
+            reply = await self._client.start(request, timeout_s)
         except NotSentError:
-            self._lease_extended_s = lease_extended_s
-            self._down = True
+            self._lease.record_not_sent(extended_s)
             self._wake.set()
             raise
         except BackendRestartedError:
             self._handle_lost()
             raise CallFailedError("the backend server restarted") from None
         if reply.clock_ms is not None:
-            self._backend_clock.update(reply.clock_ms)
+            self._lease.update_clock(reply.clock_ms)
         if reply.status is StartStatus.STARTED:
             run.visible_after_poll = self._polls_sent
             run.started_s = run.progressed_s = self._clock()
@@ -260,9 +277,12 @@
             await asyncio.wait([run.end])
             return
         run.stop_requested = True
-        while not run.end.done():
+        for repetition in itertools.count():
+            if run.end.done():
+                return
+            timeout_s = call_timeout_s(repetition)
             try:
-                await self._client.stop(run.run_id, self._fence, CALL_TIMEOUT_S)
+                await self._client.stop(run.run_id, self._lease.fence, timeout_s)
             except CallFailedError:
                 self._wake.set()
                 with suppress(TimeoutError):
@@ -282,32 +302,34 @@
         every earlier agent.
         """
         first = PollRequest(fence=0, deadline_ms=None, acknowledged=0)
-        reply = await self._client.poll(first, CALL_TIMEOUT_S)
-        self._backend_clock.update(reply.clock_ms)
-        self._fence = reply.clock_ms
-        give_up_s = self._clock() + 2 * (self._lease_s + EXPIRY_MARGIN_S)
+        reply = await self._client.poll(first, TAKE_OVER_TIMEOUT_S)
+        self._lease.update_clock(reply.clock_ms)
+        self._lease.fence = reply.clock_ms
+        give_up_s = self._clock() + 2 * self._lease.longest_expiry_s
         while self._clock() < give_up_s:
             request = PollRequest(
-                fence=self._fence,
+                fence=self._lease.fence,
                 deadline_ms=None,
                 acknowledged=self._acknowledged_sequence,
             )
-            reply = await self._client.poll(request, CALL_TIMEOUT_S)
+            reply = await self._client.poll(request, TAKE_OVER_TIMEOUT_S)
             self._record_ends(reply)
             if not reply.active:
-                self._last_reply_s = self._clock()
+                self._lease.record_poll_reply(reply.clock_ms)
                 return
             for progress in reply.active:
-                await self._client.stop(progress.run, self._fence, CALL_TIMEOUT_S)
+                await self._client.stop(
+                    progress.run, self._lease.fence, TAKE_OVER_TIMEOUT_S
+                )
             await asyncio.sleep(RETRY_S)
         raise CallFailedError("runs of an earlier agent do not end")
 
     async def _poll_forever(self) -> None:
         while True:
-            if not (self._runs or self._has_unacknowledged_ends or self._down):
+            if not (self._runs or self._has_unacknowledged_ends or self._lease.is_down):
                 self._wake.clear()
                 await self._wake.wait()
-            if self._down:
+            if self._lease.is_down:
                 await asyncio.sleep(RETRY_S)
             try:
                 await self._poll_once()
@@ -316,42 +338,41 @@
                 return
             except CallFailedError as error:
                 self._on_poll_failed(error)
-                await asyncio.sleep(RETRY_S)
+                if self._lease.failed_polls > 1:
+                    await asyncio.sleep(RETRY_S)
 
     async def _poll_once(self) -> None:
         self._polls_sent += 1
         poll_number = self._polls_sent
         self._has_unacknowledged_ends = False
-        lease_extended_s = self._lease_extended_s
-        is_responsive = self._clock() - self._last_reply_s < self._lease_s / 2
+        extended_s = self._lease.extended_s
+        is_responsive = self._lease.is_responsive
         may_wait = is_responsive and not any(
             run.stop_requested for run in self._runs.values()
         )
         request = PollRequest(
-            fence=self._fence,
-            deadline_ms=self._next_deadline_ms()
-            if is_responsive and self._runs
-            else None,
+            fence=self._lease.fence,
+            deadline_ms=self._lease.extend() if is_responsive and self._runs else None,
             acknowledged=self._acknowledged_sequence,
             wait_ms=POLL_WAIT_MS if may_wait and self._runs else 0,
         )
-        timeout_s = CALL_TIMEOUT_S + request.wait_ms / 1_000
+        timeout_s = call_timeout_s(self._lease.failed_polls) + request.wait_ms / 1_000
         try:
             reply = await self._client.poll(request, timeout_s)
         except NotSentError:
-            self._lease_extended_s = lease_extended_s
-            self._down = True
+            self._lease.record_not_sent(extended_s)
             raise
         if reply.fenced:
             logger.error("backend server taken over by another agent")
             raise BackendRestartedError
-        self._on_reply()
+        if self._lease.failed_polls:
+            decision_log.log_poll_recovered(self._lease.silent_s)
+        self._lease.record_poll_reply(reply.clock_ms)
         self._process_reply(reply, poll_number)
         if any(run.stop_requested for run in self._runs.values()):
             await asyncio.sleep(RETRY_S / 5)
 
     def _process_reply(self, reply: PollReply, poll_number: int) -> None:
-        self._backend_clock.update(reply.clock_ms)
         self._record_ends(reply)
         active = {progress.run for progress in reply.active}
         self._stop_stalled_runs(reply)
@@ -394,32 +415,18 @@
 
         After half a lease without a reply, new runs are refused as well.
         """
-        now_s = self._clock()
-        if not self._silent:
-            self._silent = True
-            silent_s = now_s - self._last_reply_s
+        self._lease.record_poll_failure()
+        if self._lease.failed_polls == 1:
+            silent_s = self._lease.silent_s
             decision_log.log_poll_failed(str(error), silent_s, len(self._runs))
-        if now_s - self._last_reply_s >= self._lease_s / 2:
-            self._down = True
-        if now_s - self._lease_extended_s < self._lease_s * 1.02 + EXPIRY_MARGIN_S:
+        if not self._lease.has_expired:
             return
         for run in list(self._runs.values()):
             record_end(run, EndKind.LEASE_EXPIRED)
 
-    def _on_reply(self) -> None:
-        now_s = self._clock()
-        if self._silent:
-            decision_log.log_poll_recovered(now_s - self._last_reply_s)
-        self._silent = self._down = False
-        self._last_reply_s = now_s
-
-    def _next_deadline_ms(self) -> int:
-        self._lease_extended_s = self._clock()
-        return self._backend_clock.now_ms() + round(self._lease_s * 1_000)
-
     def _handle_lost(self) -> None:
         """End all runs, because the backend server has restarted or is taken over."""
-        self._down = True
+        self._lease.is_down = True
         for run in list(self._runs.values()):
             record_end(run, EndKind.LEASE_EXPIRED)
         self._on_lost()
@@ -428,3 +435,8 @@
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def call_timeout_s(repetition: int) -> float:
+    """Return the timeout of a call that was repeated so many times, in seconds."""
+    return CALL_TIMEOUTS_S[min(repetition, len(CALL_TIMEOUTS_S) - 1)]
--- a/tests/agent/fake_worker.py
+++ b/tests/agent/fake_worker.py
@@ -29,6 +29,9 @@
         self.acknowledged = 0
         self.lost_starts: list[StartRequest] = []
         self.loses_starts = False
+        self.starts_to_lose = 0
+        self.loses_replies = False
+        self.polls_to_lose = 0
         self.silent = False
         self.refuses_connections = False
         self.restarted = False
@@ -38,8 +41,11 @@
 
     async def start(self, request: StartRequest, timeout_s: float) -> StartReply:
         self._check()
-        if self.loses_starts:
+        if self.loses_starts or self.starts_to_lose:
+            self.starts_to_lose = max(0, self.starts_to_lose - 1)
             self.lost_starts.append(request)
+            if self.loses_replies:
+                self.execute_start(request)
             raise CallFailedError("start")
         status = self.status or self.execute_start(request)
         return StartReply(status=status, clock_ms=self.clock_ms)
@@ -50,6 +56,8 @@
             return StartStatus.FENCED
         if request.deadline_ms < self.clock_ms:
             return StartStatus.LATE
+        if request.run in self.active:
+            return StartStatus.STARTED
         if request.run.number <= self.highest_numbers.get(request.run.task, 0):
             return StartStatus.OUTDATED
         self.highest_numbers[request.run.task] = request.run.number
@@ -67,6 +75,10 @@
 
     async def poll(self, request: PollRequest, timeout_s: float) -> PollReply:
         self._check()
+        if self.polls_to_lose:
+            self.polls_to_lose -= 1
+            await asyncio.sleep(timeout_s)
+            raise CallFailedError("poll")
         if request.fence < self.fence:
             return PollReply(clock_ms=self.clock_ms, fenced=True)
         self.fence = request.fence
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import pytest
@@ -8,10 +10,13 @@
 
 from verbenaplank.agent.active_run import STALL_TIMEOUT_S
 from verbenaplank.agent.backend import BackendServerDownError
+from verbenaplank.agent.backend_lease import EXPIRY_MARGIN_S
+from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import EndKind
 from verbenaplank.agent.lease_protocol import RunId
 from verbenaplank.agent.lease_protocol import StartStatus
-from verbenaplank.agent.leased_backend import EXPIRY_MARGIN_S
+from verbenaplank.agent.leased_backend import CALL_TIMEOUTS_S
+from verbenaplank.agent.leased_backend import POLL_WAIT_MS
 from verbenaplank.agent.leased_backend import LeasedBackend
 from verbenaplank.agent.named_task import NamedTask
 from verbenaplank.agent.named_task import encode_task
@@ -22,6 +27,8 @@
     from collections.abc import Callable
 
     from verbenaplank.agent.backend import RunReport
+    from verbenaplank.agent.lease_protocol import StartReply
+    from verbenaplank.agent.lease_protocol import StartRequest
 
 LEASE_S = 0.3
 PAYLOAD = encode_task(NamedTask(name="task", content="do"))
@@ -100,6 +107,134 @@
         assert not server.active
 
 
+@pytest.mark.parametrize("executed", [False, True])
+async def test_unanswered_start_is_repeated_under_its_run_number(
+    executed: bool,
+) -> None:
+    """The request or its reply is lost; the run must start once and without a stop."""
+    server = FakeBackendServer()
+    server.starts_to_lose = 1
+    server.loses_replies = executed
+    async with make_backend(server) as backend:
+        run = start_run(backend)
+        run_id = await wait_until_started(server)
+        server.end(run_id, EndKind.DONE)
+        assert (await run).outcome is TaskOutcome.SUCCEEDED
+        assert server.execute_start(server.lost_starts[0]) is StartStatus.OUTDATED
+        assert run_id == server.lost_starts[0].run
+
+
+async def test_run_that_ended_before_its_repeated_start_is_not_started_again() -> None:
+    """The reply to the first request is lost, and the run ends before the second.
+
+    The second is refused as outdated, which must not be taken for a used number.
+    """
+    server = FakeBackendServer()
+    server.starts_to_lose = 1
+    server.loses_replies = True
+    execute_start = server.execute_start
+
+    def start_and_end(request: StartRequest) -> StartStatus:
+        status = execute_start(request)
+        server.end(request.run, EndKind.DONE)
+        return status
+
+    server.execute_start = start_and_end  # type: ignore[method-assign]
+    async with make_backend(server) as backend:
+        report = await start_run(backend)
+        assert report.outcome is TaskOutcome.SUCCEEDED
+        assert len(server.ends) == 1
+
+
+async def test_lost_poll_delays_an_end_only_briefly() -> None:
+    """A poll gets no reply; the ends that it would have brought are late until then."""
+    server = FakeBackendServer()
+    async with make_backend(server) as backend:
+        run = start_run(backend)
+        run_id = await wait_until_started(server)
+        server.polls_to_lose = 1
+        server.end(run_id, EndKind.DONE)
+        started_s = monotonic_s()
+        await run
+        waited_s = monotonic_s() - started_s
+        assert waited_s < 2 * POLL_WAIT_MS / 1_000 + CALL_TIMEOUTS_S[1]
+
+
+class LateBackendServer(FakeBackendServer):
+    """Leaves a share of the orders unanswered and carries them out later, or never."""
+
+    def __init__(self, seed: int, unanswered_share: float) -> None:
+        super().__init__()
+        self._random = random.Random(seed)
+        self._unanswered_share = unanswered_share
+        self._late_starts: list[StartRequest] = []
+        self.started: Counter[str] = Counter()
+
+    async def start(self, request: StartRequest, timeout_s: float) -> StartReply:
+        if self._loses():
+            self._late_starts.append(request)
+            raise CallFailedError("start")
+        return await super().start(request, timeout_s)
+
+    async def stop(self, run: RunId, fence: int, timeout_s: float) -> None:
+        if self._loses():
+            raise CallFailedError("stop")
+        await super().stop(run, fence, timeout_s)
+
+    def execute_start(self, request: StartRequest) -> StartStatus:
+        was_active = request.run in self.active
+        status = super().execute_start(request)
+        if status is StartStatus.STARTED and not was_active:
+            self.started[request.run.task] += 1
+        return status
+
+    def act(self) -> None:
+        """Carry out one unanswered start, or end one run."""
+        if self._late_starts and self._random.random() < 0.5:
+            number = self._random.randrange(len(self._late_starts))
+            self.execute_start(self._late_starts.pop(number))
+        elif self.active:
+            run = self._random.choice(list(self.active))
+            kind = self._random.choice([EndKind.DONE, EndKind.DONE, EndKind.FAILED])
+            self.end(run, kind)
+
+    def carry_out_all(self) -> None:
+        for request in self._late_starts:
+            self.execute_start(request)
+
+    def _loses(self) -> bool:
+        return self._random.random() < self._unanswered_share
+
+
+@pytest.mark.parametrize("seed", range(12))
+async def test_reported_runs_have_ended_for_good(seed: int) -> None:
+    """A third of the orders is unanswered, and starts are carried out at any time.
+
+    The agent frees the room of a run when it reports the run, and the entry may then
+    start the task elsewhere.  So the run must not be active then or later.
+    """
+    server = LateBackendServer(seed, 0.33)
+    async with make_backend(server) as backend:
+
+        async def run(name: str) -> RunReport:
+            payload = encode_task(NamedTask(name=name, content="do"))
+            report = await backend.run(backend, f"{name}/0/1", "draw", payload, 30.0)
+            assert name not in {run_id.task for run_id in server.active}
+            return report
+
+        names = [f"task-{number}" for number in range(20)]
+        runs = [asyncio.create_task(run(name)) for name in names]
+        async with asyncio.timeout(20):
+            while not all(task.done() for task in runs):
+                server.act()
+                await asyncio.sleep(0.001)
+        server.carry_out_all()
+        assert not server.active
+        for name, task in zip(names, runs, strict=True):
+            not_started = task.result().outcome is TaskOutcome.NOT_STARTED
+            assert server.started[name] == (0 if not_started else 1)
+
+
 async def test_later_run_of_a_task_has_a_higher_number() -> None:
     """A backend server refuses a run whose number is not above the earlier ones."""
     server = FakeBackendServer()
