Report a change of the load at once only when the worker is nearly full

Cause: each start and end of a task was told to every entry within milliseconds, also while several rooms were free and nobody's choice depended on it. Reports and the renewals that answer them took most of an agent's and an entry's processor time. Ruled out: a longer delay for all changes; then the last rooms are unknown longest. Change: a change is told at once only if the number of free rooms, counted up to two, differs from the last report; replies and the periodic reports carry the rest. A report is answered with a renewal five times a second at most, ten before.

--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -124,6 +124,10 @@
             clock_s=now_s,
         )
 
+    def free_rooms(self) -> float:
+        """Return how many further tasks fit that need as much as the largest here."""
+        return self._capacity.free_rooms(self._resources_in_use())
+
     def has_work_from(self, key: EntryKey) -> bool:
         """Return whether a dispatch of an entry is queued, reserved or running."""
         entry = self._entries[key]
--- a/src/verbenaplank/agent/work_service.py
+++ b/src/verbenaplank/agent/work_service.py
@@ -14,6 +14,7 @@
 from verbenaplank.agent.effects import EntryKey
 from verbenaplank.agent.effects import ReplyItem
 from verbenaplank.agent.effects import format_task_id
+from verbenaplank.agent.report_pacing import ReportPacing
 from verbenaplank.agent.runner import MS_PER_S
 from verbenaplank.agent.runner import ReplyOutbox
 from verbenaplank.protocol.work import AgentWelcome
@@ -88,10 +89,13 @@
         return WORK.create_service(self._serve)
 
     async def report_changes(self) -> None:
-        """Report changes of the load to every entry, until cancelled."""
+        """Report changes that matter to every entry at once, until cancelled."""
+        pacing = ReportPacing()
         while True:
             await self._runner.wait_for_load_change()
             await asyncio.sleep(report_delay_s(len(self._streams)))
+            if not pacing.is_due(self._runner.gate.free_rooms()):
+                continue
             load = self._runner.load()
             for stream in self._streams:
                 stream.report(load)
--- a/src/verbenaplank/agent/worker_capacity.py
+++ b/src/verbenaplank/agent/worker_capacity.py
@@ -36,6 +36,19 @@
             return False
         return self.size is None or _is_within([needs, *used], self.size)
 
+    def free_rooms(self, in_use: Iterable[Resources]) -> float:
+        """Return how many further tasks fit that need as much as the largest in use.
+
+        Only slots and cores are considered.
+        """
+        used = list(in_use)
+        free_slots = float(self.slots - len(used))
+        largest_cores = max((needs.cores for needs in used), default=0.0)
+        if self.size is None or largest_cores <= 0.0:
+            return free_slots
+        free_cores = self.size.cores - sum(needs.cores for needs in used)
+        return min(free_slots, free_cores / largest_cores)
+
     def fits_alone(self, needs: Resources) -> bool:
         """Return whether a task fits into the worker while nothing else runs."""
         return self.fits(needs, ())
--- a/src/verbenaplank/entry/renewal.py
+++ b/src/verbenaplank/entry/renewal.py
@@ -15,11 +15,11 @@
 
 Any earlier message acknowledges them too."""
 
-MIN_RENEWAL_PERIOD_S = 0.1
+MIN_RENEWAL_PERIOD_S = 0.2
 """Minimum time between renewals that answer load reports.
 
-Reports may arrive far more often than this.  The period is a small part of the
-shortest lease."""
+Reports may arrive far more often than this.  Together with the period of the reports,
+it is half of the shortest lease."""
 
 
 @attrs.frozen(kw_only=True)
