Use the last room of a backend server only if there is no other

Cause: servers with equal expected ends were chosen by the round trip first and then by this entry's own tasks there. All entries of a data centre filled its servers to the last room, on reports up to 0.4 s old, and all but one were refused at the gate. Ruled out: preferring free servers of all data centres always (traffic between them is paid, and far from full the nearest is best). Change: among equals, servers with two free rooms first, then the round trip, the rack, and the use by all entries.

--- a/src/verbenaplank/placement/backend_server.py
+++ b/src/verbenaplank/placement/backend_server.py
@@ -122,7 +122,9 @@
     def accepts_tasks(self) -> bool:
         """Return whether it is connected and neither drained nor draining."""
         return self.connected and not (
-            self.drained or self.member.draining or self.reported_draining
+            self.drained
+            or self.member.draining
+            or self.reported_draining
         )
 
     def add_task(self, task: TaskRequest, now_s: float) -> None:
@@ -190,17 +192,26 @@
         discount = INITIAL_SLOWNESS_DISCOUNT / math.sqrt(self.slowness_samples)
         self.slowness = math.exp(self.log_slowness - discount)
 
-    def has_free_resources(self, needs: Resources) -> bool:
-        """Return whether the worker's free resources suffice for these needs."""
+    @property
+    def used_share(self) -> float:
+        """Return the share of the slots or cores in use, whichever is larger."""
+        tasks = len(self.outstanding) + self.other_entries_tasks
+        used_slots = tasks / max(self.slots, 1)
+        used_cores = self.reserved_cores + self.other_entries_cores
+        return max(used_slots, used_cores / max(self.member.worker.cores, 1.0))
+
+    def has_free_resources(self, needs: Resources, tasks: int = 1) -> bool:
+        """Return whether the worker has room for so many tasks with these needs."""
         size = self.member.worker
         free_cores = size.cores - self.reserved_cores - self.other_entries_cores
         free_memory_mb = (
             size.memory_mb - self.reserved_memory_mb - self.other_entries_memory_mb
         )
+        free_accelerators = size.accelerators - self.reserved_accelerators
         return (
-            needs.cores <= free_cores + CORE_TOLERANCE
-            and needs.memory_mb <= free_memory_mb
-            and needs.accelerators <= size.accelerators - self.reserved_accelerators
+            tasks * needs.cores <= free_cores + CORE_TOLERANCE
+            and tasks * needs.memory_mb <= free_memory_mb
+            and tasks * needs.accelerators <= free_accelerators
         )
 
     def _release_resources(self, needs: Resources) -> None:
--- a/src/verbenaplank/placement/policy.py
+++ b/src/verbenaplank/placement/policy.py
@@ -135,13 +135,20 @@
 def _break_tie(
     servers: Sequence[BackendServer], context: PlacementContext
 ) -> BackendServer:
+    """Choose among backend servers that are expected to complete at the same time.
+
+    Several entries may choose the last free room of a backend server before its next
+    report, and all but one are refused.  So a last room is used only if there is no
+    other, whatever the round trip.
+    """
     if len(servers) == 1:
         return servers[0]
     counts = context.rack_tasks
+    needs = context.task.needs
 
-    def rank(server: BackendServer) -> tuple[float, int, float]:
+    def rank(server: BackendServer) -> tuple[bool, float, int, float]:
+        is_last_room = not server.has_free_resources(needs, tasks=2)
         rack_tasks = counts.get(server.member.rack, 0)
-        used_share = len(server.outstanding) / max(server.slots, 1)
-        return (server.round_trip_s, rack_tasks, used_share)
+        return (is_last_room, server.round_trip_s, rack_tasks, server.used_share)
 
     return min(servers, key=rank)
