Keep streams to a subset of the agents

Cause: each entry had a stream to each agent. Ruled out, see docs/DESIGN.md: rendezvous hashing (uneven), shuffled rounds (a change of the number of entries moves nearly all streams). Change: arcs of a ring of agents that alternates data centres, sizes and racks; unusable agents are replaced, and an entry whose tasks wait widens its arc, both within limits.

--- a/src/verbenaplank/entry/agent_connection.py
+++ b/src/verbenaplank/entry/agent_connection.py
@@ -108,7 +108,9 @@
         self._renewals = RenewalSchedule(lease.renewal_period_s)
         self._last_message_s = 0.0
         self._agent_clock_s: float | None = None
-        self._timed_out = asyncio.Event()
+        self._close_requested = asyncio.Event()
+        self._close_cause = ""
+        self._retired = False
         self._busy_since_s: float | None = None
 
     def send(self, item: OutboxItem) -> None:
@@ -124,6 +126,11 @@
         """Reopen the stream again when it breaks, at the member's new address."""
         self._member = member
         self._reconnect_stopped = False
+        self._retired = False
+
+    def retire(self) -> None:
+        """Close the stream for good once no dispatch is open at the agent."""
+        self._retired = True
 
     def keep_alive(self, now_s: float) -> None:
         """Send a renewal if a message is due, and close a stream that has timed out."""
@@ -135,17 +142,29 @@
         if self._renewals.is_message_due(now_s, received, has_open=busy):
             outbox.put(self._renewal())
         if self._has_timed_out(now_s, busy=busy):
-            self._timed_out.set()
+            self._request_close("silent")
+        elif self._retired and not busy:
+            self._request_close("retired")
 
     async def run(self) -> None:
         """Keep a stream open until cancelled or told to stop reconnecting."""
         pause_s = FIRST_RECONNECT_PAUSE_S
-        while not self._reconnect_stopped:
+        while self._needs_stream():
             if await self._run_stream():
                 pause_s = FIRST_RECONNECT_PAUSE_S
             await asyncio.sleep(pause_s)
             pause_s = min(2 * pause_s, MAX_RECONNECT_PAUSE_S)
 
+    def _needs_stream(self) -> bool:
+        if self._reconnect_stopped:
+            return False
+        agent_id = self._member.member_id
+        return not self._retired or self._listener.has_open_dispatches(agent_id)
+
+    def _request_close(self, cause: str) -> None:
+        self._close_cause = cause
+        self._close_requested.set()
+
     async def _run_stream(self) -> bool:
         """Open a stream and serve it; return whether it could be opened."""
         try:
@@ -174,7 +193,7 @@
     ) -> None:
         outbox: Outbox[OutboxItem] = Outbox()
         self._outbox = outbox
-        self._timed_out.clear()
+        self._close_requested.clear()
         self._busy_since_s = None
         self._results_received = 0
         self._renewals = RenewalSchedule(self._lease.renewal_period_s)
@@ -185,7 +204,7 @@
         stream_tasks: set[asyncio.Task[Any]] = {
             asyncio.create_task(self._receive(stream)),
             asyncio.create_task(self._send_forever(stream, outbox)),
-            asyncio.create_task(self._timed_out.wait()),
+            asyncio.create_task(self._close_requested.wait()),
         }
         try:
             await asyncio.wait(stream_tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -195,7 +214,7 @@
                 stream_task.cancel()
             await asyncio.gather(*stream_tasks, return_exceptions=True)
             self._listener.on_agent_disconnected(welcome.agent_id)
-            cause = "silent" if self._timed_out.is_set() else "closed"
+            cause = self._close_cause if self._close_requested.is_set() else "closed"
             silent_s = asyncio.get_running_loop().time() - self._last_message_s
             decision_log.agent_disconnected(welcome.agent_id, cause, silent_s)
 
--- a/src/verbenaplank/entry/agent_connections.py
+++ b/src/verbenaplank/entry/agent_connections.py
@@ -1,4 +1,4 @@
-"""Manages the connections to all agents as the membership changes."""
+"""Manages the connections to agents."""
 
 from __future__ import annotations
 
@@ -54,7 +54,7 @@
 
 
 class AgentConnections:
-    """Holds one connection to each agent, and closes them when its context ends.
+    """Holds connections to agents, and closes them when its context ends.
 
     Parameters
     ----------
@@ -113,7 +113,7 @@
     def connect(self, member: Member) -> None:
         """Connect to an agent that joined, or update the address of a known one."""
         connection = self._connections.get(member.member_id)
-        if connection is not None:
+        if connection is not None and not self._tasks[member.member_id].done():
             connection.resume_reconnecting(member)
             return
         connection = AgentConnection(
@@ -135,6 +135,12 @@
         if connection is not None:
             connection.stop_reconnecting()
 
+    def retire(self, agent_id: str) -> None:
+        """Close an agent's stream once no dispatch is open there."""
+        connection = self._connections.get(agent_id)
+        if connection is not None:
+            connection.retire()
+
     async def _keep_alive_forever(self) -> None:
         """Keep all streams alive; one loop costs less than one for each stream."""
         clock = asyncio.get_running_loop().time
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -36,6 +36,7 @@
 from verbenaplank.entry.runner import EngineRunner
 from verbenaplank.entry.state_logging import PlacementLogBuffer
 from verbenaplank.entry.state_logging import log_state_changes_forever
+from verbenaplank.entry.subset_connector import SubsetConnector
 from verbenaplank.entry.traffic import Traffic
 from verbenaplank.history.event import Event
 from verbenaplank.history.event import EventHook
@@ -130,6 +131,8 @@
         The tasks that wait for an agent.
     traffic
         Counts of the messages to and from agents.
+    agent_connections
+        Streams to agents; available once the context is entered.
     """
 
     def __init__(
@@ -295,12 +298,21 @@
         connections = AgentConnections(
             hello, listener, settings.tls, self.traffic, lease
         )
+        self.agent_connections = connections
         await stack.enter_async_context(connections)
         self._runner.set_sender(connections.send)
         claims = await stack.enter_async_context(self._open_claims(self._member()))
+        connector = SubsetConnector(
+            entry_id=settings.instance_id,
+            subset_size=settings.limits.agent_subset_size,
+            connections=connections,
+            fleet=self._fleet,
+            tasks_wait=lambda: len(self.queue) > 0,
+            clock=self._clock,
+        )
         watcher = MembershipWatcher(
             runner=self._runner,
-            connections=connections,
+            connector=connector,
             admission=self._admission,
             fleet=self._fleet,
             routed=self.routed,
@@ -317,6 +329,7 @@
             await self._serve_callers(stack)
         for run in (
             self._runner.tick_forever,
+            connector.adjust_forever,
             self._expire_forever,
             self._log_state_changes_forever,
         ):
--- a/src/verbenaplank/entry/decision_log.py
+++ b/src/verbenaplank/entry/decision_log.py
@@ -127,6 +127,27 @@
     logger.warning("quarantine changed", extra={"began": began, "ended": ended})
 
 
+def subset_changed(
+    added: Sequence[str], retired: Sequence[str], agents: int, widened_by: int
+) -> None:
+    """Log that the entry uses other agents than before.
+
+    Parameters
+    ----------
+    agents
+        Number of agents that the entry keeps a stream to now.
+    widened_by
+        Number of agents by which the subset is widened.
+    """
+    extra = {
+        "added": list(added),
+        "retired": list(retired),
+        "agents": agents,
+        "widened_by": widened_by,
+    }
+    logger.info("agent subset changed", extra=extra)
+
+
 def members_changed(changed: Sequence[str], left: Sequence[str], version: int) -> None:
     """Log which agents joined, changed or left, and the routing table's version."""
     extra = {"joined": changed, "left": left, "routing_version": version}
--- a/src/verbenaplank/entry/membership_watcher.py
+++ b/src/verbenaplank/entry/membership_watcher.py
@@ -9,11 +9,11 @@
 if TYPE_CHECKING:
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.entry.admission_control import AdmissionController
-    from verbenaplank.entry.agent_connections import AgentConnections
     from verbenaplank.entry.interfaces import Claims
     from verbenaplank.entry.interfaces import Membership
     from verbenaplank.entry.routed_jobs import RoutedJobs
     from verbenaplank.entry.runner import EngineRunner
+    from verbenaplank.entry.subset_connector import SubsetConnector
     from verbenaplank.placement.fleet import Fleet
     from verbenaplank.protocol.membership import Member
 
@@ -25,8 +25,8 @@
     ----------
     runner
         Its engine receives the agents that joined, changed or left.
-    connections
-        Connects to agents that joined; stops reconnecting to those that left.
+    connector
+        Connects to a subset of the agents.
     admission
         Receives the team rules and the number of entries.
     fleet
@@ -41,14 +41,14 @@
         self,
         *,
         runner: EngineRunner,
-        connections: AgentConnections,
+        connector: SubsetConnector,
         admission: AdmissionController,
         fleet: Fleet,
         routed: RoutedJobs,
         clock: MonotonicClock,
     ) -> None:
         self._runner = runner
-        self._connections = connections
+        self._connector = connector
         self._admission = admission
         self._fleet = fleet
         self._routed = routed
@@ -80,6 +80,7 @@
             self._remove_agent(agent_id, now_s)
         for member in changed:
             self._add_agent(member, now_s)
+        self._connector.set_members(membership.entries, self._agents)
         if left or changed:
             joined = [member.member_id for member in changed]
             version = membership.routing.version
@@ -91,9 +92,7 @@
     def _add_agent(self, member: Member, now_s: float) -> None:
         self._agents[member.member_id] = member
         self._runner.engine.on_member_joined(member, now_s)
-        self._connections.connect(member)
 
     def _remove_agent(self, agent_id: str, now_s: float) -> None:
         del self._agents[agent_id]
         self._runner.engine.on_member_left(agent_id, now_s)
-        self._connections.stop_reconnecting(agent_id)
--- a/src/verbenaplank/placement/backend_server.py
+++ b/src/verbenaplank/placement/backend_server.py
@@ -56,6 +56,8 @@
     ----------
     round_trip_s
         Assumed round trip time between this entry and the agent.
+    retired
+        Whether this entry is about to close its stream to the agent.
     outstanding
         Dispatch time of each unfinished task of this entry there, oldest first.
     reservations
@@ -90,6 +92,7 @@
     round_trip_s: float
     connected: bool = False
     drained: bool = False
+    retired: bool = False
     incarnation: str = ""
     slots: int = 0
     outstanding: dict[TaskKey, float] = attrs.field(factory=dict)
@@ -120,9 +123,10 @@
 
     @property
     def accepts_tasks(self) -> bool:
-        """Return whether it is connected and neither drained nor draining."""
+        """Return whether it is connected and neither draining nor retired."""
         return self.connected and not (
             self.drained
+            or self.retired
             or self.member.draining
             or self.reported_draining
         )
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -13,6 +13,7 @@
 from verbenaplank.placement.load import stall_timeout_s
 from verbenaplank.placement.rack_counts import JobRackCounts
 from verbenaplank.placement.run_time import RunTimeEstimator
+from verbenaplank.placement.service_index import ServiceIndex
 from verbenaplank.placement.settings import PlacementSettings
 from verbenaplank.placement.task import NO_RESOURCES
 from verbenaplank.placement.task import Resources
@@ -21,6 +22,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Sequence
 
     from verbenaplank.placement.policy import Policy
     from verbenaplank.placement.task import TaskRequest
@@ -71,7 +73,7 @@
         self._own_data_centre = own_data_centre
         self._settings = settings or PlacementSettings()
         self._servers: dict[str, BackendServer] = {}
-        self._services: dict[str, list[BackendServer]] = {}
+        self._services = ServiceIndex()
         self._drained: frozenset[str] = frozenset()
         self._run_times = RunTimeEstimator()
         self._health = HealthTracker(self._settings.health)
@@ -95,10 +97,9 @@
             self._servers[member.member_id] = server
         elif server.member.incarnation != member.incarnation:
             self._drop_outstanding(server)
-        self._remove_from_services(server)
+        self._services.remove(server)
         server.member = member
-        for service in member.services:
-            self._services.setdefault(service, []).append(server)
+        self._services.add(server)
 
     def remove(self, member_id: str, now_s: float) -> None:
         """Remove a backend server that left the cluster, with its tasks."""
@@ -106,7 +107,7 @@
         if server is None:
             return
         self._drop_outstanding(server)
-        self._remove_from_services(server)
+        self._services.remove(server)
 
     def mark_connected(
         self, member_id: str, incarnation: str, slots: int, now_s: float
@@ -116,6 +117,7 @@
         if server is None:
             return
         server.connected = True
+        self._services.update_connected(server)
         server.incarnation = incarnation
         server.slots = slots
         server.reported_draining = False
@@ -194,7 +196,7 @@
             self._run_times.record_run(task, server, run_time_s)
             self._health.record_success(server, task)
         elif outcome in FAILURES:
-            peers = self._services.get(task.service, [])
+            peers = self._services.connected(task.service)
             self._health.record_failure(server, task, peers, now_s)
 
     def remove_dispatch(self, member_id: str, task: TaskRequest, now_s: float) -> None:
@@ -205,7 +207,7 @@
 
     def feasibility(self, service: str, needs: Resources) -> Feasibility:
         """Return whether any announced worker could run a task with these needs."""
-        servers = self._services.get(service)
+        servers = self._services.announced(service)
         if not servers:
             return Feasibility.NO_SERVICE
         for server in servers:
@@ -219,6 +221,17 @@
                 return Feasibility.POSSIBLE
         return Feasibility.IMPOSSIBLE_NEEDS
 
+    def set_retired(self, member_id: str, *, retired: bool) -> None:
+        """Set whether the stream to an agent is about to be closed by this entry."""
+        server = self._servers.get(member_id)
+        if server is not None:
+            server.retired = retired
+
+    def accepts_tasks(self, member_id: str) -> bool:
+        """Return whether an agent is connected and its backend server takes tasks."""
+        server = self._servers.get(member_id)
+        return server is not None and server.accepts_tasks
+
     def set_drained(self, member_ids: frozenset[str]) -> None:
         """Set the identifiers of the backend servers drained by configuration."""
         self._drained = member_ids
@@ -250,10 +263,9 @@
 
         Each core counts as 1 divided by the slowness of its backend server.
         """
-        servers = self._services.get(service, ())
         return sum(
             server.member.worker.cores / server.slowness
-            for server in servers
+            for server in self._services.connected(service)
             if server.accepts_tasks
         )
 
@@ -273,16 +285,22 @@
         Cores count as in :meth:`available_cores_of`, but backend servers that are
         not connected or accept no tasks are included.
         """
-        servers = self._services.get(service, ())
+        servers = self._services.announced(service)
         return sum(server.member.worker.cores / server.slowness for server in servers)
 
+    def connected_share_of(self, service: str) -> float:
+        """Return the share of a service's backend servers that are connected."""
+        announced = len(self._services.announced(service))
+        connected = len(self._services.connected(service))
+        return connected / announced if announced else 0.0
+
     def has_connected_agent(self) -> bool:
         """Return whether the stream to any agent is open."""
         return any(server.connected for server in self._servers.values())
 
     def slots_of(self, service: str) -> int:
         """Return the slots of a service's backend servers that accept tasks."""
-        servers = self._services.get(service, ())
+        servers = self._services.connected(service)
         return sum(server.slots for server in servers if server.accepts_tasks)
 
     def _usable_servers(self, task: TaskRequest, now_s: float) -> list[BackendServer]:
@@ -314,7 +332,7 @@
         """
         return any(
             server.accepts_tasks and not self._health.should_avoid(task, server)
-            for server in self._services.get(task.service, ())
+            for server in self._services.connected(task.service)
         )
 
     def _straggler_limit(self, service: str, now_s: float) -> float:
@@ -326,7 +344,8 @@
         computed_s, limit = self._straggler_limits.get(service, (-math.inf, 0.0))
         if now_s - computed_s < STRAGGLER_LIMIT_VALIDITY_S:
             return limit
-        known = sorted(server.slowness for server in self._services.get(service, ()))
+        servers = self._services.connected(service)
+        known = sorted(server.slowness for server in servers)
         if not known:
             return math.inf
         limit = known[len(known) // 2] * self._settings.straggler_factor
@@ -340,12 +359,12 @@
             and without_progress_s >= self._settings.straggler_probe_interval_s
         )
 
-    def _sample(self, service: str) -> list[BackendServer]:
-        """Return the servers of a service, at most ``max_candidates`` of them.
+    def _sample(self, service: str) -> Sequence[BackendServer]:
+        """Return connected servers of a service, at most ``max_candidates`` of them.
 
         Of a larger service, consecutive ones from a random position are taken.
         """
-        servers = self._services.get(service, [])
+        servers = self._services.connected(service)
         limit = self._settings.max_candidates
         if len(servers) <= limit:
             return servers
@@ -375,11 +394,4 @@
         for job_id, _, _ in server.outstanding:
             self._rack_counts.remove(job_id, server)
         server.reset()
-
-    def _remove_from_services(self, server: BackendServer) -> None:
-        for service in server.member.services:
-            servers = self._services.get(service, [])
-            if server in servers:
-                servers.remove(server)
-            if not servers:
-                self._services.pop(service, None)
+        self._services.update_connected(server)
--- /dev/null
+++ b/src/verbenaplank/placement/service_index.py
@@ -0,0 +1,57 @@
+"""Backend servers by the service that they offer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from verbenaplank.placement.backend_server import BackendServer
+
+
+class ServiceIndex:
+    """Lists the announced and the connected backend servers of each service."""
+
+    def __init__(self) -> None:
+        self._announced: dict[str, list[BackendServer]] = {}
+        self._connected: dict[str, list[BackendServer]] = {}
+
+    def announced(self, service: str) -> Sequence[BackendServer]:
+        """Return all backend servers that announce a service."""
+        return self._announced.get(service, ())
+
+    def connected(self, service: str) -> Sequence[BackendServer]:
+        """Return the backend servers of a service whose agent is connected."""
+        return self._connected.get(service, ())
+
+    def add(self, server: BackendServer) -> None:
+        """Add a backend server under the services that it announces now."""
+        _add(self._announced, server)
+        if server.connected:
+            _add(self._connected, server)
+
+    def remove(self, server: BackendServer) -> None:
+        """Remove a backend server; call before its announcement changes."""
+        _remove(self._announced, server)
+        _remove(self._connected, server)
+
+    def update_connected(self, server: BackendServer) -> None:
+        """Apply whether a backend server's agent is connected."""
+        _remove(self._connected, server)
+        if server.connected:
+            _add(self._connected, server)
+
+
+def _add(index: dict[str, list[BackendServer]], server: BackendServer) -> None:
+    for service in server.member.services:
+        index.setdefault(service, []).append(server)
+
+
+def _remove(index: dict[str, list[BackendServer]], server: BackendServer) -> None:
+    for service in server.member.services:
+        servers = index.get(service, [])
+        if server in servers:
+            servers.remove(server)
+        if not servers:
+            index.pop(service, None)
--- a/src/verbenaplank/settings/entry.py
+++ b/src/verbenaplank/settings/entry.py
@@ -25,6 +25,9 @@
         Maximum size of a request's body in bytes.
     max_queued_tasks
         Maximum number of tasks that wait at this entry; further requests are refused.
+    agent_subset_size
+        Number of agents of a service that an entry keeps streams to while they have
+        free capacity; it uses up to twice as many while its tasks wait.
     retention_s
         How long an answer is kept, in seconds, for callers that submit the request
         again.
@@ -39,6 +42,7 @@
     max_body_bytes: int = attrs.field(default=1024 * 1024, validator=positive)
     max_tasks_per_job: int = attrs.field(default=MAX_TASKS_PER_JOB, validator=positive)
     max_queued_tasks: int = attrs.field(default=20_000, validator=positive)
+    agent_subset_size: int = attrs.field(default=24, validator=positive)
     retention_s: float = attrs.field(default=300.0, validator=positive)
     max_clock_skew_s: float = attrs.field(default=5.0, validator=positive)
     default_deadline_ms: int = attrs.field(default=30_000, validator=positive)
--- a/tests/entry/test_agent_connection.py
+++ b/tests/entry/test_agent_connection.py
@@ -96,6 +96,28 @@
     assert len(agent.starts) == 2
 
 
+async def test_retired_stream_is_closed_after_its_tasks_have_ended(
+    cluster: FakeCluster,
+) -> None:
+    """An agent leaves the subset while tasks run there; they must be answered."""
+    agent = await cluster.agent()
+    agent.automatic = False
+    entry = await cluster.entry()
+    caller = await cluster.caller(entry)
+    posted = asyncio.create_task(caller.post("/v1/jobs", json=job(count=2)))
+    await agent.wait_started(2)
+    entry.agent_connections.retire(agent.member().member_id)
+    assert agent.open_streams
+
+    results = tuple(echo(started) for started in agent.starts)
+    await agent.send(work.FromAgent(results=results))
+
+    assert (await posted).status_code == 200
+    async with asyncio.timeout(10):
+        while agent.open_streams:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+
+
 async def test_fake_agent_forgets_streams_that_the_entry_closed(
     cluster: FakeCluster,
 ) -> None:
