Put the decisions under overload into one package

Change: overload/ with a module for each pattern, without I/O: the wait from the cores that the entry's own tasks occupy, refusal, the latest start of a queued job, Retry-After spread over callers with urgent ones first and never before the wait is over, and the lag of the event loop. Retry-After is rounded up. Left: the product's own interface keeps its own estimate (entry/admission_control.py).

--- a/src/verbenaplank/admission/goal_queue.py
+++ b/src/verbenaplank/admission/goal_queue.py
@@ -80,12 +80,15 @@
         self._jobs: dict[str, _QueuedJob] = {}
         self._sequence = 0
         self._size = 0
+        self._waiting_since_s: float | None = None
 
     def __len__(self) -> int:
         return self._size
 
     def push(self, task: TaskRequest, now_s: float) -> None:
         """Add a task; a retried task is put ahead of the other tasks of its job."""
+        if not self._size:
+            self._waiting_since_s = None
         job = self._jobs.get(task.job_id)
         if job is None:
             job = self._add_job(task)
@@ -106,8 +109,20 @@
         for job in self._jobs_in_order(now_s):
             if placeable(job.tasks[0]):
                 return self._pop_from(job)
+        if self._size and self._waiting_since_s is None:
+            self._waiting_since_s = now_s
         return None
 
+    def waiting_for_s(self, now_s: float) -> float:
+        """Return how long some task has had to wait without a gap, in seconds."""
+        if not self._size or self._waiting_since_s is None:
+            return 0.0
+        return now_s - self._waiting_since_s
+
+    def has_tasks_of(self, job_id: str) -> bool:
+        """Return whether tasks of a job are queued."""
+        return job_id in self._jobs
+
     def remove_job(self, job_id: str) -> list[TaskRequest]:
         """Remove all tasks of a job and return them."""
         job = self._jobs.get(job_id)
--- a/src/verbenaplank/admission/queue.py
+++ b/src/verbenaplank/admission/queue.py
@@ -110,6 +110,10 @@
         """Remove all tasks of a job and return them."""
         return self._urgent.remove_job(job_id) + self._routine.remove_job(job_id)
 
+    def has_tasks_of(self, job_id: str) -> bool:
+        """Return whether tasks of a job are queued."""
+        return self._urgent.has_job(job_id) or self._routine.has_job(job_id)
+
     def tasks_ahead(self, urgent: bool) -> int:
         """Return the number of tasks that leave before a new one of this urgency."""
         return len(self._urgent) if urgent else len(self)
@@ -149,6 +153,9 @@
                 return self._pop_from(sub_queue)
         return None
 
+    def has_job(self, job_id: str) -> bool:
+        return job_id in self._keys_by_job
+
     def remove_job(self, job_id: str) -> list[TaskRequest]:
         removed: list[TaskRequest] = []
         for key in self._keys_by_job.pop(job_id, ()):
--- a/src/verbenaplank/admission/queue_protocol.py
+++ b/src/verbenaplank/admission/queue_protocol.py
@@ -28,5 +28,8 @@
     def remove_job(self, job_id: str) -> list[TaskRequest]:
         """Remove all tasks of a job and return them."""
 
+    def has_tasks_of(self, job_id: str) -> bool:
+        """Return whether tasks of a job are queued."""
+
     def tasks_ahead(self, urgent: bool) -> int:
         """Return the number of tasks that leave before a new one of this urgency."""
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -43,6 +43,10 @@
 DEADLINE_EXCEEDED = Rejection(
     kind=FailureKind.DEADLINE_EXCEEDED, detail="the deadline passed"
 )
+NO_TIME_TO_START = Rejection(
+    kind=FailureKind.OVERLOADED,
+    detail="no worker became free in time to complete the request",
+)
 LEASE_EXPIRED = Rejection(
     kind=FailureKind.OUTCOME_UNKNOWN,
     detail="the lease of this entry expired while the request was in progress",
@@ -107,6 +111,7 @@
         self._lease_held_since = lease_held_since
         self._checked_lease_since_s = float("-inf")
         self._deadlines: TimerQueue[str] = TimerQueue()
+        self._latest_starts: TimerQueue[str] = TimerQueue()
         self._members: dict[str, Member] = {}
         self._connected: dict[str, AgentWelcome] = {}
         self._retry_queue = RetryQueue(
@@ -145,6 +150,8 @@
         """
         self.jobs.add(submission, now_s)
         self._deadlines.add(submission.job_id, submission.deadline_s)
+        if submission.latest_start_s < submission.deadline_s:
+            self._latest_starts.add(submission.job_id, submission.latest_start_s)
         if submission.claimed and submission.received_s < self._lease_held_since(now_s):
             self._abort(submission.job_id, LEASE_EXPIRED, now_s)
         elif now_s >= submission.deadline_s:
@@ -216,6 +223,9 @@
         self._fail_jobs_after_lease_expiry(now_s)
         for job_id in self._deadlines.pop_due(now_s):
             self._abort(job_id, DEADLINE_EXCEEDED, now_s)
+        for job_id in self._latest_starts.pop_due(now_s):
+            if self._queue.has_tasks_of(job_id):
+                self._abort(job_id, NO_TIME_TO_START, now_s)
         for agent_id in self._disconnected_agents.pop_runs_ended(now_s):
             decision_log.agent_runs_ended(agent_id)
             self._message_handler.mark_all_lost(agent_id, now_s)
--- a/src/verbenaplank/entry/http.py
+++ b/src/verbenaplank/entry/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -163,7 +164,7 @@
 def _response(response: HttpResponse) -> Response[bytes]:
     headers = {}
     if response.retry_after_s is not None:
-        headers["Retry-After"] = str(max(1, round(response.retry_after_s)))
+        headers["Retry-After"] = str(max(1, math.ceil(response.retry_after_s)))
     return Response(
         response.body,
         status_code=response.status,
--- a/src/verbenaplank/entry/routed_jobs.py
+++ b/src/verbenaplank/entry/routed_jobs.py
@@ -20,6 +20,10 @@
 from verbenaplank.entry.submission import Submission
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.failure import RunState
+from verbenaplank.overload.admission import overload_refusal
+from verbenaplank.overload.expected_wait import ServiceLoad
+from verbenaplank.overload.hopeless import latest_start_s
+from verbenaplank.overload.retry_after import retry_after_s
 from verbenaplank.placement.feasibility import Feasibility
 from verbenaplank.placement.task import Resources
 from verbenaplank.routing.lookup import RouteLookup
@@ -37,18 +41,12 @@
     from verbenaplank.routing.lookup import RouteMatch
 
 MS_PER_S = 1_000.0
-RETRY_AFTER_S = 1.0
 USELESS_AFTER_FACTOR = 3.0
 """A result is useless to its caller after this multiple of the latency goal."""
 
 ESTIMATE_ERROR_FACTOR = 1.4
 """Factor by which the actual run time may exceed a caller's estimate."""
 
-MAX_WAIT_PER_SLACK = 0.2
-"""A job is refused if its expected wait exceeds its slack times this factor.
-
-The slack is the job's latency goal minus its estimated run time."""
-
 STARTUP_HOLD_S = 2.0
 """For this long after its start, an entry holds jobs instead of refusing them.
 
@@ -207,6 +205,20 @@
         """Return the route that matches a request, or ``None``."""
         return self._lookup.find(host, path)
 
+    def refusal_for_lag(self, route: Route, key: str) -> RoutedOutcome | None:
+        """Return a refusal if this entry's processor is overloaded.
+
+        It needs only the route and the id of a job, so the job is not decoded.
+        """
+        lag = self._runner.loop_lag
+        if not lag.is_overloaded:
+            return None
+        return RoutedOutcome(
+            state=RoutedJobState.REFUSED,
+            detail=f"the processor of the entry is {lag.lag_s:.2f} s behind",
+            retry_after_s=retry_after_s(lag.lag_s, route.priority, key),
+        )
+
     def is_running(self, route: Route, key: str) -> bool:
         """Return whether a job is in progress at this entry."""
         return (route.name, key) in self._running
@@ -263,43 +275,50 @@
     def _refusal(self, job: RoutedJob) -> RoutedOutcome | None:
         if not self._is_current():
             return _refused(
+                job,
                 "the entry has not received the newest state "
-                "from a control instance yet"
+                "from a control instance yet",
             )
         time_left_s = self._time_left_s()
         if DRAIN_ESTIMATE_FACTOR * job.estimate_s > time_left_s:
-            return _refused(f"the entry stops in {time_left_s:.2f} s")
+            return _refused(job, f"the entry stops in {time_left_s:.2f} s")
         feasibility = self._fleet.feasibility(job.route.service, job.needs)
         if feasibility is Feasibility.NO_SERVICE:
-            return _refused(f"no backend server currently offers {job.route.service!r}")
+            return _refused(
+                job, f"no backend server currently offers {job.route.service!r}"
+            )
         if feasibility is Feasibility.IMPOSSIBLE_NEEDS:
-            return _refused("no worker is large enough for a task of this job")
+            return _refused(job, "no worker is large enough for a task of this job")
         return self._overload_refusal(job)
 
     def _overload_refusal(self, job: RoutedJob) -> RoutedOutcome | None:
         """Return a refusal if the job would wait too long to meet its goal."""
-        queued_core_s = self._queue.work_ahead_core_s(job.route.priority)
-        cores = self._cores_of(job.route.service) / max(1, self._entry_count())
-        if not queued_core_s or not cores:
-            return None
-        wait_s = queued_core_s / cores
         slack_s = self._goal_s(job) - job.estimate_s
-        if wait_s <= slack_s * MAX_WAIT_PER_SLACK:
+        refusal = overload_refusal(self._service_load(job.route), slack_s)
+        if refusal is None:
             return None
-        return _refused(
-            f"expected wait is {wait_s:.2f} s, slack of the job is {slack_s:.2f} s",
-            wait_s,
+        return _refused(job, refusal.detail, refusal.wait_s)
+
+    def _service_load(self, route: Route) -> ServiceLoad:
+        return ServiceLoad(
+            queued_core_s=self._queue.work_ahead_core_s(route.priority),
+            occupied_cores=self._fleet.occupied_cores_of(route.service),
+            equal_share_cores=self._equal_share_cores(route.service),
+            waiting_for_s=self._queue.waiting_for_s(self._clock()),
         )
 
-    def _cores_of(self, service: str) -> float:
-        """Return the cores that offer a service.
+    def _equal_share_cores(self, service: str) -> float:
+        """Return the cores of a service that fall to this entry in equal shares.
 
         During startup, cores of agents that are not connected yet count too, since
-        the entry is about to connect to them.
+        the entry is about to connect to them.  Later, an entry that is connected to a
+        part of the agents shares them with as small a part of the entries.
         """
+        entries = max(1, self._entry_count())
         if self._clock() < self._startup_ends_s:
-            return self._fleet.announced_cores_of(service)
-        return self._fleet.available_cores_of(service)
+            return self._fleet.announced_cores_of(service) / entries
+        sharing = max(1.0, entries * self._fleet.connected_share_of(service))
+        return self._fleet.available_cores_of(service) / sharing
 
     def _goal_s(self, job: RoutedJob) -> float:
         """Return the longest latency that meets the job's goal, in seconds.
@@ -325,7 +344,9 @@
         return running
 
     async def _run(self, submission: Submission) -> RoutedOutcome:
-        return _routed_outcome(await self._runner.run_to_outcome(submission))
+        return _routed_outcome(
+            await self._runner.run_to_outcome(submission), submission
+        )
 
     def _remove(self, job_key: tuple[str, str]) -> None:
         del self._running[job_key]
@@ -336,6 +357,8 @@
         goal_s = self._goal_s(job)
         useless_after_s = USELESS_AFTER_FACTOR * goal_s * ESTIMATE_ERROR_FACTOR
         run_timeout_s = max(MIN_RUN_TIMEOUT_S, RUN_TIMEOUT_FACTOR * job.estimate_s)
+        deadline_s = received_s + min(job.caller_timeout_s, useless_after_s)
+        shortest_run_s = job.estimate_s / ESTIMATE_ERROR_FACTOR
         return Submission(
             job_id=f"{job.key}.{self._entry_name}.{next(self._numbers)}",
             service=job.route.service,
@@ -343,7 +366,8 @@
             digest=b"",
             payloads=tuple(encode_task(task) for task in job.tasks),
             received_s=received_s,
-            deadline_s=received_s + min(job.caller_timeout_s, useless_after_s),
+            deadline_s=deadline_s,
+            latest_start_s=latest_start_s(deadline_s, shortest_run_s),
             urgent=job.route.priority == 0,
             claimed=False,
             max_runs=max(1, job.route.max_attempts),
@@ -364,18 +388,25 @@
     waiters: int = 0
 
 
-def _refused(detail: str, retry_after_s: float = RETRY_AFTER_S) -> RoutedOutcome:
+def _refused(job: RoutedJob, detail: str, wait_s: float = 0.0) -> RoutedOutcome:
     return RoutedOutcome(
-        state=RoutedJobState.REFUSED, detail=detail, retry_after_s=retry_after_s
+        state=RoutedJobState.REFUSED,
+        detail=detail,
+        retry_after_s=retry_after_s(wait_s, job.route.priority, job.key),
     )
 
 
-def _routed_outcome(outcome: JobOutcome) -> RoutedOutcome:
+def _routed_outcome(outcome: JobOutcome, submission: Submission) -> RoutedOutcome:
     if isinstance(outcome, JobCompleted):
         return RoutedOutcome(state=RoutedJobState.SUCCEEDED)
     failure = outcome.failure
     if failure.kind is FailureKind.TASK_FAILED:
         return RoutedOutcome(state=RoutedJobState.FAILED, detail=failure.detail)
     if failure.run is RunState.NOT_RUN:
-        return _refused(failure.detail, failure.retry_after_s or RETRY_AFTER_S)
+        wait_s = failure.retry_after_s or 0.0
+        return RoutedOutcome(
+            state=RoutedJobState.REFUSED,
+            detail=failure.detail,
+            retry_after_s=retry_after_s(wait_s, submission.priority, submission.job_id),
+        )
     return RoutedOutcome(state=RoutedJobState.UNKNOWN, detail=failure.detail)
--- a/src/verbenaplank/entry/runner.py
+++ b/src/verbenaplank/entry/runner.py
@@ -10,6 +10,7 @@
 from verbenaplank.entry.response import failure_response
 from verbenaplank.entry.response import job_response
 from verbenaplank.entry.response import single_request_response
+from verbenaplank.overload.loop_lag import LoopLag
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +31,11 @@
 
     All events of one event loop iteration are followed by a single flush, so that
     their effects are applied together.
+
+    Attributes
+    ----------
+    loop_lag
+        How far the event loop is behind, measured at each tick.
     """
 
     def __init__(self, engine: Engine, clock: MonotonicClock) -> None:
@@ -38,6 +44,7 @@
         self._send: Callable[[str, ToAgentItem], None] = _drop
         self._outcome_futures: dict[str, asyncio.Future[JobOutcome]] = {}
         self._flush_due = False
+        self.loop_lag = LoopLag()
 
     def set_sender(self, send: Callable[[str, ToAgentItem], None]) -> None:
         """Set the function that sends an item to an agent, given the agent's id."""
@@ -84,7 +91,9 @@
     async def tick_forever(self) -> None:
         """Tick and flush the engine periodically until cancelled."""
         while True:
+            due_s = self._clock() + TICK_PERIOD_S
             await asyncio.sleep(TICK_PERIOD_S)
+            self.loop_lag.record(self._clock() - due_s)
             self.engine.tick(self._clock())
             self.flush()
 
--- a/src/verbenaplank/entry/submission.py
+++ b/src/verbenaplank/entry/submission.py
@@ -22,6 +22,9 @@
         Monotonic time at which the request arrived.
     deadline_s
         Monotonic time by which the response is due.
+    latest_start_s
+        Monotonic time by which the last task must have been dispatched, or the
+        response would be useless.
     single
         Whether the caller sent a single request instead of a job of tasks.
     claimed
@@ -53,6 +56,7 @@
     payloads: tuple[bytes, ...]
     received_s: float
     deadline_s: float
+    latest_start_s: float = float("inf")
     single: bool = False
     urgent: bool = False
     claimed: bool = True
--- /dev/null
+++ b/src/verbenaplank/overload/__init__.py
@@ -0,0 +1,6 @@
+"""Decisions of an entry when there is more work than room, without I/O.
+
+Each module names the pattern of load that it answers.
+"""
+
+from __future__ import annotations
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -269,6 +269,16 @@
             if server.accepts_tasks
         )
 
+    def occupied_cores_of(self, service: str) -> float:
+        """Return the cores of a service that tasks of this entry occupy.
+
+        Cores count as in :meth:`available_cores_of`.
+        """
+        return sum(
+            server.reserved_cores / server.slowness
+            for server in self._services.connected(service)
+        )
+
     def report_age_ms(self, member_id: str, now_s: float) -> float | None:
         """Return the age of an agent's last load report, in milliseconds.
 
--- a/tests/entry/test_exclusive_tasks.py
+++ b/tests/entry/test_exclusive_tasks.py
@@ -110,3 +110,25 @@
     assert not driver.failed
     driver.join("b")
     assert [agent_id for agent_id, _ in driver.dispatches] == ["a", "b"]
+
+
+def test_queued_job_leaves_when_it_can_no_longer_end_in_time() -> None:
+    """Large jobs fill the only worker; the next job must not wait for its deadline."""
+    driver = Driver("a", slots=1)
+    driver.submit("large", count=3)
+    driver.submit(
+        "short", latest_start_s=driver.now_s + 1.0, deadline_s=driver.now_s + 3.0
+    )
+    driver.advance(0.9)
+    assert "short" not in driver.failed
+    driver.advance(0.2)
+    failure = driver.failed["short"]
+    assert (failure.kind, failure.run) == (FailureKind.OVERLOADED, RunState.NOT_RUN)
+
+
+def test_job_that_started_in_time_keeps_running() -> None:
+    driver = Driver("a", slots=1)
+    driver.submit(latest_start_s=driver.now_s + 1.0, deadline_s=driver.now_s + 3.0)
+    driver.advance(2.0)
+    driver.finish(0)
+    assert "job" in driver.completed
