Learn quickly that a backend server has become slow or fast

Cause: the slowness of a well-known server was learned in steps of a twentieth. Ruled out: a larger gain always; run times of one workload vary by 40%. Change: two errors in a row beyond a factor of two in the same direction raise the gain to a half for five runs.

--- a/src/verbenaplank/placement/backend_server.py
+++ b/src/verbenaplank/placement/backend_server.py
@@ -19,6 +19,17 @@
 """Job identifier, task index and attempt of one run."""
 
 SLOWNESS_GAIN = 0.05
+SURPRISE = math.log(2.0)
+"""Log error of a run time that is seldom by chance, and hardly ever twice in a row."""
+
+CHANGED_GAIN = 0.5
+"""Gain after two such errors in a row in the same direction.
+
+The backend server has then become slower or faster."""
+
+RUNS_TO_SETTLE = 5
+"""Number of runs with the larger gain after such a change."""
+
 INITIAL_SLOWNESS_DISCOUNT = 0.3
 """Subtracted from the log slowness after one run; it shrinks with further runs."""
 
@@ -72,6 +83,10 @@
     slowness
         Ratio that placement expects.  It is discounted while few runs are known,
         so that a backend server whose first few runs were slow is tried again.
+    last_surprise
+        1 if the last run was surprisingly slow, -1 if surprisingly fast, else 0.
+    runs_to_settle
+        Number of runs for which the slowness is still learned faster.
     last_progress_s
         Last time at which a task finished there, was dispatched there while the
         backend server was idle, or the stream to the agent was opened.
@@ -108,6 +123,8 @@
     log_slowness: float = 0.0
     slowness: float = 1.0
     slowness_samples: int = 0
+    last_surprise: int = 0
+    runs_to_settle: int = 0
     last_progress_s: float = 0.0
     failures_by_job: dict[str, int] = attrs.field(factory=dict)
     failure_share: float = 0.0
@@ -189,8 +206,15 @@
             Natural logarithm of the ratio of its run time to that of the fleet.
         """
         self.slowness_samples += 1
-        gain = max(1.0 / self.slowness_samples, SLOWNESS_GAIN)
         error = log_ratio - self.log_slowness
+        gain = max(1.0 / self.slowness_samples, SLOWNESS_GAIN)
+        surprise = 0 if abs(error) < SURPRISE else round(math.copysign(1, error))
+        if surprise and surprise == self.last_surprise:
+            self.runs_to_settle = RUNS_TO_SETTLE
+        self.last_surprise = surprise
+        if self.runs_to_settle:
+            self.runs_to_settle -= 1
+            gain = max(gain, CHANGED_GAIN)
         clamped = max(-MAX_LOG_ERROR, min(MAX_LOG_ERROR, error))
         self.log_slowness += gain * clamped
         discount = INITIAL_SLOWNESS_DISCOUNT / math.sqrt(self.slowness_samples)
--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -2,6 +2,7 @@
 
 import attrs
 import pytest
+from tests.placement.fleet_driver import RUN_TIME_S
 from tests.placement.fleet_driver import SLOTS
 from tests.placement.fleet_driver import FleetDriver
 from tests.placement.fleet_driver import agent
@@ -136,6 +137,32 @@
     assert [driver.place(task("job", index)) for index in range(4)] == ["fast"] * 4
 
 
+def test_server_that_becomes_slow_is_avoided_after_few_runs(
+    driver: FleetDriver,
+) -> None:
+    """A well-known server becomes six times slower, and later fast again.
+
+    Learning it in steps of a twentieth would take most of the time that it is slow.
+    """
+    driver.add("a", "b", "c")
+    for index in range(60):
+        for name in ("a", "b", "c"):
+            driver.run(name, task(f"usual-{index}"))
+    for index in range(4):
+        driver.run("a", task(f"slow-{index}"), run_time_s=6.5 * RUN_TIME_S)
+    chosen = [
+        driver.place(task(f"exclusive-{index}", exclusive=True)) for index in range(6)
+    ]
+    assert "a" not in chosen
+
+    for index in range(8):
+        driver.run("a", task(f"fast-{index}"))
+    chosen = [
+        driver.place(task(f"again-{index}", exclusive=True)) for index in range(15)
+    ]
+    assert chosen.count("a") > 1
+
+
 def test_one_slow_run_does_not_exclude_a_backend_server(driver: FleetDriver) -> None:
     """A server that gets no more tasks could never show that it is fast."""
     driver.add("fast", "usual")
