Do not take an entry's own pause for silence of its agents

Cause: the check that closes silent streams compares the time since the last message with 0.7 s. After a pause of the entry, or while its processor is full, it ran before the messages that waited in the sockets were read, and closed sound streams: results were lost and the tasks run again. Change: the time by which the check itself is late does not count as silence.

--- a/src/verbenaplank/entry/agent_connection.py
+++ b/src/verbenaplank/entry/agent_connection.py
@@ -132,8 +132,17 @@
         """Close the stream for good once no dispatch is open at the agent."""
         self._retired = True
 
-    def keep_alive(self, now_s: float) -> None:
-        """Send a renewal if a message is due, and close a stream that has timed out."""
+    def keep_alive(self, now_s: float, late_s: float) -> None:
+        """Send a renewal if a message is due, and close a stream that has timed out.
+
+        Parameters
+        ----------
+        now_s
+            Monotonic time in seconds.
+        late_s
+            By how much this check is late.  Messages that arrived meanwhile may not
+            have been read yet, so that time does not count as silence of the agent.
+        """
         outbox = self._outbox
         if outbox is None:
             return
@@ -141,7 +150,7 @@
         received = self._results_received
         if self._renewals.is_message_due(now_s, received, has_open=busy):
             outbox.put(self._renewal())
-        if self._has_timed_out(now_s, busy=busy):
+        if self._has_timed_out(now_s - late_s, busy=busy):
             self._request_close("silent")
         elif self._retired and not busy:
             self._request_close("retired")
--- a/src/verbenaplank/entry/agent_connections.py
+++ b/src/verbenaplank/entry/agent_connections.py
@@ -144,11 +144,13 @@
     async def _keep_alive_forever(self) -> None:
         """Keep all streams alive; one loop costs less than one for each stream."""
         clock = asyncio.get_running_loop().time
+        period_s = self._lease.renewal_period_s / CHECKS_PER_RENEWAL
         while True:
-            await asyncio.sleep(self._lease.renewal_period_s / CHECKS_PER_RENEWAL)
+            due_s = clock() + period_s
+            await asyncio.sleep(period_s)
             now_s = clock()
             for connection in self._connections.values():
-                connection.keep_alive(now_s)
+                connection.keep_alive(now_s, now_s - due_s)
 
     def _remove(self, agent_id: str, connection: AgentConnection) -> None:
         if self._connections.get(agent_id) is connection:
