Split routed jobs into the job, its admission and its execution

Change: entry/routed_job.py (the job, its goal and its submission), entry/routed_admission.py (whether it is admitted), entry/routed_jobs.py (running it). Behaviour is unchanged; entry and platform tests pass.

--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -32,6 +32,7 @@
 from verbenaplank.entry.registry import RequestRegistry
 from verbenaplank.entry.renewal import LONG_LEASE
 from verbenaplank.entry.renewal import SHORT_LEASE
+from verbenaplank.entry.routed_admission import EntryView
 from verbenaplank.entry.routed_jobs import RoutedJobs
 from verbenaplank.entry.runner import EngineRunner
 from verbenaplank.entry.state_logging import PlacementLogBuffer
@@ -194,10 +195,12 @@
             fleet=self._fleet,
             clock=clock,
             queue=goals,
-            entry_count=lambda: len(self._membership.entries),
             entry_name=self._incarnation[:INCARNATION_CHARACTERS],
-            is_current=lambda: self._status.readiness().current,
-            time_left_s=self._time_left_s,
+            view=EntryView(
+                entry_count=lambda: len(self._membership.entries),
+                is_current=lambda: self._status.readiness().current,
+                time_left_s=self._time_left_s,
+            ),
         )
         self._stop_time_s = math.inf
         self._placements = PlacementLogBuffer()
--- /dev/null
+++ b/src/verbenaplank/entry/routed_job.py
@@ -0,0 +1,140 @@
+"""Jobs that callers submit through a route, and their outcomes."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import attrs
+
+from verbenaplank.agent.named_task import NamedTask
+from verbenaplank.agent.named_task import encode_task
+from verbenaplank.entry.submission import Submission
+from verbenaplank.overload.hopeless import latest_start_s
+from verbenaplank.placement.task import Resources
+from verbenaplank.routing.table import Route
+
+MS_PER_S = 1_000.0
+USELESS_AFTER_FACTOR = 3.0
+"""A result is useless to its caller after this multiple of the latency goal."""
+
+ESTIMATE_ERROR_FACTOR = 1.4
+"""Factor by which the actual run time may exceed a caller's estimate."""
+
+RUN_TIMEOUT_FACTOR = 12.0
+"""A run may take this multiple of its estimate, or ``MIN_RUN_TIMEOUT_S`` if longer."""
+
+MIN_RUN_TIMEOUT_S = 4.0
+
+
+class RoutedJobState(StrEnum):
+    """Final state of a routed job.
+
+    ``REFUSED`` means that none of its tasks has run or will run.  ``UNKNOWN``
+    means that some tasks may have run, or may still run until their lease expires.
+    """
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen(kw_only=True)
+class RoutedOutcome:
+    """Outcome of a routed job.
+
+    Attributes
+    ----------
+    state
+        The final state.
+    detail
+        The reason if the job did not succeed.
+    retry_after_s
+        Seconds after which a refused job may be sent again, or ``None``.
+    """
+
+    state: RoutedJobState
+    detail: str = ""
+    retry_after_s: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class RoutedJob:
+    """A job of tasks with equal needs, submitted through a route.
+
+    Attributes
+    ----------
+    key
+        The caller's id of the job, unique within the route.
+    route
+        The route that matched the request.
+    tasks
+        The tasks, each with its name at the backend server.
+    needs
+        What each task needs of a worker.
+    estimate_s
+        The caller's estimate of the run time of a task, in seconds.
+    caller_timeout_s
+        How long the caller waits for the outcome, in seconds.
+    request_id
+        The caller's id of this request, used in the log.
+    """
+
+    key: str
+    route: Route
+    tasks: tuple[NamedTask, ...]
+    needs: Resources
+    estimate_s: float
+    caller_timeout_s: float
+    request_id: str = ""
+
+    @property
+    def goal_s(self) -> float:
+        """Return the longest latency that meets the job's goal, in seconds.
+
+        It grows with the run time that the caller estimates.
+        """
+        target_s = self.route.target_latency_ms / MS_PER_S
+        return self.route.stretch * self.estimate_s + target_s
+
+    @property
+    def slack_s(self) -> float:
+        """Return the time that the job can wait and still meet its goal."""
+        return self.goal_s - self.estimate_s
+
+
+def routed_submission(job: RoutedJob, job_id: str, received_s: float) -> Submission:
+    """Return the submission that runs a routed job.
+
+    Parameters
+    ----------
+    job_id
+        Id that is unique among the jobs of all entries.
+    received_s
+        Monotonic time at which the job was received.
+    """
+    goal_s = job.goal_s
+    useless_after_s = USELESS_AFTER_FACTOR * goal_s * ESTIMATE_ERROR_FACTOR
+    run_timeout_s = max(MIN_RUN_TIMEOUT_S, RUN_TIMEOUT_FACTOR * job.estimate_s)
+    deadline_s = received_s + min(job.caller_timeout_s, useless_after_s)
+    shortest_run_s = job.estimate_s / ESTIMATE_ERROR_FACTOR
+    return Submission(
+        job_id=job_id,
+        service=job.route.service,
+        team=job.route.name,
+        digest=b"",
+        payloads=tuple(encode_task(task) for task in job.tasks),
+        received_s=received_s,
+        deadline_s=deadline_s,
+        latest_start_s=latest_start_s(deadline_s, shortest_run_s),
+        urgent=job.route.priority == 0,
+        claimed=False,
+        max_runs=max(1, job.route.max_attempts),
+        exclusive=True,
+        workload=job.route.name,
+        priority=job.route.priority,
+        goal_s=received_s + goal_s,
+        needs=job.needs,
+        declared_run_time_s=job.estimate_s,
+        run_timeout_ms=run_timeout_s * MS_PER_S,
+    )
--- a/src/verbenaplank/entry/routed_jobs.py
+++ b/src/verbenaplank/entry/routed_jobs.py
@@ -8,26 +8,20 @@
 
 import asyncio
 import itertools
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import attrs
 
-from verbenaplank.agent.named_task import NamedTask
-from verbenaplank.agent.named_task import encode_task
 from verbenaplank.entry import decision_log
 from verbenaplank.entry.effects import JobCompleted
-from verbenaplank.entry.submission import Submission
+from verbenaplank.entry.routed_admission import RoutedAdmission
+from verbenaplank.entry.routed_job import RoutedJobState
+from verbenaplank.entry.routed_job import RoutedOutcome
+from verbenaplank.entry.routed_job import routed_submission
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.failure import RunState
-from verbenaplank.overload.admission import overload_refusal
-from verbenaplank.overload.expected_wait import ServiceLoad
-from verbenaplank.overload.hopeless import latest_start_s
 from verbenaplank.overload.retry_after import retry_after_s
-from verbenaplank.placement.feasibility import Feasibility
-from verbenaplank.placement.task import Resources
 from verbenaplank.routing.lookup import RouteLookup
-from verbenaplank.routing.table import Route
 from verbenaplank.routing.table import RoutingTable
 
 if TYPE_CHECKING:
@@ -36,16 +30,13 @@
     from verbenaplank.admission.goal_queue import GoalQueue
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.entry.effects import JobOutcome
+    from verbenaplank.entry.routed_admission import EntryView
+    from verbenaplank.entry.routed_job import RoutedJob
     from verbenaplank.entry.runner import EngineRunner
+    from verbenaplank.entry.submission import Submission
     from verbenaplank.placement.fleet import Fleet
     from verbenaplank.routing.lookup import RouteMatch
-
-MS_PER_S = 1_000.0
-USELESS_AFTER_FACTOR = 3.0
-"""A result is useless to its caller after this multiple of the latency goal."""
-
-ESTIMATE_ERROR_FACTOR = 1.4
-"""Factor by which the actual run time may exceed a caller's estimate."""
+    from verbenaplank.routing.table import Route
 
 STARTUP_HOLD_S = 2.0
 """For this long after its start, an entry holds jobs instead of refusing them.
@@ -54,77 +45,6 @@
 election and a join; this time is longer than both."""
 
 STARTUP_POLL_S = 0.01
-DRAIN_ESTIMATE_FACTOR = 1.5
-"""A draining entry refuses a job if this multiple of its estimate exceeds the time
-that is left."""
-
-RUN_TIMEOUT_FACTOR = 12.0
-"""A run may take this multiple of its estimate, or ``MIN_RUN_TIMEOUT_S`` if longer."""
-
-MIN_RUN_TIMEOUT_S = 4.0
-
-
-class RoutedJobState(StrEnum):
-    """Final state of a routed job.
-
-    ``REFUSED`` means that none of its tasks has run or will run.  ``UNKNOWN``
-    means that some tasks may have run, or may still run until their lease expires.
-    """
-
-    SUCCEEDED = "succeeded"
-    FAILED = "failed"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-
-
-@attrs.frozen(kw_only=True)
-class RoutedOutcome:
-    """Outcome of a routed job.
-
-    Attributes
-    ----------
-    state
-        The final state.
-    detail
-        The reason if the job did not succeed.
-    retry_after_s
-        Seconds after which a refused job may be sent again, or ``None``.
-    """
-
-    state: RoutedJobState
-    detail: str = ""
-    retry_after_s: float | None = None
-
-
-@attrs.frozen(kw_only=True)
-class RoutedJob:
-    """A job of tasks with equal needs, submitted through a route.
-
-    Attributes
-    ----------
-    key
-        The caller's id of the job, unique within the route.
-    route
-        The route that matched the request.
-    tasks
-        The tasks, each with its name at the backend server.
-    needs
-        What each task needs of a worker.
-    estimate_s
-        The caller's estimate of the run time of a task, in seconds.
-    caller_timeout_s
-        How long the caller waits for the outcome, in seconds.
-    request_id
-        The caller's id of this request, used in the log.
-    """
-
-    key: str
-    route: Route
-    tasks: tuple[NamedTask, ...]
-    needs: Resources
-    estimate_s: float
-    caller_timeout_s: float
-    request_id: str = ""
 
 
 class RoutedJobs:
@@ -142,13 +62,8 @@
         The queue whose backlog decides whether a job would wait too long.
     entry_name
         Part of each job id that distinguishes jobs of this entry from others.
-    entry_count
-        Returns the number of entries that share the agents.
-    is_current
-        Returns whether the entry has received the newest state since its start.
-    time_left_s
-        Returns for how many seconds the entry will still run jobs; infinity
-        unless it is draining.
+    view
+        The state of the entry.
     """
 
     def __init__(
@@ -159,19 +74,23 @@
         clock: MonotonicClock,
         queue: GoalQueue,
         entry_name: str,
-        entry_count: Callable[[], int],
-        is_current: Callable[[], bool],
-        time_left_s: Callable[[], float],
+        view: EntryView,
     ) -> None:
         self._runner = runner
         self._fleet = fleet
         self._clock = clock
         self._queue = queue
-        self._entry_count = entry_count
         self._entry_name = entry_name
-        self._is_current = is_current
-        self._time_left_s = time_left_s
+        self._view = view
         self._startup_ends_s = clock() + STARTUP_HOLD_S
+        self._admission = RoutedAdmission(
+            fleet=fleet,
+            queue=queue,
+            clock=clock,
+            loop_lag=runner.loop_lag,
+            view=view,
+            startup_ends_s=self._startup_ends_s,
+        )
         self._numbers = itertools.count(1)
         self._lookup = RouteLookup(RoutingTable())
         self._running: dict[tuple[str, str], _RunningJob] = {}
@@ -206,18 +125,8 @@
         return self._lookup.find(host, path)
 
     def refusal_for_lag(self, route: Route, key: str) -> RoutedOutcome | None:
-        """Return a refusal if this entry's processor is overloaded.
-
-        It needs only the route and the id of a job, so the job is not decoded.
-        """
-        lag = self._runner.loop_lag
-        if not lag.is_overloaded:
-            return None
-        return RoutedOutcome(
-            state=RoutedJobState.REFUSED,
-            detail=f"the processor of the entry is {lag.lag_s:.2f} s behind",
-            retry_after_s=retry_after_s(lag.lag_s, route.priority, key),
-        )
+        """Return a refusal if this entry's processor is overloaded."""
+        return self._admission.refusal_for_lag(route, key)
 
     def is_running(self, route: Route, key: str) -> bool:
         """Return whether a job is in progress at this entry."""
@@ -247,7 +156,7 @@
         job_key = (job.route.name, job.key)
         running = self._running.get(job_key)
         if running is None:
-            refusal = self._refusal(job)
+            refusal = self._admission.refusal(job)
             if refusal is not None:
                 return refusal
             running = self._start(job, received_s, job_key)
@@ -270,69 +179,13 @@
             await asyncio.sleep(STARTUP_POLL_S)
 
     def _can_run(self, service: str) -> bool:
-        return self._is_current() and self._fleet.slots_of(service) > 0
-
-    def _refusal(self, job: RoutedJob) -> RoutedOutcome | None:
-        if not self._is_current():
-            return _refused(
-                job,
-                "the entry has not received the newest state "
-                "from a control instance yet",
-            )
-        time_left_s = self._time_left_s()
-        if DRAIN_ESTIMATE_FACTOR * job.estimate_s > time_left_s:
-            return _refused(job, f"the entry stops in {time_left_s:.2f} s")
-        feasibility = self._fleet.feasibility(job.route.service, job.needs)
-        if feasibility is Feasibility.NO_SERVICE:
-            return _refused(
-                job, f"no backend server currently offers {job.route.service!r}"
-            )
-        if feasibility is Feasibility.IMPOSSIBLE_NEEDS:
-            return _refused(job, "no worker is large enough for a task of this job")
-        return self._overload_refusal(job)
-
-    def _overload_refusal(self, job: RoutedJob) -> RoutedOutcome | None:
-        """Return a refusal if the job would wait too long to meet its goal."""
-        slack_s = self._goal_s(job) - job.estimate_s
-        refusal = overload_refusal(self._service_load(job.route), slack_s)
-        if refusal is None:
-            return None
-        return _refused(job, refusal.detail, refusal.wait_s)
-
-    def _service_load(self, route: Route) -> ServiceLoad:
-        return ServiceLoad(
-            queued_core_s=self._queue.work_ahead_core_s(route.priority),
-            occupied_cores=self._fleet.occupied_cores_of(route.service),
-            equal_share_cores=self._equal_share_cores(route.service),
-            waiting_for_s=self._queue.waiting_for_s(self._clock()),
-        )
-
-    def _equal_share_cores(self, service: str) -> float:
-        """Return the cores of a service that fall to this entry in equal shares.
-
-        During startup, cores of agents that are not connected yet count too, since
-        the entry is about to connect to them.  Later, an entry that is connected to a
-        part of the agents shares them with as small a part of the entries.
-        """
-        entries = max(1, self._entry_count())
-        if self._clock() < self._startup_ends_s:
-            return self._fleet.announced_cores_of(service) / entries
-        sharing = max(1.0, entries * self._fleet.connected_share_of(service))
-        return self._fleet.available_cores_of(service) / sharing
-
-    def _goal_s(self, job: RoutedJob) -> float:
-        """Return the longest latency that meets the job's goal, in seconds.
-
-        It grows with the run time that the caller estimates.
-        """
-        return job.route.stretch * job.estimate_s + (
-            job.route.target_latency_ms / MS_PER_S
-        )
+        return self._view.is_current() and self._fleet.slots_of(service) > 0
 
     def _start(
         self, job: RoutedJob, received_s: float, job_key: tuple[str, str]
     ) -> _RunningJob:
-        submission = self._submission(job, received_s)
+        job_id = f"{job.key}.{self._entry_name}.{next(self._numbers)}"
+        submission = routed_submission(job, job_id, received_s)
         queued = len(self._queue)
         version = self.table.version
         decision_log.job_admitted(submission, job.request_id, version, queued)
@@ -353,33 +206,6 @@
         if not self._running:
             self._idle.set()
 
-    def _submission(self, job: RoutedJob, received_s: float) -> Submission:
-        goal_s = self._goal_s(job)
-        useless_after_s = USELESS_AFTER_FACTOR * goal_s * ESTIMATE_ERROR_FACTOR
-        run_timeout_s = max(MIN_RUN_TIMEOUT_S, RUN_TIMEOUT_FACTOR * job.estimate_s)
-        deadline_s = received_s + min(job.caller_timeout_s, useless_after_s)
-        shortest_run_s = job.estimate_s / ESTIMATE_ERROR_FACTOR
-        return Submission(
-            job_id=f"{job.key}.{self._entry_name}.{next(self._numbers)}",
-            service=job.route.service,
-            team=job.route.name,
-            digest=b"",
-            payloads=tuple(encode_task(task) for task in job.tasks),
-            received_s=received_s,
-            deadline_s=deadline_s,
-            latest_start_s=latest_start_s(deadline_s, shortest_run_s),
-            urgent=job.route.priority == 0,
-            claimed=False,
-            max_runs=max(1, job.route.max_attempts),
-            exclusive=True,
-            workload=job.route.name,
-            priority=job.route.priority,
-            goal_s=received_s + goal_s,
-            needs=job.needs,
-            declared_run_time_s=job.estimate_s,
-            run_timeout_ms=run_timeout_s * MS_PER_S,
-        )
-
 
 @attrs.define
 class _RunningJob:
@@ -388,14 +214,6 @@
     waiters: int = 0
 
 
-def _refused(job: RoutedJob, detail: str, wait_s: float = 0.0) -> RoutedOutcome:
-    return RoutedOutcome(
-        state=RoutedJobState.REFUSED,
-        detail=detail,
-        retry_after_s=retry_after_s(wait_s, job.route.priority, job.key),
-    )
-
-
 def _routed_outcome(outcome: JobOutcome, submission: Submission) -> RoutedOutcome:
     if isinstance(outcome, JobCompleted):
         return RoutedOutcome(state=RoutedJobState.SUCCEEDED)
--- a/tests/entry/test_routed_jobs.py
+++ b/tests/entry/test_routed_jobs.py
@@ -9,8 +9,8 @@
 from entry.messages import result
 from verbenaplank.agent.named_task import NamedTask
 from verbenaplank.agent.named_task import decode_task
-from verbenaplank.entry.routed_jobs import RoutedJob
-from verbenaplank.entry.routed_jobs import RoutedJobState
+from verbenaplank.entry.routed_job import RoutedJob
+from verbenaplank.entry.routed_job import RoutedJobState
 from verbenaplank.placement.task import Resources
 from verbenaplank.protocol import work
 from verbenaplank.routing.table import Route
