--- a/src/verbenaplank/entry/subset_connector.py
+++ b/src/verbenaplank/entry/subset_connector.py
@@ -76,6 +76,7 @@
         self._subset.set_members(entries, agents, self._clock())
         for agent_id in self._wanted_s.keys() - agents.keys():
             del self._wanted_s[agent_id]
+            self._last_usable_s.pop(agent_id, None)
             self._connections.stop_reconnecting(agent_id)
         for agent_id in self._wanted_s:
             if agents[agent_id] != self._agents.get(agent_id):
