Let only an entry's own tasks break ties between backend servers

Entries that all choose the least loaded server choose the same one; the own tasks keep them apart. Change: the own tasks decide as before; a last room still goes last.

--- a/src/verbenaplank/placement/backend_server.py
+++ b/src/verbenaplank/placement/backend_server.py
@@ -220,14 +220,6 @@
         discount = INITIAL_SLOWNESS_DISCOUNT / math.sqrt(self.slowness_samples)
         self.slowness = math.exp(self.log_slowness - discount)
 
-    @property
-    def used_share(self) -> float:
-        """Return the share of the slots or cores in use, whichever is larger."""
-        tasks = len(self.outstanding) + self.other_entries_tasks
-        used_slots = tasks / max(self.slots, 1)
-        used_cores = self.reserved_cores + self.other_entries_cores
-        return max(used_slots, used_cores / max(self.member.worker.cores, 1.0))
-
     def has_free_resources(self, needs: Resources, tasks: int = 1) -> bool:
         """Return whether the worker has room for so many tasks with these needs."""
         size = self.member.worker
--- a/src/verbenaplank/placement/policy.py
+++ b/src/verbenaplank/placement/policy.py
@@ -139,7 +139,8 @@
 
     Several entries may choose the last free room of a backend server before its next
     report, and all but one are refused.  So a last room is used only if there is no
-    other, whatever the round trip.
+    other, whatever the round trip.  Apart from that only this entry's own tasks count,
+    as entries that all choose the least loaded server would choose the same one.
     """
     if len(servers) == 1:
         return servers[0]
@@ -149,6 +150,7 @@
     def rank(server: BackendServer) -> tuple[bool, float, int, float]:
         is_last_room = not server.has_free_resources(needs, tasks=2)
         rack_tasks = counts.get(server.member.rack, 0)
-        return (is_last_room, server.round_trip_s, rack_tasks, server.used_share)
+        own_share = len(server.outstanding) / max(server.slots, 1)
+        return (is_last_room, server.round_trip_s, rack_tasks, own_share)
 
     return min(servers, key=rank)
