--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -124,9 +124,9 @@
             clock_s=now_s,
         )
 
-    def free_rooms(self) -> float:
+    def headroom(self) -> float:
         """Return how many further tasks fit that need as much as the largest here."""
-        return self._capacity.free_rooms(self._resources_in_use())
+        return self._capacity.headroom(self._resources_in_use())
 
     def has_work_from(self, key: EntryKey) -> bool:
         """Return whether a dispatch of an entry is queued, reserved or running."""
--- a/src/verbenaplank/agent/report_pacing.py
+++ b/src/verbenaplank/agent/report_pacing.py
@@ -1,6 +1,6 @@
 """Decides which changes of an agent's load are reported to entries at once.
 
-While several rooms are free, an old report misleads no entry, so the change is told
+While several more tasks fit, an old report misleads no entry, so the change is sent
 with the next reply or periodic report.  When the worker is nearly full, each change
 decides whether entries send it a task or keep one waiting.
 """
@@ -11,26 +11,26 @@
 
 import attrs
 
-NEARLY_FULL_ROOMS = 2
-"""A worker with fewer free rooms than this is nearly full."""
+NEARLY_FULL_HEADROOM = 2
+"""A worker that can take fewer further tasks than this is nearly full."""
 
 
 @attrs.define
 class ReportPacing:
-    """Remembers the number of free rooms that was reported last."""
+    """Remembers the headroom that was reported last."""
 
-    _reported_rooms: int = NEARLY_FULL_ROOMS
+    _reported_headroom: int = NEARLY_FULL_HEADROOM
 
-    def is_due(self, free_rooms: float) -> bool:
+    def is_due(self, headroom: float) -> bool:
         """Return whether a change must be reported at once, and record the report.
 
         Parameters
         ----------
-        free_rooms
+        headroom
             How many further tasks fit beside those on the worker.
         """
-        rooms = min(NEARLY_FULL_ROOMS, math.floor(free_rooms))
-        if rooms == self._reported_rooms:
+        rounded = min(NEARLY_FULL_HEADROOM, math.floor(headroom))
+        if rounded == self._reported_headroom:
             return False
-        self._reported_rooms = rooms
+        self._reported_headroom = rounded
         return True
--- a/src/verbenaplank/agent/work_service.py
+++ b/src/verbenaplank/agent/work_service.py
@@ -94,7 +94,7 @@
         while True:
             await self._runner.wait_for_load_change()
             await asyncio.sleep(report_delay_s(len(self._streams)))
-            if not pacing.is_due(self._runner.gate.free_rooms()):
+            if not pacing.is_due(self._runner.gate.headroom()):
                 continue
             load = self._runner.load()
             for stream in self._streams:
--- a/src/verbenaplank/agent/worker_capacity.py
+++ b/src/verbenaplank/agent/worker_capacity.py
@@ -36,7 +36,7 @@
             return False
         return self.size is None or _is_within([needs, *used], self.size)
 
-    def free_rooms(self, in_use: Iterable[Resources]) -> float:
+    def headroom(self, in_use: Iterable[Resources]) -> float:
         """Return how many further tasks fit that need as much as the largest in use.
 
         Only slots and cores are considered.
--- a/src/verbenaplank/bench/subset_comparison.py
+++ b/src/verbenaplank/bench/subset_comparison.py
@@ -2,11 +2,11 @@
 
 ``python -m verbenaplank.bench.subset_comparison`` prints a row for each size.
 
-The model has entries of uneven traffic and agents with a few rooms each.  An entry
-sends a task to the agent of its subset with the most free rooms, as far as it knows: it
+The model has entries of uneven traffic and agents with a few slots each.  An entry
+sends a task to the agent of its subset with the most free slots, as far as it knows: it
 counts its own tasks at once, and those of others from reports that are
 ``report_age_s`` old.  A full agent refuses the task, and the entry tries the next one
-after a round trip.  A task waits at its entry if no agent seems to have a free room.
+after a round trip.  A task waits at its entry if no agent seems to have a free slot.
 """
 
 from __future__ import annotations
@@ -42,7 +42,7 @@
     Attributes
     ----------
     load
-        Share of all rooms that the tasks occupy on average.
+        Share of all slots that the tasks occupy on average.
     uneven
         Standard deviation of the logarithm of the entries' traffic.
     report_age_s
@@ -51,7 +51,7 @@
 
     entries: int = 35
     agents: int = 160
-    rooms: int = 6
+    slots: int = 6
     run_time_s: float = 0.3
     load: float = 0.75
     uneven: float = 0.5
@@ -67,9 +67,9 @@
     own: dict[int, int] = attrs.field(factory=dict)
     own_at_report: dict[int, int] = attrs.field(factory=dict)
 
-    def free_rooms_seen_by(self, entry: int, rooms: int) -> int:
+    def free_slots_seen_by(self, entry: int, slots: int) -> int:
         others = self.reported_busy - self.own_at_report.get(entry, 0)
-        return rooms - others - self.own.get(entry, 0)
+        return slots - others - self.own.get(entry, 0)
 
     def report(self) -> None:
         self.reported_busy = self.busy
@@ -107,7 +107,7 @@
             for _ in range(scenario.entries)
         ]
         starts_per_s = (
-            scenario.load * scenario.agents * scenario.rooms / scenario.run_time_s
+            scenario.load * scenario.agents * scenario.slots / scenario.run_time_s
         )
         for entry, weight in enumerate(weights):
             self._arrive(entry, starts_per_s * weight / sum(weights))
@@ -140,9 +140,9 @@
             self._send(entry, agent, self._queues[entry].popleft())
 
     def _best_agent(self, entry: int) -> _Agent | None:
-        rooms = self._scenario.rooms
+        slots = self._scenario.slots
         free = [
-            (self._agents[number].free_rooms_seen_by(entry, rooms), number)
+            (self._agents[number].free_slots_seen_by(entry, slots), number)
             for number in self._random.sample(
                 self._subsets[entry], min(16, len(self._subsets[entry]))
             )
@@ -155,7 +155,7 @@
         self._schedule(ROUND_TRIP_S / 2, partial(self._reach, entry, agent, arrived_s))
 
     def _reach(self, entry: int, agent: _Agent, arrived_s: float) -> None:
-        if agent.busy >= self._scenario.rooms:
+        if agent.busy >= self._scenario.slots:
             self.refusals += 1
             back = partial(self._return, entry, agent, arrived_s)
             self._schedule(ROUND_TRIP_S / 2, back)
--- a/src/verbenaplank/entry/routed_job.py
+++ b/src/verbenaplank/entry/routed_job.py
@@ -9,7 +9,7 @@
 from verbenaplank.agent.named_task import NamedTask
 from verbenaplank.agent.named_task import encode_task
 from verbenaplank.entry.submission import Submission
-from verbenaplank.overload.hopeless import latest_start_s
+from verbenaplank.overload.latest_start import latest_start_s
 from verbenaplank.placement.task import Resources
 from verbenaplank.routing.table import Route
 
--- a/src/verbenaplank/overload/__init__.py
+++ b/src/verbenaplank/overload/__init__.py
@@ -1,4 +1,4 @@
-"""Decisions of an entry when there is more work than room, without I/O.
+"""Decisions of an entry when there is more work than capacity, without I/O.
 
 Each module names the pattern of load that it answers.
 """
--- a/src/verbenaplank/overload/admission.py
+++ b/src/verbenaplank/overload/admission.py
@@ -1,7 +1,7 @@
 """Decides whether a new job would wait too long at an entry to meet its goal.
 
 Load pattern: more jobs arrive than can be answered in time.  Every job that is admitted
-and answered late takes room from one that could have been answered in time.
+and answered late takes capacity from one that could have been answered in time.
 """
 
 from __future__ import annotations
--- a/src/verbenaplank/placement/backend_server.py
+++ b/src/verbenaplank/placement/backend_server.py
@@ -221,7 +221,7 @@
         self.slowness = math.exp(self.log_slowness - discount)
 
     def has_free_resources(self, needs: Resources, tasks: int = 1) -> bool:
-        """Return whether the worker has room for so many tasks with these needs."""
+        """Return whether the worker can take so many more tasks with these needs."""
         size = self.member.worker
         free_cores = size.cores - self.reserved_cores - self.other_entries_cores
         free_memory_mb = (
--- a/src/verbenaplank/placement/policy.py
+++ b/src/verbenaplank/placement/policy.py
@@ -137,10 +137,10 @@
 ) -> BackendServer:
     """Choose among backend servers that are expected to complete at the same time.
 
-    Several entries may choose the last free room of a backend server before its next
-    report, and all but one are refused.  So a last room is used only if there is no
-    other, whatever the round trip.  Apart from that only this entry's own tasks count,
-    as entries that all choose the least loaded server would choose the same one.
+    Several entries may choose the last free capacity of a backend server before its
+    next report, and all but one are refused.  So it is used only if there is no other,
+    whatever the round trip.  Apart from that only this entry's own tasks count, as
+    entries that all choose the least loaded server would choose the same one.
     """
     if len(servers) == 1:
         return servers[0]
@@ -148,9 +148,9 @@
     needs = context.task.needs
 
     def rank(server: BackendServer) -> tuple[bool, float, int, float]:
-        is_last_room = not server.has_free_resources(needs, tasks=2)
+        takes_last_capacity = not server.has_free_resources(needs, tasks=2)
         rack_tasks = counts.get(server.member.rack, 0)
         own_share = len(server.outstanding) / max(server.slots, 1)
-        return (is_last_room, server.round_trip_s, rack_tasks, own_share)
+        return (takes_last_capacity, server.round_trip_s, rack_tasks, own_share)
 
     return min(servers, key=rank)
--- a/src/verbenaplank/subsetting/widening.py
+++ b/src/verbenaplank/subsetting/widening.py
@@ -1,6 +1,6 @@
 """Widens an entry's subset of agents while its tasks find no free one.
 
-This answers a hot entry, whose traffic is above the mean, and agents whose room is
+This answers a hot entry, whose traffic is above the mean, and agents whose capacity is
 taken by other entries.  The limit keeps an overload of the whole fleet from opening
 streams between all entries and all agents.
 """
--- a/tests/agent/test_report_pacing.py
+++ b/tests/agent/test_report_pacing.py
@@ -7,9 +7,9 @@
 from verbenaplank.placement.task import Resources
 
 
-def reports(free_rooms: list[float]) -> list[bool]:
+def reports(headroom: list[float]) -> list[bool]:
     pacing = ReportPacing()
-    return [pacing.is_due(rooms) for rooms in free_rooms]
+    return [pacing.is_due(value) for value in headroom]
 
 
 def test_changes_far_from_full_are_not_reported_at_once() -> None:
@@ -18,7 +18,7 @@
 
 
 def test_each_change_of_a_nearly_full_worker_is_reported() -> None:
-    """Entries wait for the last rooms, or would be refused."""
+    """Entries wait for the last capacity, or would be refused."""
     assert reports([2.4, 1.4, 0.4, 0.2, 1.0, 3.0, 4.0]) == [
         False,
         True,
@@ -31,7 +31,7 @@
 
 
 @pytest.mark.parametrize(
-    ("in_use", "rooms"),
+    ("in_use", "expected"),
     [
         ([], 350.0),
         ([Resources(cores=10.0)] * 5, 1.4),
@@ -40,8 +40,8 @@
         ([Resources()] * 349, 1.0),
     ],
 )
-def test_free_rooms_follow_from_the_largest_task(
-    in_use: list[Resources], rooms: float
+def test_headroom_follow_from_the_largest_task(
+    in_use: list[Resources], expected: float
 ) -> None:
     capacity = WorkerCapacity(slots=350, size=Resources(cores=64.0, memory_mb=1))
-    assert capacity.free_rooms(in_use) == pytest.approx(rooms)
+    assert capacity.headroom(in_use) == pytest.approx(expected)
--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -250,12 +250,12 @@
     assert placed == ["near"] * SLOTS + ["far"]
 
 
-def test_last_room_of_a_server_is_used_only_if_there_is_no_other(
+def test_last_capacity_of_a_server_is_used_only_if_there_is_no_other(
     driver: FleetDriver,
 ) -> None:
-    """Entries with old reports choose the same nearly full server; one gets the room.
+    """Entries with old reports choose the same nearly full server.
 
-    The others are refused and lose a round trip, more than the way to the other data
+    All but one are refused and lose a round trip, more than the way to the other data
     centre takes.
     """
     needs = Resources(cores=10.0)
