Stop runs that the backend server lists and the agent did not start

Cause: a start without a reply may be carried out after the backend server has restarted under its old id; it knows neither the fence nor the run numbers of before, and its clock began anew, so the deadline does not stop the start. Polls extended the lease of that run, while its task had been started elsewhere: two runs at a time. Change: an active run that the agent has not started, or has reported as ended, is stopped. Measured: the new test fails before (the run stays active for 10 s).

--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -58,6 +58,12 @@
     logger.warning("start request got no usable reply", extra=extra)
 
 
+def log_unknown_run(run: RunId) -> None:
+    """Log that the backend server lists a run that this agent did not start."""
+    extra = {"task": run.task, "run": run.number}
+    logger.warning("unknown run stopped", extra=extra)
+
+
 def log_poll_failed(cause: str, silent_s: float, runs: int) -> None:
     """Log the first failed poll, after which the lease of the runs may expire."""
     extra = {"cause": cause, "silent_ms": round(silent_s * 1_000), "runs": runs}
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -106,6 +106,7 @@
         self._has_unacknowledged_ends = False
         self._runs: dict[RunId, ActiveRun] = {}
         self._runs_by_task_id: dict[str, ActiveRun] = {}
+        self._unknown_runs: set[RunId] = set()
         self._polls_sent = 0
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -375,6 +376,7 @@
     def _process_reply(self, reply: PollReply, poll_number: int) -> None:
         self._record_ends(reply)
         active = {progress.run for progress in reply.active}
+        self._stop_unknown_runs(reply)
         self._stop_stalled_runs(reply)
         for run_id, run in list(self._runs.items()):
             visible_after = run.visible_after_poll
@@ -386,6 +388,30 @@
                 continue
             record_end(run, infer_end(run))
 
+    def _stop_unknown_runs(self, reply: PollReply) -> None:
+        """Stop active runs that this agent has not started or has reported as ended.
+
+        Such a run comes from a start request that was carried out after the backend
+        server had restarted, and its task may run elsewhere.
+        """
+        for progress in reply.active:
+            run_id = progress.run
+            if run_id not in self._runs and run_id not in self._unknown_runs:
+                self._unknown_runs.add(run_id)
+                decision_log.log_unknown_run(run_id)
+                self._spawn(self._stop_unknown_run(run_id))
+
+    async def _stop_unknown_run(self, run_id: RunId) -> None:
+        """Send one stop request; the run is listed again if it was lost."""
+        try:
+            await self._client.stop(run_id, self._lease.fence, call_timeout_s(0))
+        except CallFailedError:
+            self._wake.set()
+        except BackendRestartedError:
+            self._handle_lost()
+        finally:
+            self._unknown_runs.discard(run_id)
+
     def _stop_stalled_runs(self, reply: PollReply) -> None:
         now_s = self._clock()
         for progress in reply.active:
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -160,6 +160,25 @@
         assert waited_s < 2 * POLL_WAIT_MS / 1_000 + CALL_TIMEOUTS_S[1]
 
 
+async def test_run_that_the_agent_did_not_start_is_stopped() -> None:
+    """A start is carried out after the backend server restarted under its old id.
+
+    The agent's polls extend the lease of all runs, so it would go on beside another run
+    of its task elsewhere.
+    """
+    server = FakeBackendServer()
+    async with make_backend(server) as backend:
+        run = start_run(backend)
+        own = await wait_until_started(server)
+        stray = RunId(task="elsewhere", number=1)
+        server.active[stray] = 10
+        server.state_changed.set()
+        await wait_until(server, lambda: stray not in server.active)
+        assert own in server.active
+        server.end(own, EndKind.DONE)
+        assert (await run).outcome is TaskOutcome.SUCCEEDED
+
+
 class LateBackendServer(FakeBackendServer):
     """Leaves a share of the orders unanswered and carries them out later, or never."""
 
