Do not connect the first entries of a starting system to all agents

Cause: arcs are longer where few entries would leave agents with fewer than three. Change: arcs are made longer only once no new entry has come for 10 s.

--- a/src/verbenaplank/subsetting/subset.py
+++ b/src/verbenaplank/subsetting/subset.py
@@ -25,6 +25,12 @@
 In a fleet with many agents for each entry, arcs are longer for it, so that no agent is
 idle because a few entries are lost or have little traffic."""
 
+ENTRIES_SETTLED_AFTER_S = 10.0
+"""How long the entries must be unchanged before arcs are made longer for few of them.
+
+When a system starts, its entries join one after the other, and the first ones would
+open streams to all agents."""
+
 MAX_ARC_FACTOR = 2
 """Limit of an arc's length, as a multiple of the number of usable agents aimed at.
 
@@ -54,6 +60,7 @@
         self._rings: dict[str, list[Member]] = {}
         self._entries: frozenset[str] = frozenset((entry_id,))
         self._departed_s: dict[str, float] = {}
+        self._entries_changed_s: float | None = None
 
     @property
     def size(self) -> int:
@@ -65,6 +72,9 @@
     ) -> None:
         """Set the entries and agents that are members at a monotonic time."""
         present = frozenset((*entries, self._entry_id))
+        known = self._entries | self._departed_s.keys()
+        if self._entries_changed_s is None or not present <= known:
+            self._entries_changed_s = now_s
         for entry_id in self._entries - present:
             self._departed_s[entry_id] = now_s
         self._entries = present
@@ -93,11 +103,17 @@
         start = entries.index(self._entry_id) / len(entries)
         chosen: set[str] = set()
         for ring in self._rings.values():
-            needed = math.ceil(MIN_ENTRIES_PER_AGENT * len(ring) / len(entries))
-            size = max(self._size, needed) + extra
-            chosen |= _arc(ring, start, size, is_usable)
+            size = max(self._size, self._needed(ring, len(entries), now_s))
+            chosen |= _arc(ring, start, size + extra, is_usable)
         return frozenset(chosen)
 
+    def _needed(self, ring: list[Member], entries: int, now_s: float) -> int:
+        """Return the length of arcs that gives each agent enough entries."""
+        changed_s = self._entries_changed_s
+        if changed_s is None or now_s - changed_s < ENTRIES_SETTLED_AFTER_S:
+            return 0
+        return math.ceil(MIN_ENTRIES_PER_AGENT * len(ring) / entries)
+
     def _entries_in_order(self, now_s: float) -> list[str]:
         """Return the entries in the order in which their arcs begin on a ring."""
         self._departed_s = {
