Close the connections of a server whose instance ends

What callers saw: a backend server that was back after a crash got no task for 2.4 s more; its capacity was missing for 5.7 s in place of 3.3 s, for every restart of a backend server, with a leading control instance or without. Cause: grpclib cancels the handlers of a closed server and sends nothing. The agent's process lives on with a new instance for the new incarnation, so the entries' streams to the old one stayed open and silent until their timeout of 2.5 s. Ruled out: the membership (all entries had the new member 25 ms after it served) and the control leader (the same delay at 17.5 s with a settled leader). Change: serve() closes the open connections after the handlers have ended. The test failed before (time limit of 2 s).

--- a/src/verbenaplank/rpc/endpoint.py
+++ b/src/verbenaplank/rpc/endpoint.py
@@ -7,9 +7,12 @@
 from contextlib import asynccontextmanager
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
+from typing import Any
+from weakref import WeakSet
 
 from grpclib.client import Channel
 from grpclib.config import Configuration
+from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 
 from verbenaplank.rpc.address import Address
@@ -43,6 +46,29 @@
 )
 
 
+class _ClosingServer(Server):
+    """A server that can close its connections.
+
+    grpclib cancels the handlers of a closed server and sends nothing to their peers,
+    which would notice only after their own timeouts if the process lives on.
+    """
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._protocols: WeakSet[H2Protocol] = WeakSet()
+
+    def close_connections(self) -> None:
+        """Close every open connection once its written data is sent."""
+        for protocol in tuple(self._protocols):
+            if hasattr(protocol, "connection"):
+                protocol.connection.close()
+
+    def _protocol_factory(self) -> H2Protocol:
+        protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
+        return protocol
+
+
 @asynccontextmanager
 async def serve(
     services: Sequence[Service], address: Address, tls: TlsSettings | None = None
@@ -60,7 +86,7 @@
     OSError
         If the server cannot listen on the address.
     """
-    server = Server(services, codec=MessagePackCodec(), config=CONFIGURATION)
+    server = _ClosingServer(services, codec=MessagePackCodec(), config=CONFIGURATION)
     context = _server_context(tls) if tls else None
     await server.start(address.host, address.port, ssl=context)
     try:
@@ -68,6 +94,7 @@
     finally:
         server.close()
         await server.wait_closed()
+        server.close_connections()
 
 
 @contextmanager
--- a/tests/rpc/test_stream_method.py
+++ b/tests/rpc/test_stream_method.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
+import asyncio
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 import attrs
 import pytest
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
+from grpclib.exceptions import StreamTerminatedError
 
 from verbenaplank.protocol.peer import CancelReply
 from verbenaplank.protocol.peer import CancelRequest
@@ -80,3 +83,20 @@
 
     assert error.value.status is Status.INVALID_ARGUMENT
     assert reply.cancelled
+
+
+async def test_closed_server_ends_the_streams_of_its_clients() -> None:
+    """An agent that serves a restarted backend server was silent on its old streams."""
+    async with asyncio.timeout(2.0):
+        with pytest.raises(StreamTerminatedError):
+            async with AsyncExitStack() as stack:
+                serving = await stack.enter_async_context(AsyncExitStack())
+                address = await serving.enter_async_context(
+                    serve(_services(), ANY_PORT)
+                )
+                channel = stack.enter_context(open_channel(address))
+                stream = await stack.enter_async_context(WORK.open(channel))
+                await stream.send_message(ToAgent())
+                await stream.recv_message()
+                await serving.aclose()
+                await stream.recv_message()
