Forget the failures of a backend server that has restarted

What callers saw: a server that was back got one task at a time, or none for a second. Cause: the runs that were lost in the crash counted as failures of the server, and its new incarnation inherited them, quarantine and probation included. Change: a new incarnation starts without evidence. The learned slowness stays, since the machine usually does.

--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -85,7 +85,7 @@
         """Add a backend server or apply its changed announcement.
 
         Members in other roles are ignored.  A new incarnation drops the tasks
-        that were dispatched to the previous one.
+        that were dispatched to the previous one and the failures of their runs.
         """
         if member.role is not MemberRole.AGENT:
             return
@@ -97,6 +97,7 @@
             self._servers[member.member_id] = server
         elif server.member.incarnation != member.incarnation:
             self._drop_outstanding(server)
+            self._health.forget(server)
         self._services.remove(server)
         server.member = member
         self._services.add(server)
--- a/src/verbenaplank/placement/health.py
+++ b/src/verbenaplank/placement/health.py
@@ -106,6 +106,14 @@
         ):
             self._quarantine(server, now_s)
 
+    def forget(self, server: BackendServer) -> None:
+        """Drop the evidence against a backend server that has restarted."""
+        server.failures_by_job.clear()
+        server.quarantined_until_s = -math.inf
+        server.quarantine_s = 0.0
+        server.on_probation = False
+        server.probation_successes = 0
+
     def register_job(self, job_id: str) -> None:
         """Start collecting results of a job as evidence."""
         if job_id not in self._jobs:
--- a/tests/placement/test_health.py
+++ b/tests/placement/test_health.py
@@ -146,3 +146,22 @@
     share = len(driver.fleet.quarantined_agents(driver.now_s)) / len(NAMES)
 
     assert share <= HealthSettings().max_quarantined_share
+
+
+def test_runs_lost_in_a_crash_do_not_count_against_the_restarted_server(
+    driver: FleetDriver,
+) -> None:
+    """A restarted server got one task at a time, or none for a second."""
+    driver.add(*NAMES)
+    for number in range(10):
+        request = task(f"job-{number}")
+        driver.run(NAMES[0], request, outcome=TaskOutcome.CONNECTION_LOST)
+    assert driver.fleet.quarantined_agents(driver.now_s) == [NAMES[0]]
+
+    driver.add(NAMES[0], incarnation="2")
+
+    assert driver.fleet.quarantined_agents(driver.now_s) == []
+    for index in range(3):
+        driver.fleet.record_dispatch(NAMES[0], task("next", index), driver.now_s)
+    usable = {driver.place(task("many", index)) for index in range(40)}
+    assert NAMES[0] in usable
