Report, count and log the crashes of backend servers

Observability for the incident of crashing tasks; no decision changes. Before, a crash and a cut left the same lines ('lease not renewed', runs 'lapsed'), and nothing told which tasks ran on a server that crashed, or how often before.

An agent reports a crash when its backend server has closed its connections and refuses new ones, or when another incarnation takes its place without an announced end; it withdraws the report if the same incarnation answers again. Reports pass over the streams between agents and entries to every connected process, so each holds the counts when another is killed. A run is a suspect if its start was unanswered or recent.

Logs: 'backend server crashed' at the agent; 'backend server crashed under run' at each entry, with task, run number, backend server, incarnation, evidence, the count so far and the agent that told it. Metrics: verbenaplank_entry_crashes_{refused,restarted,withdrawn, suspected_runs}.

--- a/src/verbenaplank/agent/active_run.py
+++ b/src/verbenaplank/agent/active_run.py
@@ -48,6 +48,8 @@
         Whether the agent is stopping the run.
     stalled
         Whether the agent is stopping the run because it made no progress.
+    workload
+        Name of a kind of task; empty if unknown.
     percent
         Share of the work that is done, in percent.
     progressed_s
@@ -56,6 +58,7 @@
 
     run_id: RunId
     end: asyncio.Future[EndKind]
+    workload: str = ""
     visible_after_poll: int | None = None
     start_acknowledged: bool = False
     stop_requested: bool = False
--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -13,6 +13,7 @@
 
 from verbenaplank.agent.backend import Backend
 from verbenaplank.agent.backend import BackendClient
+from verbenaplank.agent.crash_feed import CrashFeed
 from verbenaplank.agent.gate import Gate
 from verbenaplank.agent.gate import GateLimits
 from verbenaplank.agent.health_check import BackendHealthCheck
@@ -76,6 +77,8 @@
         Backend that runs the tasks; the caller opens and closes it.  The running
         tasks are then limited by the resources of the worker as well as by the slots.
         By default, a client for the address in the settings.
+    crashes
+        Crash reports to exchange with the entries; by default, none are known.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         record: EventHook = ignore_event,
         incarnation: str = "",
         backend: Backend | None = None,
+        crashes: CrashFeed | None = None,
     ) -> None:
         self._settings = settings
         self._record = record
@@ -113,6 +117,7 @@
             settings.instance_id,
             incarnation,
             slots,
+            crashes or CrashFeed(clock),
             periodic_reports=backend is not None,
         )
         self._member = _make_member(settings, incarnation)
--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from verbenaplank.agent.lease_protocol import RunId
     from verbenaplank.history.event import Event
+    from verbenaplank.protocol.crash import CrashReport
 
 MESSAGES = {
     EventKind.STARTED: "run started",
@@ -74,3 +75,19 @@
     """Log that a poll succeeded again, and the time since the reply before it."""
     extra = {"silent_ms": round(silent_s * 1_000)}
     logger.info("backend server answers polls again", extra=extra)
+
+
+def log_crash(report: CrashReport) -> None:
+    """Log that the backend server crashed, or that it answers again after all.
+
+    Each run is logged as its task, its number and whether it is a suspect.
+    """
+    logger.warning(
+        "backend server crashed",
+        extra={
+            "backend_server": report.backend_server,
+            "life": report.incarnation,
+            "evidence": report.evidence,
+            "runs": [(run.task, run.number, run.suspect) for run in report.runs],
+        },
+    )
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -44,6 +44,7 @@
     from typing import Any
     from typing import Self
 
+    from verbenaplank.agent.crash_watch import CrashWatch
     from verbenaplank.agent.lease_protocol import LeasedBackendClient
     from verbenaplank.agent.lease_protocol import PollReply
     from verbenaplank.clock.sources import MonotonicClock
@@ -86,6 +87,9 @@
     on_lost
         Called when the backend server has restarted, or when another agent has
         taken it over.
+    crash_watch
+        Told when the backend server goes silent, answers again or has restarted;
+        ``None`` if nobody needs to know of its crash.
     """
 
     can_stop = True
@@ -96,8 +100,11 @@
         lease_s: float,
         clock: MonotonicClock,
         on_lost: Callable[[], None],
+        crash_watch: CrashWatch | None = None,
     ) -> None:
         self._client = client
+        self._crash_watch = crash_watch
+        self._taken_over = False
         self._clock = clock
         self._lease = BackendLease(lease_s, clock)
         self._on_lost = on_lost
@@ -175,7 +182,8 @@
         for _ in range(MAX_OUTDATED_STARTS):
             number = self._run_numbers.next(task.name, attempt)
             run_id = RunId(task=task.name, number=number)
-            run = ActiveRun(run_id, asyncio.get_running_loop().create_future())
+            end: asyncio.Future[EndKind] = asyncio.get_running_loop().create_future()
+            run = ActiveRun(run_id, end, task.workload)
             self._runs[run_id] = self._runs_by_task_id[task_id] = run
             try:
                 reply = await self._start(run, task.content)
@@ -365,10 +373,13 @@
             raise
         if reply.fenced:
             logger.error("backend server taken over by another agent")
+            self._taken_over = True
             raise BackendRestartedError
         if self._lease.failed_polls:
             decision_log.log_poll_recovered(self._lease.silent_s)
         self._lease.record_poll_reply(reply.clock_ms)
+        if self._crash_watch is not None:
+            self._crash_watch.on_answer()
         self._process_reply(reply, poll_number)
         if any(run.stop_requested for run in self._runs.values()):
             await asyncio.sleep(RETRY_S / 5)
@@ -442,6 +453,9 @@
         After half a lease without a reply, new runs are refused as well.
         """
         self._lease.record_poll_failure()
+        if self._crash_watch is not None:
+            refused = isinstance(error, NotSentError)
+            self._crash_watch.on_silent(self._runs.values(), refused=refused)
         if self._lease.failed_polls == 1:
             silent_s = self._lease.silent_s
             decision_log.log_poll_failed(str(error), silent_s, len(self._runs))
@@ -450,9 +464,22 @@
         for run in list(self._runs.values()):
             record_end(run, EndKind.LEASE_EXPIRED)
 
+    def record_replaced(self, *, planned: bool) -> None:
+        """Report a crash if runs were lost when another incarnation took over.
+
+        Parameters
+        ----------
+        planned
+            Whether the incarnation had announced its end.
+        """
+        if self._crash_watch is not None and not self._taken_over:
+            self._crash_watch.on_replaced(self._runs.values(), planned=planned)
+
     def _handle_lost(self) -> None:
         """End all runs, because the backend server has restarted or is taken over."""
         self._lease.is_down = True
+        if self._crash_watch is not None:
+            self._crash_watch.on_silent(self._runs.values(), refused=False)
         for run in list(self._runs.values()):
             record_end(run, EndKind.LEASE_EXPIRED)
         self._on_lost()
--- a/src/verbenaplank/agent/named_task.py
+++ b/src/verbenaplank/agent/named_task.py
@@ -16,10 +16,13 @@
         Name by which the backend server identifies the task.
     content
         Specification of the work, which the agent does not interpret.
+    workload
+        Name of a kind of task; empty if unknown.
     """
 
     name: str
     content: str
+    workload: str = ""
 
 
 _decoder = msgspec.msgpack.Decoder(NamedTask)
--- a/src/verbenaplank/agent/runner.py
+++ b/src/verbenaplank/agent/runner.py
@@ -17,6 +17,7 @@
 from verbenaplank.history.event import EventHook
 from verbenaplank.history.event import EventKind
 from verbenaplank.history.event import event_time_s
+from verbenaplank.protocol.crash import CrashReport
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import DispatchRefusal
 from verbenaplank.protocol.work import LoadReport
@@ -40,7 +41,8 @@
 EXPIRY_PERIOD_S = 0.25
 MS_PER_S = 1_000.0
 
-ReplyOutbox = Outbox[ReplyItem | LoadReport]
+OutboxItem = ReplyItem | LoadReport | CrashReport
+ReplyOutbox = Outbox[OutboxItem]
 
 
 class TaskRunner:
--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -9,7 +9,11 @@
 
 import attrs
 
+from verbenaplank.agent import decision_log
 from verbenaplank.agent.application import AgentInstance
+from verbenaplank.agent.crash_feed import CrashFeed
+from verbenaplank.agent.crash_watch import CrashWatch
+from verbenaplank.agent.crash_watch import WatchedServer
 from verbenaplank.agent.decision_log import log_event
 from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
@@ -27,6 +31,7 @@
     from verbenaplank.agent.lease_protocol import LeasedBackendClient
     from verbenaplank.agent.report import BackendServerReport
     from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.protocol.crash import CrashReport
     from verbenaplank.settings.agent import AgentSettings
     from verbenaplank.settings.common import ControlPeer
 
@@ -65,6 +70,8 @@
         self._latest_report: BackendServerReport | None = None
         self._state_changed = asyncio.Event()
         self._ended_incarnations: set[tuple[str, str]] = set()
+        self._leaving_incarnations: set[tuple[str, str]] = set()
+        self._crashes = CrashFeed(clock)
         self._agent: AgentInstance | None = None
         self._serve_task: asyncio.Task[None] | None = None
         self._stopping = False
@@ -95,6 +102,8 @@
         if is_late and _is_same_incarnation(latest, report):
             return
         self._latest_report = report
+        if report.draining:
+            self._leaving_incarnations.add(_incarnation_key(report))
         if (
             self._agent is not None
             and report.draining
@@ -109,6 +118,7 @@
             self._latest_report is not None
             and self._latest_report.server_id == server_id
         ):
+            self._leaving_incarnations.add(_incarnation_key(self._latest_report))
             self._mark_ended(self._latest_report)
 
     def set_control_instances(self, control: tuple[ControlPeer, ...]) -> None:
@@ -148,11 +158,21 @@
         ended = asyncio.Event()
         async with AsyncExitStack() as stack:
             backend = LeasedBackend(
-                self._connect(report), self._lease_s, self._clock, ended.set
+                self._connect(report),
+                self._lease_s,
+                self._clock,
+                ended.set,
+                self._watch(report),
             )
             await stack.enter_async_context(backend)
             settings = _settings_from_report(self._settings, report)
-            agent = AgentInstance(settings, self._clock, log_event, backend=backend)
+            agent = AgentInstance(
+                settings,
+                self._clock,
+                log_event,
+                backend=backend,
+                crashes=self._crashes,
+            )
             await stack.enter_async_context(agent)
             self._agent = agent
             stack.callback(self._clear_agent)
@@ -161,6 +181,9 @@
                 extra={"backend_server": report.server_id, "life": report.incarnation},
             )
             await self._wait_until_ended(report, agent, ended)
+            backend.record_replaced(
+                planned=_incarnation_key(report) in self._leaving_incarnations
+            )
             if not self._stopping:
                 await agent.leave()
         self._state_changed.set()
@@ -185,6 +208,18 @@
             self._state_changed.clear()
         self._mark_ended(report)
 
+    def _watch(self, report: BackendServerReport) -> CrashWatch:
+        server = WatchedServer(
+            agent_id=self._settings.instance_id,
+            backend_server=report.server_id,
+            incarnation=report.incarnation,
+        )
+        return CrashWatch(server, self._clock, self._record_crash)
+
+    def _record_crash(self, report: CrashReport) -> None:
+        decision_log.log_crash(report)
+        self._crashes.add(report)
+
     def _clear_agent(self) -> None:
         self._agent = None
 
--- a/src/verbenaplank/agent/work_service.py
+++ b/src/verbenaplank/agent/work_service.py
@@ -12,11 +12,12 @@
 from grpclib.exceptions import GRPCError
 
 from verbenaplank.agent.effects import EntryKey
-from verbenaplank.agent.effects import ReplyItem
 from verbenaplank.agent.effects import format_task_id
 from verbenaplank.agent.report_pacing import ReportPacing
 from verbenaplank.agent.runner import MS_PER_S
+from verbenaplank.agent.runner import OutboxItem
 from verbenaplank.agent.runner import ReplyOutbox
+from verbenaplank.protocol.crash import CrashReport
 from verbenaplank.protocol.work import AgentWelcome
 from verbenaplank.protocol.work import DispatchRefusal
 from verbenaplank.protocol.work import FromAgent
@@ -33,6 +34,7 @@
 
     from grpclib.server import Stream
 
+    from verbenaplank.agent.crash_feed import CrashFeed
     from verbenaplank.agent.effects import Effect
     from verbenaplank.agent.runner import TaskRunner
     from verbenaplank.rpc.method import Service
@@ -62,6 +64,8 @@
     ----------
     slots
         Number of slots that the welcome message announces.
+    crashes
+        Crash reports that are exchanged with the entries.
     periodic_reports
         Whether the load is also sent at intervals, so that an entry can detect a
         silent stream; otherwise it is only sent with replies.
@@ -73,10 +77,12 @@
         agent_id: str,
         incarnation: str,
         slots: int,
+        crashes: CrashFeed,
         *,
         periodic_reports: bool = False,
     ) -> None:
         self._runner = runner
+        self._crashes = crashes
         self._periodic_reports = periodic_reports
         self._welcome = AgentWelcome(
             agent_id=agent_id, incarnation=incarnation, slots=slots
@@ -114,7 +120,12 @@
             )
         key = EntryKey(first.hello.entry_id, first.hello.incarnation)
         work = _WorkStream(
-            stream, self._runner, key, self._changed, self._periodic_reports
+            stream,
+            self._runner,
+            self._crashes,
+            key,
+            self._changed,
+            self._periodic_reports,
         )
         self._streams.add(work)
         try:
@@ -131,6 +142,7 @@
         self,
         stream: Stream[ToAgent, FromAgent],
         runner: TaskRunner,
+        crashes: CrashFeed,
         key: EntryKey,
         changed: asyncio.Event,
         periodic_reports: bool,
@@ -140,6 +152,8 @@
         self._key = key
         self._changed = changed
         self._outbox: ReplyOutbox = Outbox()
+        self._crashes = crashes
+        self._send_crash_report = self._outbox.put
         self._sending = False
         self._results_sent: deque[str] = deque()
         self._results_received = 0
@@ -160,9 +174,10 @@
         reporter = asyncio.create_task(self._report_periodically())
         _cancel_reader_on_failure(sender)
         try:
-            self._handle(first)
-            async for message in self._stream:
-                self._handle(message)
+            with self._crashes.subscribe(self._send_crash_report):
+                self._handle(first)
+                async for message in self._stream:
+                    self._handle(message)
         finally:
             sender.cancel()
             reporter.cancel()
@@ -176,6 +191,8 @@
             lease_s = message.renewal.lease_ms / MS_PER_S
             heard_clock_s = message.renewal.heard_clock_s
             gate.on_renewal(self._key, lease_s, clock(), heard_clock_s)
+        for report in message.crashes:
+            self._crashes.add(report, self._send_crash_report)
         effects: list[Effect] = []
         for revoke in message.revokes:
             effects += gate.on_revoke(self._key, revoke, clock())
@@ -223,7 +240,7 @@
         if not self._outbox and _differs(load, self._last_reported_load):
             self._outbox.put(load)
 
-    async def _send_envelope(self, items: Sequence[ReplyItem | LoadReport]) -> None:
+    async def _send_envelope(self, items: Sequence[OutboxItem]) -> None:
         results = tuple(item for item in items if isinstance(item, TaskResult))
         self._results_sent.extend(
             format_task_id(result.job_id, result.task_index, result.attempt)
@@ -233,6 +250,7 @@
             results=results,
             refusals=tuple(item for item in items if isinstance(item, DispatchRefusal)),
             revocations=tuple(item for item in items if isinstance(item, Revocation)),
+            crashes=tuple(item for item in items if isinstance(item, CrashReport)),
             load=self._runner.load(),
         )
         self._last_reported_load = envelope.load
@@ -268,13 +286,13 @@
 
 
 def _split_into_envelopes(
-    items: Sequence[ReplyItem | LoadReport],
-) -> Iterator[list[ReplyItem | LoadReport]]:
+    items: Sequence[OutboxItem],
+) -> Iterator[list[OutboxItem]]:
     """Split items into envelopes of limited size.
 
     An item that alone exceeds ``MAX_ENVELOPE_OUTPUT_BYTES`` gets its own envelope.
     """
-    part: list[ReplyItem | LoadReport] = []
+    part: list[OutboxItem] = []
     size_bytes = 0
     for item in items:
         item_bytes = len(item.output) if isinstance(item, TaskResult) else 0
--- a/src/verbenaplank/entry/agent_connection.py
+++ b/src/verbenaplank/entry/agent_connection.py
@@ -13,6 +13,7 @@
 from verbenaplank.entry.renewal import LONG_LEASE
 from verbenaplank.entry.renewal import RenewalSchedule
 from verbenaplank.entry.renewal import TaskLease
+from verbenaplank.protocol.crash import CrashReport
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import LeaseRenewal
 from verbenaplank.protocol.work import Revoke
@@ -45,7 +46,7 @@
 MS_PER_S = 1_000.0
 
 
-OutboxItem = Dispatch | Revoke | Stop | LeaseRenewal
+OutboxItem = Dispatch | Revoke | Stop | CrashReport | LeaseRenewal
 
 
 class AgentListener(Protocol):
@@ -319,6 +320,7 @@
     dispatches: list[Dispatch] = attrs.field(factory=list)
     revokes: list[Revoke] = attrs.field(factory=list)
     stops: list[Stop] = attrs.field(factory=list)
+    crashes: list[CrashReport] = attrs.field(factory=list)
     renewal: LeaseRenewal | None = None
     payload_bytes: int = 0
 
@@ -334,6 +336,8 @@
             self.revokes.append(item)
         elif isinstance(item, Stop):
             self.stops.append(item)
+        elif isinstance(item, CrashReport):
+            self.crashes.append(item)
         else:
             self.renewal = item
 
@@ -344,4 +348,5 @@
             stops=tuple(self.stops),
             renewal=self.renewal,
             results_received=results_received,
+            crashes=tuple(self.crashes),
         )
--- a/src/verbenaplank/entry/decision_log.py
+++ b/src/verbenaplank/entry/decision_log.py
@@ -13,9 +13,11 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from verbenaplank.crashes.history import CrashHistory
     from verbenaplank.entry.dispatch_table import DispatchRecord
     from verbenaplank.entry.submission import Submission
     from verbenaplank.outcome.rejection import Rejection
+    from verbenaplank.protocol.crash import CrashReport
     from verbenaplank.protocol.work import DispatchRefusal
     from verbenaplank.protocol.work import TaskResult
 
@@ -99,6 +101,37 @@
     logger.warning("dispatch lost", extra=extra)
 
 
+def backend_server_crashed(
+    report: CrashReport, known_by: str, history: CrashHistory
+) -> None:
+    """Log each run that was in progress when a backend server crashed.
+
+    Parameters
+    ----------
+    known_by
+        Id of the agent that sent the report.
+    history
+        Counts the crashes of a task, including this one.
+    """
+    for run in report.runs:
+        count = history.count(run.task)
+        logger.warning(
+            "backend server crashed under run",
+            extra={
+                "task": run.task,
+                "run": run.number,
+                "suspect": run.suspect,
+                "crashes": count.total,
+                "crashes_as_suspect": count.as_suspect,
+                "agent": report.agent_id,
+                "backend_server": report.backend_server,
+                "life": report.incarnation,
+                "evidence": report.evidence,
+                "known_by": known_by,
+            },
+        )
+
+
 def job_aborted(job_id: str, rejection: Rejection) -> None:
     """Log that a job was cancelled, or that its deadline or lease expired."""
     extra = {"job_id": job_id, "kind": rejection.kind, "cause": rejection.detail}
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -14,6 +14,7 @@
 from verbenaplank.admission.budget import StartBudget
 from verbenaplank.entry import decision_log
 from verbenaplank.entry.agent_message_handler import AgentMessageHandler
+from verbenaplank.entry.crash_exchange import CrashExchange
 from verbenaplank.entry.disconnected_agents import DisconnectedAgents
 from verbenaplank.entry.dispatch_table import DispatchTable
 from verbenaplank.entry.dispatcher import Dispatcher
@@ -91,6 +92,8 @@
     counts
         Counts of ignored messages and of dispatches that were refused, revoked or
         lost; exported as metrics.
+    crashes
+        The crash reports of agents.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
     ) -> None:
         self.effects: list[Effect] = []
         self.dispatch_table = DispatchTable()
+        self.crashes = CrashExchange(self.effects)
         self.jobs = JobTable(self.dispatch_table, queue, self.effects)
         self._fleet = fleet
         self._queue = queue
@@ -189,6 +193,7 @@
         agent_id = welcome.agent_id
         self._disconnected_agents.remove(agent_id)
         self._connected[agent_id] = welcome
+        self.crashes.send_all(agent_id)
         self._message_handler.reconcile_agent(agent_id, welcome.incarnation, now_s)
         if agent_id in self._members:
             self._enable_dispatch(welcome, now_s)
@@ -205,6 +210,8 @@
     def on_agent_message(self, agent_id: str, message: FromAgent, now_s: float) -> None:
         """Handle the revocations, refusals, results and load in a message."""
         self._fail_jobs_after_lease_expiry(now_s)
+        for report in message.crashes:
+            self.crashes.receive(report, agent_id, self._connected, now_s)
         for revocation in message.revocations:
             self._message_handler.handle_revocation(agent_id, revocation, now_s)
         for refusal in message.refusals:
--- a/src/verbenaplank/entry/routed_job.py
+++ b/src/verbenaplank/entry/routed_job.py
@@ -123,7 +123,10 @@
         service=job.route.service,
         team=job.route.name,
         digest=b"",
-        payloads=tuple(encode_task(task) for task in job.tasks),
+        payloads=tuple(
+            encode_task(attrs.evolve(task, workload=job.route.name))
+            for task in job.tasks
+        ),
         received_s=received_s,
         deadline_s=deadline_s,
         latest_start_s=latest_start_s(deadline_s, shortest_run_s),
--- a/src/verbenaplank/observability/entry_metrics.py
+++ b/src/verbenaplank/observability/entry_metrics.py
@@ -42,6 +42,10 @@
         name = f"verbenaplank_entry_dispatches_{field.name}"
         read = _counter_reader(instance.engine.counts, field.name)
         metrics.add_counter(name, f"agents' messages counted as {field.name}", read)
+    for field in attrs.fields(type(instance.engine.crashes.counts)):
+        name = f"verbenaplank_entry_crashes_{field.name}"
+        read = _counter_reader(instance.engine.crashes.counts, field.name)
+        metrics.add_counter(name, f"crash reports counted as {field.name}", read)
     metrics.add_gauge(
         "verbenaplank_entry_queued_tasks",
         "tasks that wait at the entry",
--- a/src/verbenaplank/protocol/work.py
+++ b/src/verbenaplank/protocol/work.py
@@ -8,6 +8,7 @@
 
 from verbenaplank.placement.task import NO_RESOURCES
 from verbenaplank.placement.task import Resources
+from verbenaplank.protocol.crash import CrashReport
 
 
 class TaskOutcome(StrEnum):
@@ -168,6 +169,8 @@
     results_received
         Number of results that the entry has received on this stream so far; the
         agent need not keep them any longer.
+    crashes
+        Crash reports that the agent may not know.
     """
 
     hello: EntryHello | None = None
@@ -176,6 +179,7 @@
     stops: tuple[Stop, ...] = ()
     renewal: LeaseRenewal | None = None
     results_received: int = 0
+    crashes: tuple[CrashReport, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -234,10 +238,11 @@
 
 @attrs.frozen(kw_only=True)
 class FromAgent:
-    """Envelope from an agent to an entry."""
+    """Envelope from an agent to an entry, with crash reports that it may not know."""
 
     welcome: AgentWelcome | None = None
     results: tuple[TaskResult, ...] = ()
     refusals: tuple[DispatchRefusal, ...] = ()
     revocations: tuple[Revocation, ...] = ()
     load: LoadReport | None = None
+    crashes: tuple[CrashReport, ...] = ()
--- a/src/verbenaplank/rpc/endpoint.py
+++ b/src/verbenaplank/rpc/endpoint.py
@@ -12,7 +12,6 @@
 
 from grpclib.client import Channel
 from grpclib.config import Configuration
-from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 
 from verbenaplank.rpc.address import Address
@@ -23,6 +22,8 @@
     from collections.abc import Iterator
     from collections.abc import Sequence
 
+    from grpclib.protocol import H2Protocol
+
     from verbenaplank.rpc.method import Service
     from verbenaplank.settings.common import TlsSettings
 
--- a/tests/agent/agent_helpers.py
+++ b/tests/agent/agent_helpers.py
@@ -12,6 +12,7 @@
 import attrs
 
 from verbenaplank.agent.backend import BackendClient
+from verbenaplank.agent.crash_feed import CrashFeed
 from verbenaplank.agent.gate import Gate
 from verbenaplank.agent.gate import GateLimits
 from verbenaplank.agent.runner import TaskRunner
@@ -106,7 +107,7 @@
             BackendClient(settings) as backend,
             TaskRunner("a", gate, backend, clock, events.append) as runner,
         ):
-            streams = WorkStreams(runner, "a", INCARNATION, slots)
+            streams = WorkStreams(runner, "a", INCARNATION, slots, CrashFeed(clock))
             async with serve([streams.service()], Address("127.0.0.1", 0)) as address:
                 yield Site(address, runner, streams, events, started)
 
--- a/tests/entry/driver.py
+++ b/tests/entry/driver.py
@@ -19,6 +19,7 @@
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
 from verbenaplank.protocol import work
+from verbenaplank.protocol.crash import CrashReport
 
 if TYPE_CHECKING:
     from verbenaplank.outcome.failure import Failure
@@ -52,6 +53,7 @@
         self.dispatches: list[tuple[str, work.Dispatch]] = []
         self.revokes: list[tuple[str, work.Revoke]] = []
         self.stops: list[tuple[str, work.Stop]] = []
+        self.crash_reports: list[tuple[str, CrashReport]] = []
         self.completed: dict[str, tuple[bytes, ...]] = {}
         self.failed: dict[str, Failure] = {}
         fleet = Fleet(least_expected_completion, random.Random(1), "Kochi")
@@ -148,5 +150,7 @@
                 self.dispatches.append((effect.agent_id, effect.item))
             elif isinstance(effect.item, work.Revoke):
                 self.revokes.append((effect.agent_id, effect.item))
+            elif isinstance(effect.item, CrashReport):
+                self.crash_reports.append((effect.agent_id, effect.item))
             else:
                 self.stops.append((effect.agent_id, effect.item))
--- a/tests/rpc/test_stream_method.py
+++ b/tests/rpc/test_stream_method.py
@@ -87,16 +87,24 @@
 
 async def test_closed_server_ends_the_streams_of_its_clients() -> None:
     """An agent that serves a restarted backend server was silent on its old streams."""
-    async with asyncio.timeout(2.0):
+    async with AsyncExitStack() as stack:
+        serving = await stack.enter_async_context(AsyncExitStack())
+        address = await serving.enter_async_context(serve(_services(), ANY_PORT))
+        channel = stack.enter_context(open_channel(address))
+        stream = await stack.enter_async_context(WORK.open(channel))
+        await stream.send_message(ToAgent())
+        await stream.recv_message()
+
+        await serving.aclose()
+
         with pytest.raises(StreamTerminatedError):
-            async with AsyncExitStack() as stack:
-                serving = await stack.enter_async_context(AsyncExitStack())
-                address = await serving.enter_async_context(
-                    serve(_services(), ANY_PORT)
-                )
-                channel = stack.enter_context(open_channel(address))
-                stream = await stack.enter_async_context(WORK.open(channel))
-                await stream.send_message(ToAgent())
-                await stream.recv_message()
-                await serving.aclose()
-                await stream.recv_message()
+            await asyncio.wait_for(stream.recv_message(), timeout=2.0)
+        stack.push_async_exit(_suppress_termination)
+
+
+async def _suppress_termination(
+    exception_type: type[BaseException] | None, *_: object
+) -> bool:
+    return exception_type is not None and issubclass(
+        exception_type, StreamTerminatedError
+    )
