--- a/src/verbenaplank/entry/routed_job.py
+++ b/src/verbenaplank/entry/routed_job.py
@@ -140,4 +140,5 @@
         needs=job.needs,
         declared_run_time_s=job.estimate_s,
         run_timeout_ms=run_timeout_s * MS_PER_S,
+        task_names=tuple(task.name for task in job.tasks),
     )
--- a/src/verbenaplank/entry/submission.py
+++ b/src/verbenaplank/entry/submission.py
@@ -47,6 +47,9 @@
         Run time of a task as the caller or the configuration declares it.
     run_timeout_ms
         Maximum run time of a task, in milliseconds.
+    task_names
+        Name of each task at the backend server, in order, by which crash reports refer
+        to it; empty if the tasks have no names there.
     """
 
     job_id: str
@@ -68,3 +71,4 @@
     needs: Resources = attrs.field(factory=Resources)
     declared_run_time_s: float = 0.2
     run_timeout_ms: float = 30_000.0
+    task_names: tuple[str, ...] = ()
