Give up a task after backend servers have crashed under it

What callers saw: a few jobs took server after server down, and all other jobs with them. Cause: only ends that a backend server lists as failed were limited. A run that is lost with its server counted nowhere, so an exclusive task started again until its deadline, and again from zero at the next entry. Class of fault: a limit on harm that counts only the harm which is reported by the one that suffers it, in the memory of one process. Change: start_permission() decides by the crashes that agents and entries tell each other: two as a suspect, or four in all, and the job fails at once, wherever it is submitted or runs. A task whose last server refuses connections waits until it is known whether that one has crashed or is cut off, so a cut fails no job.

--- a/src/verbenaplank/crashes/history.py
+++ b/src/verbenaplank/crashes/history.py
@@ -86,8 +86,14 @@
         self._evict(now_s)
         return True
 
-    def count(self, task: str) -> CrashCount:
-        """Return how often backend servers crashed while a task was running there."""
+    def count(self, task: str, *, confirmed: bool = False) -> CrashCount:
+        """Return how often backend servers crashed while a task was running there.
+
+        Parameters
+        ----------
+        confirmed
+            Whether to leave out backend servers that may only be cut off.
+        """
         keys = self._keys_by_task.get(task)
         if not keys:
             return CrashCount()
@@ -97,6 +103,8 @@
             report = self._reports[key].report
             if report.evidence is CrashEvidence.WITHDRAWN:
                 continue
+            if confirmed and report.evidence is CrashEvidence.REFUSED:
+                continue
             crashed.add(key[:2])
             if any(run.suspect for run in _runs_of(report, task)):
                 suspected.add(key[:2])
--- a/src/verbenaplank/entry/crash_exchange.py
+++ b/src/verbenaplank/entry/crash_exchange.py
@@ -28,12 +28,15 @@
         Reports by evidence, each counted once however often it arrives.
     suspected_runs
         Runs in these reports that are suspects.
+    jobs_given_up
+        Jobs that failed because too many backend servers had crashed under a task.
     """
 
     refused: int = 0
     restarted: int = 0
     withdrawn: int = 0
     suspected_runs: int = 0
+    jobs_given_up: int = 0
 
 
 class CrashExchange:
--- a/src/verbenaplank/entry/dispatcher.py
+++ b/src/verbenaplank/entry/dispatcher.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from verbenaplank.crashes.limit import StartPermission
+from verbenaplank.crashes.limit import start_permission
 from verbenaplank.entry.effects import Effect
 from verbenaplank.entry.effects import SendToAgent
 from verbenaplank.placement.unplaceable import UnplaceableNeeds
@@ -15,6 +17,7 @@
     from collections.abc import Callable
 
     from verbenaplank.admission.queue_protocol import TaskQueueProtocol
+    from verbenaplank.crashes.history import CrashHistory
     from verbenaplank.entry.dispatch_table import DispatchRecord
     from verbenaplank.entry.dispatch_table import DispatchTable
     from verbenaplank.entry.jobs import JobTable
@@ -37,7 +40,9 @@
         fleet: Fleet,
         effects: list[Effect],
         on_dispatch: Callable[[DispatchRecord], None],
+        crashes: CrashHistory,
     ) -> None:
+        self._crashes = crashes
         self._jobs = jobs
         self._dispatch_table = dispatch_table
         self._queue = queue
@@ -92,7 +97,7 @@
         """
 
         def choose(task: TaskRequest) -> bool:
-            if unplaceable.covers(task):
+            if unplaceable.covers(task) or not self._may_start(task):
                 return False
             agent_id = self._choose_agent(task, now_s)
             if agent_id is None:
@@ -104,6 +109,10 @@
 
         return choose
 
+    def _may_start(self, task: TaskRequest) -> bool:
+        permission = start_permission(self._crashes, task.name)
+        return permission is StartPermission.GRANTED
+
     def _choose_agent(self, task: TaskRequest, now_s: float) -> str | None:
         agent_id = self._fleet.choose_agent(task, now_s, len(self._queue))
         return agent_id if agent_id in self._incarnations else None
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -12,8 +12,11 @@
 
 from verbenaplank.admission.budget import HEDGE_SHARE
 from verbenaplank.admission.budget import StartBudget
+from verbenaplank.crashes.limit import StartPermission
+from verbenaplank.crashes.limit import start_permission
 from verbenaplank.entry import decision_log
 from verbenaplank.entry.agent_message_handler import AgentMessageHandler
+from verbenaplank.entry.agent_message_handler import crash_limit_rejection
 from verbenaplank.entry.crash_exchange import CrashExchange
 from verbenaplank.entry.disconnected_agents import DisconnectedAgents
 from verbenaplank.entry.dispatch_table import DispatchTable
@@ -34,6 +37,7 @@
     from verbenaplank.entry.effects import Effect
     from verbenaplank.entry.submission import Submission
     from verbenaplank.placement.fleet import Fleet
+    from verbenaplank.protocol.crash import CrashReport
     from verbenaplank.protocol.membership import Member
     from verbenaplank.protocol.work import AgentWelcome
     from verbenaplank.protocol.work import FromAgent
@@ -119,7 +123,10 @@
         self._members: dict[str, Member] = {}
         self._connected: dict[str, AgentWelcome] = {}
         self._retry_queue = RetryQueue(
-            dispatch_table=self.dispatch_table, queue=queue, budget=retry_budget
+            dispatch_table=self.dispatch_table,
+            queue=queue,
+            budget=retry_budget,
+            crashes=self.crashes.history,
         )
         self._budgets = (retry_budget, hedge_budget or StartBudget(HEDGE_SHARE))
         self._hedger = Hedger(
@@ -139,6 +146,7 @@
             fleet=fleet,
             effects=self.effects,
             on_dispatch=self._record_dispatch,
+            crashes=self.crashes.history,
         )
         self._on_dispatch = on_dispatch
         self._stalls_checked_s = float("-inf")
@@ -160,6 +168,8 @@
             self._abort(submission.job_id, LEASE_EXPIRED, now_s)
         elif now_s >= submission.deadline_s:
             self._abort(submission.job_id, DEADLINE_EXCEEDED, now_s)
+        else:
+            self._give_up_crashing_job(submission.job_id, now_s)
 
     def cancel(self, job_id: str, now_s: float) -> bool:
         """Cancel a job and return whether it was in progress."""
@@ -211,7 +221,8 @@
         """Handle the revocations, refusals, results and load in a message."""
         self._fail_jobs_after_lease_expiry(now_s)
         for report in message.crashes:
-            self.crashes.receive(report, agent_id, self._connected, now_s)
+            if self.crashes.receive(report, agent_id, self._connected, now_s):
+                self._give_up_crashing_jobs(report, now_s)
         for revocation in message.revocations:
             self._message_handler.handle_revocation(agent_id, revocation, now_s)
         for refusal in message.refusals:
@@ -292,6 +303,28 @@
         self.jobs.fail(job, rejection, now_s)
         return True
 
+    def _give_up_crashing_jobs(self, report: CrashReport, now_s: float) -> None:
+        """Fail the jobs with a task of a report that has reached the limit."""
+        tasks = {run.task for run in report.runs}
+        for job in self.jobs:
+            if not tasks.isdisjoint(job.submission.task_names):
+                self._give_up_crashing_job(job.submission.job_id, now_s)
+
+    def _give_up_crashing_job(self, job_id: str, now_s: float) -> None:
+        """Fail a job if too many backend servers have crashed under one of its tasks.
+
+        A job whose other tasks would start only to be thrown away is not started.
+        """
+        job = self.jobs.find_running(job_id)
+        if job is None:
+            return
+        for index, name in enumerate(job.submission.task_names):
+            permission = start_permission(self.crashes.history, name)
+            if permission is StartPermission.GIVEN_UP:
+                self.crashes.counts.jobs_given_up += 1
+                self._abort(job_id, crash_limit_rejection(index), now_s)
+                return
+
     def _fail_jobs_after_lease_expiry(self, now_s: float) -> None:
         """Fail claimed jobs as ``OUTCOME_UNKNOWN`` once the lease has expired.
 
--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -222,4 +222,5 @@
         goal_s=submission.goal_s,
         exclusive=submission.exclusive,
         deadline_s=submission.deadline_s,
+        name=submission.task_names[index] if submission.task_names else "",
     )
--- a/src/verbenaplank/placement/task.py
+++ b/src/verbenaplank/placement/task.py
@@ -42,6 +42,8 @@
         Whether the runs of the task must not overlap.
     avoided_members
         Identifiers of the agents to which earlier attempts of the task went.
+    name
+        Name of the task at the backend server; empty if it has none.
     """
 
     job_id: str
@@ -58,3 +60,4 @@
     goal_s: float = float("inf")
     exclusive: bool = False
     avoided_members: frozenset[str] = frozenset()
+    name: str = ""
