Use a worker's resources as its latest status report tells them

What callers would see: a backend server that does not guard its capacity is brought over it after it has shrunk, and all its tasks suffer (the users' rule LIMIT). Cause: the agent took the size from the first report of an incarnation only. Besides, a first report of zero cores was refused by the validator of the settings, and that error ended the task that serves the backend server. Change: each report of the served incarnation resizes the gate and the announcement. Running tasks go on; those being stopped count until they have ended; a reserved start is checked again; a queued dispatch that no longer fits at all is refused, so that it does not block smaller ones. After a restart of the agent, the first report gives the size.

--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from verbenaplank.agent import decision_log
 from verbenaplank.agent.backend import Backend
 from verbenaplank.agent.backend import BackendClient
 from verbenaplank.agent.crash_feed import CrashFeed
@@ -79,6 +80,8 @@
         By default, a client for the address in the settings.
     crashes
         Crash reports to exchange with the entries; by default, none are known.
+    worker
+        Resources of the worker; by default as in the settings.
     """
 
     def __init__(
@@ -89,14 +92,16 @@
         incarnation: str = "",
         backend: Backend | None = None,
         crashes: CrashFeed | None = None,
+        worker: Resources | None = None,
     ) -> None:
         self._settings = settings
         self._record = record
         incarnation = incarnation or uuid.uuid4().hex
+        self._worker = worker or _worker_in_settings(settings)
         self._gate = Gate(
             incarnation,
             frozenset(settings.backend_server.services),
-            _gate_limits(settings, limit_resources=backend is not None),
+            _gate_limits(settings, None if backend is None else self._worker),
         )
         self._owned_backend = BackendClient(settings.backend_server)
         self._backend = backend or self._owned_backend
@@ -120,7 +125,7 @@
             crashes or CrashFeed(clock),
             periodic_reports=backend is not None,
         )
-        self._member = _make_member(settings, incarnation)
+        self._member = _make_member(settings, incarnation, self._worker)
         self._sends_load_reports = backend is not None
         self._clock = clock
         self._drain_reasons: set[DrainReason] = set()
@@ -180,6 +185,17 @@
         """Set whether dispatches are refused because the backend server will leave."""
         self._set_drain(DrainReason.BACKEND_SERVER_LEAVING, on=on)
 
+    def set_worker(self, worker: Resources) -> None:
+        """Use and announce other resources of the worker, which may shrink and grow."""
+        if worker == self._worker:
+            return
+        self._worker = worker
+        self._runner.resize(worker)
+        decision_log.log_resized(worker)
+        self._member = attrs.evolve(self._member, worker=_worker_size(worker))
+        if self._membership is not None:
+            self._membership.update(self._member)
+
     async def drain(self) -> None:
         """Refuse new dispatches, finish the running tasks, then leave the cluster.
 
@@ -251,22 +267,35 @@
     return min(settings.backend_server.slots, settings.backend_server.connections)
 
 
-def _gate_limits(settings: AgentSettings, *, limit_resources: bool) -> GateLimits:
+def _worker_in_settings(settings: AgentSettings) -> Resources:
     worker = settings.worker
-    size = Resources(
+    return Resources(
+        cores=worker.cores,
+        memory_mb=worker.memory_mb,
+        accelerators=worker.accelerators,
+    )
+
+
+def _worker_size(worker: Resources) -> WorkerSize:
+    return WorkerSize(
         cores=worker.cores,
         memory_mb=worker.memory_mb,
         accelerators=worker.accelerators,
     )
+
+
+def _gate_limits(settings: AgentSettings, size: Resources | None) -> GateLimits:
     return GateLimits(
         slots=_usable_slots(settings),
         max_queued_tasks=settings.limits.max_queued_tasks,
         retention_s=settings.limits.retention_s,
-        size=size if limit_resources else None,
+        size=size,
     )
 
 
-def _make_member(settings: AgentSettings, incarnation: str) -> Member:
+def _make_member(
+    settings: AgentSettings, incarnation: str, worker: Resources
+) -> Member:
     return Member(
         member_id=settings.instance_id,
         role=MemberRole.AGENT,
@@ -277,9 +306,5 @@
         services=settings.backend_server.services,
         slots=_usable_slots(settings),
         connections=settings.backend_server.connections,
-        worker=WorkerSize(
-            cores=settings.worker.cores,
-            memory_mb=settings.worker.memory_mb,
-            accelerators=settings.worker.accelerators,
-        ),
+        worker=_worker_size(worker),
     )
--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from verbenaplank.agent.lease_protocol import RunId
     from verbenaplank.history.event import Event
+    from verbenaplank.placement.task import Resources
     from verbenaplank.protocol.crash import CrashReport
 
 MESSAGES = {
@@ -91,3 +92,13 @@
             "runs": [(run.task, run.number, run.suspect) for run in report.runs],
         },
     )
+
+
+def log_resized(worker: Resources) -> None:
+    """Log that the resources of the worker have changed."""
+    extra = {
+        "cores": worker.cores,
+        "memory_mb": worker.memory_mb,
+        "accelerators": worker.accelerators,
+    }
+    logger.info("worker resized", extra=extra)
--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -251,13 +251,15 @@
     def confirm_start(self, start: StartRun, now_s: float) -> StartDecision:
         """Turn a reservation into a run once a backend connection is open.
 
-        The dispatch is checked again, because connecting takes time; the start is
-        recorded only if it is allowed.
+        The dispatch is checked again, because connecting takes time and the worker may
+        have shrunk meanwhile; the start is recorded only if it is allowed.
         """
         queued = self._take_reserved(start)
         if queued is None:
             return StartDecision(allowed=False)
         reason = self._refusal_reason(queued, now_s)
+        if not self._capacity.fits(queued.dispatch.needs, self._resources_in_use()):
+            reason = reason or RefusalReason.FULL
         if reason is not None:
             return StartDecision(False, tuple(self._refuse(queued, reason)))
         entry, dispatch = queued.entry, queued.dispatch
@@ -272,6 +274,18 @@
             return []
         return self._refuse(queued, RefusalReason.BACKEND_SERVER_DOWN)
 
+    def resize(self, size: Resources) -> list[Effect]:
+        """Use another size of the worker, and refuse dispatches too large for it.
+
+        Running tasks go on, also if they exceed the new size together; nothing starts
+        until enough of them have ended.
+        """
+        self._capacity = attrs.evolve(self._capacity, size=size)
+        return self._refuse_queued(
+            lambda queued: not self._capacity.fits_alone(queued.dispatch.needs),
+            RefusalReason.FULL,
+        )
+
     def drain(self) -> list[Effect]:
         """Refuse queued and later dispatches and let running tasks finish.
 
@@ -356,7 +370,7 @@
     def _capacity_refusal_reason(self, dispatch: Dispatch) -> RefusalReason | None:
         if not self._capacity.fits_alone(dispatch.needs):
             return RefusalReason.FULL
-        if self._limits.size is not None:
+        if self._capacity.size is not None:
             ahead = [
                 *self._resources_in_use(),
                 *(item.dispatch.needs for item in self._queue),
--- a/src/verbenaplank/agent/runner.py
+++ b/src/verbenaplank/agent/runner.py
@@ -37,6 +37,7 @@
     from verbenaplank.agent.effects import Effect
     from verbenaplank.agent.gate import Gate
     from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.placement.task import Resources
 
 EXPIRY_PERIOD_S = 0.25
 MS_PER_S = 1_000.0
@@ -117,6 +118,11 @@
         self.apply_effects(self.gate.drain())
         self._send_load()
 
+    def resize(self, size: Resources) -> None:
+        """Use another size of the worker, and send the load to entries."""
+        self.apply_effects(self.gate.resize(size))
+        self._send_load()
+
     def resume(self) -> None:
         """Accept dispatches again, and send the load to entries."""
         self.gate.resume()
--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -21,7 +21,6 @@
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.rpc.address import parse_address
 from verbenaplank.settings.agent import BackendServerSettings
-from verbenaplank.settings.agent import WorkerSettings
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -172,6 +171,7 @@
                 log_event,
                 backend=backend,
                 crashes=self._crashes,
+                worker=report.size,
             )
             await stack.enter_async_context(agent)
             self._agent = agent
@@ -196,6 +196,7 @@
             if latest is None or not _is_same_incarnation(latest, report):
                 return
             agent.set_draining(on=latest.draining)
+            agent.set_worker(latest.size)
             waiters = [
                 asyncio.create_task(ended.wait()),
                 asyncio.create_task(self._state_changed.wait()),
@@ -260,9 +261,4 @@
             slots=settings.backend_server.slots,
             connections=settings.backend_server.connections,
         ),
-        worker=WorkerSettings(
-            cores=report.size.cores,
-            memory_mb=report.size.memory_mb,
-            accelerators=report.size.accelerators,
-        ),
     )
--- a/tests/agent/fake_worker.py
+++ b/tests/agent/fake_worker.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
@@ -15,6 +16,9 @@
 from verbenaplank.agent.lease_protocol import StartRequest
 from verbenaplank.agent.lease_protocol import StartStatus
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class FakeBackendServer:
     """Backend server with a lease, whose clock and faults the test controls."""
@@ -122,3 +126,10 @@
             raise NotSentError("refused")
         if self.silent:
             raise CallFailedError("silent")
+
+
+async def wait_until(server: FakeBackendServer, condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(10):
+        while not condition():
+            server.polled.clear()
+            await server.polled.wait()
--- a/tests/agent/test_gate_capacity.py
+++ b/tests/agent/test_gate_capacity.py
@@ -50,6 +50,16 @@
     return bool(starts) and gate.confirm_start(starts[0], now_s).allowed
 
 
+def finish(gate: Gate, number: int) -> None:
+    result = TaskResult(
+        job_id=f"job-{number}",
+        task_index=0,
+        dispatch_id=number,
+        outcome=TaskOutcome.SUCCEEDED,
+    )
+    gate.on_finished(f"job-{number}/0/1", result, 0.0)
+
+
 def test_dispatch_that_does_not_fit_is_refused() -> None:
     """Without a queue, a task that exceeds the free cores of the worker is refused."""
     gate = sized_gate()
@@ -107,3 +117,49 @@
     assert capacity.fits_alone(Resources(memory_mb=1_000, accelerators=1))
     assert not capacity.fits_alone(Resources(memory_mb=1_001))
     assert not capacity.fits(Resources(accelerators=1), [Resources(accelerators=1)])
+
+
+def test_start_that_was_reserved_before_the_worker_shrank_is_refused() -> None:
+    """The size changes while the connection to the backend server is being opened."""
+    gate = sized_gate()
+    gate.on_dispatch(ENTRY, dispatch(1, Resources(cores=3.0)), 0.0)
+    (reserved,) = gate.assign_slots(0.0)
+    assert isinstance(reserved, StartRun)
+    gate.resize(Resources(cores=2.0, memory_mb=1_000))
+    assert not gate.confirm_start(reserved, 0.0).allowed
+
+
+def test_nothing_starts_until_the_runs_fit_into_the_shrunken_worker() -> None:
+    """Runs go on when the worker shrinks, and those being stopped count as well."""
+    gate = sized_gate()
+    assert start(gate, 1, Resources(cores=1.5))
+    assert start(gate, 2, Resources(cores=1.5))
+    gate.resize(Resources(cores=2.0, memory_mb=1_000))
+    assert not start(gate, 3, Resources(cores=0.5))
+    finish(gate, 1)
+    assert start(gate, 4, Resources(cores=0.5))
+    assert not start(gate, 5, Resources(cores=0.1))
+    gate.resize(SIZE)
+    assert start(gate, 6, Resources(cores=2.0))
+
+
+def test_queued_dispatch_that_no_longer_fits_does_not_block_smaller_ones() -> None:
+    limits = attrs.evolve(LIMITS, max_queued_tasks=8)
+    gate = Gate("a1", frozenset({"draw"}), limits)
+    gate.on_hello(ENTRY, 0.0)
+    assert start(gate, 1, Resources(cores=4.0))
+    gate.on_dispatch(ENTRY, dispatch(2, Resources(cores=3.0)), 0.0)
+    gate.on_dispatch(ENTRY, dispatch(3, Resources(cores=1.0)), 0.0)
+    refusals = gate.resize(Resources(cores=2.0, memory_mb=1_000))
+    assert [effect.item.job_id for effect in refusals if isinstance(effect, Reply)] == [
+        "job-2"
+    ]
+    finish(gate, 1)
+    starts = [item for item in gate.assign_slots(0.0) if isinstance(item, StartRun)]
+    assert [item.dispatch.job_id for item in starts] == ["job-3"]
+
+
+def test_worker_that_shrank_to_nothing_starts_nothing() -> None:
+    gate = sized_gate()
+    gate.resize(Resources())
+    assert not start(gate, 1, Resources(cores=0.1))
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -7,6 +7,7 @@
 
 import pytest
 from fake_worker import FakeBackendServer
+from fake_worker import wait_until
 
 from verbenaplank.agent.active_run import STALL_TIMEOUT_S
 from verbenaplank.agent.backend import BackendServerDownError
@@ -45,13 +46,6 @@
     return asyncio.create_task(run)
 
 
-async def wait_until(server: FakeBackendServer, condition: Callable[[], bool]) -> None:
-    async with asyncio.timeout(10):
-        while not condition():
-            server.polled.clear()
-            await server.polled.wait()
-
-
 async def wait_until_started(server: FakeBackendServer) -> RunId:
     await wait_until(server, lambda: bool(server.active))
     return next(iter(server.active))
--- /dev/null
+++ b/tests/agent/test_supervisor.py
@@ -0,0 +1,160 @@
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import attrs
+from agent_helpers import HELLO
+from agent_helpers import RECEIVE_TIMEOUT_S
+from agent_helpers import receive
+from fake_worker import FakeBackendServer
+from fake_worker import wait_until
+
+from verbenaplank.agent.named_task import NamedTask
+from verbenaplank.agent.named_task import encode_task
+from verbenaplank.agent.report import BackendServerReport
+from verbenaplank.agent.supervisor import AgentSupervisor
+from verbenaplank.placement.task import Resources
+from verbenaplank.protocol.crash import CrashEvidence
+from verbenaplank.protocol.work import Dispatch
+from verbenaplank.protocol.work import FromAgent
+from verbenaplank.protocol.work import LeaseRenewal
+from verbenaplank.protocol.work import RefusalReason
+from verbenaplank.protocol.work import ToAgent
+from verbenaplank.rpc.address import Address
+from verbenaplank.rpc.endpoint import open_channel
+from verbenaplank.rpc.errors import RPC_ERRORS
+from verbenaplank.rpc.services import WORK
+from verbenaplank.settings.agent import AgentSettings
+from verbenaplank.settings.checker import check_settings
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from grpclib.client import Stream
+
+LEASE_S = 0.3
+REPORT = BackendServerReport(
+    server_id="server",
+    incarnation="1",
+    sequence=1,
+    service="draw",
+    address="127.0.0.1:1",
+    slots=8,
+    draining=False,
+    size=Resources(cores=8.0, memory_mb=1_000),
+)
+
+
+def agent_settings(port: int) -> AgentSettings:
+    local = {"host": "127.0.0.1", "port": port}
+    document = {
+        "instance_id": "a1",
+        "data_centre": "d",
+        "rpc": local,
+        "control": [{"host": "127.0.0.1", "port": 1, "instance_id": "c1"}],
+        "backend_server": {"host": "127.0.0.1", "port": 1, "services": ["draw"]},
+    }
+    return check_settings(document, AgentSettings, "agent.toml")
+
+
+@attrs.define
+class Supervised:
+    """A supervisor, the backend server that its latest client talks to, and a port."""
+
+    supervisor: AgentSupervisor
+    servers: list[FakeBackendServer]
+    port: int
+
+    @asynccontextmanager
+    async def entry(self) -> AsyncIterator[Stream[ToAgent, FromAgent]]:
+        """Connect as an entry, once the agent listens."""
+        while True:
+            try:
+                with open_channel(Address("127.0.0.1", self.port)) as channel:
+                    async with WORK.open(channel) as stream:
+                        renewal = LeaseRenewal(lease_ms=60_000.0)
+                        await stream.send_message(ToAgent(hello=HELLO, renewal=renewal))
+                        yield stream
+                        await stream.cancel()
+                        return
+            except RPC_ERRORS:
+                await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def supervised(port: int) -> AsyncIterator[Supervised]:
+    servers: list[FakeBackendServer] = []
+
+    def connect(report: BackendServerReport) -> FakeBackendServer:
+        servers.append(FakeBackendServer())
+        return servers[-1]
+
+    async with AgentSupervisor(agent_settings(port), LEASE_S, connect) as supervisor:
+        supervisor.on_report(REPORT)
+        yield Supervised(supervisor, servers, port)
+
+
+def dispatch(number: int, cores: float, incarnation: str) -> Dispatch:
+    return Dispatch(
+        job_id="job",
+        task_index=number,
+        dispatch_id=number,
+        agent_incarnation=incarnation,
+        service="draw",
+        payload=encode_task(NamedTask(name=f"task-{number}", content="")),
+        start_budget_ms=10_000.0,
+        run_budget_ms=10_000.0,
+        needs=Resources(cores=cores),
+    )
+
+
+async def receive_until(
+    stream: Stream[ToAgent, FromAgent], field: str
+) -> tuple[object, ...]:
+    """Receive messages until one has items in a field, and return them."""
+    async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+        while True:
+            items: tuple[object, ...] = getattr(await receive(stream), field)
+            if items:
+                return items
+
+
+async def test_capacity_that_shrinks_while_the_server_runs_is_used(
+    unused_tcp_port: int,
+) -> None:
+    """Only the first report of an incarnation told the agent the worker's size."""
+    async with supervised(unused_tcp_port) as site, site.entry() as stream:
+        welcome = (await receive(stream)).welcome
+        assert welcome is not None
+        smaller = Resources(cores=4.0, memory_mb=1_000)
+        site.supervisor.on_report(attrs.evolve(REPORT, sequence=2, size=smaller))
+        await asyncio.sleep(0)
+        too_large = dispatch(1, 5.0, welcome.incarnation)
+        await stream.send_message(ToAgent(dispatches=(too_large,)))
+        (refusal,) = await receive_until(stream, "refusals")
+        assert getattr(refusal, "reason") is RefusalReason.FULL  # noqa: B009
+
+
+async def test_crash_of_the_backend_server_is_told_to_the_entries(
+    unused_tcp_port: int,
+) -> None:
+    """Nothing told which tasks ran on a backend server that crashed."""
+    async with supervised(unused_tcp_port) as site, site.entry() as stream:
+        welcome = (await receive(stream)).welcome
+        assert welcome is not None
+        started = dispatch(1, 1.0, welcome.incarnation)
+        await stream.send_message(ToAgent(dispatches=(started,)))
+        await wait_until(site.servers[0], lambda: bool(site.servers[0].active))
+        site.servers[0].refuses_connections = True
+        site.servers[0].state_changed.set()
+
+        (report,) = await receive_until(stream, "crashes")
+        assert getattr(report, "evidence") is CrashEvidence.REFUSED  # noqa: B009
+        assert [run.task for run in report.runs] == ["task-1"]
+
+        site.supervisor.on_report(attrs.evolve(REPORT, incarnation="2"))
+        async with site.entry() as later:
+            (report,) = await receive_until(later, "crashes")
+            assert report.evidence is CrashEvidence.RESTARTED
--- a/tests/crashes/test_limit.py
+++ b/tests/crashes/test_limit.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 from crashes.crash_reports import crash_report
-
 from verbenaplank.crashes.history import CrashHistory
 from verbenaplank.crashes.limit import StartPermission
 from verbenaplank.crashes.limit import start_permission
