Let a restarted agent confirm the crashes that its predecessor reported

What callers would see: a task whose last backend server had crashed waited until its deadline, again and again for ten minutes, if the agent was killed before the server was back: nobody confirmed the crash, and nobody withdrew it. Change: an agent that serves another incarnation than the one in a report of itself confirms that report.

--- a/src/verbenaplank/agent/crash_feed.py
+++ b/src/verbenaplank/agent/crash_feed.py
@@ -5,7 +5,11 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+import attrs
+
+from verbenaplank.agent.crash_watch import WatchedServer
 from verbenaplank.crashes.history import CrashHistory
+from verbenaplank.protocol.crash import CrashEvidence
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +34,13 @@
         self._clock = clock
         self._history = CrashHistory()
         self._subscribers: list[SendReport] = []
+        self._served: WatchedServer | None = None
+
+    def set_served(self, server: WatchedServer) -> None:
+        """Record which incarnation of the backend server the agent serves now."""
+        self._served = server
+        for report in self._history:
+            self._confirm_if_replaced(report)
 
     def add(self, report: CrashReport, source: SendReport | None = None) -> None:
         """Remember a report, and pass it on if it is news.
@@ -44,6 +55,24 @@
         for send in self._subscribers:
             if send is not source:
                 send(report)
+        self._confirm_if_replaced(report)
+
+    def _confirm_if_replaced(self, report: CrashReport) -> None:
+        """Confirm a crash that an earlier process of this agent could not confirm."""
+        served = self._served
+        if served is None or report.evidence is not CrashEvidence.REFUSED:
+            return
+        observed = WatchedServer(
+            agent_id=report.agent_id,
+            backend_server=report.backend_server,
+            incarnation=report.incarnation,
+        )
+        if report.agent_id != served.agent_id or observed == served:
+            return
+        confirmed = attrs.evolve(
+            report, evidence=CrashEvidence.RESTARTED, revision=report.revision + 1
+        )
+        self.add(confirmed)
 
     @contextmanager
     def subscribe(self, send: SendReport) -> Iterator[None]:
--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -155,15 +155,17 @@
     async def _serve(self, report: BackendServerReport) -> None:
         """Serve one incarnation of the backend server until it ends."""
         ended = asyncio.Event()
+        server = self._watched_server(report)
         async with AsyncExitStack() as stack:
             backend = LeasedBackend(
                 self._connect(report),
                 self._lease_s,
                 self._clock,
                 ended.set,
-                self._watch(report),
+                CrashWatch(server, self._clock, self._record_crash),
             )
             await stack.enter_async_context(backend)
+            self._crashes.set_served(server)
             settings = _settings_from_report(self._settings, report)
             agent = AgentInstance(
                 settings,
@@ -209,13 +211,12 @@
             self._state_changed.clear()
         self._mark_ended(report)
 
-    def _watch(self, report: BackendServerReport) -> CrashWatch:
-        server = WatchedServer(
+    def _watched_server(self, report: BackendServerReport) -> WatchedServer:
+        return WatchedServer(
             agent_id=self._settings.instance_id,
             backend_server=report.server_id,
             incarnation=report.incarnation,
         )
-        return CrashWatch(server, self._clock, self._record_crash)
 
     def _record_crash(self, report: CrashReport) -> None:
         decision_log.log_crash(report)
