Confine workloads whose tasks crash backend servers to a part of the fleet

Cause: each deadly job is new, so giving up a task after two crashes does not help; the next job of the route went to whichever server was left. The queue, the expected wait and the retries of others no longer wait for its part, and its own jobs are refused at once while that is down. Ruled out: confining by the number of crashes alone (the usual workload would be taken), and alone on a server after one crash (ten suspects a crash, no room for them).

--- a/src/verbenaplank/admission/goal_queue.py
+++ b/src/verbenaplank/admission/goal_queue.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import itertools
+from collections import Counter
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -26,6 +28,11 @@
 """
 
 
+def one_pool(task: TaskRequest) -> str:
+    """Return the same pool for every task."""
+    return ""
+
+
 @attrs.define(eq=False)
 class _QueuedJob:
     """Queued tasks of one job; retried tasks come first."""
@@ -72,10 +79,18 @@
     ----------
     run_time_s_of
         Returns the expected run time of a task, in seconds.
+    pool_of
+        Returns the name of the backend servers on which a task may run; tasks of
+        different pools do not wait for each other.
     """
 
-    def __init__(self, run_time_s_of: Callable[[TaskRequest], float]) -> None:
+    def __init__(
+        self,
+        run_time_s_of: Callable[[TaskRequest], float],
+        pool_of: Callable[[TaskRequest], str] = one_pool,
+    ) -> None:
         self._run_time_s_of = run_time_s_of
+        self._pool_of = pool_of
         self._levels: dict[int, _PriorityLevel] = {}
         self._jobs: dict[str, _QueuedJob] = {}
         self._sequence = 0
@@ -103,7 +118,8 @@
     ) -> TaskRequest | None:
         """Remove and return the next task that can be placed now.
 
-        Only the next task of each of the first ``MAX_JOBS_TRIED`` jobs is tried.
+        Only the next task of each of the first ``MAX_JOBS_TRIED`` jobs of a pool is
+        tried.
         Returns ``None`` if none of these tasks can be placed.
         """
         for job in self._jobs_in_order(now_s):
@@ -138,12 +154,12 @@
             return self._size
         return sum(len(job.tasks) for job in self._jobs.values() if not job.priority)
 
-    def work_ahead_core_s(self, priority: int) -> float:
-        """Return the work queued at this or a higher priority, in core seconds."""
+    def work_ahead_core_s(self, priority: int, pool: str = "") -> float:
+        """Return a pool's queued work of this or a higher priority, in core seconds."""
         return sum(
             len(job.tasks) * job.run_time_s * job.tasks[0].needs.cores
             for job in self._jobs.values()
-            if job.priority <= priority
+            if job.priority <= priority and self._pool_of(job.tasks[0]) == pool
         )
 
     def _add_job(self, task: TaskRequest) -> _QueuedJob:
@@ -160,15 +176,17 @@
         return job
 
     def _jobs_in_order(self, now_s: float) -> Iterator[_QueuedJob]:
-        tried = 0
+        tried: Counter[str] = Counter()
         for priority in sorted(self._levels):
             jobs = self._levels[priority]
             jobs.demote_late(now_s)
-            for job in [*jobs.on_time[:MAX_JOBS_TRIED], *jobs.late[:MAX_JOBS_TRIED]]:
-                if tried == MAX_JOBS_TRIED:
-                    return
-                tried += 1
-                yield job
+            for job in itertools.chain(jobs.on_time, jobs.late):
+                pool = self._pool_of(job.tasks[0])
+                if tried[pool] < MAX_JOBS_TRIED:
+                    tried[pool] += 1
+                    yield job
+                elif not pool:
+                    break
 
     def _pop_from(self, job: _QueuedJob) -> TaskRequest:
         task = job.tasks.popleft()
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -169,7 +169,7 @@
         self._fleet = Fleet(policy, self._random, settings.data_centre)
         self._order_by_goal = order_by_goal
         self._serve_http = serve_http
-        goals = GoalQueue(self._fleet.expected_run_time_s)
+        goals = GoalQueue(self._fleet.expected_run_time_s, self._fleet.pool_of_task)
         self.queue: TaskQueueProtocol = goals
         if not order_by_goal:
             self.queue = TaskQueue(
--- a/src/verbenaplank/entry/decision_log.py
+++ b/src/verbenaplank/entry/decision_log.py
@@ -160,6 +160,11 @@
     logger.warning("quarantine changed", extra={"began": began, "ended": ended})
 
 
+def confinement_changed(began: Sequence[str], ended: Sequence[str]) -> None:
+    """Log which workloads were confined to a part of the fleet, or released."""
+    logger.warning("confinement changed", extra={"began": began, "ended": ended})
+
+
 def subset_changed(
     added: Sequence[str], retired: Sequence[str], agents: int, widened_by: int
 ) -> None:
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -17,6 +17,7 @@
 from verbenaplank.entry import decision_log
 from verbenaplank.entry.agent_message_handler import AgentMessageHandler
 from verbenaplank.entry.agent_message_handler import crash_limit_rejection
+from verbenaplank.entry.crash_confinement import CrashConfinement
 from verbenaplank.entry.crash_exchange import CrashExchange
 from verbenaplank.entry.disconnected_agents import DisconnectedAgents
 from verbenaplank.entry.dispatch_table import DispatchTable
@@ -98,6 +99,8 @@
         lost; exported as metrics.
     crashes
         The crash reports of agents.
+    confinement
+        The workloads that are confined because of crashes.
     """
 
     def __init__(
@@ -113,6 +116,7 @@
         self.effects: list[Effect] = []
         self.dispatch_table = DispatchTable()
         self.crashes = CrashExchange(self.effects)
+        self.confinement = CrashConfinement(fleet)
         self.jobs = JobTable(self.dispatch_table, queue, self.effects)
         self._fleet = fleet
         self._queue = queue
@@ -160,6 +164,7 @@
         time, so the request fails here if the lease has expired since the request
         arrived or if its deadline has passed.
         """
+        self.confinement.on_job(submission, now_s)
         self.jobs.add(submission, now_s)
         self._deadlines.add(submission.job_id, submission.deadline_s)
         if submission.latest_start_s < submission.deadline_s:
@@ -222,6 +227,7 @@
         self._fail_jobs_after_lease_expiry(now_s)
         for report in message.crashes:
             if self.crashes.receive(report, agent_id, self._connected, now_s):
+                self.confinement.on_crash(report, now_s)
                 self._give_up_crashing_jobs(report, now_s)
         for revocation in message.revocations:
             self._message_handler.handle_revocation(agent_id, revocation, now_s)
@@ -250,6 +256,7 @@
         self._retry_queue.requeue_due(now_s, self.jobs.is_running)
         self._hedger.hedge_due(now_s, self._dispatcher.dispatch_elsewhere)
         self._revoke_stalled(now_s)
+        self.confinement.update(now_s)
         self.jobs.complete_ready_failures(now_s)
 
     def stop(self, now_s: float) -> None:
--- a/src/verbenaplank/entry/routed_admission.py
+++ b/src/verbenaplank/entry/routed_admission.py
@@ -26,6 +26,9 @@
 """A draining entry refuses a job if this multiple of its estimate exceeds the time
 that is left."""
 
+RESTART_WAIT_S = 2.0
+"""Usual time that a backend server takes to restart."""
+
 
 @attrs.frozen(kw_only=True)
 class EntryView:
@@ -115,7 +118,17 @@
             )
         if feasibility is Feasibility.IMPOSSIBLE_NEEDS:
             return _refused(job, "no worker is large enough for a task of this job")
-        return self._overload_refusal(job)
+        return self._crash_refusal(job) or self._overload_refusal(job)
+
+    def _crash_refusal(self, job: RoutedJob) -> RoutedOutcome | None:
+        """Return a refusal if no backend server of a confined workload is left."""
+        route = job.route
+        if not self._fleet.pool_of(route.service, route.name):
+            return None
+        if self._fleet.available_cores_of(route.service, route.name) > 0.0:
+            return None
+        detail = "the backend servers of the route have crashed and are restarting"
+        return _refused(job, detail, RESTART_WAIT_S)
 
     def _overload_refusal(self, job: RoutedJob) -> RoutedOutcome | None:
         """Return a refusal if the job would wait too long to meet its goal."""
@@ -125,25 +138,27 @@
         return _refused(job, refusal.detail, refusal.wait_s)
 
     def _service_load(self, route: Route) -> ServiceLoad:
+        pool = self._fleet.pool_of(route.service, route.name)
         return ServiceLoad(
-            queued_core_s=self._queue.work_ahead_core_s(route.priority),
-            occupied_cores=self._fleet.occupied_cores_of(route.service),
-            equal_share_cores=self._equal_share_cores(route.service),
+            queued_core_s=self._queue.work_ahead_core_s(route.priority, pool),
+            occupied_cores=self._fleet.occupied_cores_of(route.service, route.name),
+            equal_share_cores=self._equal_share_cores(route),
             waiting_for_s=self._queue.waiting_for_s(self._clock()),
         )
 
-    def _equal_share_cores(self, service: str) -> float:
-        """Return the cores of a service that fall to this entry in equal shares.
+    def _equal_share_cores(self, route: Route) -> float:
+        """Return the cores for a route that fall to this entry in equal shares.
 
         During startup, cores of agents that are not connected yet count too, since
         the entry is about to connect to them.  Later, an entry that is connected to a
         part of the agents shares them with as small a part of the entries.
         """
+        service = route.service
         entries = max(1, self._view.entry_count())
         if self._clock() < self._startup_ends_s:
             return self._fleet.announced_cores_of(service) / entries
         sharing = max(1.0, entries * self._fleet.connected_share_of(service))
-        return self._fleet.available_cores_of(service) / sharing
+        return self._fleet.available_cores_of(service, route.name) / sharing
 
 
 def _refused(job: RoutedJob, detail: str, wait_s: float = 0.0) -> RoutedOutcome:
--- a/src/verbenaplank/observability/entry_metrics.py
+++ b/src/verbenaplank/observability/entry_metrics.py
@@ -51,6 +51,11 @@
         "tasks that wait at the entry",
         lambda: len(instance.queue),
     )
+    metrics.add_gauge(
+        "verbenaplank_entry_confined_workloads",
+        "workloads confined to a part of the backend servers because of crashes",
+        lambda: len(instance.engine.confinement.confined),
+    )
     metrics.add_gauge(
         "verbenaplank_entry_jobs_in_progress",
         "requests that are not answered yet",
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from verbenaplank.placement.backend_server import BackendServer
 from verbenaplank.placement.backend_server import fits
+from verbenaplank.placement.cells import ServiceCells
 from verbenaplank.placement.feasibility import Feasibility
 from verbenaplank.placement.health import HealthTracker
 from verbenaplank.placement.load import PlacementContext
@@ -22,6 +24,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from verbenaplank.placement.policy import Policy
@@ -74,6 +77,7 @@
         self._settings = settings or PlacementSettings()
         self._servers: dict[str, BackendServer] = {}
         self._services = ServiceIndex()
+        self._cells: defaultdict[str, ServiceCells] = defaultdict(ServiceCells)
         self._drained: frozenset[str] = frozenset()
         self._run_times = RunTimeEstimator()
         self._health = HealthTracker(self._settings.health)
@@ -109,6 +113,30 @@
             return
         self._drop_outstanding(server)
         self._services.remove(server)
+        for service in server.member.services:
+            self._cells[service].record_departure(member_id, now_s)
+
+    def confine(self, service: str, shares: Mapping[str, float], now_s: float) -> None:
+        """Confine workloads to parts of a service's backend servers, and no others.
+
+        Parameters
+        ----------
+        shares
+            Share of each confined workload in the work of the service.
+        """
+        members = [server.member_id for server in self._services.announced(service)]
+        self._cells[service].divide(members, shares, now_s)
+
+    def pool_of(self, service: str, workload: str) -> str:
+        """Return the workload itself if it is confined, else an empty string.
+
+        Tasks of one pool compete for the same backend servers.
+        """
+        return workload if workload in self._cells[service].confined else ""
+
+    def pool_of_task(self, task: TaskRequest) -> str:
+        """Return the pool of a task's workload, see :meth:`pool_of`."""
+        return self.pool_of(task.service, task.workload)
 
     def mark_connected(
         self, member_id: str, incarnation: str, slots: int, now_s: float
@@ -173,7 +201,7 @@
 
     def avoids_servers(self, task: TaskRequest) -> bool:
         """Return whether a task is kept from backend servers that take others."""
-        if task.avoided_members:
+        if task.avoided_members or self._cells[task.service].confined:
             return True
         return self._health.has_failed_somewhere(task.job_id)
 
@@ -265,25 +293,30 @@
             if server.outstanding and self._is_stalled(server, now_s)
         ]
 
-    def available_cores_of(self, service: str) -> float:
+    def available_cores_of(self, service: str, workload: str = "") -> float:
         """Return the cores of a service's backend servers that accept tasks.
 
         Each core counts as 1 divided by the slowness of its backend server.
+
+        Parameters
+        ----------
+        workload
+            Only backend servers on which this workload may run are counted.
         """
         return sum(
             server.member.worker.cores / server.slowness
-            for server in self._services.connected(service)
+            for server in self._connected_for(service, workload)
             if server.accepts_tasks
         )
 
-    def occupied_cores_of(self, service: str) -> float:
+    def occupied_cores_of(self, service: str, workload: str = "") -> float:
         """Return the cores of a service that tasks of this entry occupy.
 
-        Cores count as in :meth:`available_cores_of`.
+        Cores and backend servers count as in :meth:`available_cores_of`.
         """
         return sum(
             server.reserved_cores / server.slowness
-            for server in self._services.connected(service)
+            for server in self._connected_for(service, workload)
         )
 
     def report_age_ms(self, member_id: str, now_s: float) -> float | None:
@@ -327,7 +360,7 @@
             limit = self._straggler_limit(task.service, now_s)
         usable: list[BackendServer] = []
         preferred: list[BackendServer] = []
-        for server in self._sample(task.service):
+        for server in self._sample(task):
             if not (server.accepts_tasks and self._health.is_usable(server, now_s)):
                 continue
             if needs is not None and not server.has_free_resources(needs):
@@ -349,7 +382,7 @@
         """
         return any(
             server.accepts_tasks and not self._health.should_avoid(task, server)
-            for server in self._services.connected(task.service)
+            for server in self._connected_for(task.service, task.workload)
         )
 
     def _straggler_limit(self, service: str, now_s: float) -> float:
@@ -376,12 +409,29 @@
             and without_progress_s >= self._settings.straggler_probe_interval_s
         )
 
-    def _sample(self, service: str) -> Sequence[BackendServer]:
-        """Return connected servers of a service, at most ``max_candidates`` of them.
+    def _connected_for(self, service: str, workload: str) -> Sequence[BackendServer]:
+        """Return the connected servers of a service on which a workload may run.
 
-        Of a larger service, consecutive ones from a random position are taken.
+        A workload that is not confined may run on the servers of confined ones if
+        there is no other.
         """
         servers = self._services.connected(service)
+        cells = self._cells[service]
+        if not cells.confined:
+            return servers
+        allowed = [
+            server for server in servers if cells.allows(workload, server.member_id)
+        ]
+        if workload in cells.confined or any(item.accepts_tasks for item in allowed):
+            return allowed
+        return servers
+
+    def _sample(self, task: TaskRequest) -> Sequence[BackendServer]:
+        """Return servers on which a task may run, at most ``max_candidates`` of them.
+
+        Of a larger service, consecutive ones from a random position are taken.
+        """
+        servers = self._connected_for(task.service, task.workload)
         limit = self._settings.max_candidates
         if len(servers) <= limit:
             return servers
--- a/tests/admission/test_goal_queue.py
+++ b/tests/admission/test_goal_queue.py
@@ -82,3 +82,22 @@
     priorities = [jobs[int(job_id.removeprefix("job-"))][0] for job_id in order]
     assert priorities == sorted(priorities)
     assert len(queue) == 0
+
+
+def test_tasks_of_a_confined_workload_do_not_hold_up_others() -> None:
+    """They wait for servers that are down, ahead of all others by their priority."""
+    queue = GoalQueue(lambda _: RUN_TIME_S, lambda item: item.workload)
+    for number in range(20):
+        confined = attrs.evolve(task(f"confined-{number}"), workload="deadly")
+        queue.push(confined, 0.0)
+    queue.push(task("other", priority=1), 0.0)
+    popped = queue.pop(0.0, lambda item: not item.workload)
+    assert popped is not None
+    assert popped.job_id == "other"
+
+
+def test_work_ahead_counts_the_tasks_that_compete_for_the_same_servers() -> None:
+    queue = GoalQueue(lambda _: RUN_TIME_S, lambda item: item.workload)
+    queue.push(attrs.evolve(task("confined"), workload="deadly"), 0.0)
+    assert queue.work_ahead_core_s(1) == 0.0
+    assert queue.work_ahead_core_s(1, "deadly") == 2.0 * RUN_TIME_S
