Do not lose log lines that are formatted while others are written

Cause: emit() looked up the list of waiting lines, formatted the record, and appended to a list that the writing thread had meanwhile replaced and written. The test failed before. Change: a deque, from which the thread takes lines, in place of two lists.

--- a/src/verbenaplank/observability/log_output.py
+++ b/src/verbenaplank/observability/log_output.py
@@ -11,6 +11,7 @@
 import threading
 import time
 from collections import Counter
+from collections import deque
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -40,7 +41,7 @@
         super().__init__()
         self.dropped: Counter[str] = Counter()
         self._stream = stream
-        self._waiting: list[bytes] = []
+        self._waiting: deque[bytes] = deque()
         self._ready = threading.Event()
         self._closing = False
         self._second = 0
@@ -94,7 +95,7 @@
             if not self._closing:
                 time.sleep(BATCH_S)
             self._ready.clear()
-            lines, self._waiting = self._waiting, []
+            lines = [self._waiting.popleft() for _ in range(len(self._waiting))]
             try:
                 self._stream.write(b"".join(lines))
                 self._stream.flush()
--- a/tests/observability/test_log_output.py
+++ b/tests/observability/test_log_output.py
@@ -73,3 +73,40 @@
     with os.fdopen(descriptor, "rb") as stream:
         while stream.read(65_536):
             pass
+
+
+class _SignallingStream(io.BytesIO):
+    """Signals each write."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.wrote = threading.Event()
+
+    def write(self, data: object) -> int:
+        count = super().write(data)  # type: ignore[arg-type]
+        self.wrote.set()
+        return count
+
+
+class _SlowFormatter(logging.Formatter):
+    """Formats a slow event only after the lines before it have been written."""
+
+    def __init__(self, wrote: threading.Event) -> None:
+        super().__init__('{"message":"%(message)s"}')
+        self._wrote = wrote
+
+    def format(self, record: logging.LogRecord) -> str:
+        if record.msg == "slow":
+            assert self._wrote.wait(10.0)
+        return super().format(record)
+
+
+def test_line_that_is_formatted_while_others_are_written_is_not_lost() -> None:
+    """An agent's line on a crash was missing, though its entries had the report."""
+    stream = _SignallingStream()
+    handler = BoundedLogHandler(stream)
+    handler.setFormatter(_SlowFormatter(stream.wrote))
+    handler.handle(record("first"))
+    handler.handle(record("slow"))
+    handler.close()
+    assert [line["message"] for line in written(stream)] == ["first", "slow"]
