Resolve reports of killed agents, and bound what crash reports hold

Found on reading the crash reports again: - A report of an agent that was killed stayed unresolved if its backend server had not crashed but was cut off: the successor serves the same incarnation and said nothing.

--- a/src/verbenaplank/agent/crash_feed.py
+++ b/src/verbenaplank/agent/crash_feed.py
@@ -40,7 +40,7 @@
         """Record which incarnation of the backend server the agent serves now."""
         self._served = server
         for report in self._history:
-            self._confirm_if_replaced(report)
+            self._resolve(report)
 
     def add(self, report: CrashReport, source: SendReport | None = None) -> None:
         """Remember a report, and pass it on if it is news.
@@ -55,10 +55,11 @@
         for send in self._subscribers:
             if send is not source:
                 send(report)
-        self._confirm_if_replaced(report)
+        if source is not None:
+            self._resolve(report)
 
-    def _confirm_if_replaced(self, report: CrashReport) -> None:
-        """Confirm a crash that an earlier process of this agent could not confirm."""
+    def _resolve(self, report: CrashReport) -> None:
+        """Confirm or withdraw a report that an earlier process of this agent left."""
         served = self._served
         if served is None or report.evidence is not CrashEvidence.REFUSED:
             return
@@ -67,12 +68,19 @@
             backend_server=report.backend_server,
             incarnation=report.incarnation,
         )
-        if report.agent_id != served.agent_id or observed == served:
+        if report.agent_id != served.agent_id:
             return
-        confirmed = attrs.evolve(
-            report, evidence=CrashEvidence.RESTARTED, revision=report.revision + 1
+        is_alive = observed == served
+        self.add(
+            attrs.evolve(
+                report,
+                evidence=(
+                    CrashEvidence.WITHDRAWN if is_alive else CrashEvidence.RESTARTED
+                ),
+                revision=report.revision + 1,
+                runs=() if is_alive else report.runs,
+            )
         )
-        self.add(confirmed)
 
     @contextmanager
     def subscribe(self, send: SendReport) -> Iterator[None]:
--- a/src/verbenaplank/agent/crash_watch.py
+++ b/src/verbenaplank/agent/crash_watch.py
@@ -65,6 +65,7 @@
         self._revisions = itertools.count(1)
         self._lost: dict[RunId, CrashedRun] = {}
         self._is_silent = False
+        self._is_refusing = False
         self._is_reported = False
 
     def on_silent(self, runs: Iterable[ActiveRun], *, refused: bool) -> None:
@@ -80,13 +81,17 @@
         if not self._is_silent:
             self._is_silent = True
             self._lost = self._crashed_runs(runs)
-        if refused and self._lost and not self._is_reported:
+        if not refused or self._is_refusing:
+            return
+        self._is_refusing = True
+        self._lost = self._crashed_runs(runs) | self._lost
+        if self._lost:
             self._is_reported = True
             self._send(CrashEvidence.REFUSED)
 
     def on_answer(self) -> None:
         """Record that the watched incarnation answers again."""
-        self._is_silent = False
+        self._is_silent = self._is_refusing = False
         self._lost = {}
         if self._is_reported:
             self._is_reported = False
@@ -107,7 +112,7 @@
         elif self._is_reported:
             self._send(CrashEvidence.WITHDRAWN)
         self._lost = {}
-        self._is_silent = self._is_reported = False
+        self._is_silent = self._is_refusing = self._is_reported = False
 
     def _crashed_runs(self, runs: Iterable[ActiveRun]) -> dict[RunId, CrashedRun]:
         active = [run for run in runs if not run.end.done()]
--- a/src/verbenaplank/crashes/history.py
+++ b/src/verbenaplank/crashes/history.py
@@ -25,6 +25,9 @@
 """How long a report is remembered; callers submit a job again within seconds."""
 
 MAX_REPORTS = 1_000
+MAX_RUNS = 4_000
+"""Limit of the runs in all reports; the oldest reports are forgotten first."""
+
 MAX_RUNS_PER_REPORT = 512
 
 ReportKey = tuple[str, str, str]
@@ -62,6 +65,7 @@
     def __init__(self) -> None:
         self._reports: OrderedDict[ReportKey, _Entry] = OrderedDict()
         self._keys_by_task: defaultdict[str, set[ReportKey]] = defaultdict(set)
+        self._runs = 0
 
     def __iter__(self) -> Iterator[CrashReport]:
         return iter([entry.report for entry in self._reports.values()])
@@ -81,6 +85,7 @@
         self._remove(key)
         runs = report.runs[:MAX_RUNS_PER_REPORT]
         self._reports[key] = _Entry(attrs.evolve(report, runs=runs), now_s)
+        self._runs += len(runs)
         for run in runs:
             self._keys_by_task[run.task].add(key)
         self._evict(now_s)
@@ -114,14 +119,18 @@
         while self._reports:
             key, oldest = next(iter(self._reports.items()))
             is_recent = now_s - oldest.received_s < RETENTION_S
-            if is_recent and len(self._reports) <= MAX_REPORTS:
+            if is_recent and self._is_within_limits():
                 return
             self._remove(key)
 
+    def _is_within_limits(self) -> bool:
+        return len(self._reports) <= MAX_REPORTS and self._runs <= MAX_RUNS
+
     def _remove(self, key: ReportKey) -> None:
         entry = self._reports.pop(key, None)
         if entry is None:
             return
+        self._runs -= len(entry.report.runs)
         for run in entry.report.runs:
             keys = self._keys_by_task[run.task]
             keys.discard(key)
--- a/tests/agent/test_crash_watch.py
+++ b/tests/agent/test_crash_watch.py
@@ -97,3 +97,15 @@
     watch.on_silent([done], refused=True)
     watch.on_replaced([done], planned=False)
     assert not reports
+
+
+async def test_run_that_started_between_silence_and_refusal_is_part_of_the_crash() -> (
+    None
+):
+    """The reply to a poll was lost just before the task that crashed the server."""
+    watch, reports = make_watch()
+    old, deadly = run("old"), run("deadly", None)
+    watch.on_silent([old], refused=False)
+    watch.on_silent([old, deadly], refused=True)
+    assert [crashed.task for crashed in reports[0].runs] == ["old", "deadly"]
+    assert "deadly" in suspects(reports[0])
--- a/tests/crashes/crash_world.py
+++ b/tests/crashes/crash_world.py
@@ -57,6 +57,9 @@
     reports_handled: int = 0
     killed: bool = False
 
+    def send_report(self, report: CrashReport) -> None:
+        """Stand for the streams from agents, when a report comes from here."""
+
 
 @attrs.define(eq=False)
 class Agent:
@@ -238,7 +241,7 @@
     def _handle_effects(self, entry: Entry) -> None:
         driver = entry.driver
         for name, report in driver.crash_reports[entry.reports_handled :]:
-            self.agents[name].feed.add(report)
+            self.agents[name].feed.add(report, entry.send_report)
         entry.reports_handled = len(driver.crash_reports)
         while entry.handled < len(driver.dispatches):
             name, dispatch = driver.dispatches[entry.handled]
--- a/tests/crashes/test_history.py
+++ b/tests/crashes/test_history.py
@@ -2,6 +2,7 @@
 
 from crashes.crash_reports import crash_report
 from verbenaplank.crashes.history import MAX_REPORTS
+from verbenaplank.crashes.history import MAX_RUNS
 from verbenaplank.crashes.history import RETENTION_S
 from verbenaplank.crashes.history import CrashCount
 from verbenaplank.crashes.history import CrashHistory
@@ -42,3 +43,13 @@
         history.merge(crash_report("x", incarnation=f"x{number}"), RETENTION_S + 1)
     assert len(list(history)) == MAX_REPORTS
     assert history.count("new") == CrashCount()
+
+
+def test_runs_of_all_reports_are_limited() -> None:
+    history = CrashHistory()
+    for number in range(MAX_RUNS // 100 + 1):
+        tasks = [f"{number}-{index}" for index in range(100)]
+        history.merge(crash_report(*tasks, incarnation=str(number)), 0.0)
+    assert sum(len(report.runs) for report in history) == MAX_RUNS
+    assert history.count("0-0") == CrashCount()
+    assert history.count("1-0").total == 1
