Decide in one place that a task is given up, and split the sums of the fleet

Removing the check in the retry queue failed no test: when a report arrives the engine already fails the jobs of its tasks, and a job that is submitted later fails at once. So the check at a retry and its copy in the handler of results are gone. The test of withdrawn reports now has one that names a run, so that the removal of the check fails it.

--- a/src/verbenaplank/bench/simulated_entry.py
+++ b/src/verbenaplank/bench/simulated_entry.py
@@ -98,7 +98,7 @@
             tasks=len(tasks),
             tasks_ahead=self._queue.tasks_ahead(traced.urgent),
             start_rate_per_s=self._start_rate.per_s(now_s),
-            slots=self.fleet.slots_of(traced.service),
+            slots=self.fleet.capacity.slots_of(traced.service),
             run_time_s=self.fleet.expected_run_time_s(tasks[0]),
             remaining_s=JOB_DEADLINE_S,
         )
--- a/src/verbenaplank/entry/admission_control.py
+++ b/src/verbenaplank/entry/admission_control.py
@@ -80,7 +80,9 @@
         self._quotas.record_ended(submission.team, len(submission.payloads))
 
     def _fleet_rejection(self, submission: Submission) -> Rejection | None:
-        feasibility = self._fleet.feasibility(submission.service, submission.needs)
+        feasibility = self._fleet.capacity.feasibility(
+            submission.service, submission.needs
+        )
         if feasibility is Feasibility.NO_SERVICE:
             detail = f"no backend server currently offers {submission.service!r}"
             return _retryable_rejection(FailureKind.NOT_READY, detail)
@@ -98,7 +100,7 @@
         if not tasks_ahead:
             return None
         task = task_request(submission, 0)
-        slots = self._fleet.slots_of(submission.service)
+        slots = self._fleet.capacity.slots_of(submission.service)
         run_time_s = self._fleet.expected_run_time_s(task)
         expected = estimate(
             tasks=count,
--- a/src/verbenaplank/entry/agent_message_handler.py
+++ b/src/verbenaplank/entry/agent_message_handler.py
@@ -113,11 +113,7 @@
         decision_log.run_did_not_succeed(record, result, failed_runs, again=retried)
         if retried:
             return
-        if self._retry_queue.is_given_up(record):
-            rejection = crash_limit_rejection(task.task_index)
-        elif job.submission.exclusive and not self._retry_queue.is_exhausted(
-            job, record
-        ):
+        if job.submission.exclusive and not self._retry_queue.is_exhausted(job, record):
             rejection = NO_TIME_TO_RETRY
         self._jobs.fail(job, rejection, now_s)
 
@@ -231,12 +227,8 @@
             return
         retried = self._retry_queue.retry(job, record, now_s)
         decision_log.dispatch_lost(record, detail, again=retried)
-        if retried:
-            return
-        rejection = _outcome_unknown(detail)
-        if self._retry_queue.is_given_up(record):
-            rejection = crash_limit_rejection(record.task.task_index)
-        self._jobs.fail(job, rejection, now_s)
+        if not retried:
+            self._jobs.fail(job, _outcome_unknown(detail), now_s)
 
 
 def _same_task(
@@ -258,14 +250,6 @@
     return None
 
 
-def crash_limit_rejection(task_index: int) -> Rejection:
-    """Return the rejection of a job with a task that crashes backend servers."""
-    return Rejection(
-        kind=FailureKind.TASK_FAILED,
-        detail=f"task {task_index}: several backend servers crashed while it ran",
-    )
-
-
 def _task_failed(result: TaskResult, message: str) -> Rejection:
     return Rejection(
         kind=FailureKind.TASK_FAILED,
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -16,7 +16,6 @@
 from verbenaplank.crashes.limit import start_permission
 from verbenaplank.entry import decision_log
 from verbenaplank.entry.agent_message_handler import AgentMessageHandler
-from verbenaplank.entry.agent_message_handler import crash_limit_rejection
 from verbenaplank.entry.crash_confinement import CrashConfinement
 from verbenaplank.entry.crash_exchange import CrashExchange
 from verbenaplank.entry.disconnected_agents import DisconnectedAgents
@@ -130,7 +129,6 @@
             dispatch_table=self.dispatch_table,
             queue=queue,
             budget=retry_budget,
-            crashes=self.crashes.history,
         )
         self._budgets = (retry_budget, hedge_budget or StartBudget(HEDGE_SHARE))
         self._hedger = Hedger(
@@ -329,7 +327,7 @@
             permission = start_permission(self.crashes.history, name)
             if permission is StartPermission.GIVEN_UP:
                 self.crashes.counts.jobs_given_up += 1
-                self._abort(job_id, crash_limit_rejection(index), now_s)
+                self._abort(job_id, _crash_limit_rejection(index), now_s)
                 return
 
     def _fail_jobs_after_lease_expiry(self, now_s: float) -> None:
@@ -344,3 +342,10 @@
         for job in self.jobs:
             if job.submission.claimed and job.submission.received_s < since_s:
                 self.jobs.fail_immediately(job, LEASE_EXPIRED, now_s)
+
+
+def _crash_limit_rejection(task_index: int) -> Rejection:
+    return Rejection(
+        kind=FailureKind.TASK_FAILED,
+        detail=f"task {task_index}: several backend servers crashed while it ran",
+    )
--- a/src/verbenaplank/entry/retry.py
+++ b/src/verbenaplank/entry/retry.py
@@ -6,8 +6,6 @@
 
 import attrs
 
-from verbenaplank.crashes.limit import StartPermission
-from verbenaplank.crashes.limit import start_permission
 from verbenaplank.entry.timer_queue import TimerQueue
 
 if TYPE_CHECKING:
@@ -15,7 +13,6 @@
 
     from verbenaplank.admission.budget import StartBudget
     from verbenaplank.admission.queue_protocol import TaskQueueProtocol
-    from verbenaplank.crashes.history import CrashHistory
     from verbenaplank.entry.dispatch_table import DispatchRecord
     from verbenaplank.entry.dispatch_table import DispatchTable
     from verbenaplank.entry.jobs import Job
@@ -34,9 +31,7 @@
         dispatch_table: DispatchTable,
         queue: TaskQueueProtocol,
         budget: StartBudget,
-        crashes: CrashHistory,
     ) -> None:
-        self._crashes = crashes
         self._dispatch_table = dispatch_table
         self._queue = queue
         self._budget = budget
@@ -92,11 +87,6 @@
         """Return whether a task has reached its maximum number of failed runs."""
         return job.failed_runs[record.task.task_index] >= job.submission.max_runs
 
-    def is_given_up(self, record: DispatchRecord) -> bool:
-        """Return whether too many backend servers have crashed under a task."""
-        permission = start_permission(self._crashes, record.task.name)
-        return permission is StartPermission.GIVEN_UP
-
     def retry(self, job: Job, record: DispatchRecord, now_s: float) -> bool:
         """Requeue a task for another run if its limits and the budget allow it.
 
@@ -106,8 +96,6 @@
             Whether another run of the task is queued or in progress.
         """
         task = record.task
-        if self.is_given_up(record):
-            return False
         if job.submission.exclusive:
             return self._retry_exclusive(job, record, now_s)
         if self._dispatch_table.open_for_task(task.job_id, task.task_index):
--- a/src/verbenaplank/entry/routed_admission.py
+++ b/src/verbenaplank/entry/routed_admission.py
@@ -111,7 +111,7 @@
         time_left_s = self._view.time_left_s()
         if DRAIN_ESTIMATE_FACTOR * job.estimate_s > time_left_s:
             return _refused(job, f"the entry stops in {time_left_s:.2f} s")
-        feasibility = self._fleet.feasibility(job.route.service, job.needs)
+        feasibility = self._fleet.capacity.feasibility(job.route.service, job.needs)
         if feasibility is Feasibility.NO_SERVICE:
             return _refused(
                 job, f"no backend server currently offers {job.route.service!r}"
@@ -125,7 +125,7 @@
         route = job.route
         if not self._fleet.pool_of(route.service, route.name):
             return None
-        if self._fleet.available_cores_of(route.service, route.name) > 0.0:
+        if self._fleet.capacity.available_cores_of(route.service, route.name) > 0.0:
             return None
         detail = "the backend servers of the route have crashed and are restarting"
         return _refused(job, detail, RESTART_WAIT_S)
@@ -141,7 +141,9 @@
         pool = self._fleet.pool_of(route.service, route.name)
         return ServiceLoad(
             queued_core_s=self._queue.work_ahead_core_s(route.priority, pool),
-            occupied_cores=self._fleet.occupied_cores_of(route.service, route.name),
+            occupied_cores=self._fleet.capacity.occupied_cores_of(
+                route.service, route.name
+            ),
             equal_share_cores=self._equal_share_cores(route),
             waiting_for_s=self._queue.waiting_for_s(self._clock()),
         )
@@ -156,9 +158,9 @@
         service = route.service
         entries = max(1, self._view.entry_count())
         if self._clock() < self._startup_ends_s:
-            return self._fleet.announced_cores_of(service) / entries
-        sharing = max(1.0, entries * self._fleet.connected_share_of(service))
-        return self._fleet.available_cores_of(service, route.name) / sharing
+            return self._fleet.capacity.announced_cores_of(service) / entries
+        sharing = max(1.0, entries * self._fleet.capacity.connected_share_of(service))
+        return self._fleet.capacity.available_cores_of(service, route.name) / sharing
 
 
 def _refused(job: RoutedJob, detail: str, wait_s: float = 0.0) -> RoutedOutcome:
--- a/src/verbenaplank/entry/routed_jobs.py
+++ b/src/verbenaplank/entry/routed_jobs.py
@@ -179,7 +179,7 @@
             await asyncio.sleep(STARTUP_POLL_S)
 
     def _can_run(self, service: str) -> bool:
-        return self._view.is_current() and self._fleet.slots_of(service) > 0
+        return self._view.is_current() and self._fleet.capacity.slots_of(service) > 0
 
     def _start(
         self, job: RoutedJob, received_s: float, job_key: tuple[str, str]
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -7,18 +7,16 @@
 from typing import TYPE_CHECKING
 
 from verbenaplank.placement.backend_server import BackendServer
-from verbenaplank.placement.backend_server import fits
 from verbenaplank.placement.cells import ServiceCells
-from verbenaplank.placement.feasibility import Feasibility
 from verbenaplank.placement.health import HealthTracker
 from verbenaplank.placement.load import PlacementContext
 from verbenaplank.placement.load import stall_timeout_s
 from verbenaplank.placement.rack_counts import JobRackCounts
 from verbenaplank.placement.run_time import RunTimeEstimator
+from verbenaplank.placement.service_capacity import ServiceCapacity
 from verbenaplank.placement.service_index import ServiceIndex
 from verbenaplank.placement.settings import PlacementSettings
 from verbenaplank.placement.task import NO_RESOURCES
-from verbenaplank.placement.task import Resources
 from verbenaplank.protocol.membership import MemberRole
 from verbenaplank.protocol.work import TaskOutcome
 
@@ -62,6 +60,11 @@
         Data centre of this entry; the round trip to agents there is shorter.
     settings
         Parameters of placement; the defaults if ``None``.
+
+    Attributes
+    ----------
+    capacity
+        What the backend servers of each service offer.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         self._servers: dict[str, BackendServer] = {}
         self._services = ServiceIndex()
         self._cells: defaultdict[str, ServiceCells] = defaultdict(ServiceCells)
+        self.capacity = ServiceCapacity(self._services, self._cells)
         self._drained: frozenset[str] = frozenset()
         self._run_times = RunTimeEstimator()
         self._health = HealthTracker(self._settings.health)
@@ -240,22 +244,6 @@
         if server is not None:
             self._remove_task(server, task)
 
-    def feasibility(self, service: str, needs: Resources) -> Feasibility:
-        """Return whether any announced worker could run a task with these needs."""
-        servers = self._services.announced(service)
-        if not servers:
-            return Feasibility.NO_SERVICE
-        for server in servers:
-            worker = server.member.worker
-            size = Resources(
-                cores=worker.cores,
-                memory_mb=worker.memory_mb,
-                accelerators=worker.accelerators,
-            )
-            if fits(needs, size):
-                return Feasibility.POSSIBLE
-        return Feasibility.IMPOSSIBLE_NEEDS
-
     def set_retired(self, member_id: str, *, retired: bool) -> None:
         """Set whether the stream to an agent is about to be closed by this entry."""
         server = self._servers.get(member_id)
@@ -293,32 +281,6 @@
             if server.outstanding and self._is_stalled(server, now_s)
         ]
 
-    def available_cores_of(self, service: str, workload: str = "") -> float:
-        """Return the cores of a service's backend servers that accept tasks.
-
-        Each core counts as 1 divided by the slowness of its backend server.
-
-        Parameters
-        ----------
-        workload
-            Only backend servers on which this workload may run are counted.
-        """
-        return sum(
-            server.member.worker.cores / server.slowness
-            for server in self._connected_for(service, workload)
-            if server.accepts_tasks
-        )
-
-    def occupied_cores_of(self, service: str, workload: str = "") -> float:
-        """Return the cores of a service that tasks of this entry occupy.
-
-        Cores and backend servers count as in :meth:`available_cores_of`.
-        """
-        return sum(
-            server.reserved_cores / server.slowness
-            for server in self._connected_for(service, workload)
-        )
-
     def report_age_ms(self, member_id: str, now_s: float) -> float | None:
         """Return the age of an agent's last load report, in milliseconds.
 
@@ -329,30 +291,10 @@
             return None
         return round((now_s - server.last_report_s) * MS_PER_S, 1)
 
-    def announced_cores_of(self, service: str) -> float:
-        """Return the cores of all backend servers that announce a service.
-
-        Cores count as in :meth:`available_cores_of`, but backend servers that are
-        not connected or accept no tasks are included.
-        """
-        servers = self._services.announced(service)
-        return sum(server.member.worker.cores / server.slowness for server in servers)
-
-    def connected_share_of(self, service: str) -> float:
-        """Return the share of a service's backend servers that are connected."""
-        announced = len(self._services.announced(service))
-        connected = len(self._services.connected(service))
-        return connected / announced if announced else 0.0
-
     def has_connected_agent(self) -> bool:
         """Return whether the stream to any agent is open."""
         return any(server.connected for server in self._servers.values())
 
-    def slots_of(self, service: str) -> int:
-        """Return the slots of a service's backend servers that accept tasks."""
-        servers = self._services.connected(service)
-        return sum(server.slots for server in servers if server.accepts_tasks)
-
     def _usable_servers(self, task: TaskRequest, now_s: float) -> list[BackendServer]:
         needs = None if task.needs == NO_RESOURCES else task.needs
         limit = math.inf
@@ -382,7 +324,7 @@
         """
         return any(
             server.accepts_tasks and not self._health.should_avoid(task, server)
-            for server in self._connected_for(task.service, task.workload)
+            for server in self.capacity.connected_for(task.service, task.workload)
         )
 
     def _straggler_limit(self, service: str, now_s: float) -> float:
@@ -409,29 +351,12 @@
             and without_progress_s >= self._settings.straggler_probe_interval_s
         )
 
-    def _connected_for(self, service: str, workload: str) -> Sequence[BackendServer]:
-        """Return the connected servers of a service on which a workload may run.
-
-        A workload that is not confined may run on the servers of confined ones if
-        there is no other.
-        """
-        servers = self._services.connected(service)
-        cells = self._cells[service]
-        if not cells.confined:
-            return servers
-        allowed = [
-            server for server in servers if cells.allows(workload, server.member_id)
-        ]
-        if workload in cells.confined or any(item.accepts_tasks for item in allowed):
-            return allowed
-        return servers
-
     def _sample(self, task: TaskRequest) -> Sequence[BackendServer]:
         """Return servers on which a task may run, at most ``max_candidates`` of them.
 
         Of a larger service, consecutive ones from a random position are taken.
         """
-        servers = self._connected_for(task.service, task.workload)
+        servers = self.capacity.connected_for(task.service, task.workload)
         limit = self._settings.max_candidates
         if len(servers) <= limit:
             return servers
--- a/tests/crashes/test_history.py
+++ b/tests/crashes/test_history.py
@@ -27,7 +27,7 @@
     """A backend server that was cut off answers again: it has not crashed."""
     history = CrashHistory()
     history.merge(crash_report("a", evidence=CrashEvidence.REFUSED), 0.0)
-    withdrawn = crash_report(revision=2, evidence=CrashEvidence.WITHDRAWN)
+    withdrawn = crash_report("a", revision=2, evidence=CrashEvidence.WITHDRAWN)
     assert history.merge(withdrawn, 1.0)
     assert history.count("a") == CrashCount()
     assert not history.merge(crash_report("a", evidence=CrashEvidence.REFUSED), 2.0)
--- a/tests/placement/test_cells.py
+++ b/tests/placement/test_cells.py
@@ -68,9 +68,9 @@
             request = task(f"{workload}-{number}", workload=workload)
             servers.add(driver.place(request))
     assert not (used["deadly"] - {None}) & (used["other"] - {None})
-    deadly_cores = driver.fleet.available_cores_of("fixtures", "deadly")
+    deadly_cores = driver.fleet.capacity.available_cores_of("fixtures", "deadly")
     assert deadly_cores == 3 * 64
-    assert driver.fleet.available_cores_of("fixtures", "other") == 8 * 64
+    assert driver.fleet.capacity.available_cores_of("fixtures", "other") == 8 * 64
 
 
 def test_other_tasks_use_the_confined_part_if_no_other_server_is_left() -> None:
--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -269,7 +269,7 @@
 
 def test_needs_are_checked_against_announced_workers(driver: FleetDriver) -> None:
     driver.add("a", worker=WorkerSize(cores=4, memory_mb=1_000))
-    feasibility = driver.fleet.feasibility
+    feasibility = driver.fleet.capacity.feasibility
 
     assert feasibility("fixtures", Resources(cores=4)) is Feasibility.POSSIBLE
     assert feasibility("fixtures", Resources(cores=5)) is Feasibility.IMPOSSIBLE_NEEDS
@@ -320,9 +320,9 @@
     driver.add("a", "b")
     driver.fleet.mark_disconnected("b", driver.now_s)
 
-    assert driver.fleet.available_cores_of("fixtures") == 64
-    assert driver.fleet.announced_cores_of("fixtures") == 128
-    assert driver.fleet.announced_cores_of("none") == 0
+    assert driver.fleet.capacity.available_cores_of("fixtures") == 64
+    assert driver.fleet.capacity.announced_cores_of("fixtures") == 128
+    assert driver.fleet.capacity.announced_cores_of("none") == 0
 
 
 def test_exclusive_task_does_not_return_to_a_failed_server_while_others_are_full(
