--- a/src/verbenaplank/crashes/containment.py
+++ b/src/verbenaplank/crashes/containment.py
@@ -30,13 +30,12 @@
 FORGET_AFTER_S = 5.0
 """Evidence is dropped, and a workload released, this long after the last crash."""
 
-MIN_MOMENTS = 3
-"""Number of crashes, one after the other, before any workload is confined."""
-
 CONFINING_EVIDENCE = 2.5
 MAX_EVIDENCE = 1.0
 MIN_EVIDENCE = -0.7
-"""Natural logarithms of likelihood ratios: to confine, and limits for one crash."""
+"""Natural logarithms of likelihood ratios: to confine, and limits for one moment.
+
+So it takes three crashes, one after the other, to confine a workload."""
 
 MIN_SHARE = 0.01
 """Least share of the jobs that is assumed of a workload."""
@@ -63,7 +62,6 @@
     def __init__(self) -> None:
         self._seen: set[tuple[str, str]] = set()
         self._moment: _Moment | None = None
-        self._moments = 0
         self._last_crash_s = -math.inf
         self._scores: dict[str, float] = {}
         self._confined: dict[str, float] = {}
@@ -97,7 +95,6 @@
         if now_s - self._last_crash_s >= FORGET_AFTER_S:
             self._scores.clear()
             self._seen.clear()
-            self._moments = 0
         for workload, blamed_s in tuple(self._confined.items()):
             if now_s - blamed_s >= FORGET_AFTER_S:
                 del self._confined[workload]
@@ -105,7 +102,6 @@
         return frozenset(self._confined)
 
     def _apply(self, moment: _Moment, job_shares: Mapping[str, float]) -> None:
-        self._moments += 1
         blamed = moment.workloads()
         for workload in blamed & self._confined.keys():
             self._confined[workload] = moment.began_s
@@ -117,7 +113,7 @@
             evidence = _evidence(share, expected)
             score = max(0.0, self._scores.get(workload, 0.0) + evidence)
             self._scores[workload] = score
-            if score >= CONFINING_EVIDENCE and self._moments >= MIN_MOMENTS:
+            if score >= CONFINING_EVIDENCE:
                 self._confined.setdefault(workload, moment.began_s)
 
 
--- a/tests/crashes/test_containment.py
+++ b/tests/crashes/test_containment.py
@@ -54,6 +54,7 @@
     containment = CrashContainment()
     for number, (at_s, workload) in enumerate(crashes):
         crash(containment, number, workload, at_s)
+        containment.update(JOB_SHARES, at_s)
     assert not containment.update(JOB_SHARES, 2.0)
 
 
