--- a/tests/verbena_platform/standin_executor.py
+++ b/tests/verbena_platform/standin_executor.py
@@ -60,6 +60,9 @@
         async with httpx.AsyncClient(trust_env=False) as client:
             (await client.put(url, json=body)).raise_for_status()
 
+    def on_start(self, body: dict[str, Any]) -> None:
+        """Do nothing; called for each start."""
+
     def clock_ms(self) -> int:
         return round((time.monotonic() - self.began_s) * 1_000) + 1_000
 
@@ -76,6 +79,7 @@
         name = (body["task"], body["run-id"])
         if request.path == "/v1/run-start":
             self.starts.append(body)
+            self.on_start(body)
             self.active[name] = time.monotonic() + self.task_s
         elif self.active.pop(name, None) is not None:
             self.ends.append([len(self.ends) + 1, *name, "stopped", ""])
