Tell entries that start which workloads are confined, and to which part

A new entry gets all crash reports at once, as one moment, and has counted no jobs yet, so it needs three more crashes, and has the whole fleet for them. Evidence: 'confinement changed' at 4.0 s at all entries, and again at 7.74 s at the one that had been killed at 6.0 s; crashes at 7.41 to 8.40 s. Change: a confined workload, its share and the age of the last crash blamed on it pass over the streams like crash reports. All keep the share that was known first, so their parts are the same. A part is never larger than half of the servers, since an entry that has just started knows few jobs.

--- a/src/verbenaplank/agent/crash_feed.py
+++ b/src/verbenaplank/agent/crash_feed.py
@@ -1,4 +1,4 @@
-"""Passes crash reports on between an agent and the entries connected to it."""
+"""Passes on what an agent and the entries connected to it know of crashes."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 import attrs
 
 from verbenaplank.agent.crash_watch import WatchedServer
+from verbenaplank.crashes.confinements import Confinements
 from verbenaplank.crashes.history import CrashHistory
 from verbenaplank.protocol.crash import CrashEvidence
 
@@ -16,13 +17,16 @@
     from collections.abc import Iterator
 
     from verbenaplank.clock.sources import MonotonicClock
+    from verbenaplank.protocol.crash import Confinement
     from verbenaplank.protocol.crash import CrashReport
 
-    SendReport = Callable[[CrashReport], None]
+    SendNews = Callable[[CrashReport | Confinement], None]
 
 
 class CrashFeed:
-    """Crash reports that an agent knows; it outlives the agent's instances.
+    """Crash reports and confined workloads that an agent knows.
+
+    It outlives the agent's instances.
 
     Parameters
     ----------
@@ -33,7 +37,8 @@
     def __init__(self, clock: MonotonicClock) -> None:
         self._clock = clock
         self._history = CrashHistory()
-        self._subscribers: list[SendReport] = []
+        self._confinements = Confinements()
+        self._subscribers: list[SendNews] = []
         self._served: WatchedServer | None = None
 
     def set_served(self, server: WatchedServer) -> None:
@@ -42,7 +47,7 @@
         for report in self._history:
             self._resolve(report)
 
-    def add(self, report: CrashReport, source: SendReport | None = None) -> None:
+    def add(self, report: CrashReport, source: SendNews | None = None) -> None:
         """Remember a report, and pass it on if it is news.
 
         Parameters
@@ -52,12 +57,22 @@
         """
         if not self._history.merge(report, self._clock()):
             return
-        for send in self._subscribers:
-            if send is not source:
-                send(report)
+        self._pass_on(report, source)
         if source is not None:
             self._resolve(report)
 
+    def add_confinement(self, confinement: Confinement, source: SendNews) -> None:
+        """Remember a confined workload, and pass it on if it is news."""
+        if self._confinements.merge(confinement, self._clock()):
+            self._pass_on(confinement, source)
+
+    def _pass_on(
+        self, news: CrashReport | Confinement, source: SendNews | None
+    ) -> None:
+        for send in self._subscribers:
+            if send is not source:
+                send(news)
+
     def _resolve(self, report: CrashReport) -> None:
         """Confirm or withdraw a report that an earlier process of this agent left."""
         served = self._served
@@ -83,10 +98,12 @@
         )
 
     @contextmanager
-    def subscribe(self, send: SendReport) -> Iterator[None]:
-        """Pass all known reports and all later ones to ``send``."""
+    def subscribe(self, send: SendNews) -> Iterator[None]:
+        """Pass all that is known, and all later news, to ``send``."""
         for report in self._history:
             send(report)
+        for confinement in self._confinements.current(self._clock()):
+            send(confinement)
         self._subscribers.append(send)
         try:
             yield
--- a/src/verbenaplank/agent/runner.py
+++ b/src/verbenaplank/agent/runner.py
@@ -17,6 +17,7 @@
 from verbenaplank.history.event import EventHook
 from verbenaplank.history.event import EventKind
 from verbenaplank.history.event import event_time_s
+from verbenaplank.protocol.crash import Confinement
 from verbenaplank.protocol.crash import CrashReport
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import DispatchRefusal
@@ -42,7 +43,7 @@
 EXPIRY_PERIOD_S = 0.25
 MS_PER_S = 1_000.0
 
-OutboxItem = ReplyItem | LoadReport | CrashReport
+OutboxItem = ReplyItem | LoadReport | CrashReport | Confinement
 ReplyOutbox = Outbox[OutboxItem]
 
 
--- a/src/verbenaplank/agent/work_service.py
+++ b/src/verbenaplank/agent/work_service.py
@@ -17,6 +17,7 @@
 from verbenaplank.agent.runner import MS_PER_S
 from verbenaplank.agent.runner import OutboxItem
 from verbenaplank.agent.runner import ReplyOutbox
+from verbenaplank.protocol.crash import Confinement
 from verbenaplank.protocol.crash import CrashReport
 from verbenaplank.protocol.work import AgentWelcome
 from verbenaplank.protocol.work import DispatchRefusal
@@ -153,7 +154,7 @@
         self._changed = changed
         self._outbox: ReplyOutbox = Outbox()
         self._crashes = crashes
-        self._send_crash_report = self._outbox.put
+        self._send_news = self._outbox.put
         self._sending = False
         self._results_sent: deque[str] = deque()
         self._results_received = 0
@@ -174,7 +175,7 @@
         reporter = asyncio.create_task(self._report_periodically())
         _cancel_reader_on_failure(sender)
         try:
-            with self._crashes.subscribe(self._send_crash_report):
+            with self._crashes.subscribe(self._send_news):
                 self._handle(first)
                 async for message in self._stream:
                     self._handle(message)
@@ -192,7 +193,9 @@
             heard_clock_s = message.renewal.heard_clock_s
             gate.on_renewal(self._key, lease_s, clock(), heard_clock_s)
         for report in message.crashes:
-            self._crashes.add(report, self._send_crash_report)
+            self._crashes.add(report, self._send_news)
+        for confinement in message.confinements:
+            self._crashes.add_confinement(confinement, self._send_news)
         effects: list[Effect] = []
         for revoke in message.revokes:
             effects += gate.on_revoke(self._key, revoke, clock())
@@ -251,6 +254,7 @@
             refusals=tuple(item for item in items if isinstance(item, DispatchRefusal)),
             revocations=tuple(item for item in items if isinstance(item, Revocation)),
             crashes=tuple(item for item in items if isinstance(item, CrashReport)),
+            confinements=tuple(item for item in items if isinstance(item, Confinement)),
             load=self._runner.load(),
         )
         self._last_reported_load = envelope.load
--- a/src/verbenaplank/crashes/containment.py
+++ b/src/verbenaplank/crashes/containment.py
@@ -80,6 +80,21 @@
         self._moment.shares.append(shares)
         self._last_crash_s = now_s
 
+    def adopt(self, workload: str, blamed_s: float) -> None:
+        """Confine a workload that another entry has confined.
+
+        Parameters
+        ----------
+        blamed_s
+            Monotonic time of the last crash that was blamed on it.
+        """
+        known_s = self._confined.get(workload, -math.inf)
+        self._confined[workload] = max(known_s, blamed_s)
+
+    def blamed_s(self, workload: str) -> float:
+        """Return the time of the last crash blamed on a confined workload."""
+        return self._confined[workload]
+
     def update(self, job_shares: Mapping[str, float], now_s: float) -> frozenset[str]:
         """Apply the evidence of past crashes, and return the confined workloads.
 
--- a/src/verbenaplank/entry/agent_connection.py
+++ b/src/verbenaplank/entry/agent_connection.py
@@ -13,6 +13,7 @@
 from verbenaplank.entry.renewal import LONG_LEASE
 from verbenaplank.entry.renewal import RenewalSchedule
 from verbenaplank.entry.renewal import TaskLease
+from verbenaplank.protocol.crash import Confinement
 from verbenaplank.protocol.crash import CrashReport
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import LeaseRenewal
@@ -46,7 +47,7 @@
 MS_PER_S = 1_000.0
 
 
-OutboxItem = Dispatch | Revoke | Stop | CrashReport | LeaseRenewal
+OutboxItem = Dispatch | Revoke | Stop | CrashReport | Confinement | LeaseRenewal
 
 
 class AgentListener(Protocol):
@@ -321,6 +322,7 @@
     revokes: list[Revoke] = attrs.field(factory=list)
     stops: list[Stop] = attrs.field(factory=list)
     crashes: list[CrashReport] = attrs.field(factory=list)
+    confinements: list[Confinement] = attrs.field(factory=list)
     renewal: LeaseRenewal | None = None
     payload_bytes: int = 0
 
@@ -338,6 +340,8 @@
             self.stops.append(item)
         elif isinstance(item, CrashReport):
             self.crashes.append(item)
+        elif isinstance(item, Confinement):
+            self.confinements.append(item)
         else:
             self.renewal = item
 
@@ -349,4 +353,5 @@
             renewal=self.renewal,
             results_received=results_received,
             crashes=tuple(self.crashes),
+            confinements=tuple(self.confinements),
         )
--- a/src/verbenaplank/entry/decision_log.py
+++ b/src/verbenaplank/entry/decision_log.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from verbenaplank.crashes.history import CrashHistory
@@ -160,9 +161,20 @@
     logger.warning("quarantine changed", extra={"began": began, "ended": ended})
 
 
-def confinement_changed(began: Sequence[str], ended: Sequence[str]) -> None:
-    """Log which workloads were confined to a part of the fleet, or released."""
-    logger.warning("confinement changed", extra={"began": began, "ended": ended})
+def confinement_changed(
+    began: Sequence[str],
+    ended: Sequence[str],
+    parts: Mapping[str, Mapping[str, float]],
+) -> None:
+    """Log which workloads were confined to a part of the fleet, or released.
+
+    Parameters
+    ----------
+    parts
+        Share of each confined workload in the work of its service.
+    """
+    extra = {"began": began, "ended": ended, "parts": parts}
+    logger.warning("confinement changed", extra=extra)
 
 
 def subset_changed(
--- a/src/verbenaplank/entry/effects.py
+++ b/src/verbenaplank/entry/effects.py
@@ -5,12 +5,13 @@
 import attrs
 
 from verbenaplank.outcome.failure import Failure
+from verbenaplank.protocol.crash import Confinement
 from verbenaplank.protocol.crash import CrashReport
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import Revoke
 from verbenaplank.protocol.work import Stop
 
-ToAgentItem = Dispatch | Revoke | Stop | CrashReport
+ToAgentItem = Dispatch | Revoke | Stop | CrashReport | Confinement
 
 
 @attrs.frozen
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -21,6 +21,7 @@
 from verbenaplank.entry.disconnected_agents import DisconnectedAgents
 from verbenaplank.entry.dispatch_table import DispatchTable
 from verbenaplank.entry.dispatcher import Dispatcher
+from verbenaplank.entry.effects import SendToAgent
 from verbenaplank.entry.hedge import Hedger
 from verbenaplank.entry.jobs import JobTable
 from verbenaplank.entry.retry import RetryQueue
@@ -207,6 +208,8 @@
         self._disconnected_agents.remove(agent_id)
         self._connected[agent_id] = welcome
         self.crashes.send_all(agent_id)
+        for confinement in self.confinement.current(now_s):
+            self.effects.append(SendToAgent(agent_id, confinement))
         self._message_handler.reconcile_agent(agent_id, welcome.incarnation, now_s)
         if agent_id in self._members:
             self._enable_dispatch(welcome, now_s)
@@ -227,6 +230,10 @@
             if self.crashes.receive(report, agent_id, self._connected, now_s):
                 self.confinement.on_crash(report, now_s)
                 self._give_up_crashing_jobs(report, now_s)
+        for confinement in message.confinements:
+            self.confinement.on_confinement(confinement, now_s)
+        if message.confinements:
+            self._update_confinement(now_s)
         for revocation in message.revocations:
             self._message_handler.handle_revocation(agent_id, revocation, now_s)
         for refusal in message.refusals:
@@ -254,7 +261,7 @@
         self._retry_queue.requeue_due(now_s, self.jobs.is_running)
         self._hedger.hedge_due(now_s, self._dispatcher.dispatch_elsewhere)
         self._revoke_stalled(now_s)
-        self.confinement.update(now_s)
+        self._update_confinement(now_s)
         self.jobs.complete_ready_failures(now_s)
 
     def stop(self, now_s: float) -> None:
@@ -308,6 +315,11 @@
         self.jobs.fail(job, rejection, now_s)
         return True
 
+    def _update_confinement(self, now_s: float) -> None:
+        for confinement in self.confinement.update(now_s):
+            for agent_id in self._connected:
+                self.effects.append(SendToAgent(agent_id, confinement))
+
     def _give_up_crashing_jobs(self, report: CrashReport, now_s: float) -> None:
         """Fail the jobs with a task of a report that has reached the limit."""
         tasks = {run.task for run in report.runs}
--- a/src/verbenaplank/placement/cells.py
+++ b/src/verbenaplank/placement/cells.py
@@ -43,8 +43,8 @@
     ) -> None:
         """Give each confined workload its part of the servers.
 
-        A workload that is confined already keeps its servers.  At least one server is
-        left to the others.
+        A workload that is confined already keeps its servers.  No part is larger than
+        half of the servers, and at least one server is left to the others.
 
         Parameters
         ----------
@@ -59,7 +59,8 @@
         for workload in sorted(shares.keys() - cells.keys()):
             free = sorted(known - taken, key=lambda member: _rank(workload, member))
             wanted = max(1, math.ceil(shares[workload] * len(known)))
-            cell = frozenset(free[: max(0, min(wanted, len(free) - 1))])
+            size = min(wanted, len(known) // 2, len(free) - 1)
+            cell = frozenset(free[: max(0, size)])
             if cell:
                 cells[workload] = cell
                 taken |= cell
--- a/src/verbenaplank/protocol/crash.py
+++ b/src/verbenaplank/protocol/crash.py
@@ -68,3 +68,23 @@
     revision: int
     evidence: CrashEvidence
     runs: tuple[CrashedRun, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Confinement:
+    """A workload that an entry has confined because its tasks crash backend servers.
+
+    Attributes
+    ----------
+    share
+        Share of the workload in the work of its service, which decides how many
+        backend servers it keeps.
+    blamed_ms
+        Time since the last crash that was blamed on it, when the message was sent, in
+        milliseconds.
+    """
+
+    service: str
+    workload: str
+    share: float
+    blamed_ms: float
--- a/src/verbenaplank/protocol/work.py
+++ b/src/verbenaplank/protocol/work.py
@@ -8,6 +8,7 @@
 
 from verbenaplank.placement.task import NO_RESOURCES
 from verbenaplank.placement.task import Resources
+from verbenaplank.protocol.crash import Confinement
 from verbenaplank.protocol.crash import CrashReport
 
 
@@ -169,8 +170,8 @@
     results_received
         Number of results that the entry has received on this stream so far; the
         agent need not keep them any longer.
-    crashes
-        Crash reports that the agent may not know.
+    crashes, confinements
+        Crash reports and confined workloads that the agent may not know.
     """
 
     hello: EntryHello | None = None
@@ -180,6 +181,7 @@
     renewal: LeaseRenewal | None = None
     results_received: int = 0
     crashes: tuple[CrashReport, ...] = ()
+    confinements: tuple[Confinement, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -238,7 +240,13 @@
 
 @attrs.frozen(kw_only=True)
 class FromAgent:
-    """Envelope from an agent to an entry, with crash reports that it may not know."""
+    """Envelope from an agent to an entry.
+
+    Attributes
+    ----------
+    crashes, confinements
+        Crash reports and confined workloads that the entry may not know.
+    """
 
     welcome: AgentWelcome | None = None
     results: tuple[TaskResult, ...] = ()
@@ -246,3 +254,4 @@
     revocations: tuple[Revocation, ...] = ()
     load: LoadReport | None = None
     crashes: tuple[CrashReport, ...] = ()
+    confinements: tuple[Confinement, ...] = ()
--- a/tests/entry/driver.py
+++ b/tests/entry/driver.py
@@ -19,6 +19,7 @@
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
 from verbenaplank.protocol import work
+from verbenaplank.protocol.crash import Confinement
 from verbenaplank.protocol.crash import CrashReport
 
 if TYPE_CHECKING:
@@ -54,6 +55,7 @@
         self.revokes: list[tuple[str, work.Revoke]] = []
         self.stops: list[tuple[str, work.Stop]] = []
         self.crash_reports: list[tuple[str, CrashReport]] = []
+        self.confinements: list[tuple[str, Confinement]] = []
         self.completed: dict[str, tuple[bytes, ...]] = {}
         self.failed: dict[str, Failure] = {}
         fleet = Fleet(least_expected_completion, random.Random(1), "Kochi")
@@ -150,6 +152,8 @@
                 self.dispatches.append((effect.agent_id, effect.item))
             elif isinstance(effect.item, work.Revoke):
                 self.revokes.append((effect.agent_id, effect.item))
+            elif isinstance(effect.item, Confinement):
+                self.confinements.append((effect.agent_id, effect.item))
             elif isinstance(effect.item, CrashReport):
                 self.crash_reports.append((effect.agent_id, effect.item))
             else:
--- a/tests/placement/test_cells.py
+++ b/tests/placement/test_cells.py
@@ -39,6 +39,13 @@
     assert servers_of(cells, "deadly") == servers_of(undisturbed, "deadly")
 
 
+def test_part_is_never_larger_than_half() -> None:
+    """An entry that has just started knows jobs of one workload only."""
+    cells = ServiceCells()
+    cells.divide(SERVERS, {"deadly": 1.0}, 0.0)
+    assert len(servers_of(cells, "deadly")) == len(SERVERS) // 2
+
+
 def test_some_server_is_left_to_the_others() -> None:
     cells = ServiceCells()
     cells.divide(SERVERS, {"deadly": 1.0, "second": 1.0}, 0.0)
