Do not count a crash again when its backend server restarts slowly

The evidence of a crash is dropped five seconds after the last one, and with it went the memory that the crash had been seen. A server that took longer to restart was reported again then, as another crash; several of them could confine a route. Found by reading; test_report_of_a_slow_restart_is_not_taken_for_another_crash failed before.

--- a/src/verbenaplank/crashes/containment.py
+++ b/src/verbenaplank/crashes/containment.py
@@ -13,6 +13,7 @@
 
 import math
 from collections import Counter
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -37,6 +38,9 @@
 
 So it takes three crashes, one after the other, to confine a workload."""
 
+MAX_SEEN_CRASHES = 1_000
+"""Number of crashes whose further reports are recognised."""
+
 MIN_SHARE = 0.01
 """Least share of the jobs that is assumed of a workload."""
 
@@ -60,7 +64,7 @@
     """Evidence of crashes against workloads, without I/O."""
 
     def __init__(self) -> None:
-        self._seen: set[tuple[str, str]] = set()
+        self._seen: OrderedDict[tuple[str, str], None] = OrderedDict()
         self._moment: _Moment | None = None
         self._last_crash_s = -math.inf
         self._scores: dict[str, float] = {}
@@ -74,7 +78,9 @@
         shares = suspect_shares(report)
         if not shares:
             return
-        self._seen.add(incarnation)
+        self._seen[incarnation] = None
+        if len(self._seen) > MAX_SEEN_CRASHES:
+            self._seen.popitem(last=False)
         if self._moment is None:
             self._moment = _Moment(now_s)
         self._moment.shares.append(shares)
@@ -109,7 +115,6 @@
             self._apply(moment, job_shares)
         if now_s - self._last_crash_s >= FORGET_AFTER_S:
             self._scores.clear()
-            self._seen.clear()
         for workload, blamed_s in tuple(self._confined.items()):
             if now_s - blamed_s >= FORGET_AFTER_S:
                 del self._confined[workload]
--- a/tests/crashes/test_containment.py
+++ b/tests/crashes/test_containment.py
@@ -119,3 +119,17 @@
         runs=runs,
     )
     assert suspect_shares(report) == {"booking": 0.5, "result": 0.5}
+
+
+def test_report_of_a_slow_restart_is_not_taken_for_another_crash() -> None:
+    """It comes after the evidence of the crash itself has been dropped."""
+    containment = CrashContainment()
+    for number in range(3):
+        crash(containment, number, "booking", 0.0)
+        containment.update(JOB_SHARES, 0.05)
+    containment.update(JOB_SHARES, 0.5)
+    containment.update(JOB_SHARES, FORGET_AFTER_S + 1.0)
+    for number in range(3):
+        at_s = FORGET_AFTER_S + 2.0 + number
+        crash(containment, number, "booking", at_s)
+        assert not containment.update(JOB_SHARES, at_s + 0.5)
