--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -84,7 +84,9 @@
 
 
 @asynccontextmanager
-async def supervised(port: int) -> AsyncIterator[Supervised]:
+async def supervised(
+    port: int, size: Resources = REPORT.size
+) -> AsyncIterator[Supervised]:
     servers: list[FakeBackendServer] = []
 
     def connect(report: BackendServerReport) -> FakeBackendServer:
@@ -92,7 +94,7 @@
         return servers[-1]
 
     async with AgentSupervisor(agent_settings(port), LEASE_S, connect) as supervisor:
-        supervisor.on_report(REPORT)
+        supervisor.on_report(attrs.evolve(REPORT, size=size))
         yield Supervised(supervisor, servers, port)
 
 
@@ -158,3 +160,20 @@
         async with site.entry() as later:
             (report,) = await receive_until(later, "crashes")
             assert report.evidence is CrashEvidence.RESTARTED
+
+
+async def test_worker_that_starts_without_capacity_is_used_once_it_has_some(
+    unused_tcp_port: int,
+) -> None:
+    """The first report's zero cores ended the task that serves the backend server."""
+    async with (
+        supervised(unused_tcp_port, size=Resources()) as site,
+        site.entry() as stream,
+    ):
+        welcome = (await receive(stream)).welcome
+        assert welcome is not None
+        site.supervisor.on_report(attrs.evolve(REPORT, sequence=2))
+        await asyncio.sleep(0)
+        started = dispatch(1, 1.0, welcome.incarnation)
+        await stream.send_message(ToAgent(dispatches=(started,)))
+        await wait_until(site.servers[0], lambda: bool(site.servers[0].active))
