--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from contextlib import asynccontextmanager
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import attrs
@@ -11,6 +13,7 @@
 from fake_worker import FakeBackendServer
 from fake_worker import wait_until
 
+from verbenaplank.agent import decision_log
 from verbenaplank.agent.named_task import NamedTask
 from verbenaplank.agent.named_task import encode_task
 from verbenaplank.agent.report import BackendServerReport
@@ -31,6 +34,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Iterator
 
     from grpclib.client import Stream
 
@@ -112,6 +116,23 @@
     )
 
 
+@contextmanager
+def signal_for(message: str) -> Iterator[asyncio.Event]:
+    """Yield an event that is set when the agent logs a message."""
+    logged = asyncio.Event()
+    logger = logging.getLogger(decision_log.__name__)
+    handler = logging.Handler()
+    handler.addFilter(lambda record: record.msg == message)
+    handler.emit = lambda _: logged.set()  # type: ignore[method-assign]
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    try:
+        yield logged
+    finally:
+        logger.removeHandler(handler)
+        logger.setLevel(logging.NOTSET)
+
+
 async def receive_until(
     stream: Stream[ToAgent, FromAgent], field: str
 ) -> tuple[object, ...]:
@@ -131,8 +152,9 @@
         welcome = (await receive(stream)).welcome
         assert welcome is not None
         smaller = Resources(cores=4.0, memory_mb=1_000)
-        site.supervisor.on_report(attrs.evolve(REPORT, sequence=2, size=smaller))
-        await asyncio.sleep(0)
+        with signal_for("worker resized") as resized:
+            site.supervisor.on_report(attrs.evolve(REPORT, sequence=2, size=smaller))
+            await asyncio.wait_for(resized.wait(), RECEIVE_TIMEOUT_S)
         too_large = dispatch(1, 5.0, welcome.incarnation)
         await stream.send_message(ToAgent(dispatches=(too_large,)))
         (refusal,) = await receive_until(stream, "refusals")
@@ -172,8 +194,9 @@
     ):
         welcome = (await receive(stream)).welcome
         assert welcome is not None
-        site.supervisor.on_report(attrs.evolve(REPORT, sequence=2))
-        await asyncio.sleep(0)
+        with signal_for("worker resized") as resized:
+            site.supervisor.on_report(attrs.evolve(REPORT, sequence=2))
+            await asyncio.wait_for(resized.wait(), RECEIVE_TIMEOUT_S)
         started = dispatch(1, 1.0, welcome.incarnation)
         await stream.send_message(ToAgent(dispatches=(started,)))
         await wait_until(site.servers[0], lambda: bool(site.servers[0].active))
