--- a/tests/verbena_platform/test_crashing_task.py
+++ b/tests/verbena_platform/test_crashing_task.py
@@ -170,8 +170,5 @@
             await asyncio.gather(replacing, return_exceptions=True)
         assert deadly.json() == {"state": "failed"}
         assert site.starts[f"{DEADLY_JOB}.0.0.0"] <= MAX_STARTS
-        for host in ENTRY_HOSTS:
-            if host not in site.programs:
-                await site.start_program(host)
         answer = await site.submit_until_answered("00000000000000bb", ONE_TASK)
         assert succeeded(answer)
