Fix the interfaces that the parts for high load share

The parts touch at four places: the preferred rack of a task, what agents report, the list of evacuated data centres, and the expected end of a task on a server.

--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -223,4 +223,6 @@
         exclusive=submission.exclusive,
         deadline_s=submission.deadline_s,
         name=submission.task_names[index] if submission.task_names else "",
+        preferred_rack=submission.preferred_rack,
+        remote_factor=submission.remote_factor,
     )
--- a/src/verbenaplank/entry/routed_job.py
+++ b/src/verbenaplank/entry/routed_job.py
@@ -78,6 +78,10 @@
         How long the caller waits for the outcome, in seconds.
     request_id
         The caller's id of this request, used in the log.
+    preferred_rack
+        Rack on which the tasks run fastest; empty if there is none.
+    remote_factor
+        How many times longer a task runs on any other rack.
     """
 
     key: str
@@ -87,6 +91,8 @@
     estimate_s: float
     caller_timeout_s: float
     request_id: str = ""
+    preferred_rack: str = ""
+    remote_factor: float = 1.0
 
     @property
     def goal_s(self) -> float:
@@ -141,4 +147,6 @@
         declared_run_time_s=job.estimate_s,
         run_timeout_ms=run_timeout_s * MS_PER_S,
         task_names=tuple(task.name for task in job.tasks),
+        preferred_rack=job.preferred_rack,
+        remote_factor=job.remote_factor,
     )
--- a/src/verbenaplank/entry/submission.py
+++ b/src/verbenaplank/entry/submission.py
@@ -50,6 +50,10 @@
     task_names
         Name of each task at the backend server, in order, by which crash reports refer
         to it; empty if the tasks have no names there.
+    preferred_rack
+        Rack on which the tasks run fastest; empty if there is none.
+    remote_factor
+        How many times longer a task runs on any other rack.
     """
 
     job_id: str
@@ -72,3 +76,5 @@
     declared_run_time_s: float = 0.2
     run_timeout_ms: float = 30_000.0
     task_names: tuple[str, ...] = ()
+    preferred_rack: str = ""
+    remote_factor: float = 1.0
--- a/src/verbenaplank/placement/backend_server.py
+++ b/src/verbenaplank/placement/backend_server.py
@@ -69,6 +69,8 @@
         Assumed round trip time between this entry and the agent.
     retired
         Whether this entry is about to close its stream to the agent.
+    evacuated
+        Whether an operator has evacuated its data centre.
     outstanding
         Dispatch time of each unfinished task of this entry there, oldest first.
     reservations
@@ -108,6 +110,7 @@
     connected: bool = False
     drained: bool = False
     retired: bool = False
+    evacuated: bool = False
     incarnation: str = ""
     slots: int = 0
     outstanding: dict[TaskKey, float] = attrs.field(factory=dict)
@@ -140,10 +143,11 @@
 
     @property
     def accepts_tasks(self) -> bool:
-        """Return whether it is connected and neither draining nor retired."""
+        """Return whether it is connected, and not draining, retired or evacuated."""
         return self.connected and not (
             self.drained
             or self.retired
+            or self.evacuated
             or self.member.draining
             or self.reported_draining
         )
--- a/src/verbenaplank/placement/policy.py
+++ b/src/verbenaplank/placement/policy.py
@@ -8,11 +8,11 @@
 from collections.abc import Sequence
 
 from verbenaplank.placement.backend_server import BackendServer
+from verbenaplank.placement.expected_end import expected_completion_s
+from verbenaplank.placement.expected_end import expected_run_time_s
+from verbenaplank.placement.expected_end import has_room
 from verbenaplank.placement.load import PlacementContext
 from verbenaplank.placement.load import estimated_load
-from verbenaplank.placement.load import expected_completion_s
-from verbenaplank.placement.load import expected_run_time_s
-from verbenaplank.placement.load import has_room
 
 Policy = Callable[
     [Sequence[BackendServer], PlacementContext, random.Random], BackendServer | None
--- a/src/verbenaplank/placement/task.py
+++ b/src/verbenaplank/placement/task.py
@@ -44,6 +44,10 @@
         Identifiers of the agents to which earlier attempts of the task went.
     name
         Name of the task at the backend server; empty if it has none.
+    preferred_rack
+        Rack on which the task runs fastest; empty if it has none.
+    remote_factor
+        How many times longer the task runs on any other rack.
     """
 
     job_id: str
@@ -61,3 +65,5 @@
     exclusive: bool = False
     avoided_members: frozenset[str] = frozenset()
     name: str = ""
+    preferred_rack: str = ""
+    remote_factor: float = 1.0
--- a/src/verbenaplank/protocol/membership.py
+++ b/src/verbenaplank/protocol/membership.py
@@ -165,6 +165,20 @@
     registrars: tuple[Registrar, ...]
 
 
+@attrs.frozen(kw_only=True)
+class EvacuationList:
+    """The data centres in which nothing may start.
+
+    Attributes
+    ----------
+    revision
+        Revision of the list; each change increases it.
+    """
+
+    revision: int = 0
+    data_centres: tuple[str, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class LeaseGrant:
     """Grant of a lease to a member.
@@ -200,6 +214,8 @@
     left
         Whether the member's request to leave was accepted; this is then the last
         message.
+    evacuations
+        The evacuated data centres; ``None`` if the member has the newest list.
     """
 
     lease: LeaseGrant | None = None
@@ -210,3 +226,4 @@
     current: bool = True
     drain: bool = False
     left: bool = False
+    evacuations: EvacuationList | None = None
--- a/src/verbenaplank/protocol/work.py
+++ b/src/verbenaplank/protocol/work.py
@@ -172,6 +172,9 @@
         agent need not keep them any longer.
     crashes, confinements
         Crash reports and confined workloads that the agent may not know.
+    held
+        Tasks that the entry holds for the agent's rack; ``None`` if the number is
+        unchanged.
     """
 
     hello: EntryHello | None = None
@@ -182,6 +185,7 @@
     results_received: int = 0
     crashes: tuple[CrashReport, ...] = ()
     confinements: tuple[Confinement, ...] = ()
+    held: int | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -228,6 +232,10 @@
     ----------
     clock_s
         The agent's monotonic clock when it made the report, in seconds.
+    cold_remaining_ms
+        How much longer the backend server stays slow after a start, in milliseconds.
+    held
+        Tasks that all entries together hold for the rack of this agent.
     """
 
     running: int
@@ -236,6 +244,8 @@
     cores_used: float = 0.0
     memory_used_mb: float = 0.0
     clock_s: float | None = None
+    cold_remaining_ms: float = 0.0
+    held: int = 0
 
 
 @attrs.frozen(kw_only=True)
