Replicate the list of evacuated data centres

Cause: an operator who wants nothing more to start in a data centre can only drain its agents one by one, and misses agents that join later.

MemberUpdateBuilder sends it to every member in its first message and on change. The platform's interface takes POST and DELETE /v1/evacuations/NAME for the names in the settings' table of data centres.

--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -17,6 +17,7 @@
 from verbenaplank.consensus.node import ConsensusNode
 from verbenaplank.control.administration import Administration
 from verbenaplank.control.bootstrap import bootstrap
+from verbenaplank.control.evacuation import EvacuationAdministration
 from verbenaplank.control.initial_document import load_initial_document
 from verbenaplank.control.join_service import JoinService
 from verbenaplank.control.join_session import SessionContext
@@ -69,6 +70,8 @@
     ----------
     routing
         Replaces and reads the routing document.
+    evacuations
+        Orders, withdraws and reads evacuations of data centres.
 
     Raises
     ------
@@ -124,6 +127,9 @@
         self.routing = RoutingAdministration(
             self.log, self.machine, self._barrier, wall_clock
         )
+        self.evacuations = EvacuationAdministration(
+            self.log, self.machine, self._barrier, wall_clock
+        )
         self._register_metrics()
         self.rpc_address = settings.rpc.address
         self.http_address = settings.http.address
--- a/src/verbenaplank/control/commands.py
+++ b/src/verbenaplank/control/commands.py
@@ -11,6 +11,8 @@
 from verbenaplank.configuration.commands import LoadDocument
 from verbenaplank.configuration.commands import Origin
 from verbenaplank.configuration.commands import RemoveSection
+from verbenaplank.evacuation.commands import EvacuationOutcome
+from verbenaplank.evacuation.commands import OrderEvacuation
 from verbenaplank.membership.commands import Announce
 from verbenaplank.membership.commands import EnterEpoch
 from verbenaplank.membership.commands import Leave
@@ -46,6 +48,7 @@
     leave: Leave | None = None
     enter: EnterEpoch | None = None
     routing: ReplaceRouting | None = None
+    evacuation: OrderEvacuation | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -60,11 +63,14 @@
         Whether a member's or a registrar's command took effect.
     routing
         Verdict on a replacement of the routing document.
+    evacuation
+        Outcome of an order about an evacuation.
     """
 
     outcome: CommandOutcome | None = None
     changed: bool = False
     routing: RoutingVerdict | None = None
+    evacuation: EvacuationOutcome | None = None
 
 
 _command_decoder = msgspec.msgpack.Decoder(ControlCommand)
--- a/src/verbenaplank/control/member_update_builder.py
+++ b/src/verbenaplank/control/member_update_builder.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from verbenaplank.protocol.membership import ConfigurationUpdate
+from verbenaplank.protocol.membership import EvacuationList
 from verbenaplank.protocol.membership import FromControl
 from verbenaplank.protocol.membership import LeaseGrant
 from verbenaplank.protocol.membership import Member
@@ -46,6 +47,7 @@
         self._sent_epoch = 0
         self._sent_routing_version = 0
         self._sent_drain = False
+        self._sent_evacuations_revision = 0
         self._is_first_message = True
         self._lease: LeaseGrant | None = None
 
@@ -62,6 +64,7 @@
             or self._lacks_members()
             or self._lacks_registrars()
             or self._lacks_routing()
+            or self._lacks_evacuations()
             or self._sent_drain != self._is_drain_ordered()
         )
 
@@ -74,6 +77,7 @@
             registrars=self._registrars(),
             routing=self._routing(),
             drain=self._is_drain_ordered(),
+            evacuations=self._evacuations(),
         )
         self._sent_drain = message.drain
         self._lease = None
@@ -109,6 +113,21 @@
         self._sent_routing_version = document.table.version
         return document.table
 
+    def _evacuations(self) -> EvacuationList | None:
+        """Return the list if the member lacks it; the first message contains it.
+
+        A member must know the list, even an empty one, before it starts a task.
+        """
+        if not (self._is_first_message or self._lacks_evacuations()):
+            return None
+        evacuations = self._machine.evacuations.list
+        self._sent_evacuations_revision = evacuations.revision
+        return evacuations
+
+    def _lacks_evacuations(self) -> bool:
+        revision = self._machine.evacuations.revision
+        return self._sent_evacuations_revision != revision
+
     def _lacks_routing(self) -> bool:
         version = self._machine.routing.version
         return self._is_entry and self._sent_routing_version != version
--- a/src/verbenaplank/control/state_machine.py
+++ b/src/verbenaplank/control/state_machine.py
@@ -28,8 +28,12 @@
 from verbenaplank.control.commands import OperatorCommand
 from verbenaplank.control.commands import decode_command
 from verbenaplank.control.commands import encode
+from verbenaplank.evacuation.commands import EvacuationOutcome
+from verbenaplank.evacuation.commands import OrderEvacuation
+from verbenaplank.evacuation.state import EvacuationState
 from verbenaplank.membership.state import MembershipSnapshot
 from verbenaplank.membership.state import MembershipState
+from verbenaplank.protocol.membership import EvacuationList
 from verbenaplank.routing.state import ReplaceRouting
 from verbenaplank.routing.state import RoutingState
 from verbenaplank.routing.state import RoutingVerdict
@@ -45,7 +49,9 @@
 
 logger = logging.getLogger(__name__)
 
-ROUTING_ACTOR = "operator"
+UNAUTHENTICATED_ACTOR = "operator"
+"""Sender in the audit trail if an interface has no tokens."""
+
 ROUTING_SUBJECT = "routing"
 
 _NO_ORIGIN = Origin(command_id="", sent_at_ms=0)
@@ -61,16 +67,21 @@
     audit_anchor: str = INITIAL_DIGEST
     commands: tuple[RecordedCommand, ...] = ()
     routing: RoutingDocument | None = None
+    evacuations: EvacuationList = attrs.field(factory=EvacuationList)
 
 
 class ControlStateMachine:
-    """Replicated configuration, membership, routing, audit trail and command outcomes.
+    """Everything that the control instances replicate.
+
+    This is the configuration, the member list, the routing table, the evacuated data
+    centres, the audit trail and the outcomes of commands.
 
     Parameters
     ----------
     on_change
         Called after each entry that changed the configuration, the member list,
-        the registrar group or the routing table, and after each restore.
+        the registrar group, the routing table or the evacuated data centres, and
+        after each restore.
 
     Attributes
     ----------
@@ -103,6 +114,7 @@
                 audit_anchor=self.audit.anchor,
                 commands=self._commands.commands,
                 routing=self.routing.document,
+                evacuations=self.evacuations.list,
             )
         )
 
@@ -117,14 +129,18 @@
         self.audit = AuditTrail(snapshot.audit, snapshot.audit_anchor)
         self._commands = DeduplicationTable(snapshot.commands)
         self.routing = RoutingState(snapshot.routing)
+        self.evacuations = EvacuationState(snapshot.evacuations)
         self.effective = EffectiveConfiguration()
         self._refresh_effective()
 
-    def _versions(self) -> tuple[int, int, RegistrarTransition, int]:
-        membership = self.membership
-        version = self.configuration.version
-        transition = membership.registrars.transition
-        return version, membership.revision, transition, self.routing.version
+    def _versions(self) -> tuple[int, int, RegistrarTransition, int, int]:
+        return (
+            self.configuration.version,
+            self.membership.revision,
+            self.membership.registrars.transition,
+            self.routing.version,
+            self.evacuations.revision,
+        )
 
     def _refresh_effective(self) -> None:
         sections = self.configuration.sections.values()
@@ -143,6 +159,8 @@
             return ControlResult(changed=entered)
         if command.routing is not None:
             return ControlResult(routing=self._replace_routing(command.routing))
+        if command.evacuation is not None:
+            return ControlResult(evacuation=self._order_evacuation(command.evacuation))
         if command.operator is not None:
             return ControlResult(outcome=self._apply_operator_command(command.operator))
         return ControlResult()
@@ -151,7 +169,7 @@
         verdict = self.routing.replace(command)
         self.audit.append(
             at_ms=command.sent_at_ms,
-            actor=ROUTING_ACTOR,
+            actor=UNAUTHENTICATED_ACTOR,
             command_id="",
             action="routing",
             subject=ROUTING_SUBJECT,
@@ -161,6 +179,22 @@
         )
         return verdict
 
+    def _order_evacuation(self, order: OrderEvacuation) -> EvacuationOutcome:
+        outcome = EvacuationOutcome(
+            verdict=self.evacuations.order(order), revision=self.evacuations.revision
+        )
+        self.audit.append(
+            at_ms=order.sent_at_ms,
+            actor=UNAUTHENTICATED_ACTOR,
+            command_id="",
+            action="evacuate" if order.evacuated else "end_evacuation",
+            subject=order.data_centre,
+            version=outcome.revision,
+            outcome=outcome.verdict.value,
+            detail=outcome.detail,
+        )
+        return outcome
+
     def _apply_operator_command(self, command: OperatorCommand) -> CommandOutcome:
         origin = command.origin
         actor = actor_name(origin)
--- /dev/null
+++ b/src/verbenaplank/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of data centres: nothing starts in an evacuated data centre."""
--- /dev/null
+++ b/tests/verbena_platform/test_evacuations.py
@@ -0,0 +1,67 @@
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+import httpx
+import pytest
+from standin_executor import StandInExecutor
+from whole_path import CONTROL_HOSTS
+from whole_path import Platform
+from whole_path import choose_first_port
+
+from verbena_platform.control import control_program
+from verbenaplank.rpc.address import Address
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+    from verbenaplank.control.application import ControlInstance
+
+DATA_CENTRES = frozenset({"kochi", "madurai"})
+
+
+@pytest.fixture
+async def stack() -> AsyncIterator[AsyncExitStack]:
+    async with AsyncExitStack() as stack:
+        yield stack
+
+
+async def send(platform: Platform, method: str, name: str, number: int) -> int:
+    """Send an order until its outcome is known; return the status."""
+    base = platform.control_url(number).removesuffix("config")
+    async with httpx.AsyncClient(trust_env=False, timeout=10) as client:
+        async with asyncio.timeout(20):
+            while True:
+                answer = await client.request(method, f"{base}evacuations/{name}")
+                if answer.status_code != 503:
+                    assert answer.status_code != 200 or answer.json() == {}
+                    return answer.status_code
+
+
+async def test_order_at_any_instance_reaches_all_and_may_be_repeated(
+    stack: AsyncExitStack, tmp_path: Path
+) -> None:
+    """Guards against orders that only the instance that received them applies."""
+    port = choose_first_port()
+    executor = StandInExecutor(Address("127.0.8.6", port), "s")
+    platform = Platform(stack, tmp_path, port, executor)
+    instances: list[ControlInstance] = []
+    for host in CONTROL_HOSTS:
+        node = platform.node(host, data_centres=DATA_CENTRES)
+        instances.append(await stack.enter_async_context(control_program(node)))
+
+    assert await send(platform, "POST", "madurai", 0) == 200
+    assert await send(platform, "POST", "madurai", 1) == 200
+    assert await send(platform, "POST", "kochi", 2) == 200
+    assert await send(platform, "DELETE", "kochi", 0) == 200
+    assert await send(platform, "DELETE", "kochi", 1) == 200
+    for name in ("", "nowhere", "kochi/", "Kochi", "%00"):
+        assert await send(platform, "POST", name, 0) == 404
+        assert await send(platform, "DELETE", name, 0) == 404
+
+    lists = [await instance.evacuations.current_list() for instance in instances]
+    assert {each.data_centres for each in lists} == {("madurai",)}
+    assert {each.revision for each in lists} == {3}
