Start nothing in an evacuated data centre

Cause: members had no notion of evacuated data centres, and an agent accepted dispatches before it had heard from a control instance.

Change: ClientState keeps the newest list (a lower revision is ignored) and reports it ahead of the configuration, which makes the agent accept dispatches. The agent refuses queued, reserved and later dispatches for two new reasons, NOT_JOINED and EVACUATED, which it does not announce in the member list. The entry's fleet marks the servers of evacuated data centres, also those that are added later, before members are added.

Tests: three tests of the supervisor dispatched to an agent without a control instance and failed with the change; they now run beside a fake control instance and wait until the agent accepts dispatches. Agent, membership and placement tests pass.

--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -41,6 +41,7 @@
 
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.membership.client_state import MembershipEvent
+    from verbenaplank.protocol.membership import EvacuationList
     from verbenaplank.rpc.address import Address
     from verbenaplank.settings.agent import AgentSettings
     from verbenaplank.settings.common import ControlPeer
@@ -52,14 +53,24 @@
 class DrainReason(StrEnum):
     """Why the agent drains, that is, refuses every dispatch that has not started.
 
-    ``STOPPING`` is the shutdown of the agent and ``ORDERED`` a drain that an operator
-    ordered.
+    ``NOT_JOINED`` lasts until the first state from a control instance, which tells
+    whether the data centre is evacuated.  ``STOPPING`` is the shutdown of the agent,
+    ``ORDERED`` a drain that an operator ordered, and ``EVACUATED`` the evacuation of
+    the agent's data centre.
     """
 
+    NOT_JOINED = "not_joined"
     STOPPING = "stopping"
     ORDERED = "ordered"
     BACKEND_SERVER_LEAVING = "backend_server_leaving"
     BACKEND_SERVER_DOWN = "backend_server_down"
+    EVACUATED = "evacuated"
+
+
+UNANNOUNCED_REASONS = frozenset({DrainReason.NOT_JOINED, DrainReason.EVACUATED})
+"""Reasons for which the agent does not announce itself as draining.
+
+An evacuation belongs to the data centre, and every member knows the list."""
 
 
 class AgentInstance:
@@ -128,7 +139,8 @@
         self._member = _make_member(settings, incarnation, self._worker)
         self._sends_load_reports = backend is not None
         self._clock = clock
-        self._drain_reasons: set[DrainReason] = set()
+        self._drain_reasons = {DrainReason.NOT_JOINED}
+        self._gate.drain()
         self._membership: MembershipClient | None = None
         self._resources = AsyncExitStack()
         self.rpc_address = settings.rpc.address
@@ -144,7 +156,6 @@
         async with AsyncExitStack() as resources:
             await resources.enter_async_context(self._owned_backend)
             await resources.enter_async_context(self._runner)
-            self._record_event(EventKind.JOINED)
             await resources.enter_async_context(self._health_check)
             self.rpc_address = await self._listen(resources)
             self._member = attrs.evolve(self._member, address=str(self.rpc_address))
@@ -233,6 +244,15 @@
     def _on_membership_event(self, event: MembershipEvent) -> None:
         if event.kind is MembershipEventKind.DRAIN:
             self._set_drain(DrainReason.ORDERED, on=event.drain_ordered)
+        elif event.kind is MembershipEventKind.EVACUATIONS:
+            self._apply_evacuations(event.evacuations)
+        elif event.kind is MembershipEventKind.CONFIGURATION:
+            self._set_drain(DrainReason.NOT_JOINED, on=False)
+
+    def _apply_evacuations(self, evacuations: EvacuationList) -> None:
+        evacuated = self._settings.data_centre in evacuations.data_centres
+        decision_log.log_evacuations(evacuations, evacuated=evacuated)
+        self._set_drain(DrainReason.EVACUATED, on=evacuated)
 
     def _on_backend_state_change(self, reachable: bool) -> None:
         self._set_drain(DrainReason.BACKEND_SERVER_DOWN, on=not reachable)
@@ -243,21 +263,21 @@
             self._drain_reasons.add(reason)
         else:
             self._drain_reasons.discard(reason)
-        if bool(self._drain_reasons) == self._gate.draining:
-            return
-        if self._drain_reasons:
+        if self._drain_reasons and not self._gate.draining:
             self._runner.drain()
             self._record_event(EventKind.LEFT)
-        else:
+        elif self._gate.draining and not self._drain_reasons:
             self._runner.resume()
             self._record_event(EventKind.JOINED)
-        self._announce_draining(draining=self._gate.draining)
+        self._announce_draining(draining=not self._drain_reasons <= UNANNOUNCED_REASONS)
 
     def _record_event(self, kind: EventKind) -> None:
         name = self._settings.instance_id
         self._record(Event(kind=kind, time_s=event_time_s(), process=name))
 
     def _announce_draining(self, *, draining: bool) -> None:
+        if self._member.draining == draining:
+            return
         self._member = attrs.evolve(self._member, draining=draining)
         if self._membership is not None:
             self._membership.update(self._member)
--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -16,6 +16,7 @@
     from verbenaplank.history.event import Event
     from verbenaplank.placement.task import Resources
     from verbenaplank.protocol.crash import CrashReport
+    from verbenaplank.protocol.membership import EvacuationList
 
 MESSAGES = {
     EventKind.STARTED: "run started",
@@ -102,3 +103,13 @@
         "accelerators": worker.accelerators,
     }
     logger.info("worker resized", extra=extra)
+
+
+def log_evacuations(evacuations: EvacuationList, *, evacuated: bool) -> None:
+    """Log the evacuated data centres in force, and whether this one is among them."""
+    extra = {
+        "revision": evacuations.revision,
+        "data_centres": list(evacuations.data_centres),
+        "evacuated": evacuated,
+    }
+    logger.info("evacuations in force", extra=extra)
--- a/src/verbenaplank/entry/decision_log.py
+++ b/src/verbenaplank/entry/decision_log.py
@@ -19,6 +19,7 @@
     from verbenaplank.entry.submission import Submission
     from verbenaplank.outcome.rejection import Rejection
     from verbenaplank.protocol.crash import CrashReport
+    from verbenaplank.protocol.membership import EvacuationList
     from verbenaplank.protocol.work import DispatchRefusal
     from verbenaplank.protocol.work import TaskResult
 
@@ -210,6 +211,15 @@
     logger.info("routing table in force", extra=extra)
 
 
+def evacuations_in_force(evacuations: EvacuationList) -> None:
+    """Log the evacuated data centres that are now in force."""
+    extra = {
+        "revision": evacuations.revision,
+        "data_centres": list(evacuations.data_centres),
+    }
+    logger.info("evacuations in force", extra=extra)
+
+
 def readiness_changed(*, ready: bool, current: bool, draining: bool) -> None:
     """Log that the entry became ready for new requests or unready, and why."""
     extra = {"ready": ready, "current": current, "draining": draining}
--- a/src/verbenaplank/entry/interfaces.py
+++ b/src/verbenaplank/entry/interfaces.py
@@ -12,6 +12,7 @@
 
     from verbenaplank.claims.decision import ClaimDecision
     from verbenaplank.configuration.effective import EffectiveConfiguration
+    from verbenaplank.protocol.membership import EvacuationList
     from verbenaplank.protocol.membership import Member
     from verbenaplank.protocol.membership import RegistrarGroup
     from verbenaplank.routing.table import RoutingTable
@@ -44,6 +45,10 @@
     def routing(self) -> RoutingTable:
         """The newest routing table."""
 
+    @property
+    def evacuations(self) -> EvacuationList:
+        """The newest list of evacuated data centres."""
+
     @property
     def ready(self) -> bool:
         """Whether a quorum has confirmed the known state since the start."""
--- a/src/verbenaplank/entry/membership_watcher.py
+++ b/src/verbenaplank/entry/membership_watcher.py
@@ -15,6 +15,7 @@
     from verbenaplank.entry.runner import EngineRunner
     from verbenaplank.entry.subset_connector import SubsetConnector
     from verbenaplank.placement.fleet import Fleet
+    from verbenaplank.protocol.membership import EvacuationList
     from verbenaplank.protocol.membership import Member
 
 
@@ -30,7 +31,7 @@
     admission
         Receives the team rules and the number of entries.
     fleet
-        Receives the drained backend servers.
+        Receives the drained backend servers and the evacuated data centres.
     routed
         Receives the routing table.
     clock
@@ -54,6 +55,7 @@
         self._routed = routed
         self._clock = clock
         self._agents: dict[str, Member] = {}
+        self._evacuations_revision = 0
         self._sources: tuple[Membership, Claims] | None = None
 
     def on_change(self, event: object) -> None:
@@ -70,6 +72,7 @@
         self._admission.configure(configuration.teams, entries)
         if membership.registrars is not None:
             claims.set_registrars(membership.registrars)
+        self._apply_evacuations(membership.evacuations)
         left = self._agents.keys() - membership.agents.keys()
         changed = [
             member
@@ -89,6 +92,14 @@
         self._fleet.set_drained(configuration.drained_backend_servers)
         self._runner.flush_soon()
 
+    def _apply_evacuations(self, evacuations: EvacuationList) -> None:
+        """Apply a changed list, before agents are added that it may concern."""
+        if evacuations.revision == self._evacuations_revision:
+            return
+        self._evacuations_revision = evacuations.revision
+        self._fleet.set_evacuated(frozenset(evacuations.data_centres))
+        decision_log.evacuations_in_force(evacuations)
+
     def _add_agent(self, member: Member, now_s: float) -> None:
         self._agents[member.member_id] = member
         self._runner.engine.on_member_joined(member, now_s)
--- a/src/verbenaplank/membership/client.py
+++ b/src/verbenaplank/membership/client.py
@@ -26,6 +26,7 @@
 
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.configuration.effective import EffectiveConfiguration
+    from verbenaplank.protocol.membership import EvacuationList
     from verbenaplank.protocol.membership import FromControl
     from verbenaplank.protocol.membership import RegistrarGroup
     from verbenaplank.routing.table import RoutingTable
@@ -133,6 +134,14 @@
         """Return the newest routing table; its version never decreases."""
         return self._state.routing
 
+    @property
+    def evacuations(self) -> EvacuationList:
+        """Return the newest list of evacuated data centres.
+
+        Its revision never decreases, also while no control instance is reachable.
+        """
+        return self._state.evacuations
+
     @property
     def ready(self) -> bool:
         """Return whether a control instance with a quorum has sent a configuration."""
--- a/src/verbenaplank/membership/client_state.py
+++ b/src/verbenaplank/membership/client_state.py
@@ -9,6 +9,7 @@
 
 from verbenaplank.configuration.effective import EffectiveConfiguration
 from verbenaplank.configuration.merge import merge_sections
+from verbenaplank.protocol.membership import EvacuationList
 from verbenaplank.protocol.membership import Member
 from verbenaplank.protocol.membership import MemberRole
 from verbenaplank.routing.table import RoutingTable
@@ -33,6 +34,7 @@
     REGISTRARS = "registrars"
     DRAIN = "drain"
     ROUTING = "routing"
+    EVACUATIONS = "evacuations"
 
 
 @attrs.frozen(kw_only=True)
@@ -47,12 +49,15 @@
         Ids of agents and entries that left.
     drain_ordered
         Whether the member is now ordered to drain.
+    evacuations
+        The evacuated data centres that are now in force.
     """
 
     kind: MembershipEventKind
     changed: tuple[Member, ...] = ()
     left: tuple[str, ...] = ()
     drain_ordered: bool = False
+    evacuations: EvacuationList = attrs.field(factory=EvacuationList)
 
 
 class ClientState:
@@ -79,6 +84,7 @@
         self.members_revision = 0
         self.registrars: RegistrarGroup | None = None
         self.routing = RoutingTable()
+        self.evacuations = EvacuationList()
         self.ready = False
         self.drain_ordered = False
         self.lease_until_s = float("-inf")
@@ -108,12 +114,14 @@
     def apply(self, message: FromControl) -> list[MembershipEvent]:
         """Apply a message of a control instance with a quorum; return the changes.
 
-        A configuration, member list, registrar group or routing table that is older
-        than the state is ignored.
+        A configuration, member list, registrar group, routing table or evacuation
+        list that is older than the state is ignored.
         """
         events: list[MembershipEvent] = []
         if message.lease is not None:
             self._apply_lease(message.lease)
+        if message.evacuations is not None:
+            events.extend(self._apply_evacuations(message.evacuations))
         if message.configuration is not None:
             events.extend(self._apply_configuration(message.configuration))
         if message.members is not None:
@@ -180,6 +188,13 @@
         )
         return [event]
 
+    def _apply_evacuations(self, evacuations: EvacuationList) -> list[MembershipEvent]:
+        if evacuations.revision <= self.evacuations.revision:
+            return []
+        self.evacuations = evacuations
+        kind = MembershipEventKind.EVACUATIONS
+        return [MembershipEvent(kind=kind, evacuations=evacuations)]
+
     def _apply_routing(self, table: RoutingTable) -> list[MembershipEvent]:
         if table.version <= self.routing.version:
             return []
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -16,6 +16,7 @@
 from verbenaplank.placement.service_capacity import ServiceCapacity
 from verbenaplank.placement.service_index import ServiceIndex
 from verbenaplank.placement.settings import PlacementSettings
+from verbenaplank.placement.stragglers import Stragglers
 from verbenaplank.placement.task import NO_RESOURCES
 from verbenaplank.protocol.membership import MemberRole
 from verbenaplank.protocol.work import TaskOutcome
@@ -32,7 +33,6 @@
 
 OTHER_TASKS_GAIN = 0.02
 MS_PER_S = 1_000.0
-STRAGGLER_LIMIT_VALIDITY_S = 0.1
 FAILURES = frozenset(
     {
         TaskOutcome.FAILED,
@@ -83,11 +83,12 @@
         self._cells: defaultdict[str, ServiceCells] = defaultdict(ServiceCells)
         self.capacity = ServiceCapacity(self._services, self._cells)
         self._drained: frozenset[str] = frozenset()
+        self._evacuated: frozenset[str] = frozenset()
         self._run_times = RunTimeEstimator()
         self._health = HealthTracker(self._settings.health)
         self._rack_counts = JobRackCounts()
         self._average_other_tasks_per_slot = 0.0
-        self._straggler_limits: dict[str, tuple[float, float]] = {}
+        self._stragglers = Stragglers(self._services, self._settings)
 
     def add_or_update(self, member: Member, now_s: float) -> None:
         """Add a backend server or apply its changed announcement.
@@ -108,6 +109,7 @@
             self._health.forget(server)
         self._services.remove(server)
         server.member = member
+        server.evacuated = member.data_centre in self._evacuated
         self._services.add(server)
 
     def remove(self, member_id: str, now_s: float) -> None:
@@ -261,6 +263,17 @@
         for member_id, server in self._servers.items():
             server.drained = member_id in member_ids
 
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Set the data centres to which no tasks are sent."""
+        self._evacuated = data_centres
+        for server in self._servers.values():
+            server.evacuated = server.member.data_centre in data_centres
+        self._services.refresh_evacuated()
+
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Return whether no tasks are sent to a data centre."""
+        return data_centre in self._evacuated
+
     def expected_run_time_s(self, task: TaskRequest) -> float:
         """Return a task's expected run time at slowness 1, in seconds."""
         return self._run_times.expected_s(task)
@@ -299,7 +312,7 @@
         needs = None if task.needs == NO_RESOURCES else task.needs
         limit = math.inf
         if task.exclusive:
-            limit = self._straggler_limit(task.service, now_s)
+            limit = self._stragglers.limit(task.service, now_s)
         usable: list[BackendServer] = []
         preferred: list[BackendServer] = []
         for server in self._sample(task):
@@ -307,7 +320,9 @@
                 continue
             if needs is not None and not server.has_free_resources(needs):
                 continue
-            if server.slowness > limit and not self._may_probe_straggler(server, now_s):
+            if server.slowness > limit and not self._stragglers.may_probe(
+                server, now_s
+            ):
                 continue
             usable.append(server)
             if not self._health.should_avoid(task, server):
@@ -327,30 +342,6 @@
             for server in self.capacity.connected_for(task.service, task.workload)
         )
 
-    def _straggler_limit(self, service: str, now_s: float) -> float:
-        """Return the slowness above which a server gets exclusive tasks only as probes.
-
-        A second run cannot be started to replace a slow run of an exclusive task,
-        since the runs of such a task must not overlap.
-        """
-        computed_s, limit = self._straggler_limits.get(service, (-math.inf, 0.0))
-        if now_s - computed_s < STRAGGLER_LIMIT_VALIDITY_S:
-            return limit
-        servers = self._services.connected(service)
-        known = sorted(server.slowness for server in servers)
-        if not known:
-            return math.inf
-        limit = known[len(known) // 2] * self._settings.straggler_factor
-        self._straggler_limits[service] = (now_s, limit)
-        return limit
-
-    def _may_probe_straggler(self, server: BackendServer, now_s: float) -> bool:
-        without_progress_s = now_s - server.last_progress_s
-        return (
-            not server.outstanding
-            and without_progress_s >= self._settings.straggler_probe_interval_s
-        )
-
     def _sample(self, task: TaskRequest) -> Sequence[BackendServer]:
         """Return servers on which a task may run, at most ``max_candidates`` of them.
 
--- a/src/verbenaplank/placement/service_index.py
+++ b/src/verbenaplank/placement/service_index.py
@@ -11,16 +11,25 @@
 
 
 class ServiceIndex:
-    """Lists the announced and the connected backend servers of each service."""
+    """Lists the backend servers of each service.
+
+    The lists contain those that are announced, those of them that are not evacuated,
+    and those that are connected.
+    """
 
     def __init__(self) -> None:
         self._announced: dict[str, list[BackendServer]] = {}
+        self._in_service: dict[str, list[BackendServer]] = {}
         self._connected: dict[str, list[BackendServer]] = {}
 
     def announced(self, service: str) -> Sequence[BackendServer]:
         """Return all backend servers that announce a service."""
         return self._announced.get(service, ())
 
+    def in_service(self, service: str) -> Sequence[BackendServer]:
+        """Return the announced backend servers outside evacuated data centres."""
+        return self._in_service.get(service, ())
+
     def connected(self, service: str) -> Sequence[BackendServer]:
         """Return the backend servers of a service whose agent is connected."""
         return self._connected.get(service, ())
@@ -28,14 +37,25 @@
     def add(self, server: BackendServer) -> None:
         """Add a backend server under the services that it announces now."""
         _add(self._announced, server)
+        if not server.evacuated:
+            _add(self._in_service, server)
         if server.connected:
             _add(self._connected, server)
 
     def remove(self, server: BackendServer) -> None:
         """Remove a backend server; call before its announcement changes."""
         _remove(self._announced, server)
+        _remove(self._in_service, server)
         _remove(self._connected, server)
 
+    def refresh_evacuated(self) -> None:
+        """Apply which of the backend servers are evacuated."""
+        self._in_service.clear()
+        for service, servers in self._announced.items():
+            left = [server for server in servers if not server.evacuated]
+            if left:
+                self._in_service[service] = left
+
     def update_connected(self, server: BackendServer) -> None:
         """Apply whether a backend server's agent is connected."""
         _remove(self._connected, server)
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -10,6 +10,7 @@
 from agent_helpers import HELLO
 from agent_helpers import RECEIVE_TIMEOUT_S
 from agent_helpers import receive
+from fake_control import FakeControl
 from fake_worker import FakeBackendServer
 from fake_worker import wait_until
 
@@ -20,6 +21,7 @@
 from verbenaplank.agent.supervisor import AgentSupervisor
 from verbenaplank.placement.task import Resources
 from verbenaplank.protocol.crash import CrashEvidence
+from verbenaplank.protocol.work import AgentWelcome
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import FromAgent
 from verbenaplank.protocol.work import LeaseRenewal
@@ -51,13 +53,13 @@
 )
 
 
-def agent_settings(port: int) -> AgentSettings:
+def agent_settings(port: int, control_port: int) -> AgentSettings:
     local = {"host": "127.0.0.1", "port": port}
     document = {
         "instance_id": "a1",
         "data_centre": "d",
         "rpc": local,
-        "control": [{"host": "127.0.0.1", "port": 1, "instance_id": "c1"}],
+        "control": [{"host": "127.0.0.1", "port": control_port, "instance_id": "c1"}],
         "backend_server": {"host": "127.0.0.1", "port": 1, "services": ["draw"]},
     }
     return check_settings(document, AgentSettings, "agent.toml")
@@ -97,7 +99,12 @@
         servers.append(FakeBackendServer())
         return servers[-1]
 
-    async with AgentSupervisor(agent_settings(port), LEASE_S, connect) as supervisor:
+    async with (
+        FakeControl().serving() as control,
+        AgentSupervisor(
+            agent_settings(port, control.port), LEASE_S, connect
+        ) as supervisor,
+    ):
         supervisor.on_report(attrs.evolve(REPORT, size=size))
         yield Supervised(supervisor, servers, port)
 
@@ -133,6 +140,17 @@
         logger.setLevel(logging.NOTSET)
 
 
+async def receive_welcome(stream: Stream[ToAgent, FromAgent]) -> AgentWelcome:
+    """Receive the welcome, and wait until the agent accepts dispatches."""
+    message = await receive(stream)
+    welcome = message.welcome
+    assert welcome is not None
+    async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+        while message.load is None or message.load.draining:
+            message = await receive(stream)
+    return welcome
+
+
 async def receive_until(
     stream: Stream[ToAgent, FromAgent], field: str
 ) -> tuple[object, ...]:
@@ -149,8 +167,7 @@
 ) -> None:
     """Only the first report of an incarnation told the agent the worker's size."""
     async with supervised(unused_tcp_port) as site, site.entry() as stream:
-        welcome = (await receive(stream)).welcome
-        assert welcome is not None
+        welcome = await receive_welcome(stream)
         smaller = Resources(cores=4.0, memory_mb=1_000)
         with signal_for("worker resized") as resized:
             site.supervisor.on_report(attrs.evolve(REPORT, sequence=2, size=smaller))
@@ -166,8 +183,7 @@
 ) -> None:
     """Nothing told which tasks ran on a backend server that crashed."""
     async with supervised(unused_tcp_port) as site, site.entry() as stream:
-        welcome = (await receive(stream)).welcome
-        assert welcome is not None
+        welcome = await receive_welcome(stream)
         started = dispatch(1, 1.0, welcome.incarnation)
         await stream.send_message(ToAgent(dispatches=(started,)))
         await wait_until(site.servers[0], lambda: bool(site.servers[0].active))
@@ -192,8 +208,7 @@
         supervised(unused_tcp_port, size=Resources()) as site,
         site.entry() as stream,
     ):
-        welcome = (await receive(stream)).welcome
-        assert welcome is not None
+        welcome = await receive_welcome(stream)
         with signal_for("worker resized") as resized:
             site.supervisor.on_report(attrs.evolve(REPORT, sequence=2))
             await asyncio.wait_for(resized.wait(), RECEIVE_TIMEOUT_S)
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -19,6 +19,7 @@
 from verbenaplank.configuration.effective import ServiceRules
 from verbenaplank.configuration.effective import TeamRules
 from verbenaplank.protocol import work
+from verbenaplank.protocol.membership import EvacuationList
 from verbenaplank.protocol.membership import Member
 from verbenaplank.routing.table import RoutingTable
 from verbenaplank.rpc.address import Address
@@ -63,6 +64,7 @@
         self.routing = RoutingTable()
         self.ready = True
         self.drain_ordered = False
+        self.evacuations = EvacuationList()
         self.lease_since_s = float("-inf")
         self.has_left = False
         self.listeners: list[Callable[[object], None]] = []
--- a/tests/membership/test_client_state.py
+++ b/tests/membership/test_client_state.py
@@ -3,6 +3,7 @@
 from verbenaplank.membership.client_state import ClientState
 from verbenaplank.membership.client_state import MembershipEventKind
 from verbenaplank.protocol.membership import ConfigurationUpdate
+from verbenaplank.protocol.membership import EvacuationList
 from verbenaplank.protocol.membership import FromControl
 from verbenaplank.protocol.membership import LeaseGrant
 from verbenaplank.protocol.membership import RegistrarGroup
@@ -66,3 +67,18 @@
     assert kinds == [MembershipEventKind.REGISTRARS, MembershipEventKind.DRAIN]
     assert state.apply(older) == []
     assert state.drain_ordered
+
+
+def test_older_evacuation_list_is_ignored() -> None:
+    """An instance that lags behind must not end an evacuation at a member."""
+    state = ClientState()
+    newest = EvacuationList(revision=5, data_centres=("Kochi",))
+    update = ConfigurationUpdate(version=0)
+    events = state.apply(FromControl(configuration=update, evacuations=newest))
+    assert [event.kind for event in events] == [
+        MembershipEventKind.EVACUATIONS,
+        MembershipEventKind.CONFIGURATION,
+    ]
+    assert state.apply(FromControl(evacuations=EvacuationList(revision=4))) == []
+    assert state.apply(FromControl()) == []
+    assert state.evacuations == newest
