Hold tasks for a better server for as long as the wait pays off

Cause: a task that prefers a rack runs 2 times longer elsewhere, and a free slow server is used although a faster one is about to be free. Placement compared free servers only.

Change: placement/locality.py compares the expected end on the best free server with that on the best full one and returns a placement or a hold; entry/holds.py keeps held tasks by rack and evaluates them again on each event of the rack and at the time of the hold. Entries tell the agents of a rack how many tasks they hold for it, and agents report the sum. Enabled by [placement] remote_factor above a route's stretch, or by preferred_rack.

--- a/src/verbenaplank/agent/work_service.py
+++ b/src/verbenaplank/agent/work_service.py
@@ -30,6 +30,7 @@
 from verbenaplank.rpc.services import WORK
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
     from collections.abc import Sequence
 
@@ -91,6 +92,12 @@
         self._streams: set[_WorkStream] = set()
         self._changed = asyncio.Event()
 
+    def load(self) -> LoadReport:
+        """Return the current load, with the tasks that all entries hold."""
+        held = sum(stream.held for stream in self._streams)
+        load = self._runner.load()
+        return attrs.evolve(load, held=held) if held else load
+
     def service(self) -> Service:
         """Return the RPC service on which entries open their streams."""
         return WORK.create_service(self._serve)
@@ -103,7 +110,7 @@
             await asyncio.sleep(report_delay_s(len(self._streams)))
             if not pacing.is_due(self._runner.gate.headroom()):
                 continue
-            load = self._runner.load()
+            load = self.load()
             for stream in self._streams:
                 stream.report(load)
 
@@ -126,6 +133,7 @@
             self._crashes,
             key,
             self._changed,
+            self.load,
             self._periodic_reports,
         )
         self._streams.add(work)
@@ -137,7 +145,13 @@
 
 
 class _WorkStream:
-    """The open stream of one entry."""
+    """The open stream of one entry.
+
+    Attributes
+    ----------
+    held
+        Number of tasks that the entry holds for the agent's rack.
+    """
 
     def __init__(
         self,
@@ -146,12 +160,15 @@
         crashes: CrashFeed,
         key: EntryKey,
         changed: asyncio.Event,
+        load: Callable[[], LoadReport],
         periodic_reports: bool,
     ) -> None:
         self._stream = stream
         self._runner = runner
         self._key = key
         self._changed = changed
+        self._load = load
+        self.held = 0
         self._outbox: ReplyOutbox = Outbox()
         self._crashes = crashes
         self._send_news = self._outbox.put
@@ -192,6 +209,8 @@
             lease_s = message.renewal.lease_ms / MS_PER_S
             heard_clock_s = message.renewal.heard_clock_s
             gate.on_renewal(self._key, lease_s, clock(), heard_clock_s)
+        if message.held is not None:
+            self.held = message.held
         for report in message.crashes:
             self._crashes.add(report, self._send_news)
         for confinement in message.confinements:
@@ -215,7 +234,7 @@
         self._changed.set()
 
     async def _send(self, welcome: AgentWelcome) -> None:
-        load = self._runner.load()
+        load = self._load()
         welcome = attrs.evolve(welcome, draining=load.draining)
         await self._stream.send_message(FromAgent(welcome=welcome, load=load))
         while True:
@@ -235,7 +254,7 @@
             if since_report_s < period_s:
                 await asyncio.sleep(period_s - since_report_s)
                 continue
-            self._outbox.put(self._runner.load())
+            self._outbox.put(self._load())
             await asyncio.sleep(period_s)
 
     def report(self, load: LoadReport) -> None:
@@ -255,7 +274,7 @@
             revocations=tuple(item for item in items if isinstance(item, Revocation)),
             crashes=tuple(item for item in items if isinstance(item, CrashReport)),
             confinements=tuple(item for item in items if isinstance(item, Confinement)),
-            load=self._runner.load(),
+            load=self._load(),
         )
         self._last_reported_load = envelope.load
         self._last_reported_s = self._runner.clock()
--- a/src/verbenaplank/entry/agent_connection.py
+++ b/src/verbenaplank/entry/agent_connection.py
@@ -16,6 +16,7 @@
 from verbenaplank.protocol.crash import Confinement
 from verbenaplank.protocol.crash import CrashReport
 from verbenaplank.protocol.work import Dispatch
+from verbenaplank.protocol.work import HeldCount
 from verbenaplank.protocol.work import LeaseRenewal
 from verbenaplank.protocol.work import Revoke
 from verbenaplank.protocol.work import Stop
@@ -47,7 +48,9 @@
 MS_PER_S = 1_000.0
 
 
-OutboxItem = Dispatch | Revoke | Stop | CrashReport | Confinement | LeaseRenewal
+OutboxItem = (
+    Dispatch | Revoke | Stop | CrashReport | Confinement | HeldCount | LeaseRenewal
+)
 
 
 class AgentListener(Protocol):
@@ -324,6 +327,7 @@
     crashes: list[CrashReport] = attrs.field(factory=list)
     confinements: list[Confinement] = attrs.field(factory=list)
     renewal: LeaseRenewal | None = None
+    held: int | None = None
     payload_bytes: int = 0
 
     def is_full_for(self, dispatch: Dispatch) -> bool:
@@ -342,6 +346,8 @@
             self.crashes.append(item)
         elif isinstance(item, Confinement):
             self.confinements.append(item)
+        elif isinstance(item, HeldCount):
+            self.held = item.tasks
         else:
             self.renewal = item
 
@@ -354,4 +360,5 @@
             results_received=results_received,
             crashes=tuple(self.crashes),
             confinements=tuple(self.confinements),
+            held=self.held,
         )
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -185,6 +185,7 @@
             hedge_budget=hedge_budget(),
             lease_held_since=self._status.lease_held_since,
             on_dispatch=self._on_dispatch,
+            random=self._random,
         )
         self._registry = RequestRegistry(
             max_records=MAX_RECORDS, max_response_bytes=MAX_RESPONSE_BYTES
@@ -366,6 +367,7 @@
             wall_clock=self._wall_clock,
             admission=self._admission,
             readiness=self._status.readiness,
+            remote_factor=settings.placement.remote_factor,
         )
         return Pipeline(dependencies)
 
--- a/src/verbenaplank/entry/decision_log.py
+++ b/src/verbenaplank/entry/decision_log.py
@@ -18,6 +18,7 @@
     from verbenaplank.entry.dispatch_table import DispatchRecord
     from verbenaplank.entry.submission import Submission
     from verbenaplank.outcome.rejection import Rejection
+    from verbenaplank.placement.task import TaskRequest
     from verbenaplank.protocol.crash import CrashReport
     from verbenaplank.protocol.membership import EvacuationList
     from verbenaplank.protocol.work import DispatchRefusal
@@ -68,6 +69,24 @@
 Placement = tuple[int, int, str, float | None]
 
 
+def task_held(
+    task: TaskRequest, rack: str, reason: str, held_s: float, ended_by: str
+) -> None:
+    """Log that a task was held for a server in a rack, and what ended the hold."""
+    logger.info(
+        "task held",
+        extra={
+            "job_id": task.job_id,
+            "task_index": task.task_index,
+            "attempt": task.attempt,
+            "rack": rack,
+            "cause": reason,
+            "held_ms": _ms(held_s),
+            "ended_by": ended_by,
+        },
+    )
+
+
 def run_did_not_succeed(
     record: DispatchRecord, result: TaskResult, failed_runs: int, *, again: bool
 ) -> None:
--- a/src/verbenaplank/entry/decode.py
+++ b/src/verbenaplank/entry/decode.py
@@ -18,10 +18,19 @@
 PRIORITIES = ("routine", "urgent")
 MAX_DEADLINE_MS = 3_600_000
 MAX_RUNS = 100
+MAX_RACK_CHARACTERS = 100
 MAX_NEED = 2**31 - 1
 
 _COMMON_FIELDS = frozenset(
-    {"id", "service", "team", "priority", "deadline_ms", "needs"}
+    {
+        "id",
+        "service",
+        "team",
+        "priority",
+        "deadline_ms",
+        "needs",
+        "preferred_rack",
+    }
 )
 _JOB_FIELDS = _COMMON_FIELDS | {"tasks"}
 _REQUEST_FIELDS = _COMMON_FIELDS | {"payload", "idempotent", "max_runs"}
@@ -98,6 +107,7 @@
     team = reader.text("team", required=True)
     urgent = reader.choice("priority", PRIORITIES) == "urgent"
     deadline_ms = reader.integer("deadline_ms", low=1, high=MAX_DEADLINE_MS)
+    preferred_rack = reader.text("preferred_rack", longest=MAX_RACK_CHARACTERS)
     needs = _read_needs(reader.nested("needs"))
     return ParsedRequest(
         single=single,
@@ -107,6 +117,7 @@
         urgent=urgent,
         deadline_ms=deadline_ms,
         needs=needs,
+        preferred_rack=preferred_rack,
         payloads=payloads,
         idempotent=idempotent,
         max_runs=max_runs,
--- a/src/verbenaplank/entry/dispatcher.py
+++ b/src/verbenaplank/entry/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -10,16 +11,22 @@
 from verbenaplank.crashes.limit import start_permission
 from verbenaplank.entry.effects import Effect
 from verbenaplank.entry.effects import SendToAgent
+from verbenaplank.placement.locality import Hold
+from verbenaplank.placement.locality import Place
+from verbenaplank.placement.locality import weighs_waiting
 from verbenaplank.placement.unplaceable import UnplaceableNeeds
 from verbenaplank.protocol.work import Dispatch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
 
-    from verbenaplank.admission.queue_protocol import TaskQueueProtocol
     from verbenaplank.crashes.history import CrashHistory
     from verbenaplank.entry.dispatch_table import DispatchRecord
     from verbenaplank.entry.dispatch_table import DispatchTable
+    from verbenaplank.entry.holding_queue import HoldingQueue
+    from verbenaplank.entry.holds import Holds
     from verbenaplank.entry.jobs import JobTable
     from verbenaplank.entry.submission import Submission
     from verbenaplank.placement.fleet import Fleet
@@ -36,7 +43,8 @@
         *,
         jobs: JobTable,
         dispatch_table: DispatchTable,
-        queue: TaskQueueProtocol,
+        queue: HoldingQueue,
+        holds: Holds,
         fleet: Fleet,
         effects: list[Effect],
         on_dispatch: Callable[[DispatchRecord], None],
@@ -46,6 +54,7 @@
         self._jobs = jobs
         self._dispatch_table = dispatch_table
         self._queue = queue
+        self._holds = holds
         self._fleet = fleet
         self._effects = effects
         self._on_dispatch = on_dispatch
@@ -65,14 +74,40 @@
 
     def dispatch_waiting(self, now_s: float) -> None:
         """Dispatch waiting tasks until no agent can take any of them."""
-        unplaceable = UnplaceableNeeds()
+        due_racks = self._queue.take_due(now_s)
+        self._dispatch_held(due_racks, now_s, urgent=True)
+        unplaceable: dict[str, UnplaceableNeeds] = defaultdict(UnplaceableNeeds)
         while len(self._queue):
             chosen = _ChosenAgent()
             choose = self._agent_chooser(chosen, unplaceable, now_s)
             task = self._queue.pop(now_s, choose)
             if task is None:
-                return
+                break
+            if chosen.hold is not None:
+                self._holds.hold(task, chosen.hold, now_s)
+                continue
+            if chosen.place is not None:
+                self._holds.count_placed(task, chosen.place)
             self._dispatch(task, chosen.agent_id, now_s)
+        self._dispatch_held(due_racks, now_s, urgent=False)
+
+    def _dispatch_held(
+        self, racks: Iterable[str], now_s: float, *, urgent: bool
+    ) -> None:
+        """Decide again about the tasks that are held for some racks.
+
+        Urgent ones had their turn before the queued tasks.  The others follow the
+        queue, since urgent tasks in it go first.
+        """
+        for rack in racks:
+            for held, decision in self._holds.decide_again(rack, now_s, urgent=urgent):
+                if not isinstance(decision, Place):
+                    continue
+                if decision.member_id not in self._incarnations:
+                    self._queue.push(held.task, now_s)
+                    continue
+                self._holds.count_placed(held.task, decision)
+                self._dispatch(held.task, decision.member_id, now_s)
 
     def dispatch_elsewhere(self, task: TaskRequest, now_s: float) -> bool:
         """Dispatch another run of a task to an agent that is not to be avoided.
@@ -89,20 +124,34 @@
         return True
 
     def _agent_chooser(
-        self, chosen: _ChosenAgent, unplaceable: UnplaceableNeeds, now_s: float
+        self,
+        chosen: _ChosenAgent,
+        unplaceable: Mapping[str, UnplaceableNeeds],
+        now_s: float,
     ) -> Callable[[TaskRequest], bool]:
         """Return a function that stores the agent chosen for a task in ``chosen``.
 
-        The function returns whether an agent can take the task.
+        The function returns whether an agent can take the task or it is to be held.
+        The servers of a rack are added to the candidates of the tasks that prefer it,
+        so what could not be placed is remembered by preferred rack.
         """
 
         def choose(task: TaskRequest) -> bool:
-            if unplaceable.covers(task) or not self._may_start(task):
+            known = unplaceable[task.preferred_rack]
+            if known.covers(task) or not self._may_start(task):
                 return False
-            agent_id = self._choose_agent(task, now_s)
+            if weighs_waiting(task):
+                decision = self._holds.decide(task, now_s)
+                if isinstance(decision, Hold):
+                    chosen.hold = decision
+                    return True
+                chosen.place = decision
+                agent_id = self._enabled(decision.member_id if decision else None)
+            else:
+                agent_id = self._choose_agent(task, now_s)
             if agent_id is None:
                 if not self._fleet.avoids_servers(task):
-                    unplaceable.add(task)
+                    known.add(task)
                 return False
             chosen.agent_id = agent_id
             return True
@@ -114,7 +163,9 @@
         return permission is StartPermission.GRANTED
 
     def _choose_agent(self, task: TaskRequest, now_s: float) -> str | None:
-        agent_id = self._fleet.choose_agent(task, now_s, len(self._queue))
+        return self._enabled(self._fleet.choose_agent(task, now_s, len(self._queue)))
+
+    def _enabled(self, agent_id: str | None) -> str | None:
         return agent_id if agent_id in self._incarnations else None
 
     def _dispatch(self, task: TaskRequest, agent_id: str, now_s: float) -> None:
@@ -134,6 +185,8 @@
 @attrs.define
 class _ChosenAgent:
     agent_id: str = ""
+    place: Place | None = None
+    hold: Hold | None = None
 
 
 def build_dispatch(
--- a/src/verbenaplank/entry/effects.py
+++ b/src/verbenaplank/entry/effects.py
@@ -8,10 +8,11 @@
 from verbenaplank.protocol.crash import Confinement
 from verbenaplank.protocol.crash import CrashReport
 from verbenaplank.protocol.work import Dispatch
+from verbenaplank.protocol.work import HeldCount
 from verbenaplank.protocol.work import Revoke
 from verbenaplank.protocol.work import Stop
 
-ToAgentItem = Dispatch | Revoke | Stop | CrashReport | Confinement
+ToAgentItem = Dispatch | Revoke | Stop | CrashReport | Confinement | HeldCount
 
 
 @attrs.frozen
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import random as random_module
 from typing import TYPE_CHECKING
 
 from verbenaplank.admission.budget import HEDGE_SHARE
@@ -23,6 +24,8 @@
 from verbenaplank.entry.dispatcher import Dispatcher
 from verbenaplank.entry.effects import SendToAgent
 from verbenaplank.entry.hedge import Hedger
+from verbenaplank.entry.holding_queue import HoldingQueue
+from verbenaplank.entry.holds import Holds
 from verbenaplank.entry.jobs import JobTable
 from verbenaplank.entry.retry import RetryQueue
 from verbenaplank.entry.timer_queue import TimerQueue
@@ -95,6 +98,9 @@
         lease has expired.  Both are in seconds.
     on_dispatch
         Called with the record of each dispatch.
+    random
+        Ranks the tasks that several entries hold for one rack; seeded by the
+        operating system if ``None``.
 
     Attributes
     ----------
@@ -107,6 +113,8 @@
     counts
         Counts of ignored messages and of dispatches that were refused, revoked or
         lost; exported as metrics.
+    holds
+        The tasks that are held for a server that is about to be free.
     crashes
         The crash reports of agents.
     confinement
@@ -122,14 +130,17 @@
         hedge_budget: StartBudget | None = None,
         lease_held_since: Callable[[float], float],
         on_dispatch: Callable[[DispatchRecord], None] = ignore_dispatch,
+        random: random_module.Random | None = None,
     ) -> None:
         self.effects: list[Effect] = []
         self.dispatch_table = DispatchTable()
         self.crashes = CrashExchange(self.effects)
         self.confinement = CrashConfinement(fleet)
-        self.jobs = JobTable(self.dispatch_table, queue, self.effects)
+        self._queue = HoldingQueue(queue)
+        self.holds = Holds(self._queue, fleet, random or random_module.Random())
+        self._queue.on_drop = self.holds.drop
+        self.jobs = JobTable(self.dispatch_table, self._queue, self.effects)
         self._fleet = fleet
-        self._queue = queue
         self._lease_held_since = lease_held_since
         self._checked_lease_since_s = float("-inf")
         self._deadlines: TimerQueue[str] = TimerQueue()
@@ -138,7 +149,7 @@
         self._connected: dict[str, AgentWelcome] = {}
         self._retry_queue = RetryQueue(
             dispatch_table=self.dispatch_table,
-            queue=queue,
+            queue=self._queue,
             budget=retry_budget,
         )
         self._budgets = (retry_budget, hedge_budget or StartBudget(HEDGE_SHARE))
@@ -155,7 +166,8 @@
         self._dispatcher = Dispatcher(
             jobs=self.jobs,
             dispatch_table=self.dispatch_table,
-            queue=queue,
+            queue=self._queue,
+            holds=self.holds,
             fleet=fleet,
             effects=self.effects,
             on_dispatch=self._record_dispatch,
@@ -201,6 +213,7 @@
         agent_id = member.member_id
         self._members[agent_id] = member
         self._fleet.add_or_update(member, now_s)
+        self._queue.mark_due(member.rack)
         welcome = self._connected.get(agent_id)
         if welcome is not None and not self._dispatcher.is_agent_enabled(agent_id):
             self._enable_dispatch(welcome, now_s)
@@ -210,6 +223,7 @@
 
         While its stream stays open, results of its running tasks are accepted.
         """
+        self._mark_due(agent_id)
         self._members.pop(agent_id, None)
         self._fleet.remove(agent_id, now_s)
         self._dispatcher.disable_agent(agent_id)
@@ -237,6 +251,7 @@
         self._connected.pop(agent_id, None)
         self._dispatcher.disable_agent(agent_id)
         self._fleet.mark_disconnected(agent_id, now_s)
+        self._mark_due(agent_id)
         if agent_id not in self._members:
             self._message_handler.mark_non_exclusive_lost(agent_id, now_s)
 
@@ -259,6 +274,7 @@
             self._message_handler.handle_result(agent_id, result, now_s)
         if message.load is not None:
             self._fleet.record_load_report(agent_id, message.load, now_s)
+        self._mark_due(agent_id)
 
     def tick(self, now_s: float) -> None:
         """Apply the timeouts that have passed, and start due retries and hedges.
@@ -266,6 +282,7 @@
         This also revokes the unstarted dispatches of stalled agents and answers the
         failing jobs that are ready.
         """
+        self.holds.now_s = now_s
         self._fail_jobs_after_lease_expiry(now_s)
         for job_id in self._deadlines.pop_due(now_s):
             self._abort(job_id, DEADLINE_EXCEEDED, now_s)
@@ -284,6 +301,7 @@
             self._message_handler.mark_all_lost(agent_id, now_s)
         self._retry_queue.requeue_due(now_s, self.jobs.is_running)
         self._hedger.hedge_due(now_s, self._dispatcher.dispatch_elsewhere)
+        self.effects += self.holds.changed_counts(self._connected, self._members)
         self._revoke_stalled(now_s)
         self._update_confinement(now_s)
         self.jobs.complete_ready_failures(now_s)
@@ -316,6 +334,16 @@
             self._fleet.record_load_report(agent_id, load, now_s)
         self._dispatcher.enable_agent(agent_id, welcome.incarnation)
 
+    def next_hold_due_s(self) -> float:
+        """Return the monotonic time by which held tasks need the next flush."""
+        return self._queue.next_due_s()
+
+    def _mark_due(self, agent_id: str) -> None:
+        """Have the tasks that are held for an agent's rack evaluated again."""
+        member = self._members.get(agent_id)
+        if member is not None:
+            self._queue.mark_due(member.rack)
+
     def _record_dispatch(self, record: DispatchRecord) -> None:
         if record.task.attempt == 1:
             for budget in self._budgets:
--- a/src/verbenaplank/entry/fields.py
+++ b/src/verbenaplank/entry/fields.py
@@ -41,13 +41,18 @@
         self._findings = findings
         self._place = place
 
-    def text(self, name: str, *, required: bool = False) -> str:
+    def text(
+        self, name: str, *, required: bool = False, longest: int | None = None
+    ) -> str:
         """Return a string; ``""`` if the field is missing, empty or invalid."""
         value = self._read(name, _TEXT, required=required)
         if value is None:
             return ""
         if not value:
             self._add_finding(name, "must not be empty")
+        if longest is not None and len(value) > longest:
+            self._add_finding(name, f"must have at most {longest} characters")
+            return ""
         return str(value)
 
     def integer(self, name: str, *, low: int, high: int) -> int | None:
--- /dev/null
+++ b/src/verbenaplank/entry/holds.py
@@ -0,0 +1,199 @@
+"""Decides about the tasks that are held, and counts and logs what becomes of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.entry import decision_log
+from verbenaplank.entry.effects import SendToAgent
+from verbenaplank.entry.holding_queue import HeldTask
+from verbenaplank.placement.local_choice import HoldClaim
+from verbenaplank.placement.locality import Hold
+from verbenaplank.placement.locality import Place
+from verbenaplank.protocol.work import HeldCount
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from verbenaplank.entry.holding_queue import HoldingQueue
+    from verbenaplank.placement.fleet import Fleet
+    from verbenaplank.placement.locality import Decision
+    from verbenaplank.placement.task import TaskRequest
+    from verbenaplank.protocol.membership import Member
+
+MAX_DECISIONS_PER_RACK = 64
+"""Held tasks of a rack that one event has evaluated again; later ones come after."""
+
+JOB_ENDED = "the job ended"
+NO_SERVER = "no server is free"
+
+
+@attrs.define
+class LocalityCounts:
+    """Counts of tasks that may be held; exported as metrics.
+
+    Attributes
+    ----------
+    placed_locally, placed_remotely
+        Tasks with a preferred rack that were placed there, and on other racks.
+    held
+        Tasks that were held.
+    given_up
+        Held tasks that were then placed on another server than they waited for.
+    """
+
+    placed_locally: int = 0
+    placed_remotely: int = 0
+    held: int = 0
+    given_up: int = 0
+
+
+def ignore_hold(outcome: str, duration_s: float) -> None:
+    """Do nothing; the default for ``on_end``."""
+
+
+class Holds:
+    """Decides which tasks are held, and when a hold ends.
+
+    Parameters
+    ----------
+    queue
+        Stores the held tasks.
+    fleet
+        Decides whether a task is placed or held.
+    random
+        Random numbers for the ranks of held tasks.
+
+    Attributes
+    ----------
+    counts
+        Counts for metrics.
+    now_s
+        Monotonic time of the last event, by which the end of a job is logged.
+    on_end
+        Called with what ended a hold, and its duration in seconds.
+    """
+
+    def __init__(
+        self, queue: HoldingQueue, fleet: Fleet, random: random.Random
+    ) -> None:
+        self.counts = LocalityCounts()
+        self.on_end: Callable[[str, float], None] = ignore_hold
+        self._queue = queue
+        self._fleet = fleet
+        self._random = random
+        self.now_s = 0.0
+        self._rank = 0.0
+        self._sent: dict[str, int] = {}
+
+    def count(self) -> int:
+        """Return the number of held tasks."""
+        return self._queue.held_count
+
+    def changed_counts(
+        self, connected: Iterable[str], members: Mapping[str, Member]
+    ) -> list[SendToAgent]:
+        """Return messages to the agents of racks whose number of held tasks changed.
+
+        An agent whose stream has opened since is told by the next change.
+        """
+        counts = dict(self._queue.held_by_rack)
+        changed = {rack for rack, _ in counts.items() ^ self._sent.items()}
+        self._sent = counts
+        if not changed:
+            return []
+        return [
+            SendToAgent(agent_id, HeldCount(counts.get(members[agent_id].rack, 0)))
+            for agent_id in connected
+            if agent_id in members and members[agent_id].rack in changed
+        ]
+
+    def decide(self, task: TaskRequest, now_s: float) -> Decision:
+        """Return whether to place or hold a task that is in the queue."""
+        self._rank = self._random.random()
+        counts = self._queue.held_by_rack
+        ahead = counts.get(task.preferred_rack, 0)
+        if not task.preferred_rack:
+            ahead = self._queue.held_count
+        claim = HoldClaim(rank=self._rank, ahead=ahead, own_held=counts)
+        return self._fleet.choose_or_hold(task, now_s, claim)
+
+    def hold(self, task: TaskRequest, hold: Hold, now_s: float) -> None:
+        """Hold a task that :meth:`decide` was called for last."""
+        self.counts.held += 1
+        self._queue.hold(HeldTask(task, hold, since_s=now_s, rank=self._rank))
+
+    def decide_again(
+        self, rack: str, now_s: float, *, urgent: bool
+    ) -> Iterator[tuple[HeldTask, Decision]]:
+        """Yield the tasks held for a rack that are held no longer, and the decisions.
+
+        A task for which neither a free server nor a hold is left returns to the queue.
+        The caller dispatches a task before it takes the next one, so that each
+        decision sees the capacity that is left.
+        """
+        ahead = 0
+        waiting = self._queue.held_for(rack)
+        for held in waiting[MAX_DECISIONS_PER_RACK : MAX_DECISIONS_PER_RACK + 1]:
+            self._queue.hold(held)
+        for held in waiting[:MAX_DECISIONS_PER_RACK]:
+            if held.task.urgent != urgent:
+                ahead += 1
+                self._queue.hold(held)
+                continue
+            decision = self._decide_again(held, rack, ahead, now_s)
+            if isinstance(decision, Hold):
+                ahead += 1
+                self._queue.release(held)
+                held.hold = decision
+                self._queue.hold(held)
+                continue
+            self._end(held, decision, now_s)
+            yield held, decision
+
+    def count_placed(self, task: TaskRequest, place: Place) -> None:
+        """Count a placement of a task that may be held."""
+        if not task.preferred_rack:
+            return
+        if place.is_local:
+            self.counts.placed_locally += 1
+        else:
+            self.counts.placed_remotely += 1
+
+    def drop(self, held: HeldTask) -> None:
+        """Log the end of a hold whose job has ended."""
+        self._log_end(held, JOB_ENDED, self.now_s)
+
+    def _decide_again(
+        self, held: HeldTask, rack: str, ahead: int, now_s: float
+    ) -> Decision:
+        counts = self._queue.held_by_rack
+        if not held.task.preferred_rack:
+            ahead += self._queue.held_count - counts[rack]
+        claim = HoldClaim(
+            rank=held.rank, ahead=ahead, own_held=counts, held_since_s=held.since_s
+        )
+        return self._fleet.choose_or_hold(held.task, now_s, claim)
+
+    def _end(self, held: HeldTask, decision: Decision, now_s: float) -> None:
+        self._queue.release(held)
+        if not isinstance(decision, Place):
+            self._queue.push(held.task, now_s)
+            self._log_end(held, NO_SERVER, now_s)
+            return
+        if held.task.preferred_rack and not decision.is_local:
+            self.counts.given_up += 1
+        self._log_end(held, decision.reason, now_s)
+
+    def _log_end(self, held: HeldTask, ended_by: str, now_s: float) -> None:
+        held_s = now_s - held.since_s
+        self.on_end(ended_by, held_s)
+        decision_log.task_held(
+            held.task, held.hold.rack, held.hold.reason, held_s, ended_by
+        )
--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -226,4 +226,5 @@
         preferred_rack=submission.preferred_rack,
         remote_factor=submission.remote_factor,
         weighs_waits=submission.weighs_waits,
+        latest_start_s=min(submission.latest_start_s, submission.deadline_s),
     )
--- a/src/verbenaplank/entry/parsed_request.py
+++ b/src/verbenaplank/entry/parsed_request.py
@@ -26,6 +26,8 @@
         Whether the caller allows the request to run more than once.
     max_runs
         Maximum number of runs of an idempotent request, or ``None``.
+    preferred_rack
+        Rack on which the tasks run fastest; empty if there is none.
     findings
         The errors found while decoding.
     """
@@ -40,4 +42,5 @@
     payloads: tuple[bytes, ...] = ()
     idempotent: bool = False
     max_runs: int | None = None
+    preferred_rack: str = ""
     findings: tuple[Finding, ...] = ()
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -105,6 +105,8 @@
         Decides whether requests are admitted.
     readiness
         Returns the entry's readiness.
+    remote_factor
+        How many times longer a task takes outside the rack that it prefers.
     """
 
     limits: EntryLimits
@@ -117,6 +119,7 @@
     wall_clock: WallClock
     admission: AdmissionController
     readiness: Callable[[], Readiness]
+    remote_factor: float = 1.0
 
 
 class Pipeline:
@@ -210,6 +213,7 @@
             token=token,
             wall_ms=deps.wall_clock(),
             now_s=deps.clock(),
+            remote_factor=deps.remote_factor,
         )
 
     def _admit(self, submission: Submission) -> Rejection | None:
--- a/src/verbenaplank/entry/routed_job.py
+++ b/src/verbenaplank/entry/routed_job.py
@@ -12,6 +12,7 @@
 from verbenaplank.overload.latest_start import latest_start_s
 from verbenaplank.placement.task import Resources
 from verbenaplank.routing.table import Route
+from verbenaplank.routing.weighing import weighs_waits
 
 MS_PER_S = 1_000.0
 USELESS_AFTER_FACTOR = 3.0
@@ -109,6 +110,17 @@
         return self.goal_s - self.estimate_s
 
 
+def apply_remote_factor(job: RoutedJob, remote_factor: float) -> RoutedJob:
+    """Return the job with the remote factor if its goal does not allow for it.
+
+    A goal of more run times than the factor allows for a run on any rack; such a job
+    is placed without regard to its rack.
+    """
+    if weighs_waits(job.route, remote_factor):
+        return attrs.evolve(job, remote_factor=remote_factor)
+    return attrs.evolve(job, remote_factor=1.0, preferred_rack="")
+
+
 def routed_submission(job: RoutedJob, job_id: str, received_s: float) -> Submission:
     """Return the submission that runs a routed job.
 
--- a/src/verbenaplank/entry/routed_jobs.py
+++ b/src/verbenaplank/entry/routed_jobs.py
@@ -18,6 +18,7 @@
 from verbenaplank.entry.routed_admission import RoutedAdmission
 from verbenaplank.entry.routed_job import RoutedJobState
 from verbenaplank.entry.routed_job import RoutedOutcome
+from verbenaplank.entry.routed_job import apply_remote_factor
 from verbenaplank.entry.routed_job import routed_submission
 from verbenaplank.entry.service_loads import ServiceLoads
 from verbenaplank.outcome.failure import FailureKind
@@ -68,8 +69,7 @@
     view
         The state of the entry.
     remote_factor
-        How many times longer a task may run away from its data; routes whose latency
-        goal does not allow for it weigh waits.
+        How many times longer a task takes outside the rack that it prefers.
     """
 
     def __init__(
@@ -176,6 +176,7 @@
         job_key = (job.route.name, job.key)
         running = self._running.get(job_key)
         if running is None:
+            job = apply_remote_factor(job, self._remote_factor)
             refusal = self._admission.refusal(job)
             if refusal is not None:
                 return refusal
--- a/src/verbenaplank/entry/runner.py
+++ b/src/verbenaplank/entry/runner.py
@@ -44,6 +44,7 @@
         self._send: Callable[[str, ToAgentItem], None] = _drop
         self._outcome_futures: dict[str, asyncio.Future[JobOutcome]] = {}
         self._flush_due = False
+        self._wake_scheduled = False
         self.loop_lag = LoopLag()
 
     def set_sender(self, send: Callable[[str, ToAgentItem], None]) -> None:
@@ -87,6 +88,7 @@
         self._flush_due = False
         for effect in self.engine.flush(self._clock()):
             self._apply(effect)
+        self._wake_for_holds()
 
     async def tick_forever(self) -> None:
         """Tick and flush the engine periodically until cancelled."""
@@ -97,6 +99,21 @@
             self.engine.tick(self._clock())
             self.flush()
 
+    def _wake_for_holds(self) -> None:
+        """Schedule a flush for held tasks that are due before the next tick.
+
+        At most one is scheduled; a hold that ends before it waits for it.
+        """
+        left_s = self.engine.next_hold_due_s() - self._clock()
+        if left_s < TICK_PERIOD_S and not self._wake_scheduled:
+            self._wake_scheduled = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(max(0.0, left_s), self._wake)
+
+    def _wake(self) -> None:
+        self._wake_scheduled = False
+        self.flush_soon()
+
     def _apply(self, effect: Effect) -> None:
         if isinstance(effect, SendToAgent):
             self._send(effect.agent_id, effect.item)
--- a/src/verbenaplank/entry/validation.py
+++ b/src/verbenaplank/entry/validation.py
@@ -57,6 +57,8 @@
         Wall clock time in milliseconds since the Unix epoch.
     now_s
         Monotonic time in seconds.
+    remote_factor
+        How many times longer a task takes outside the rack that it prefers.
     """
 
     configuration: EffectiveConfiguration
@@ -64,6 +66,7 @@
     token: str
     wall_ms: int
     now_s: float
+    remote_factor: float = 1.0
 
 
 @attrs.frozen
@@ -184,6 +187,8 @@
         needs=parsed.needs,
         declared_run_time_s=rules.run_time_ms / 1000,
         run_timeout_ms=rules.run_timeout_ms,
+        preferred_rack=parsed.preferred_rack,
+        remote_factor=context.remote_factor if parsed.preferred_rack else 1.0,
     )
 
 
--- a/src/verbenaplank/placement/backend_server.py
+++ b/src/verbenaplank/placement/backend_server.py
@@ -76,6 +76,10 @@
     reservations
         Resources of each outstanding task that needs any; their sums are in
         ``reserved_cores``, ``reserved_memory_mb`` and ``reserved_accelerators``.
+    expected_run_s
+        Expected run time of each outstanding task that has one, in seconds.
+    reported_held
+        Tasks that all entries hold for its rack, according to the last load report.
     other_entries_tasks
         Tasks of other entries there, according to the last load report.
     last_report_s
@@ -115,6 +119,8 @@
     slots: int = 0
     outstanding: dict[TaskKey, float] = attrs.field(factory=dict)
     reservations: dict[TaskKey, Resources] = attrs.field(factory=dict)
+    expected_run_s: dict[TaskKey, float] = attrs.field(factory=dict)
+    reported_held: int = 0
     reserved_cores: float = 0.0
     reserved_memory_mb: int = 0
     reserved_accelerators: int = 0
@@ -152,12 +158,16 @@
             or self.reported_draining
         )
 
-    def add_task(self, task: TaskRequest, now_s: float) -> None:
-        """Record that a task was dispatched to this backend server."""
+    def add_task(
+        self, task: TaskRequest, now_s: float, run_s: float | None = None
+    ) -> None:
+        """Record that a task with an expected run time was dispatched to it."""
         if not self.outstanding:
             self.last_progress_s = now_s
         key = task_key(task)
         self.outstanding[key] = now_s
+        if run_s is not None:
+            self.expected_run_s[key] = run_s
         if task.needs != NO_RESOURCES:
             self._release_resources(self.reservations.pop(key, NO_RESOURCES))
             self.reservations[key] = task.needs
@@ -169,6 +179,7 @@
         """Remove a dispatched task; return whether it was recorded."""
         key = task_key(task)
         self._release_resources(self.reservations.pop(key, NO_RESOURCES))
+        self.expected_run_s.pop(key, None)
         return self.outstanding.pop(key, None) is not None
 
     def reset(self) -> None:
@@ -176,6 +187,8 @@
         self.connected = False
         self.outstanding.clear()
         self.reservations.clear()
+        self.expected_run_s.clear()
+        self.reported_held = 0
         self._release_resources(NO_RESOURCES)
         self.other_entries_tasks = 0.0
         self.last_report_s = -math.inf
@@ -193,6 +206,7 @@
         )
         self.last_report_s = now_s
         self.reported_draining = report.draining
+        self.reported_held = report.held
         cores, memory_mb = self.reserved_cores, self.reserved_memory_mb
         for key in unseen:
             needs = self.reservations.get(key, NO_RESOURCES)
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -6,13 +6,17 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+import attrs
+
 from verbenaplank.placement.backend_server import BackendServer
 from verbenaplank.placement.cells import ServiceCells
 from verbenaplank.placement.health import HealthTracker
 from verbenaplank.placement.load import PlacementContext
 from verbenaplank.placement.load import stall_timeout_s
+from verbenaplank.placement.local_choice import choose_or_hold
 from verbenaplank.placement.rack_counts import JobRackCounts
 from verbenaplank.placement.run_time import RunTimeEstimator
+from verbenaplank.placement.sampling import CandidateSampler
 from verbenaplank.placement.service_capacity import ServiceCapacity
 from verbenaplank.placement.service_index import ServiceIndex
 from verbenaplank.placement.settings import PlacementSettings
@@ -26,6 +30,8 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from verbenaplank.placement.local_choice import HoldClaim
+    from verbenaplank.placement.locality import Decision
     from verbenaplank.placement.policy import Policy
     from verbenaplank.placement.task import TaskRequest
     from verbenaplank.protocol.membership import Member
@@ -82,6 +88,13 @@
         self._services = ServiceIndex()
         self._cells: defaultdict[str, ServiceCells] = defaultdict(ServiceCells)
         self.capacity = ServiceCapacity(self._services, self._cells)
+        self._sampler = CandidateSampler(
+            self._services,
+            self._cells,
+            self.capacity,
+            random,
+            self._settings.max_candidates,
+        )
         self._drained: frozenset[str] = frozenset()
         self._evacuated: frozenset[str] = frozenset()
         self._run_times = RunTimeEstimator()
@@ -190,21 +203,31 @@
         waiting
             Number of tasks queued at this entry, including this one.
         """
-        usable = self._usable_servers(task, now_s)
+        usable = self._usable_servers(task, now_s, self._sampler.sample(task))
         if not usable:
             return None
-        context = PlacementContext(
-            task=task,
-            now_s=now_s,
-            run_time_s=self._run_times.expected_s(task),
-            waiting=waiting,
-            average_other_tasks_per_slot=self._average_other_tasks_per_slot,
-            rack_tasks=self._rack_counts.by_rack(task.job_id),
-            settings=self._settings,
-        )
+        context = self._context(task, now_s, waiting)
         chosen = self._policy(usable, context, self._random)
         return None if chosen is None else chosen.member_id
 
+    def choose_or_hold(
+        self, task: TaskRequest, now_s: float, claim: HoldClaim
+    ) -> Decision:
+        """Return whether to place a task now or to hold it, see ``locality``."""
+        servers = self._sampler.sample_with_rack(task)
+        usable = self._usable_servers(task, now_s, servers)
+        known = {server.member_id for server in usable}
+        full = [
+            server
+            for server in servers
+            if server.member_id not in known
+            and server.accepts_tasks
+            and self._health.is_usable(server, now_s)
+            and not self._health.should_avoid(task, server)
+        ]
+        claim = attrs.evolve(claim, typical_run_s=self._run_times.typical_s)
+        return choose_or_hold(usable, full, self._context(task, now_s), claim)
+
     def avoids_servers(self, task: TaskRequest) -> bool:
         """Return whether a task is kept from backend servers that take others."""
         if task.avoided_members or self._cells[task.service].confined:
@@ -216,7 +239,7 @@
         server = self._servers.get(member_id)
         if server is None:
             return
-        server.add_task(task, now_s)
+        server.add_task(task, now_s, self._run_times.record_start(task, server))
         self._rack_counts.add(task.job_id, server)
         self._health.register_job(task.job_id)
 
@@ -308,14 +331,29 @@
         """Return whether the stream to any agent is open."""
         return any(server.connected for server in self._servers.values())
 
-    def _usable_servers(self, task: TaskRequest, now_s: float) -> list[BackendServer]:
+    def _context(
+        self, task: TaskRequest, now_s: float, waiting: int = 1
+    ) -> PlacementContext:
+        return PlacementContext(
+            task=task,
+            now_s=now_s,
+            run_time_s=self._run_times.expected_s(task),
+            waiting=waiting,
+            average_other_tasks_per_slot=self._average_other_tasks_per_slot,
+            rack_tasks=self._rack_counts.by_rack(task.job_id),
+            settings=self._settings,
+        )
+
+    def _usable_servers(
+        self, task: TaskRequest, now_s: float, servers: Sequence[BackendServer]
+    ) -> list[BackendServer]:
         needs = None if task.needs == NO_RESOURCES else task.needs
         limit = math.inf
         if task.exclusive:
             limit = self._stragglers.limit(task.service, now_s)
         usable: list[BackendServer] = []
         preferred: list[BackendServer] = []
-        for server in self._sample(task):
+        for server in servers:
             if not (server.accepts_tasks and self._health.is_usable(server, now_s)):
                 continue
             if needs is not None and not server.has_free_resources(needs):
@@ -342,21 +380,6 @@
             for server in self.capacity.connected_for(task.service, task.workload)
         )
 
-    def _sample(self, task: TaskRequest) -> Sequence[BackendServer]:
-        """Return servers on which a task may run, at most ``max_candidates`` of them.
-
-        Of a larger service, consecutive ones from a random position are taken.
-        """
-        servers = self.capacity.connected_for(task.service, task.workload)
-        limit = self._settings.max_candidates
-        if len(servers) <= limit:
-            return servers
-        start = self._random.randrange(len(servers))
-        return [
-            *servers[start : start + limit],
-            *servers[: max(0, start + limit - len(servers))],
-        ]
-
     def _is_stalled(self, server: BackendServer, now_s: float) -> bool:
         usual_s = self._run_times.longest_s(server.member.services) * server.slowness
         allowed_s = stall_timeout_s(usual_s, self._settings)
--- a/src/verbenaplank/placement/policy.py
+++ b/src/verbenaplank/placement/policy.py
@@ -46,7 +46,7 @@
         return None
     tolerance_s = context.settings.tie_share * context.run_time_s
     tied = [server for end_s, server in free if end_s <= best_s + tolerance_s]
-    return _break_tie(tied, context)
+    return break_tie(tied, context)
 
 
 def random_choice(
@@ -132,7 +132,7 @@
     return fastest.round_trip_s + context.waiting / rate_per_s + run_s
 
 
-def _break_tie(
+def break_tie(
     servers: Sequence[BackendServer], context: PlacementContext
 ) -> BackendServer:
     """Choose among backend servers that are expected to complete at the same time.
--- a/src/verbenaplank/placement/run_time.py
+++ b/src/verbenaplank/placement/run_time.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from verbenaplank.placement.expected_end import remote_factor
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -16,6 +18,8 @@
 RUN_TIME_GAIN = 0.02
 MIN_SAMPLES = 5
 MIN_RUN_TIME_S = 1e-4
+TYPICAL_RUN_GAIN = 0.01
+FIRST_TYPICAL_RUN_S = 0.2
 
 
 WorkloadKey = tuple[str, str]
@@ -34,9 +38,15 @@
 
     A run time is modelled as the mean of the workload times the slowness of the
     backend server.  Both are moving averages over the successful runs.
+
+    Attributes
+    ----------
+    typical_s
+        Mean expected run time of started tasks, weighted by their cores, in seconds.
     """
 
     def __init__(self) -> None:
+        self.typical_s = FIRST_TYPICAL_RUN_S
         self._workloads: dict[WorkloadKey, _WorkloadRunTime] = {}
 
     def expected_s(self, task: TaskRequest) -> float:
@@ -63,11 +73,22 @@
         )
         return max(learned, default=math.inf)
 
+    def record_start(self, task: TaskRequest, server: BackendServer) -> float:
+        """Record a start, and return the expected run time in seconds."""
+        run_s = self.expected_s(task) * server.slowness * remote_factor(server, task)
+        gain = min(1.0, TYPICAL_RUN_GAIN * max(task.needs.cores, 1.0))
+        self.typical_s += gain * (run_s - self.typical_s)
+        return run_s
+
     def record_run(
         self, task: TaskRequest, server: BackendServer, run_s: float
     ) -> None:
-        """Update the estimates with one successful run of ``run_s`` seconds."""
-        run_s = max(run_s, MIN_RUN_TIME_S)
+        """Update the estimates with one successful run of ``run_s`` seconds.
+
+        A run outside the task's rack counts as shorter by the remote factor, so that
+        the server does not appear slow and the workload not long.
+        """
+        run_s = max(run_s / remote_factor(server, task), MIN_RUN_TIME_S)
         normalised_s = run_s / math.exp(server.log_slowness)
         log_normalised = math.log(run_s) - server.log_slowness
         workload = (task.service, task.workload)
--- a/src/verbenaplank/placement/task.py
+++ b/src/verbenaplank/placement/task.py
@@ -50,6 +50,8 @@
         How many times longer the task runs on any other rack.
     weighs_waits
         Whether its wait is weighed against what its answer is worth.
+    latest_start_s
+        Monotonic time after which the task is not held.
     """
 
     job_id: str
@@ -70,3 +72,4 @@
     preferred_rack: str = ""
     remote_factor: float = 1.0
     weighs_waits: bool = False
+    latest_start_s: float = float("inf")
--- a/src/verbenaplank/protocol/work.py
+++ b/src/verbenaplank/protocol/work.py
@@ -143,6 +143,16 @@
     attempt: int = 1
 
 
+@attrs.frozen
+class HeldCount:
+    """Number of tasks that an entry holds for an agent's rack.
+
+    It is sent as a field of :class:`ToAgent`.
+    """
+
+    tasks: int
+
+
 @attrs.frozen(kw_only=True)
 class LeaseRenewal:
     """Renewal of the lease for all dispatches of the entry at the agent.
--- a/src/verbenaplank/settings/entry.py
+++ b/src/verbenaplank/settings/entry.py
@@ -50,17 +50,17 @@
 
 
 @attrs.frozen(kw_only=True)
-class PlacementLimits:
-    """What an entry assumes of the run times of its tasks.
+class EntryPlacement:
+    """What an entry knows of the backend servers that is not learned.
 
     Attributes
     ----------
     remote_factor
-        How many times longer a task may run away from its data; 1 if all servers
-        run it equally fast.
+        How many times longer a task takes on another rack than the one it prefers.
+        Above the stretch of a route, its tasks may be held for a better server.
     """
 
-    remote_factor: float = attrs.field(default=1.0, validator=positive)
+    remote_factor: float = attrs.field(default=1.0, validator=validators.ge(1.0))
 
 
 @attrs.frozen(kw_only=True)
@@ -73,6 +73,6 @@
     rpc: Listen
     control: tuple[ControlPeer, ...] = attrs.field(validator=validators.min_len(1))
     limits: EntryLimits = attrs.field(factory=EntryLimits)
-    placement: PlacementLimits = attrs.field(factory=PlacementLimits)
+    placement: EntryPlacement = attrs.field(factory=EntryPlacement)
     tls: TlsSettings | None = None
     logging: LoggingSettings = attrs.field(factory=LoggingSettings)
