Give each test process of the platform's tests a subnet of its own

Seen: one error in 1,296 tests, 'address already in use' on 127.0.8.1:60000, in a run with four processes of pytest-xdist. Cause: every draw of a port above 60,000 became 60,000, which 3.5% of the draws are, and all processes listened on the same addresses. Change: the third octet follows from the number of the pytest-xdist process. After: 51 tests of tests/verbena_platform pass with four processes.

--- a/tests/verbena_platform/test_crashing_task.py
+++ b/tests/verbena_platform/test_crashing_task.py
@@ -20,6 +20,7 @@
 from standin_executor import StandInExecutor
 from whole_path import CONTROL_HOSTS
 from whole_path import HOST
+from whole_path import SUBNET
 from whole_path import Platform
 from whole_path import choose_first_port
 from whole_path import document
@@ -33,8 +34,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-AGENT_HOSTS = ("127.0.8.11", "127.0.8.12", "127.0.8.13")
-ENTRY_HOSTS = ("127.0.8.21", "127.0.8.22")
+AGENT_HOSTS = (f"{SUBNET}.11", f"{SUBNET}.12", f"{SUBNET}.13")
+ENTRY_HOSTS = (f"{SUBNET}.21", f"{SUBNET}.22")
 RESTART_S = 0.3
 RESEND_S = 0.3
 MAX_STARTS = 5
--- a/tests/verbena_platform/test_evacuations.py
+++ b/tests/verbena_platform/test_evacuations.py
@@ -8,6 +8,7 @@
 import pytest
 from standin_executor import StandInExecutor
 from whole_path import CONTROL_HOSTS
+from whole_path import SUBNET
 from whole_path import Platform
 from whole_path import choose_first_port
 
@@ -46,7 +47,7 @@
 ) -> None:
     """Guards against orders that only the instance that received them applies."""
     port = choose_first_port()
-    executor = StandInExecutor(Address("127.0.8.6", port), "s")
+    executor = StandInExecutor(Address(f"{SUBNET}.6", port), "s")
     platform = Platform(stack, tmp_path, port, executor)
     instances: list[ControlInstance] = []
     for host in CONTROL_HOSTS:
--- a/tests/verbena_platform/whole_path.py
+++ b/tests/verbena_platform/whole_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -22,9 +23,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-CONTROL_HOSTS = ("127.0.8.1", "127.0.8.2", "127.0.8.3")
-AGENT_HOST = "127.0.8.4"
-ENTRY_HOST = "127.0.8.5"
+# Each process of pytest-xdist has a subnet of its own: port ranges that two of them
+# choose at the same time can overlap.
+WORKER = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
+SUBNET = f"127.0.{8 + int(WORKER)}"
+CONTROL_HOSTS = (f"{SUBNET}.1", f"{SUBNET}.2", f"{SUBNET}.3")
+AGENT_HOST = f"{SUBNET}.4"
+ENTRY_HOST = f"{SUBNET}.5"
 HOST = "desk.example"
 JOB = {
     "spec": "text",
