Report the cold time of a backend server, counted down

The platform's status reports say for how long a server stays slow after a start or a return, and nothing read it.

The agent counts it down by its own clock and includes it in its load reports, with the duration of the whole cold time, so that an entry that starts meanwhile sees how far it has come. A begin or an early end is reported at once. Load reports are unchanged while no status report has a positive value.

--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -39,6 +39,7 @@
     from types import TracebackType
     from typing import Self
 
+    from verbenaplank.agent.cold_countdown import ColdCountdown
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.membership.client_state import MembershipEvent
     from verbenaplank.protocol.membership import EvacuationList
@@ -93,6 +94,8 @@
         Crash reports to exchange with the entries; by default, none are known.
     worker
         Resources of the worker; by default as in the settings.
+    cold
+        How much longer the backend server stays slow; by default, it is not slow.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         backend: Backend | None = None,
         crashes: CrashFeed | None = None,
         worker: Resources | None = None,
+        cold: ColdCountdown | None = None,
     ) -> None:
         self._settings = settings
         self._record = record
@@ -134,6 +138,7 @@
             incarnation,
             slots,
             crashes or CrashFeed(clock),
+            cold=cold,
             periodic_reports=backend is not None,
         )
         self._member = _make_member(settings, incarnation, self._worker)
@@ -207,6 +212,10 @@
         if self._membership is not None:
             self._membership.update(self._member)
 
+    def report_load(self) -> None:
+        """Report the load to the entries now, because a cold time began or ended."""
+        self._streams.report_load()
+
     async def drain(self) -> None:
         """Refuse new dispatches, finish the running tasks, then leave the cluster.
 
--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from verbenaplank.agent.lease_protocol import RunId
+    from verbenaplank.agent.report import BackendServerReport
     from verbenaplank.history.event import Event
     from verbenaplank.placement.task import Resources
     from verbenaplank.protocol.crash import CrashReport
@@ -105,6 +106,15 @@
     logger.info("worker resized", extra=extra)
 
 
+def log_cold(report: BackendServerReport) -> None:
+    """Log that the backend server has become cold, or reports that it no longer is."""
+    extra = {
+        "backend_server": report.server_id,
+        "remaining_ms": round(report.cold_remaining_ms),
+    }
+    logger.info("cold time changed", extra=extra)
+
+
 def log_evacuations(evacuations: EvacuationList, *, evacuated: bool) -> None:
     """Log the evacuated data centres in force, and whether this one is among them."""
     extra = {
--- a/src/verbenaplank/agent/report.py
+++ b/src/verbenaplank/agent/report.py
@@ -29,6 +29,9 @@
         Resources of the worker that the backend server runs on.
     labels
         Kind of the worker, then its rack.
+    cold_remaining_ms
+        For how many milliseconds the backend server stays slow after its start or
+        after a return.
     """
 
     server_id: str
@@ -40,3 +43,4 @@
     draining: bool
     size: Resources
     labels: tuple[str, ...] = ()
+    cold_remaining_ms: float = 0.0
--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -11,6 +11,7 @@
 
 from verbenaplank.agent import decision_log
 from verbenaplank.agent.application import AgentInstance
+from verbenaplank.agent.cold_countdown import ColdCountdown
 from verbenaplank.agent.crash_feed import CrashFeed
 from verbenaplank.agent.crash_watch import CrashWatch
 from verbenaplank.agent.crash_watch import WatchedServer
@@ -71,6 +72,7 @@
         self._ended_incarnations: set[tuple[str, str]] = set()
         self._leaving_incarnations: set[tuple[str, str]] = set()
         self._crashes = CrashFeed(clock)
+        self._cold = ColdCountdown(clock)
         self._agent: AgentInstance | None = None
         self._serve_task: asyncio.Task[None] | None = None
         self._stopping = False
@@ -101,6 +103,9 @@
         if is_late and _is_same_incarnation(latest, report):
             return
         self._latest_report = report
+        if not _is_same_incarnation(latest, report):
+            self._cold = ColdCountdown(self._clock)
+        self._record_cold(report)
         if report.draining:
             self._leaving_incarnations.add(_incarnation_key(report))
         if (
@@ -132,6 +137,13 @@
         if self._agent is not None:
             await self._agent.drain()
 
+    def _record_cold(self, report: BackendServerReport) -> None:
+        if not self._cold.record(report.cold_remaining_ms):
+            return
+        decision_log.log_cold(report)
+        if self._agent is not None:
+            self._agent.report_load()
+
     async def _serve_forever(self) -> None:
         while True:
             await self._state_changed.wait()
@@ -174,6 +186,7 @@
                 backend=backend,
                 crashes=self._crashes,
                 worker=report.size,
+                cold=self._cold,
             )
             await stack.enter_async_context(agent)
             self._agent = agent
--- a/src/verbenaplank/agent/work_service.py
+++ b/src/verbenaplank/agent/work_service.py
@@ -11,6 +11,7 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
+from verbenaplank.agent.cold_countdown import ColdCountdown
 from verbenaplank.agent.effects import EntryKey
 from verbenaplank.agent.effects import format_task_id
 from verbenaplank.agent.report_pacing import ReportPacing
@@ -68,6 +69,8 @@
         Number of slots that the welcome message announces.
     crashes
         Crash reports that are exchanged with the entries.
+    cold
+        How much longer the backend server stays slow; by default, it is not slow.
     periodic_reports
         Whether the load is also sent at intervals, so that an entry can detect a
         silent stream; otherwise it is only sent with replies.
@@ -81,9 +84,11 @@
         slots: int,
         crashes: CrashFeed,
         *,
+        cold: ColdCountdown | None = None,
         periodic_reports: bool = False,
     ) -> None:
         self._runner = runner
+        self._cold = cold or ColdCountdown(runner.clock)
         self._crashes = crashes
         self._periodic_reports = periodic_reports
         self._welcome = AgentWelcome(
@@ -93,11 +98,21 @@
         self._changed = asyncio.Event()
 
     def load(self) -> LoadReport:
-        """Return the current load, with the tasks that all entries hold."""
+        """Return the current load, with held tasks and the rest of the cold time."""
         held = sum(stream.held for stream in self._streams)
         load = self._runner.load()
+        cold_ms = self._cold.remaining_ms()
+        if cold_ms:
+            span_ms = self._cold.span_ms
+            load = attrs.evolve(load, cold_remaining_ms=cold_ms, cold_span_ms=span_ms)
         return attrs.evolve(load, held=held) if held else load
 
+    def report_load(self) -> None:
+        """Report the load to every entry now, unless a reply is about to."""
+        load = self.load()
+        for stream in self._streams:
+            stream.report(load)
+
     def service(self) -> Service:
         """Return the RPC service on which entries open their streams."""
         return WORK.create_service(self._serve)
@@ -110,9 +125,7 @@
             await asyncio.sleep(report_delay_s(len(self._streams)))
             if not pacing.is_due(self._runner.gate.headroom()):
                 continue
-            load = self.load()
-            for stream in self._streams:
-                stream.report(load)
+            self.report_load()
 
     async def wait_all_delivered(self) -> None:
         """Wait until every reply is delivered to the entries with an open stream."""
@@ -287,10 +300,15 @@
 
 
 def _differs(load: LoadReport, last_reported: LoadReport | None) -> bool:
-    return (
-        last_reported is None
-        or attrs.evolve(load, clock_s=last_reported.clock_s) != last_reported
+    """Return whether a load has changed, apart from what entries count themselves."""
+    if last_reported is None:
+        return True
+    last_cold_ms = last_reported.cold_remaining_ms
+    cold_ms = load.cold_remaining_ms and (last_cold_ms or load.cold_remaining_ms)
+    counted = attrs.evolve(
+        load, clock_s=last_reported.clock_s, cold_remaining_ms=cold_ms
     )
+    return counted != last_reported
 
 
 def _cancel_reader_on_failure(sender: asyncio.Task[None]) -> None:
--- a/src/verbenaplank/protocol/work.py
+++ b/src/verbenaplank/protocol/work.py
@@ -246,6 +246,8 @@
         How much longer the backend server stays slow after a start, in milliseconds.
     held
         Tasks that all entries together hold for the rack of this agent.
+    cold_span_ms
+        Duration of the whole cold time that ``cold_remaining_ms`` is left of.
     """
 
     running: int
@@ -256,6 +258,7 @@
     clock_s: float | None = None
     cold_remaining_ms: float = 0.0
     held: int = 0
+    cold_span_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -215,3 +215,37 @@
         started = dispatch(1, 1.0, welcome.incarnation)
         await stream.send_message(ToAgent(dispatches=(started,)))
         await wait_until(site.servers[0], lambda: bool(site.servers[0].active))
+
+
+async def receive_cold(
+    stream: Stream[ToAgent, FromAgent], *, cold: bool
+) -> tuple[float, float]:
+    """Receive until a load is cold or not; return what is left, and the whole time."""
+    async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+        while True:
+            load = (await receive(stream)).load
+            if load is not None and (load.cold_remaining_ms > 0.0) is cold:
+                return load.cold_remaining_ms, load.cold_span_ms
+
+
+async def test_cold_time_is_reported_to_entries_counted_down(
+    unused_tcp_port: int,
+) -> None:
+    """Guards against entries that learn the cold time of an old status report."""
+    async with supervised(unused_tcp_port) as site, site.entry() as stream:
+        await receive_cold(stream, cold=False)
+        report = attrs.evolve(REPORT, sequence=2, cold_remaining_ms=60_000.0)
+        site.supervisor.on_report(report)
+        first_ms, span_ms = await receive_cold(stream, cold=True)
+        later_ms, later_span_ms = await receive_cold(stream, cold=True)
+        assert later_ms < first_ms < span_ms == later_span_ms == 60_000.0
+
+        later = attrs.evolve(REPORT, sequence=3, cold_remaining_ms=30_000.0)
+        site.supervisor.on_report(later)
+        async with site.entry() as restarted:
+            left_ms, span_ms = await receive_cold(restarted, cold=True)
+            assert left_ms < 30_000.0
+            assert span_ms == 60_000.0
+
+        site.supervisor.on_report(attrs.evolve(REPORT, sequence=4))
+        assert await receive_cold(stream, cold=False) == (0.0, 0.0)
