Place fewer and longer tasks on cold backend servers

A server that has just returned was treated like any other: a burst landed on it, its slow runs raised its learned slowness, and time-outs led to a quarantine that outlasted the cold time.

The expected run time on a cold server has a factor that is learned for each service and decays to 1 by the announced end; it starts at `[placement] cold_factor`, on the platform at the bound `cold-overage`, else at 1.5. Runs on a cold server change only this factor. Its time-outs and refused starts are no evidence for a quarantine, and its cold time does not count towards a stall. A cold server gets a share of its size that grows over the cold time, unless every server of the service is cold. After an evacuation, a server of a fleet that reports cold times counts as cold for a second, until its status report can have arrived.

--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -46,6 +46,7 @@
 from verbenaplank.observability.rendering import no_metrics
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
+from verbenaplank.placement.settings import PlacementSettings
 from verbenaplank.protocol.membership import Member
 from verbenaplank.protocol.membership import MemberRole
 from verbenaplank.protocol.work import EntryHello
@@ -166,7 +167,8 @@
         self._status = EntryStatus(clock)
         self._resources = AsyncExitStack()
         limits = settings.limits
-        self._fleet = Fleet(policy, self._random, settings.data_centre)
+        placement = PlacementSettings(cold_factor=settings.placement.cold_factor)
+        self._fleet = Fleet(policy, self._random, settings.data_centre, placement)
         self._order_by_goal = order_by_goal
         self._serve_http = serve_http
         goals = GoalQueue(self._fleet.expected_run_time_s, self._fleet.pool_of_task)
@@ -210,6 +212,10 @@
         self._http_server: HttpServer | None = None
         self._peer_service = PeerService(self._registry, self._runner.cancel)
 
+    def cold_backend_servers(self) -> int:
+        """Return the number of backend servers that are cold now."""
+        return len(self._fleet.cold_agents(self._clock()))
+
     @property
     def ready(self) -> bool:
         """Whether requests of every kind are accepted."""
--- a/src/verbenaplank/entry/membership_watcher.py
+++ b/src/verbenaplank/entry/membership_watcher.py
@@ -97,7 +97,8 @@
         if evacuations.revision == self._evacuations_revision:
             return
         self._evacuations_revision = evacuations.revision
-        self._fleet.set_evacuated(frozenset(evacuations.data_centres))
+        data_centres = frozenset(evacuations.data_centres)
+        self._fleet.set_evacuated(data_centres, self._clock())
         decision_log.evacuations_in_force(evacuations)
 
     def _add_agent(self, member: Member, now_s: float) -> None:
--- a/src/verbenaplank/observability/entry_metrics.py
+++ b/src/verbenaplank/observability/entry_metrics.py
@@ -56,6 +56,11 @@
         "workloads confined to a part of the backend servers because of crashes",
         lambda: len(instance.engine.confinement.confined),
     )
+    metrics.add_gauge(
+        "verbenaplank_entry_cold_backend_servers",
+        "backend servers that stay slow for a while and get a growing share of tasks",
+        instance.cold_backend_servers,
+    )
     metrics.add_gauge(
         "verbenaplank_entry_jobs_in_progress",
         "requests that are not answered yet",
--- a/src/verbenaplank/placement/backend_server.py
+++ b/src/verbenaplank/placement/backend_server.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from verbenaplank.placement.cold import ColdTime
 from verbenaplank.placement.task import NO_RESOURCES
 from verbenaplank.placement.task import Resources
 from verbenaplank.protocol.membership import Member
@@ -33,6 +34,8 @@
 INITIAL_SLOWNESS_DISCOUNT = 0.3
 """Subtracted from the log slowness after one run; it shrinks with further runs."""
 
+MS_PER_S = 1_000.0
+
 CORE_TOLERANCE = 1e-6
 """Tolerance for rounding errors in sums of fractional cores.
 
@@ -107,6 +110,8 @@
         Whether it is in quarantine or in the probation that follows.
     probation_successes
         Number of successes since the start of the last quarantine.
+    cold
+        When the backend server is slow after a start or a return.
     """
 
     member: Member
@@ -141,6 +146,7 @@
     quarantine_s: float = 0.0
     on_probation: bool = False
     probation_successes: int = 0
+    cold: ColdTime = attrs.field(factory=ColdTime)
 
     @property
     def member_id(self) -> str:
@@ -158,6 +164,14 @@
             or self.reported_draining
         )
 
+    @property
+    def stall_counts_from_s(self) -> float:
+        """Return the time from which a missing end of a task counts as a stall.
+
+        A cold time does not count, because runs take longer then.
+        """
+        return max(self.last_progress_s, self.cold.until_s)
+
     def add_task(
         self, task: TaskRequest, now_s: float, run_s: float | None = None
     ) -> None:
@@ -199,7 +213,7 @@
         It does not count the tasks dispatched within the last round trip, since
         they had not reached the agent when it sent the report.
         """
-        unseen = self._dispatched_after(now_s - self.round_trip_s)
+        unseen = self.dispatched_after(now_s - self.round_trip_s)
         seen = len(self.outstanding) - len(unseen)
         self.other_entries_tasks = max(
             0.0, float(report.running + report.queued - seen)
@@ -214,6 +228,8 @@
             memory_mb -= needs.memory_mb
         self.other_entries_cores = max(0.0, report.cores_used - cores)
         self.other_entries_memory_mb = max(0.0, report.memory_used_mb - memory_mb)
+        remaining_s = report.cold_remaining_ms / MS_PER_S
+        self.cold.apply(remaining_s, report.cold_span_ms / MS_PER_S, now_s)
 
     def update_slowness(self, log_ratio: float) -> None:
         """Update the learned slowness with one run.
@@ -261,7 +277,8 @@
         self.reserved_memory_mb -= needs.memory_mb
         self.reserved_accelerators -= needs.accelerators
 
-    def _dispatched_after(self, limit_s: float) -> list[TaskKey]:
+    def dispatched_after(self, limit_s: float) -> list[TaskKey]:
+        """Return the unfinished tasks that were dispatched after a time."""
         keys: list[TaskKey] = []
         for key, dispatched_s in reversed(self.outstanding.items()):
             if dispatched_s <= limit_s:
--- a/src/verbenaplank/placement/expected_end.py
+++ b/src/verbenaplank/placement/expected_end.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from verbenaplank.placement.cold import decayed_factor
 from verbenaplank.placement.load import stall_timeout_s
 
 if TYPE_CHECKING:
@@ -15,7 +16,21 @@
 
 def expected_run_time_s(server: BackendServer, context: PlacementContext) -> float:
     """Return the expected run time on a backend server, in seconds."""
-    return context.run_time_s * server.slowness * remote_factor(server, context.task)
+    warm_s = warm_run_time_s(server, context.task, context.run_time_s)
+    return warm_s * decayed_factor(server, context.cold_factor, context.now_s)
+
+
+def warm_run_time_s(
+    server: BackendServer, task: TaskRequest, run_time_s: float
+) -> float:
+    """Return the expected run time while the server is not cold, in seconds.
+
+    Parameters
+    ----------
+    run_time_s
+        Expected run time at slowness 1, in seconds.
+    """
+    return run_time_s * server.slowness * remote_factor(server, task)
 
 
 def remote_factor(server: BackendServer, task: TaskRequest) -> float:
@@ -56,7 +71,7 @@
     """Return the seconds without a finished task beyond the stall timeout."""
     if not server.outstanding:
         return 0.0
-    without_progress_s = context.now_s - server.last_progress_s
+    without_progress_s = context.now_s - server.stall_counts_from_s
     return max(0.0, without_progress_s - stall_timeout_s(run_s, context.settings))
 
 
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -10,6 +10,8 @@
 
 from verbenaplank.placement.backend_server import BackendServer
 from verbenaplank.placement.cells import ServiceCells
+from verbenaplank.placement.cold import exceeds_share
+from verbenaplank.placement.health import SLOW_FAILURES
 from verbenaplank.placement.health import HealthTracker
 from verbenaplank.placement.load import PlacementContext
 from verbenaplank.placement.load import stall_timeout_s
@@ -97,7 +99,7 @@
         )
         self._drained: frozenset[str] = frozenset()
         self._evacuated: frozenset[str] = frozenset()
-        self._run_times = RunTimeEstimator()
+        self._run_times = RunTimeEstimator(self._settings.cold_factor)
         self._health = HealthTracker(self._settings.health)
         self._rack_counts = JobRackCounts()
         self._average_other_tasks_per_slot = 0.0
@@ -239,7 +241,8 @@
         server = self._servers.get(member_id)
         if server is None:
             return
-        server.add_task(task, now_s, self._run_times.record_start(task, server))
+        run_s = self._run_times.record_start(task, server, now_s)
+        server.add_task(task, now_s, run_s)
         self._rack_counts.add(task.job_id, server)
         self._health.register_job(task.job_id)
 
@@ -257,8 +260,12 @@
             return
         server.last_progress_s = now_s
         if outcome is TaskOutcome.SUCCEEDED:
-            self._run_times.record_run(task, server, run_time_s)
+            self._run_times.record_run(task, server, run_time_s, now_s)
             self._health.record_success(server, task)
+        elif outcome in SLOW_FAILURES and server.cold.overlaps(
+            now_s - run_time_s, now_s
+        ):
+            return
         elif outcome in FAILURES:
             peers = self._services.connected(task.service)
             self._health.record_failure(server, task, peers, now_s)
@@ -286,11 +293,18 @@
         for member_id, server in self._servers.items():
             server.drained = member_id in member_ids
 
-    def set_evacuated(self, data_centres: frozenset[str]) -> None:
-        """Set the data centres to which no tasks are sent."""
+    def set_evacuated(self, data_centres: frozenset[str], now_s: float) -> None:
+        """Set the data centres to which no tasks are sent.
+
+        Where servers report cold times, those that return may be cold.
+        """
         self._evacuated = data_centres
+        may_be_cold = any(server.cold.span_s > 0.0 for server in self._servers.values())
         for server in self._servers.values():
-            server.evacuated = server.member.data_centre in data_centres
+            evacuated = server.member.data_centre in data_centres
+            if may_be_cold and server.evacuated and not evacuated:
+                server.cold.begin_grace(now_s)
+            server.evacuated = evacuated
         self._services.refresh_evacuated()
 
     def is_evacuated(self, data_centre: str) -> bool:
@@ -309,6 +323,14 @@
             if now_s < server.quarantined_until_s
         ]
 
+    def cold_agents(self, now_s: float) -> list[str]:
+        """Return the identifiers of the agents whose backend server is cold."""
+        return [
+            member_id
+            for member_id, server in self._servers.items()
+            if now_s < server.cold.until_s
+        ]
+
     def stalled_agents(self, now_s: float) -> list[str]:
         """Return the agents that have tasks and finished none in the stall timeout."""
         return [
@@ -342,6 +364,7 @@
             average_other_tasks_per_slot=self._average_other_tasks_per_slot,
             rack_tasks=self._rack_counts.by_rack(task.job_id),
             settings=self._settings,
+            cold_factor=self._run_times.cold_factors.of(task.service),
         )
 
     def _usable_servers(
@@ -358,6 +381,10 @@
                 continue
             if needs is not None and not server.has_free_resources(needs):
                 continue
+            if now_s < server.cold.until_s and self._is_cold_share_used(
+                server, task, now_s
+            ):
+                continue
             if server.slowness > limit and not self._stragglers.may_probe(
                 server, now_s
             ):
@@ -369,6 +396,19 @@
             return preferred
         return usable
 
+    def _is_cold_share_used(
+        self, server: BackendServer, task: TaskRequest, now_s: float
+    ) -> bool:
+        """Return whether a cold server may not get a task yet.
+
+        The share of a cold server is not limited while every server is cold, since
+        tasks would only wait.  The connected servers are a subset of bounded size.
+        """
+        return exceeds_share(server, task, now_s) and any(
+            other.accepts_tasks and now_s >= other.cold.until_s
+            for other in self._services.connected(task.service)
+        )
+
     def _has_other_accepting_server(self, task: TaskRequest) -> bool:
         """Return whether a server that the task need not avoid accepts tasks.
 
@@ -383,7 +423,7 @@
     def _is_stalled(self, server: BackendServer, now_s: float) -> bool:
         usual_s = self._run_times.longest_s(server.member.services) * server.slowness
         allowed_s = stall_timeout_s(usual_s, self._settings)
-        return now_s - server.last_progress_s > allowed_s
+        return now_s - server.stall_counts_from_s > allowed_s
 
     def _round_trip_s(self, member: Member) -> float:
         if member.data_centre == self._own_data_centre:
--- a/src/verbenaplank/placement/health.py
+++ b/src/verbenaplank/placement/health.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+from verbenaplank.protocol.work import TaskOutcome
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -26,6 +28,9 @@
 FAILURE_SHARE_GAIN = 0.1
 MAX_WEIGHT_PER_JOB = 2
 
+SLOW_FAILURES = frozenset({TaskOutcome.TIMED_OUT, TaskOutcome.NOT_STARTED})
+"""Failures that are no evidence on a cold server, because it is slow for a while."""
+
 
 @attrs.define
 class _JobEvidence:
--- a/src/verbenaplank/placement/load.py
+++ b/src/verbenaplank/placement/load.py
@@ -27,6 +27,8 @@
         Moving average of the other entries' tasks per slot, over all reports.
     rack_tasks
         Outstanding tasks of the same job by rack.
+    cold_factor
+        How many times longer the task runs at the beginning of a cold time.
     """
 
     task: TaskRequest
@@ -36,6 +38,7 @@
     average_other_tasks_per_slot: float
     rack_tasks: dict[str, int]
     settings: PlacementSettings
+    cold_factor: float = 1.0
 
 
 def estimated_other_tasks(server: BackendServer, context: PlacementContext) -> float:
--- a/src/verbenaplank/placement/policy.py
+++ b/src/verbenaplank/placement/policy.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 
 from verbenaplank.placement.backend_server import BackendServer
+from verbenaplank.placement.cold import decayed_factor
 from verbenaplank.placement.expected_end import expected_completion_s
 from verbenaplank.placement.expected_end import expected_run_time_s
 from verbenaplank.placement.expected_end import has_room
@@ -127,7 +128,12 @@
         rate_per_s += share * server.slots / expected_run_time_s(server, context)
     if rate_per_s <= 0.0:
         return float("inf")
-    fastest = min(full, key=lambda server: server.slowness)
+    fastest = min(
+        full,
+        key=lambda server: (
+            server.slowness * decayed_factor(server, context.cold_factor, context.now_s)
+        ),
+    )
     run_s = expected_run_time_s(fastest, context)
     return fastest.round_trip_s + context.waiting / rate_per_s + run_s
 
--- a/src/verbenaplank/placement/run_time.py
+++ b/src/verbenaplank/placement/run_time.py
@@ -7,7 +7,10 @@
 
 import attrs
 
+from verbenaplank.placement.cold import ColdFactors
+from verbenaplank.placement.cold import decayed_factor
 from verbenaplank.placement.expected_end import remote_factor
+from verbenaplank.placement.expected_end import warm_run_time_s
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,15 +40,24 @@
     """Estimates the run time of each workload on a backend server of slowness 1.
 
     A run time is modelled as the mean of the workload times the slowness of the
-    backend server.  Both are moving averages over the successful runs.
+    backend server.  Both are moving averages over the successful runs.  Runs on cold
+    servers only count towards the factor by which they are longer.
+
+    Parameters
+    ----------
+    cold_factor
+        This factor at the beginning of a cold time, until it is learned.
 
     Attributes
     ----------
     typical_s
         Mean expected run time of started tasks, weighted by their cores, in seconds.
+    cold_factors
+        The learned factors of cold servers.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, cold_factor: float) -> None:
+        self.cold_factors = ColdFactors(cold_factor)
         self.typical_s = FIRST_TYPICAL_RUN_S
         self._workloads: dict[WorkloadKey, _WorkloadRunTime] = {}
 
@@ -73,21 +85,27 @@
         )
         return max(learned, default=math.inf)
 
-    def record_start(self, task: TaskRequest, server: BackendServer) -> float:
+    def record_start(
+        self, task: TaskRequest, server: BackendServer, now_s: float
+    ) -> float:
         """Record a start, and return the expected run time in seconds."""
-        run_s = self.expected_s(task) * server.slowness * remote_factor(server, task)
+        factor = decayed_factor(server, self.cold_factors.of(task.service), now_s)
+        run_s = warm_run_time_s(server, task, self.expected_s(task)) * factor
         gain = min(1.0, TYPICAL_RUN_GAIN * max(task.needs.cores, 1.0))
         self.typical_s += gain * (run_s - self.typical_s)
         return run_s
 
     def record_run(
-        self, task: TaskRequest, server: BackendServer, run_s: float
+        self, task: TaskRequest, server: BackendServer, run_s: float, now_s: float
     ) -> None:
         """Update the estimates with one successful run of ``run_s`` seconds.
 
         A run outside the task's rack counts as shorter by the remote factor, so that
         the server does not appear slow and the workload not long.
         """
+        if server.cold.overlaps(now_s - run_s, now_s):
+            self._record_cold_run(task, server, run_s, now_s)
+            return
         run_s = max(run_s / remote_factor(server, task), MIN_RUN_TIME_S)
         normalised_s = run_s / math.exp(server.log_slowness)
         log_normalised = math.log(run_s) - server.log_slowness
@@ -101,3 +119,15 @@
         gain = max(1.0 / estimate.samples, RUN_TIME_GAIN)
         estimate.mean_s += gain * (normalised_s - estimate.mean_s)
         estimate.log_mean += gain * (log_normalised - estimate.log_mean)
+
+    def _record_cold_run(
+        self, task: TaskRequest, server: BackendServer, run_s: float, now_s: float
+    ) -> None:
+        """Learn the cold factor, unless the workload's mean is not known yet."""
+        estimate = self._workloads.get((task.service, task.workload))
+        if estimate is None or estimate.samples < MIN_SAMPLES:
+            return
+        warm_s = warm_run_time_s(server, task, estimate.mean_s)
+        start_s = max(now_s - run_s, server.cold.since_s)
+        left_share = server.cold.left_share(start_s)
+        self.cold_factors.record(task.service, left_share, run_s / warm_s)
--- a/src/verbenaplank/placement/settings.py
+++ b/src/verbenaplank/placement/settings.py
@@ -81,6 +81,9 @@
         Least time without a finished task before a backend server counts as
         stalled, so that the first longer task of a service with short tasks is
         not taken for a stall.
+    cold_factor
+        How many times longer tasks run at the beginning of a backend server's cold
+        time, until it is learned.
     """
 
     own_round_trip_s: float = 0.001
@@ -96,4 +99,5 @@
     minimum_stall_s: float = 0.5
     straggler_factor: float = 2.5
     straggler_probe_interval_s: float = 0.5
+    cold_factor: float = 1.5
     health: HealthSettings = HealthSettings()
--- a/src/verbenaplank/settings/entry.py
+++ b/src/verbenaplank/settings/entry.py
@@ -58,9 +58,13 @@
     remote_factor
         How many times longer a task takes on another rack than the one it prefers.
         Above the stretch of a route, its tasks may be held for a better server.
+    cold_factor
+        How many times longer tasks run on a backend server that has just announced a
+        cold time, until the entry has learned it.
     """
 
     remote_factor: float = attrs.field(default=1.0, validator=validators.ge(1.0))
+    cold_factor: float = attrs.field(default=1.5, validator=validators.ge(1.0))
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/verbena_platform/test_formats.py
+++ b/tests/verbena_platform/test_formats.py
@@ -151,6 +151,32 @@
         decode_job(body, "0123456789abcdef", ROUTE, 2.0)
 
 
+@pytest.mark.parametrize(
+    ("fields", "cold_ms"),
+    [
+        ({}, 0.0),
+        ({"cold-remaining-ms": 1_250}, 1_250.0),
+        ({"cold-remaining-ms": -1}, 0.0),
+    ],
+)
+def test_cold_time_of_a_report_is_optional(
+    fields: dict[str, Any], cold_ms: float
+) -> None:
+    """Guards against reports that are lost because of a field of the cold time."""
+    assert decode_report("i-1", report(**fields)).cold_remaining_ms == cold_ms
+
+
+def test_cold_overage_is_decoded_or_its_default_applies() -> None:
+    bounds = node()["bounds"]
+    with_bound = node() | {"bounds": bounds | {"cold-overage": 2.5}}
+    for document, factor in ((node("edge"), 1.5), (with_bound, 2.5)):
+        settings = decode_node_settings(document)
+        assert settings.cold_factor == factor
+    edge = node("edge") | {"bounds": bounds | {"cold-overage": 2.5}}
+    placement = entry_settings(decode_node_settings(edge)).placement
+    assert placement.cold_factor == 2.5
+
+
 def test_report_is_decoded() -> None:
     decoded = decode_report("i-1", report())
     assert (decoded.incarnation, decoded.size.cores, decoded.labels[-1]) == (
@@ -168,6 +194,7 @@
         report(sequence="4"),
         report(address="nowhere"),
         report(capacity=None),
+        report(**{"cold-remaining-ms": "soon"}),
     ],
 )
 def test_malformed_report_is_rejected(body: bytes) -> None:
