Refuse jobs at once when all their servers are evacuated, and add metrics

A job whose servers were all in evacuated data centres was admitted and waited until its latest start or its deadline; queued jobs did too.

Admission refuses such a job as not run and names the evacuation; only servers that are large enough count. Entries and control instances export the number of evacuated data centres and the revision of the list; entries count the dispatches that agents refused because of an evacuation, which the refusal now says.

--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -261,6 +261,7 @@
     def _apply_evacuations(self, evacuations: EvacuationList) -> None:
         evacuated = self._settings.data_centre in evacuations.data_centres
         decision_log.log_evacuations(evacuations, evacuated=evacuated)
+        self._gate.evacuated = evacuated
         self._set_drain(DrainReason.EVACUATED, on=evacuated)
 
     def _on_backend_state_change(self, reachable: bool) -> None:
--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -79,6 +79,11 @@
 
     A dispatch is queued, then holds a reserved slot while the caller connects to
     the backend server, then runs.  Its lease and budget are checked at each step.
+
+    Attributes
+    ----------
+    evacuated
+        Whether refusals because of a drain say that the data centre is evacuated.
     """
 
     def __init__(
@@ -89,6 +94,7 @@
         self._limits = limits
         self._capacity = WorkerCapacity(slots=limits.slots, size=limits.size)
         self._draining = False
+        self.evacuated = False
         self._entries = Entries()
         self._queue = DispatchQueue()
         self._reserved: dict[str, QueuedDispatch] = {}
@@ -387,7 +393,8 @@
         # Only a dispatch that has certainly never started may be closed.
         if not self._start_may_be_evicted(queued):
             queued.entry.closed.add(queued.dispatch.dispatch_id)
-        return [refusal_reply(queued, reason)]
+        evacuated = self.evacuated and reason is RefusalReason.DRAINING
+        return [refusal_reply(queued, reason, evacuated=evacuated)]
 
     def _refuse_queued(
         self, condition: Callable[[QueuedDispatch], bool], reason: RefusalReason
--- a/src/verbenaplank/agent/replies.py
+++ b/src/verbenaplank/agent/replies.py
@@ -18,7 +18,9 @@
     from verbenaplank.protocol.work import Revoke
 
 
-def refusal_reply(queued: QueuedDispatch, reason: RefusalReason) -> Reply:
+def refusal_reply(
+    queued: QueuedDispatch, reason: RefusalReason, *, evacuated: bool = False
+) -> Reply:
     """Return a reply that refuses a dispatch."""
     refusal = DispatchRefusal(
         job_id=queued.dispatch.job_id,
@@ -26,6 +28,7 @@
         dispatch_id=queued.dispatch.dispatch_id,
         reason=reason,
         attempt=queued.dispatch.attempt,
+        evacuated=evacuated,
     )
     return Reply(queued.entry.key, refusal)
 
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -194,17 +194,28 @@
         members = "members of the system as applied here"
         streams = "members with a stream to this instance"
         commits = "index of the newest entry applied here"
+        evacuated = "evacuated data centres as applied here"
+        revision = "revision of the list of evacuated data centres"
         gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
             ("configuration_version", configuration, self._configuration_version),
             ("members", members, lambda: len(self.machine.membership.members)),
             ("member_streams", streams, lambda: len(self._join_service)),
             ("commit_index", commits, lambda: self.log.commit_index),
+            ("evacuated_data_centres", evacuated, self._evacuated_data_centres),
+            (
+                "evacuations_revision",
+                revision,
+                lambda: self.machine.evacuations.revision,
+            ),
             ("leads", "1 if this instance leads", lambda: self.log.is_leader),
             ("ready", "1 if a quorum backs this instance", self.is_ready),
         )
         for name, description, read in gauges:
             self._metrics.add_gauge(f"verbenaplank_control_{name}", description, read)
 
+    def _evacuated_data_centres(self) -> int:
+        return len(self.machine.evacuations.list.data_centres)
+
     def _configuration_version(self) -> int:
         return self.machine.configuration.version
 
--- a/src/verbenaplank/entry/admission_control.py
+++ b/src/verbenaplank/entry/admission_control.py
@@ -8,6 +8,7 @@
 from verbenaplank.admission.estimate import estimate
 from verbenaplank.admission.quota import QuotaState
 from verbenaplank.admission.quota import TeamQuotas
+from verbenaplank.entry.evacuated_jobs import EVACUATED_DETAIL
 from verbenaplank.entry.jobs import task_request
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.finding import Finding
@@ -86,6 +87,8 @@
         if feasibility is Feasibility.NO_SERVICE:
             detail = f"no backend server currently offers {submission.service!r}"
             return _retryable_rejection(FailureKind.NOT_READY, detail)
+        if feasibility is Feasibility.EVACUATED:
+            return _retryable_rejection(FailureKind.NOT_READY, EVACUATED_DETAIL)
         if feasibility is Feasibility.IMPOSSIBLE_NEEDS:
             return _impossible_needs(submission)
         return None
--- a/src/verbenaplank/entry/agent_message_handler.py
+++ b/src/verbenaplank/entry/agent_message_handler.py
@@ -51,6 +51,8 @@
         another entry process.
     refused
         Dispatches that an agent refused.
+    refused_evacuated
+        Those of them that it refused because its data centre is evacuated.
     revoked
         Dispatches that were revoked before they started.
     lost
@@ -59,6 +61,7 @@
 
     ignored: int = 0
     refused: int = 0
+    refused_evacuated: int = 0
     revoked: int = 0
     lost: int = 0
 
@@ -129,6 +132,7 @@
         if record is None or record.state is DispatchState.STARTED:
             return
         self.counts.refused += 1
+        self.counts.refused_evacuated += refusal.evacuated
         decision_log.dispatch_refused(record, refusal)
         if refusal.reason is RefusalReason.ALREADY_STARTED:
             self._fleet.remove_dispatch(agent_id, record.task, now_s)
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -69,6 +69,7 @@
     from verbenaplank.entry.pipeline import Pipeline
     from verbenaplank.observability.rendering import RenderMetrics
     from verbenaplank.placement.policy import Policy
+    from verbenaplank.protocol.membership import EvacuationList
     from verbenaplank.rpc.address import Address
     from verbenaplank.settings.common import ControlPeer
     from verbenaplank.settings.entry import EntrySettings
@@ -212,6 +213,11 @@
         self._http_server: HttpServer | None = None
         self._peer_service = PeerService(self._registry, self._runner.cancel)
 
+    @property
+    def evacuations(self) -> EvacuationList:
+        """The evacuated data centres in force."""
+        return self._membership.evacuations
+
     def cold_backend_servers(self) -> int:
         """Return the number of backend servers that are cold now."""
         return len(self._fleet.cold_agents(self._clock()))
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -23,6 +23,8 @@
 from verbenaplank.entry.dispatch_table import DispatchTable
 from verbenaplank.entry.dispatcher import Dispatcher
 from verbenaplank.entry.effects import SendToAgent
+from verbenaplank.entry.evacuated_jobs import EVACUATED
+from verbenaplank.entry.evacuated_jobs import EvacuatedJobs
 from verbenaplank.entry.hedge import Hedger
 from verbenaplank.entry.holding_queue import HoldingQueue
 from verbenaplank.entry.holds import Holds
@@ -140,6 +142,7 @@
         self.holds = Holds(self._queue, fleet, random or random_module.Random())
         self._queue.on_drop = self.holds.drop
         self.jobs = JobTable(self.dispatch_table, self._queue, self.effects)
+        self._evacuated_jobs = EvacuatedJobs(self.jobs, self.dispatch_table, fleet)
         self._fleet = fleet
         self._lease_held_since = lease_held_since
         self._checked_lease_since_s = float("-inf")
@@ -296,6 +299,8 @@
                 retry_after_s=hopeless.wait_s,
             )
             self._abort(hopeless.job_id, rejection, now_s)
+        for job_id in self._evacuated_jobs.find(now_s):
+            self._abort(job_id, EVACUATED, now_s)
         for agent_id in self._disconnected_agents.pop_runs_ended(now_s):
             decision_log.agent_runs_ended(agent_id)
             self._message_handler.mark_all_lost(agent_id, now_s)
--- a/src/verbenaplank/entry/routed_admission.py
+++ b/src/verbenaplank/entry/routed_admission.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from verbenaplank.entry.evacuated_jobs import EVACUATED_DETAIL
 from verbenaplank.entry.routed_job import RoutedJobState
 from verbenaplank.entry.routed_job import RoutedOutcome
 from verbenaplank.overload.admission import overload_refusal
@@ -84,6 +85,8 @@
             return _refused(
                 job, f"no backend server currently offers {job.route.service!r}"
             )
+        if feasibility is Feasibility.EVACUATED:
+            return _refused(job, EVACUATED_DETAIL)
         if feasibility is Feasibility.IMPOSSIBLE_NEEDS:
             return _refused(job, "no worker is large enough for a task of this job")
         return self._crash_refusal(job) or self._overload_refusal(job)
--- a/src/verbenaplank/observability/entry_metrics.py
+++ b/src/verbenaplank/observability/entry_metrics.py
@@ -56,6 +56,16 @@
         "workloads confined to a part of the backend servers because of crashes",
         lambda: len(instance.engine.confinement.confined),
     )
+    metrics.add_gauge(
+        "verbenaplank_entry_evacuated_data_centres",
+        "data centres to which the entry sends no tasks",
+        lambda: len(instance.evacuations.data_centres),
+    )
+    metrics.add_gauge(
+        "verbenaplank_entry_evacuations_revision",
+        "revision of the list of evacuated data centres in force",
+        lambda: instance.evacuations.revision,
+    )
     metrics.add_gauge(
         "verbenaplank_entry_cold_backend_servers",
         "backend servers that stay slow for a while and get a growing share of tasks",
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -307,9 +307,10 @@
             server.evacuated = evacuated
         self._services.refresh_evacuated()
 
-    def is_evacuated(self, data_centre: str) -> bool:
-        """Return whether no tasks are sent to a data centre."""
-        return data_centre in self._evacuated
+    @property
+    def has_evacuations(self) -> bool:
+        """Whether any data centre is evacuated."""
+        return bool(self._evacuated)
 
     def expected_run_time_s(self, task: TaskRequest) -> float:
         """Return a task's expected run time at slowness 1, in seconds."""
--- a/src/verbenaplank/placement/service_capacity.py
+++ b/src/verbenaplank/placement/service_capacity.py
@@ -39,15 +39,10 @@
         servers = self._services.announced(service)
         if not servers:
             return Feasibility.NO_SERVICE
-        for server in servers:
-            worker = server.member.worker
-            size = Resources(
-                cores=worker.cores,
-                memory_mb=worker.memory_mb,
-                accelerators=worker.accelerators,
-            )
-            if fits(needs, size):
-                return Feasibility.POSSIBLE
+        if _any_fits(needs, self._services.in_service(service)):
+            return Feasibility.POSSIBLE
+        if _any_fits(needs, servers):
+            return Feasibility.EVACUATED
         return Feasibility.IMPOSSIBLE_NEEDS
 
     def available_cores_of(self, service: str, workload: str = "") -> float:
@@ -124,3 +119,16 @@
         if workload in cells.confined or any(item.accepts_tasks for item in allowed):
             return allowed
         return servers
+
+
+def _any_fits(needs: Resources, servers: Sequence[BackendServer]) -> bool:
+    for server in servers:
+        worker = server.member.worker
+        size = Resources(
+            cores=worker.cores,
+            memory_mb=worker.memory_mb,
+            accelerators=worker.accelerators,
+        )
+        if fits(needs, size):
+            return True
+    return False
--- a/src/verbenaplank/protocol/work.py
+++ b/src/verbenaplank/protocol/work.py
@@ -215,13 +215,20 @@
 
 @attrs.frozen(kw_only=True)
 class DispatchRefusal:
-    """Reply to a dispatch that the agent refuses, with the reason."""
+    """Reply to a dispatch that the agent refuses, with the reason.
+
+    Attributes
+    ----------
+    evacuated
+        Whether the agent's data centre is evacuated, if the reason is ``DRAINING``.
+    """
 
     job_id: str
     task_index: int
     dispatch_id: int
     reason: RefusalReason
     attempt: int = 1
+    evacuated: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/agent/test_evacuation.py
+++ b/tests/agent/test_evacuation.py
@@ -121,6 +121,7 @@
         await site.send(2)
         refused = await site.receive_until(lambda message: message.refusals)
         assert refused.refusals[0].reason is RefusalReason.DRAINING
+        assert refused.refusals[0].evacuated
         ended = await site.receive_until(lambda message: message.results)
         assert ended.results[0].outcome is TaskOutcome.SUCCEEDED
 
--- a/tests/entry/driver.py
+++ b/tests/entry/driver.py
@@ -59,6 +59,7 @@
         self.completed: dict[str, tuple[bytes, ...]] = {}
         self.failed: dict[str, Failure] = {}
         fleet = Fleet(least_expected_completion, random.Random(1), "Kochi")
+        self.fleet = fleet
         self.queue = TaskQueue()
         self.engine = Engine(
             fleet=fleet,
