Let operators evacuate data centres over the product's interface

Only the platform's interface could order an evacuation; the replicated state ignored who ordered it.

Control instances serve POST and DELETE /v1/evacuations/{data_centre} and GET /v1/evacuations; `verbena evacuate start`, `end` and `list` call them. An order carries a token and a command id like a drain, and the permission to drain includes it. The state machine returns the first outcome for a command id that it knows, so that a repetition does not undo a later withdrawal. A malformed name gets 400, an unknown one 404 with the known ones.

--- a/src/verbenaplank/console/application.py
+++ b/src/verbenaplank/console/application.py
@@ -8,6 +8,7 @@
 from verbenaplank.console.commands import bench
 from verbenaplank.console.commands import cancel
 from verbenaplank.console.commands import config
+from verbenaplank.console.commands import evacuate
 from verbenaplank.console.commands import explain
 from verbenaplank.console.commands import members
 from verbenaplank.console.commands import request
@@ -31,6 +32,7 @@
 application.command()(standalone.standalone)
 application.add_typer(bench.application, name="bench")
 application.add_typer(config.application, name="config")
+application.add_typer(evacuate.application, name="evacuate")
 application.add_typer(settings.application, name="settings")
 
 
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -37,6 +37,8 @@
     from collections.abc import AsyncIterator
     from collections.abc import Callable
     from collections.abc import Coroutine
+    from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
@@ -128,7 +130,11 @@
             self.log, self.machine, self._barrier, wall_clock
         )
         self.evacuations = EvacuationAdministration(
-            self.log, self.machine, self._barrier, wall_clock
+            self.log,
+            self.machine,
+            self._barrier,
+            wall_clock,
+            frozenset({settings.data_centre, *_data_centres(settings.peers)}),
         )
         self._register_metrics()
         self.rpc_address = settings.rpc.address
@@ -162,7 +168,7 @@
         from verbenaplank.control.http import http_application
 
         http = http_application(
-            self._administration, self.is_ready, self._metrics.render
+            self._administration, self.evacuations, self.is_ready, self._metrics.render
         )
         server = HttpServer(http, self._settings.http.address, HTTP_STOP_TIMEOUT_S)
         await stack.enter_async_context(server)
@@ -284,6 +290,10 @@
             await asyncio.sleep(CHECK_PERIOD_S)
 
 
+def _data_centres(peers: Iterable[ControlPeer]) -> Iterator[str]:
+    return (peer.data_centre for peer in peers if peer.data_centre)
+
+
 @asynccontextmanager
 async def _running_task(work: Coroutine[None, None, None]) -> AsyncIterator[None]:
     """Run a coroutine as a task while the context lasts, then cancel it."""
--- a/src/verbenaplank/control/bodies.py
+++ b/src/verbenaplank/control/bodies.py
@@ -13,6 +13,7 @@
 from verbenaplank.configuration.commands import Verdict
 from verbenaplank.configuration.sections import SectionVersion
 from verbenaplank.control.problem import problem_error
+from verbenaplank.evacuation.commands import EvacuationVerdict
 from verbenaplank.outcome.finding import Finding
 from verbenaplank.protocol.membership import Member
 
@@ -150,6 +151,21 @@
     ordered_drains: tuple[str, ...]
 
 
+@attrs.frozen(kw_only=True)
+class EvacuationBody:
+    """Outcome of an accepted order about an evacuation.
+
+    Attributes
+    ----------
+    revision
+        Revision of the list of evacuated data centres after the order.
+    """
+
+    verdict: EvacuationVerdict
+    data_centre: str
+    revision: int
+
+
 @attrs.frozen(kw_only=True)
 class AuditBody:
     """Records of the audit trail, oldest first.
--- a/src/verbenaplank/control/evacuation.py
+++ b/src/verbenaplank/control/evacuation.py
@@ -36,7 +36,13 @@
 
 
 class EvacuationAdministration:
-    """Evacuates data centres and ends that, each time confirmed by a quorum."""
+    """Evacuates data centres and ends that, each time confirmed by a quorum.
+
+    Parameters
+    ----------
+    data_centres
+        Names of the data centres in the settings of this instance.
+    """
 
     def __init__(
         self,
@@ -44,11 +50,28 @@
         machine: ControlStateMachine,
         barrier: SharedReadBarrier,
         wall_clock: WallClock,
+        data_centres: frozenset[str] = frozenset(),
     ) -> None:
         self._log = log
         self._machine = machine
         self._barrier = barrier
         self._wall_clock = wall_clock
+        self._data_centres = data_centres
+
+    @property
+    def applied_list(self) -> EvacuationList:
+        """The evacuated data centres as applied here, which may be out of date."""
+        return self._machine.evacuations.list
+
+    def known_data_centres(self) -> frozenset[str]:
+        """Return the data centres that may be evacuated or whose evacuation may end.
+
+        These are the ones that a member, a setting of this instance or an evacuation
+        names.
+        """
+        members = self._machine.membership.members.values()
+        used = {member.data_centre for member in members}
+        return self._data_centres | used | set(self.applied_list.data_centres)
 
     async def order(
         self, data_centre: str, *, evacuated: bool, origin: Origin | None = None
@@ -94,7 +117,7 @@
             If no quorum confirmed in time that this instance is up to date.
         """
         await self._barrier.wait()
-        return self._machine.evacuations.list
+        return self.applied_list
 
     async def _replicate(
         self, data_centre: str, evacuated: bool, origin: Origin | None
--- a/src/verbenaplank/control/http.py
+++ b/src/verbenaplank/control/http.py
@@ -1,4 +1,4 @@
-"""HTTP interface for operators: configuration, members, audit trail, health."""
+"""HTTP interface for operators: configuration, members, evacuations, health."""
 
 from __future__ import annotations
 
@@ -32,6 +32,7 @@
 from verbenaplank.control.bodies import parse_body
 from verbenaplank.control.commands import OperatorCommand
 from verbenaplank.control.credentials import bearer_token
+from verbenaplank.control.evacuation_routes import evacuation_routes
 from verbenaplank.control.problem import ProblemError
 from verbenaplank.control.problem import problem_error
 from verbenaplank.membership.commands import OrderDrain
@@ -41,6 +42,7 @@
     from collections.abc import Callable
 
     from verbenaplank.control.administration import Administration
+    from verbenaplank.control.evacuation import EvacuationAdministration
     from verbenaplank.observability.rendering import RenderMetrics
 
 AnyRequest = Request[Any, Any, Any]
@@ -52,7 +54,10 @@
 
 
 def http_application(
-    administration: Administration, is_ready: Callable[[], bool], metrics: RenderMetrics
+    administration: Administration,
+    evacuations: EvacuationAdministration,
+    is_ready: Callable[[], bool],
+    metrics: RenderMetrics,
 ) -> Litestar:
     """Return the ASGI application that serves operators."""
     return Litestar(
@@ -60,6 +65,7 @@
             *_configuration_routes(administration),
             *_section_routes(administration),
             *_member_routes(administration),
+            *evacuation_routes(administration, evacuations),
             *_operations_routes(is_ready, metrics),
         ],
         request_max_body_size=MAX_BODY_BYTES,
--- a/src/verbenaplank/control/state_machine.py
+++ b/src/verbenaplank/control/state_machine.py
@@ -29,6 +29,7 @@
 from verbenaplank.control.commands import decode_command
 from verbenaplank.control.commands import encode
 from verbenaplank.evacuation.commands import EvacuationOutcome
+from verbenaplank.evacuation.commands import EvacuationVerdict
 from verbenaplank.evacuation.commands import OrderEvacuation
 from verbenaplank.evacuation.state import EvacuationState
 from verbenaplank.membership.state import MembershipSnapshot
@@ -180,20 +181,64 @@
         return verdict
 
     def _order_evacuation(self, order: OrderEvacuation) -> EvacuationOutcome:
-        outcome = EvacuationOutcome(
-            verdict=self.evacuations.order(order), revision=self.evacuations.revision
+        """Apply an order; a repeated one with a command id gets its first outcome.
+
+        A stale order is not recorded, because it is sent again with the same id.
+        """
+        origin = order.origin
+        if origin is None:
+            outcome = self._evacuation_outcome(self.evacuations.order(order))
+            self._append_evacuation_to_audit(order, outcome)
+            return outcome
+        actor = actor_name(origin)
+        content = attrs.evolve(order, origin=None, seen_revision=0, sent_at_ms=0)
+        digest = command_digest(content)
+        known = self._commands.find(actor, origin.command_id)
+        if known is not None and known.digest == digest:
+            return msgspec.msgpack.decode(known.outcome, type=EvacuationOutcome)
+        if known is not None:
+            detail = f"command id {origin.command_id} was used for another command"
+            verdict = EvacuationVerdict.COMMAND_ID_REUSED
+            return self._evacuation_outcome(verdict, detail)
+        if origin.administrator or self._may_drain(origin.team):
+            outcome = self._evacuation_outcome(self.evacuations.order(order))
+        else:
+            detail = f"team {origin.team} may not evacuate data centres"
+            outcome = self._evacuation_outcome(EvacuationVerdict.FORBIDDEN, detail)
+        if outcome.verdict is not EvacuationVerdict.STALE:
+            self._commands.record(
+                RecordedCommand(
+                    actor=actor,
+                    command_id=origin.command_id,
+                    digest=digest,
+                    at_ms=origin.sent_at_ms,
+                    outcome=encode(outcome),
+                )
+            )
+        self._append_evacuation_to_audit(order, outcome)
+        return outcome
+
+    def _evacuation_outcome(
+        self, verdict: EvacuationVerdict, detail: str = ""
+    ) -> EvacuationOutcome:
+        return EvacuationOutcome(
+            verdict=verdict, revision=self.evacuations.revision, detail=detail
         )
+
+    def _append_evacuation_to_audit(
+        self, order: OrderEvacuation, outcome: EvacuationOutcome
+    ) -> None:
+        origin = order.origin
         self.audit.append(
             at_ms=order.sent_at_ms,
-            actor=UNAUTHENTICATED_ACTOR,
-            command_id="",
+            actor=UNAUTHENTICATED_ACTOR if origin is None else actor_name(origin),
+            command_id="" if origin is None else origin.command_id,
             action="evacuate" if order.evacuated else "end_evacuation",
             subject=order.data_centre,
             version=outcome.revision,
             outcome=outcome.verdict.value,
             detail=outcome.detail,
         )
-        return outcome
 
     def _apply_operator_command(self, command: OperatorCommand) -> CommandOutcome:
         origin = command.origin
