--- a/tests/verbena_platform/test_evacuations.py
+++ b/tests/verbena_platform/test_evacuations.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import shutil
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,8 @@
 from whole_path import choose_first_port
 
 from verbena_platform.control import control_program
+from verbenaplank.consensus.errors import NoQuorumError
+from verbenaplank.protocol.membership import EvacuationList
 from verbenaplank.rpc.address import Address
 
 if TYPE_CHECKING:
@@ -66,3 +69,47 @@
     lists = [await instance.evacuations.current_list() for instance in instances]
     assert {each.data_centres for each in lists} == {("madurai",)}
     assert {each.revision for each in lists} == {3}
+
+
+async def test_acknowledged_order_survives_the_loss_of_two_disks(
+    stack: AsyncExitStack, tmp_path: Path
+) -> None:
+    """Guards against an order that only the instances that are lost have stored."""
+    port = choose_first_port()
+    executor = StandInExecutor(Address(f"{SUBNET}.6", port), "s")
+    platform = Platform(stack, tmp_path, port, executor)
+    hosts = (*CONTROL_HOSTS, f"{SUBNET}.11", f"{SUBNET}.12")
+    group = {
+        "data_centres": DATA_CENTRES,
+        "tolerated_losses": 2,
+        "control_apis": tuple(Address(host, port + 10) for host in hosts),
+    }
+    instances: dict[str, ControlInstance] = {}
+    stacks: dict[str, AsyncExitStack] = {}
+    for host in hosts:
+        stacks[host] = await stack.enter_async_context(AsyncExitStack())
+        program = control_program(platform.node(host, **group))
+        instances[host] = await stacks[host].enter_async_context(program)
+    assert await send(platform, "POST", "madurai", 0) == 200
+
+    lost = [host for host in hosts if instances[host].log.is_leader]
+    lost = [*lost, *(host for host in hosts if host not in lost)][:2]
+    for host in lost:
+        await stacks[host].aclose()
+    for host in lost:
+        shutil.rmtree(platform.folder / host)
+        node = platform.node(host, **group, is_first_start=False)
+        instances[host] = await stacks[host].enter_async_context(control_program(node))
+    expected = EvacuationList(revision=1, data_centres=("madurai",))
+    for instance in instances.values():
+        assert await list_of(instance) == expected
+
+
+async def list_of(instance: ControlInstance) -> EvacuationList:
+    """Read the list until a quorum confirms it."""
+    async with asyncio.timeout(20):
+        while True:
+            try:
+                return await instance.evacuations.current_list()
+            except NoQuorumError:
+                await asyncio.sleep(0.05)
