--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -37,6 +37,8 @@
     from collections.abc import AsyncIterator
     from collections.abc import Callable
     from collections.abc import Coroutine
+    from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
@@ -128,7 +130,11 @@
             self.log, self.machine, self._barrier, wall_clock
         )
         self.evacuations = EvacuationAdministration(
-            self.log, self.machine, self._barrier, wall_clock
+            self.log,
+            self.machine,
+            self._barrier,
+            wall_clock,
+            frozenset({settings.data_centre, *_data_centres(settings.peers)}),
         )
         self._register_metrics()
         self.rpc_address = settings.rpc.address
@@ -162,7 +168,7 @@
         from verbenaplank.control.http import http_application
 
         http = http_application(
-            self._administration, self.is_ready, self._metrics.render
+            self._administration, self.evacuations, self.is_ready, self._metrics.render
         )
         server = HttpServer(http, self._settings.http.address, HTTP_STOP_TIMEOUT_S)
         await stack.enter_async_context(server)
@@ -194,17 +200,28 @@
         members = "members of the system as applied here"
         streams = "members with a stream to this instance"
         commits = "index of the newest entry applied here"
+        evacuated = "evacuated data centres as applied here"
+        revision = "revision of the list of evacuated data centres"
         gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
             ("configuration_version", configuration, self._configuration_version),
             ("members", members, lambda: len(self.machine.membership.members)),
             ("member_streams", streams, lambda: len(self._join_service)),
             ("commit_index", commits, lambda: self.log.commit_index),
+            ("evacuated_data_centres", evacuated, self._evacuated_data_centres),
+            (
+                "evacuations_revision",
+                revision,
+                lambda: self.machine.evacuations.revision,
+            ),
             ("leads", "1 if this instance leads", lambda: self.log.is_leader),
             ("ready", "1 if a quorum backs this instance", self.is_ready),
         )
         for name, description, read in gauges:
             self._metrics.add_gauge(f"verbenaplank_control_{name}", description, read)
 
+    def _evacuated_data_centres(self) -> int:
+        return len(self.machine.evacuations.list.data_centres)
+
     def _configuration_version(self) -> int:
         return self.machine.configuration.version
 
@@ -273,6 +290,10 @@
             await asyncio.sleep(CHECK_PERIOD_S)
 
 
+def _data_centres(peers: Iterable[ControlPeer]) -> Iterator[str]:
+    return (peer.data_centre for peer in peers if peer.data_centre)
+
+
 @asynccontextmanager
 async def _running_task(work: Coroutine[None, None, None]) -> AsyncIterator[None]:
     """Run a coroutine as a task while the context lasts, then cancel it."""
--- a/src/verbenaplank/protocol/work.py
+++ b/src/verbenaplank/protocol/work.py
@@ -215,13 +215,20 @@
 
 @attrs.frozen(kw_only=True)
 class DispatchRefusal:
-    """Reply to a dispatch that the agent refuses, with the reason."""
+    """Reply to a dispatch that the agent refuses, with the reason.
+
+    Attributes
+    ----------
+    evacuated
+        Whether the agent's data centre is evacuated, if the reason is ``DRAINING``.
+    """
 
     job_id: str
     task_index: int
     dispatch_id: int
     reason: RefusalReason
     attempt: int = 1
+    evacuated: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -246,6 +253,8 @@
         How much longer the backend server stays slow after a start, in milliseconds.
     held
         Tasks that all entries together hold for the rack of this agent.
+    cold_span_ms
+        Duration of the whole cold time that ``cold_remaining_ms`` is left of.
     """
 
     running: int
@@ -256,6 +265,7 @@
     clock_s: float | None = None
     cold_remaining_ms: float = 0.0
     held: int = 0
+    cold_span_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
