Move the gate's occupied slots and its limits into their own modules

Occupancy holds the reservations and running tasks, and gate_limits.py the limits; behaviour is unchanged. The tests only import GateLimits from its new module. tests/agent passes (118 tests).

--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -16,7 +16,7 @@
 from verbenaplank.agent.backend import BackendClient
 from verbenaplank.agent.crash_feed import CrashFeed
 from verbenaplank.agent.gate import Gate
-from verbenaplank.agent.gate import GateLimits
+from verbenaplank.agent.gate_limits import GateLimits
 from verbenaplank.agent.health_check import BackendHealthCheck
 from verbenaplank.agent.runner import TaskRunner
 from verbenaplank.agent.work_service import WorkStreams
--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -25,12 +25,12 @@
 from verbenaplank.agent.effects import format_task_id
 from verbenaplank.agent.entries import Entries
 from verbenaplank.agent.entries import Entry
+from verbenaplank.agent.occupancy import Occupancy
 from verbenaplank.agent.replies import lost_result_reply
 from verbenaplank.agent.replies import refusal_reply
 from verbenaplank.agent.replies import revocation_reply
 from verbenaplank.agent.worker_capacity import WorkerCapacity
 from verbenaplank.agent.worker_capacity import sum_resources
-from verbenaplank.placement.task import Resources
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import LoadReport
 from verbenaplank.protocol.work import RefusalReason
@@ -39,41 +39,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from verbenaplank.agent.gate_limits import GateLimits
+    from verbenaplank.agent.occupancy import RunningTask
+    from verbenaplank.placement.task import Resources
     from verbenaplank.protocol.work import Revoke
     from verbenaplank.protocol.work import Stop
     from verbenaplank.protocol.work import TaskResult
 
 
-@attrs.frozen(kw_only=True)
-class GateLimits:
-    """Limits on concurrent tasks, queued tasks and retained records.
-
-    Attributes
-    ----------
-    slots
-        Maximum number of tasks that run at a time.
-    max_queued_tasks
-        Maximum number of dispatches that wait because no capacity is free.
-    retention_s
-        How long started tasks and results are retained, in seconds.
-    size
-        Resources that the running tasks may use in total; ``None`` if only the slots
-        limit them.
-    """
-
-    slots: int
-    max_queued_tasks: int
-    retention_s: float
-    size: Resources | None = None
-
-
-@attrs.define
-class _RunningTask:
-    entry: Entry
-    dispatch: Dispatch
-    stopping: bool = False
-
-
 class Gate:
     """Admits, queues, starts and refuses the dispatches of all entries.
 
@@ -91,8 +64,7 @@
         self._draining = False
         self._entries = Entries()
         self._queue = DispatchQueue()
-        self._reserved: dict[str, QueuedDispatch] = {}
-        self._running: dict[str, _RunningTask] = {}
+        self._occupancy = Occupancy()
         self._started = StartedTasks(limits.retention_s)
         self._results = ResultCache(limits.retention_s)
 
@@ -104,7 +76,7 @@
     @property
     def idle(self) -> bool:
         """Whether no dispatch is running, reserved or queued."""
-        return not (self._running or self._reserved or self._queue)
+        return not (self._occupancy or self._queue)
 
     def load(self, now_s: float | None = None) -> LoadReport:
         """Return the load from all entries; ``running`` includes reserved slots.
@@ -114,9 +86,9 @@
         now_s
             Reading of the agent's clock that the report carries.
         """
-        in_use = sum_resources(self._resources_in_use())
+        in_use = sum_resources(self._occupancy.needs())
         return LoadReport(
-            running=self._slots_in_use(),
+            running=len(self._occupancy),
             queued=len(self._queue),
             draining=self._draining,
             cores_used=in_use.cores,
@@ -126,14 +98,13 @@
 
     def headroom(self) -> float:
         """Return how many further tasks fit that need as much as the largest here."""
-        return self._capacity.headroom(self._resources_in_use())
+        return self._capacity.headroom(self._occupancy.needs())
 
     def has_work_from(self, key: EntryKey) -> bool:
         """Return whether a dispatch of an entry is queued, reserved or running."""
         entry = self._entries[key]
         owners = [queued.entry for queued in self._queue]
-        owners += [queued.entry for queued in self._reserved.values()]
-        owners += [running.entry for running in self._running.values()]
+        owners += self._occupancy.owners()
         return any(owner is entry for owner in owners)
 
     def on_hello(self, key: EntryKey, now_s: float) -> None:
@@ -211,7 +182,7 @@
         queued = self._withdraw(entry, task_id, stop.dispatch_id)
         if queued is not None:
             return [*self._refuse(queued, RefusalReason.REVOKED)]
-        running = self._running.get(task_id)
+        running = self._occupancy.running(task_id)
         if running is None or running.entry is not entry:
             return []
         return _stop_once(task_id, running, "requested by its entry")
@@ -220,7 +191,7 @@
         self, task_id: str, result: TaskResult, now_s: float
     ) -> list[Effect]:
         """Free the slot of a run, retain its result and send it to its entry."""
-        running = self._running.pop(task_id)
+        running = self._occupancy.end(task_id)
         self._results.add(task_id, result, now_s)
         return [Reply(running.entry.key, result)]
 
@@ -236,14 +207,14 @@
         """
         effects: list[Effect] = []
         while (first := self._queue.first()) is not None:
-            if not self._capacity.fits(first.dispatch.needs, self._resources_in_use()):
+            if not self._capacity.fits(first.dispatch.needs, self._occupancy.needs()):
                 break
             queued = self._queue.pop()
             reason = self._refusal_reason(queued, now_s)
             if reason is not None:
                 effects += self._refuse(queued, reason)
                 continue
-            self._reserved[queued.task_id] = queued
+            self._occupancy.reserve(queued)
             waited_s = now_s - queued.received_s
             effects.append(StartRun(queued.task_id, queued.dispatch, waited_s))
         return effects
@@ -254,22 +225,22 @@
         The dispatch is checked again, because connecting takes time and the worker may
         have shrunk meanwhile; the start is recorded only if it is allowed.
         """
-        queued = self._take_reserved(start)
+        queued = self._occupancy.take_reserved(start)
         if queued is None:
             return StartDecision(allowed=False)
         reason = self._refusal_reason(queued, now_s)
-        if not self._capacity.fits(queued.dispatch.needs, self._resources_in_use()):
+        if not self._capacity.fits(queued.dispatch.needs, self._occupancy.needs()):
             reason = reason or RefusalReason.FULL
         if reason is not None:
             return StartDecision(False, tuple(self._refuse(queued, reason)))
         entry, dispatch = queued.entry, queued.dispatch
         self._started.add(start.task_id, entry.number, dispatch.dispatch_id, now_s)
-        self._running[start.task_id] = _RunningTask(entry, dispatch)
+        self._occupancy.start(queued)
         return StartDecision(allowed=True)
 
     def on_connect_failed(self, start: StartRun) -> list[Reply]:
         """Release a reservation and refuse its dispatch, because connecting failed."""
-        queued = self._take_reserved(start)
+        queued = self._occupancy.take_reserved(start)
         if queued is None:
             return []
         return self._refuse(queued, RefusalReason.BACKEND_SERVER_DOWN)
@@ -312,7 +283,7 @@
         effects += self._refuse_queued(
             lambda queued: queued.is_late(now_s), RefusalReason.BUDGET_SPENT
         )
-        for task_id, running in self._running.items():
+        for task_id, running in self._occupancy.all_running():
             if running.entry.lease_until_s < now_s:
                 effects += _stop_once(
                     task_id, running, "the lease of its entry expired"
@@ -320,19 +291,6 @@
         self._entries.remove_expired(now_s)
         return effects
 
-    def _take_reserved(self, start: StartRun) -> QueuedDispatch | None:
-        """Remove and return a reservation.
-
-        Return ``None`` if it was withdrawn or now belongs to another dispatch.
-        """
-        queued = self._reserved.get(start.task_id)
-        if queued is None or queued.dispatch is not start.dispatch:
-            return None
-        return self._reserved.pop(start.task_id)
-
-    def _slots_in_use(self) -> int:
-        return len(self._running) + len(self._reserved)
-
     def _refusal_reason(
         self, queued: QueuedDispatch, now_s: float
     ) -> RefusalReason | None:
@@ -352,7 +310,7 @@
 
     def _task_may_have_started(self, queued: QueuedDispatch) -> bool:
         task_id = queued.task_id
-        if task_id in self._reserved or task_id in self._running:
+        if task_id in self._occupancy:
             return True
         return self._started.get(task_id) is not None or self._start_may_be_evicted(
             queued
@@ -363,23 +321,19 @@
         dispatch_id = queued.dispatch.dispatch_id
         return self._started.may_have_evicted(queued.entry.number, dispatch_id)
 
-    def _resources_in_use(self) -> list[Resources]:
-        reserved = [queued.dispatch.needs for queued in self._reserved.values()]
-        return reserved + [run.dispatch.needs for run in self._running.values()]
-
     def _capacity_refusal_reason(self, dispatch: Dispatch) -> RefusalReason | None:
         if not self._capacity.fits_alone(dispatch.needs):
             return RefusalReason.FULL
         if self._capacity.size is not None:
             ahead = [
-                *self._resources_in_use(),
+                *self._occupancy.needs(),
                 *(item.dispatch.needs for item in self._queue),
             ]
             if self._capacity.fits(dispatch.needs, ahead):
                 return None
             is_full = len(self._queue) >= self._limits.max_queued_tasks
             return RefusalReason.FULL if is_full else None
-        free_slots = self._limits.slots - self._slots_in_use()
+        free_slots = self._limits.slots - len(self._occupancy)
         is_full = len(self._queue) >= self._limits.max_queued_tasks + free_slots
         return RefusalReason.FULL if is_full else None
 
@@ -400,17 +354,14 @@
     def _is_queued_or_reserved(
         self, entry: Entry, task_id: str, dispatch_id: int
     ) -> bool:
-        reserved = self._reserved.get(task_id)
-        is_reserved = reserved is not None and reserved.is_from(entry, dispatch_id)
+        is_reserved = self._occupancy.is_reserved(entry, task_id, dispatch_id)
         return is_reserved or self._queue.contains(entry, dispatch_id)
 
     def _withdraw(
         self, entry: Entry, task_id: str, dispatch_id: int
     ) -> QueuedDispatch | None:
-        reserved = self._reserved.get(task_id)
-        if reserved is not None and reserved.is_from(entry, dispatch_id):
-            return self._reserved.pop(task_id)
-        return self._queue.remove(entry, dispatch_id)
+        reserved = self._occupancy.withdraw(entry, task_id, dispatch_id)
+        return reserved or self._queue.remove(entry, dispatch_id)
 
     def _dispatch_may_have_started(
         self, entry: Entry, task_id: str, dispatch_id: int
@@ -427,7 +378,7 @@
     def _replies_to_revoke_after_start(
         self, entry: Entry, task_id: str, revoke: Revoke
     ) -> list[Effect]:
-        if task_id in self._running:
+        if self._occupancy.running(task_id) is not None:
             return [revocation_reply(entry.key, revoke, RevocationState.STARTED)]
         revocation = revocation_reply(entry.key, revoke, RevocationState.FINISHED)
         again = self._resend_result(entry, task_id)
@@ -438,7 +389,7 @@
         return [] if result is None else [Reply(entry.key, result)]
 
 
-def _stop_once(task_id: str, running: _RunningTask, cause: str) -> list[Effect]:
+def _stop_once(task_id: str, running: RunningTask, cause: str) -> list[Effect]:
     if running.stopping:
         return []
     running.stopping = True
--- a/src/verbenaplank/bench/task_slopes.py
+++ b/src/verbenaplank/bench/task_slopes.py
@@ -12,7 +12,7 @@
 from verbenaplank.agent.effects import EntryKey
 from verbenaplank.agent.effects import StartRun
 from verbenaplank.agent.gate import Gate
-from verbenaplank.agent.gate import GateLimits
+from verbenaplank.agent.gate_limits import GateLimits
 from verbenaplank.bench.slope import Slope
 from verbenaplank.bench.slope import encoded_size
 from verbenaplank.bench.slope import measure_memory
--- a/tests/agent/agent_helpers.py
+++ b/tests/agent/agent_helpers.py
@@ -14,7 +14,7 @@
 from verbenaplank.agent.backend import BackendClient
 from verbenaplank.agent.crash_feed import CrashFeed
 from verbenaplank.agent.gate import Gate
-from verbenaplank.agent.gate import GateLimits
+from verbenaplank.agent.gate_limits import GateLimits
 from verbenaplank.agent.runner import TaskRunner
 from verbenaplank.agent.work_service import WorkStreams
 from verbenaplank.clock.sources import monotonic_s
--- a/tests/agent/test_gate.py
+++ b/tests/agent/test_gate.py
@@ -10,7 +10,7 @@
 from verbenaplank.agent.effects import StopRun
 from verbenaplank.agent.entries import INITIAL_LEASE_S
 from verbenaplank.agent.gate import Gate
-from verbenaplank.agent.gate import GateLimits
+from verbenaplank.agent.gate_limits import GateLimits
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import DispatchRefusal
 from verbenaplank.protocol.work import RefusalReason
--- a/tests/agent/test_gate_capacity.py
+++ b/tests/agent/test_gate_capacity.py
@@ -9,7 +9,7 @@
 from verbenaplank.agent.effects import StartRun
 from verbenaplank.agent.effects import StopRun
 from verbenaplank.agent.gate import Gate
-from verbenaplank.agent.gate import GateLimits
+from verbenaplank.agent.gate_limits import GateLimits
 from verbenaplank.agent.worker_capacity import WorkerCapacity
 from verbenaplank.placement.task import Resources
 from verbenaplank.protocol.work import Dispatch
--- a/tests/agent/test_gate_stateful.py
+++ b/tests/agent/test_gate_stateful.py
@@ -14,7 +14,7 @@
 from verbenaplank.agent.effects import Reply
 from verbenaplank.agent.effects import StartRun
 from verbenaplank.agent.gate import Gate
-from verbenaplank.agent.gate import GateLimits
+from verbenaplank.agent.gate_limits import GateLimits
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import DispatchRefusal
 from verbenaplank.protocol.work import RefusalReason
