Keep the totals of the occupied resources of a worker

Each load report, dispatch and start summed up the needs of all running tasks. Occupancy now adds and removes them as tasks come and go; sums are exact, since cores are counted in whole millicores.

--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -30,7 +30,6 @@
 from verbenaplank.agent.replies import refusal_reply
 from verbenaplank.agent.replies import revocation_reply
 from verbenaplank.agent.worker_capacity import WorkerCapacity
-from verbenaplank.agent.worker_capacity import sum_resources
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import LoadReport
 from verbenaplank.protocol.work import RefusalReason
@@ -86,9 +85,9 @@
         now_s
             Reading of the agent's clock that the report carries.
         """
-        in_use = sum_resources(self._occupancy.needs())
+        in_use = self._occupancy.usage
         return LoadReport(
-            running=len(self._occupancy),
+            running=in_use.tasks,
             queued=len(self._queue),
             draining=self._draining,
             cores_used=in_use.cores,
@@ -207,7 +206,7 @@
         """
         effects: list[Effect] = []
         while (first := self._queue.first()) is not None:
-            if not self._capacity.fits(first.dispatch.needs, self._occupancy.needs()):
+            if not self._capacity.fits(first.dispatch.needs, self._occupancy.usage):
                 break
             queued = self._queue.pop()
             reason = self._refusal_reason(queued, now_s)
@@ -229,7 +228,7 @@
         if queued is None:
             return StartDecision(allowed=False)
         reason = self._refusal_reason(queued, now_s)
-        if not self._capacity.fits(queued.dispatch.needs, self._occupancy.needs()):
+        if not self._capacity.fits(queued.dispatch.needs, self._occupancy.usage):
             reason = reason or RefusalReason.FULL
         if reason is not None:
             return StartDecision(False, tuple(self._refuse(queued, reason)))
@@ -325,10 +324,9 @@
         if not self._capacity.fits_alone(dispatch.needs):
             return RefusalReason.FULL
         if self._capacity.size is not None:
-            ahead = [
-                *self._occupancy.needs(),
-                *(item.dispatch.needs for item in self._queue),
-            ]
+            ahead = attrs.evolve(self._occupancy.usage)
+            for item in self._queue:
+                ahead.add(item.dispatch.needs)
             if self._capacity.fits(dispatch.needs, ahead):
                 return None
             is_full = len(self._queue) >= self._limits.max_queued_tasks
--- a/src/verbenaplank/agent/occupancy.py
+++ b/src/verbenaplank/agent/occupancy.py
@@ -7,6 +7,7 @@
 import attrs
 
 from verbenaplank.agent.entries import Entry
+from verbenaplank.agent.worker_capacity import Usage
 from verbenaplank.protocol.work import Dispatch
 
 if TYPE_CHECKING:
@@ -34,9 +35,16 @@
 
 
 class Occupancy:
-    """Dispatches with a reserved slot, and running tasks, by task id."""
+    """Dispatches with a reserved slot, and running tasks, by task id.
+
+    Attributes
+    ----------
+    usage
+        What they need in total, kept up to date because every decision reads it.
+    """
 
     def __init__(self) -> None:
+        self.usage = Usage()
         self._reserved: dict[str, QueuedDispatch] = {}
         self._running: dict[str, RunningTask] = {}
 
@@ -61,6 +69,7 @@
     def reserve(self, queued: QueuedDispatch) -> None:
         """Reserve a slot for a dispatch."""
         self._reserved[queued.task_id] = queued
+        self.usage.add(queued.dispatch.needs)
 
     def is_reserved(self, entry: Entry, task_id: str, dispatch_id: int) -> bool:
         """Return whether the dispatch has a reserved slot."""
@@ -73,7 +82,7 @@
         """Remove and return a reservation, or return ``None`` if there is none."""
         if not self.is_reserved(entry, task_id, dispatch_id):
             return None
-        return self._reserved.pop(task_id)
+        return self._remove_reserved(task_id)
 
     def take_reserved(self, start: StartRun) -> QueuedDispatch | None:
         """Remove and return a reservation.
@@ -83,15 +92,18 @@
         queued = self._reserved.get(start.task_id)
         if queued is None or queued.dispatch is not start.dispatch:
             return None
-        return self._reserved.pop(start.task_id)
+        return self._remove_reserved(start.task_id)
 
     def start(self, queued: QueuedDispatch) -> None:
         """Record that a task runs whose reservation was taken."""
         self._running[queued.task_id] = RunningTask(queued.entry, queued.dispatch)
+        self.usage.add(queued.dispatch.needs)
 
     def end(self, task_id: str) -> RunningTask:
         """Remove and return a running task."""
-        return self._running.pop(task_id)
+        running = self._running.pop(task_id)
+        self.usage.remove(running.dispatch.needs)
+        return running
 
     def running(self, task_id: str) -> RunningTask | None:
         """Return a running task, or ``None`` if it does not run."""
@@ -100,3 +112,8 @@
     def all_running(self) -> ItemsView[str, RunningTask]:
         """Return the running tasks with their ids."""
         return self._running.items()
+
+    def _remove_reserved(self, task_id: str) -> QueuedDispatch:
+        queued = self._reserved.pop(task_id)
+        self.usage.remove(queued.dispatch.needs)
+        return queued
--- a/src/verbenaplank/agent/worker_capacity.py
+++ b/src/verbenaplank/agent/worker_capacity.py
@@ -10,10 +10,51 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from typing import Self
 
 MILLICORES_PER_CORE = 1_000
 
 
+@attrs.define
+class Usage:
+    """Number of some tasks and the total of what they need.
+
+    Cores are counted in whole millicores, so that sums stay exact.
+    """
+
+    tasks: int = 0
+    millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    @classmethod
+    def total(cls, needs: Iterable[Resources]) -> Self:
+        """Return the usage of tasks with the given needs."""
+        usage = cls()
+        for part in needs:
+            usage.add(part)
+        return usage
+
+    def add(self, needs: Resources) -> None:
+        """Count one more task."""
+        self.tasks += 1
+        self.millicores += _millicores(needs)
+        self.memory_mb += needs.memory_mb
+        self.accelerators += needs.accelerators
+
+    def remove(self, needs: Resources) -> None:
+        """Count a task no longer."""
+        self.tasks -= 1
+        self.millicores -= _millicores(needs)
+        self.memory_mb -= needs.memory_mb
+        self.accelerators -= needs.accelerators
+
+    @property
+    def cores(self) -> float:
+        """Total number of cores."""
+        return self.millicores / MILLICORES_PER_CORE
+
+
 @attrs.frozen(kw_only=True)
 class WorkerCapacity:
     """Slots and resources of a worker, with cores compared in whole millicores.
@@ -29,12 +70,17 @@
     slots: int
     size: Resources | None = None
 
-    def fits(self, needs: Resources, in_use: Iterable[Resources]) -> bool:
+    def fits(self, needs: Resources, in_use: Usage) -> bool:
         """Return whether a task fits beside the tasks that are already running."""
-        used = list(in_use)
-        if len(used) >= self.slots:
+        if in_use.tasks >= self.slots:
             return False
-        return self.size is None or _is_within([needs, *used], self.size)
+        if self.size is None:
+            return True
+        return (
+            in_use.millicores + _millicores(needs) <= _millicores(self.size)
+            and in_use.memory_mb + needs.memory_mb <= self.size.memory_mb
+            and in_use.accelerators + needs.accelerators <= self.size.accelerators
+        )
 
     def headroom(self, in_use: Iterable[Resources]) -> float:
         """Return how many further tasks fit that need as much as the largest in use.
@@ -51,26 +97,8 @@
 
     def fits_alone(self, needs: Resources) -> bool:
         """Return whether a task fits into the worker while nothing else runs."""
-        return self.fits(needs, ())
-
-
-def sum_resources(needs: Iterable[Resources]) -> Resources:
-    """Return the total of the resources that several tasks need."""
-    parts = list(needs)
-    return Resources(
-        cores=_millicores(parts) / MILLICORES_PER_CORE,
-        memory_mb=sum(part.memory_mb for part in parts),
-        accelerators=sum(part.accelerators for part in parts),
-    )
-
-
-def _is_within(parts: list[Resources], size: Resources) -> bool:
-    return (
-        _millicores(parts) <= _millicores([size])
-        and sum(part.memory_mb for part in parts) <= size.memory_mb
-        and sum(part.accelerators for part in parts) <= size.accelerators
-    )
+        return self.fits(needs, Usage())
 
 
-def _millicores(parts: list[Resources]) -> int:
-    return sum(round(part.cores * MILLICORES_PER_CORE) for part in parts)
+def _millicores(needs: Resources) -> int:
+    return round(needs.cores * MILLICORES_PER_CORE)
--- a/tests/agent/test_gate_capacity.py
+++ b/tests/agent/test_gate_capacity.py
@@ -10,6 +10,7 @@
 from verbenaplank.agent.effects import StopRun
 from verbenaplank.agent.gate import Gate
 from verbenaplank.agent.gate_limits import GateLimits
+from verbenaplank.agent.worker_capacity import Usage
 from verbenaplank.agent.worker_capacity import WorkerCapacity
 from verbenaplank.placement.task import Resources
 from verbenaplank.protocol.work import Dispatch
@@ -116,7 +117,9 @@
     capacity = WorkerCapacity(slots=10, size=attrs.evolve(SIZE, accelerators=1))
     assert capacity.fits_alone(Resources(memory_mb=1_000, accelerators=1))
     assert not capacity.fits_alone(Resources(memory_mb=1_001))
-    assert not capacity.fits(Resources(accelerators=1), [Resources(accelerators=1)])
+    assert not capacity.fits(
+        Resources(accelerators=1), Usage.total([Resources(accelerators=1)])
+    )
 
 
 def test_start_that_was_reserved_before_the_worker_shrank_is_refused() -> None:
