Read the backend server's responses in an asyncio protocol

Each call went through a stream reader, with a buffer, flow control and a new poll object, and built its header from a dictionary. The connection is now a protocol that completes one future per response.

--- a/src/verbenaplank/agent/connection.py
+++ b/src/verbenaplank/agent/connection.py
@@ -1,4 +1,8 @@
-"""HTTP/1.1 client connection to the backend server, with httptools and asyncio."""
+"""HTTP/1.1 client connection to the backend server, with httptools and asyncio.
+
+It is an asyncio protocol: a stream reader would add a buffer, a future and flow control
+to each response.
+"""
 
 from __future__ import annotations
 
@@ -13,8 +17,8 @@
     from collections.abc import Mapping
     from typing import Self
 
-READ_BYTES = 65_536
 MAX_BODY_BYTES = 1024 * 1024
+CLOSED = "the connection was closed before the response ended"
 
 
 class BackendServerError(Exception):
@@ -46,15 +50,18 @@
         self.keep_alive = self.parser.should_keep_alive()
 
 
-class Connection:
-    """HTTP connection that carries one request at a time, without pipelining."""
+class Connection(asyncio.Protocol):
+    """HTTP connection that carries one request at a time, without pipelining.
+
+    It is created by :meth:`open`.
+    """
 
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: str
-    ) -> None:
-        self._reader = reader
-        self._writer = writer
+    def __init__(self, host: str) -> None:
         self._host = host
+        self._transport: asyncio.Transport | None = None
+        self._unread = select.poll()
+        self._parser = _ResponseParser()
+        self._response: asyncio.Future[HttpResponse] | None = None
         self._idle = True
 
     @classmethod
@@ -66,8 +73,11 @@
         OSError
             If the backend server cannot be reached.
         """
-        reader, writer = await asyncio.open_connection(host, port)
-        return cls(reader, writer, f"{host}:{port}")
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: cls(f"{host}:{port}"), host, port
+        )
+        return connection
 
     @property
     def reusable(self) -> bool:
@@ -76,18 +86,14 @@
         An idle connection with unread data is not reusable: the other side has closed
         it or has sent data without a request.
         """
-        if not self._idle or self._writer.is_closing():
+        if not self._idle or self._transport is None or self._transport.is_closing():
             return False
-        return not (self._reader.at_eof() or self._has_unread_data())
-
-    def _has_unread_data(self) -> bool:
-        poll = select.poll()
-        poll.register(self._writer.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return not self._unread.poll(0)
 
     def close(self) -> None:
         """Close the connection without waiting until it is closed."""
-        self._writer.close()
+        if self._transport is not None:
+            self._transport.close()
 
     async def post(
         self, path: str, payload: bytes, headers: Mapping[str, str]
@@ -100,36 +106,56 @@
             If no valid response was received; the request may have been executed.
         """
         self._idle = False
+        if self._transport is None or self._transport.is_closing():
+            raise BackendServerError(CLOSED)
+        self._parser = _ResponseParser()
+        self._response = asyncio.get_running_loop().create_future()
+        self._transport.write(_encode_request(path, self._host, payload, headers))
+        return await self._response
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to use a connection that asyncio has opened."""
+        if isinstance(transport, asyncio.Transport):
+            self._transport = transport
+        self._unread.register(transport.get_extra_info("socket"), select.POLLIN)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse a part of the response, and close on data without a request."""
+        response = self._response
+        if response is None or response.done():
+            self.close()
+            return
         try:
-            self._writer.write(_encode_request(path, self._host, payload, headers))
-            await self._writer.drain()
-            return await self._read_response()
-        except (OSError, httptools.HttpParserError) as error:
-            raise BackendServerError(str(error) or type(error).__name__) from error
-
-    async def _read_response(self) -> HttpResponse:
-        response = _ResponseParser()
-        while not response.complete:
-            received = await self._reader.read(READ_BYTES)
-            if not received:
-                raise BackendServerError(
-                    "the connection was closed before the response ended"
-                )
-            response.parser.feed_data(received)
-            if len(response.body) > MAX_BODY_BYTES:
-                raise BackendServerError(f"the response is over {MAX_BODY_BYTES} bytes")
-        self._idle = response.keep_alive
-        return HttpResponse(response.parser.get_status_code(), bytes(response.body))
+            self._parser.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(str(error) or type(error).__name__)
+            return
+        if len(self._parser.body) > MAX_BODY_BYTES:
+            self._fail(f"the response is over {MAX_BODY_BYTES} bytes")
+        elif self._parser.complete:
+            self._idle = self._parser.keep_alive
+            status = self._parser.parser.get_status_code()
+            response.set_result(HttpResponse(status, bytes(self._parser.body)))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail the request that is waiting for its response, if there is one."""
+        self._fail(CLOSED if error is None else str(error) or type(error).__name__)
+
+    def _fail(self, cause: str) -> None:
+        self.close()
+        if self._response is not None and not self._response.done():
+            self._response.set_exception(BackendServerError(cause))
 
 
 def _encode_request(
     path: str, host: str, payload: bytes, headers: Mapping[str, str]
 ) -> bytes:
-    all_headers = {
-        "Host": host,
-        "Content-Type": "application/json",
-        "Content-Length": str(len(payload)),
-        **headers,
-    }
-    lines = "".join(f"{name}: {value}\r\n" for name, value in all_headers.items())
-    return f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode("latin-1") + payload
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    head = (
+        f"POST {path} HTTP/1.1\r\n"
+        f"Host: {host}\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(payload)}\r\n"
+        f"{lines}\r\n"
+    )
+    return head.encode("latin-1") + payload
