Report the load to all entries from one loop

Each stream had a task and a timer of its own, so that 12 idle entries woke the agent 30 times a second, and each report was computed twice. One loop now sends the reports that are due within 50 ms together, at the same intervals; an entry that gets its first task waits at most 0.2 s for the shorter interval. A stream still gets a report as soon as it opens.

--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -134,7 +134,6 @@
             incarnation,
             slots,
             crashes or CrashFeed(clock),
-            periodic_reports=backend is not None,
         )
         self._member = _make_member(settings, incarnation, self._worker)
         self._sends_load_reports = backend is not None
@@ -168,8 +167,10 @@
             )
             self._membership = await resources.enter_async_context(membership)
             if self._sends_load_reports:
-                load_reports = asyncio.create_task(self._streams.report_changes())
-                resources.callback(load_reports.cancel)
+                changes = asyncio.create_task(self._streams.report_changes())
+                resources.callback(changes.cancel)
+                reports = asyncio.create_task(self._streams.report_periodically())
+                resources.callback(reports.cancel)
             self._resources = resources.pop_all()
         return self
 
--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -99,12 +99,11 @@
         """Return how many further tasks fit that need as much as the largest here."""
         return self._capacity.headroom(self._occupancy.needs())
 
-    def has_work_from(self, key: EntryKey) -> bool:
-        """Return whether a dispatch of an entry is queued, reserved or running."""
-        entry = self._entries[key]
-        owners = [queued.entry for queued in self._queue]
-        owners += self._occupancy.owners()
-        return any(owner is entry for owner in owners)
+    def entries_with_work(self) -> set[EntryKey]:
+        """Return the entries with a dispatch that is queued, reserved or running."""
+        keys = {queued.entry.key for queued in self._queue}
+        keys.update(owner.key for owner in self._occupancy.owners())
+        return keys
 
     def on_hello(self, key: EntryKey, now_s: float) -> None:
         """Mark an entry as connected and grant it an initial lease."""
--- a/src/verbenaplank/agent/work_service.py
+++ b/src/verbenaplank/agent/work_service.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import math
+from collections import defaultdict
 from collections import deque
 from typing import TYPE_CHECKING
+from typing import Any
 
 import attrs
 from grpclib.const import Status
@@ -51,6 +53,10 @@
 """Interval between load reports to an idle entry.  Its next lease counts from the
 clock reading in the latest report, which must therefore be recent."""
 
+REPORT_ADVANCE_S = 0.05
+"""How much earlier than its interval demands a report may be sent, together with
+others."""
+
 REPORT_DELAY_PER_SQUARE_S = 0.002
 MAX_REPORT_DELAY_S = 0.4
 """Limit of the delay in which changes of the load are combined into one report.  The
@@ -68,9 +74,6 @@
         Number of slots that the welcome message announces.
     crashes
         Crash reports that are exchanged with the entries.
-    periodic_reports
-        Whether the load is also sent at intervals, so that an entry can detect a
-        silent stream; otherwise it is only sent with replies.
     """
 
     def __init__(
@@ -80,16 +83,14 @@
         incarnation: str,
         slots: int,
         crashes: CrashFeed,
-        *,
-        periodic_reports: bool = False,
     ) -> None:
         self._runner = runner
         self._crashes = crashes
-        self._periodic_reports = periodic_reports
         self._welcome = AgentWelcome(
             agent_id=agent_id, incarnation=incarnation, slots=slots
         )
         self._streams: set[_WorkStream] = set()
+        self._reports_periodically = False
         self._changed = asyncio.Event()
 
     def load(self) -> LoadReport:
@@ -114,6 +115,31 @@
             for stream in self._streams:
                 stream.report(load)
 
+    async def report_periodically(self) -> None:
+        """Report the load to each entry at intervals, until cancelled.
+
+        The intervals let an entry detect a silent stream.  Reports that are due at
+        about the same time are sent together, because each wake-up of an idle
+        process costs more than a message.
+        """
+        self._reports_periodically = True
+        while True:
+            now_s = self._runner.clock()
+            due_s = self._report_to_due(now_s)
+            await asyncio.sleep(min(due_s - now_s, BUSY_REPORT_PERIOD_S))
+
+    def _report_to_due(self, now_s: float) -> float:
+        """Report to the entries whose report is due, and return the next due time."""
+        busy = self._runner.gate.entries_with_work()
+        load = self.load()
+        next_due_s = math.inf
+        for stream in self._streams:
+            is_busy = stream.key in busy
+            if stream.report_due_s(busy=is_busy) <= now_s + REPORT_ADVANCE_S:
+                stream.report_now(load, now_s)
+            next_due_s = min(next_due_s, stream.report_due_s(busy=is_busy))
+        return next_due_s
+
     async def wait_all_delivered(self) -> None:
         """Wait until every reply is delivered to the entries with an open stream."""
         while not all(stream.all_delivered for stream in self._streams):
@@ -134,9 +160,10 @@
             key,
             self._changed,
             self.load,
-            self._periodic_reports,
         )
         self._streams.add(work)
+        if self._reports_periodically:
+            work.report_now(self.load(), self._runner.clock())
         try:
             await work.serve(first, self._welcome)
         finally:
@@ -149,6 +176,8 @@
 
     Attributes
     ----------
+    key
+        The entry.
     held
         Number of tasks that the entry holds for the agent's rack.
     """
@@ -161,11 +190,10 @@
         key: EntryKey,
         changed: asyncio.Event,
         load: Callable[[], LoadReport],
-        periodic_reports: bool,
     ) -> None:
         self._stream = stream
         self._runner = runner
-        self._key = key
+        self.key = key
         self._changed = changed
         self._load = load
         self.held = 0
@@ -177,7 +205,6 @@
         self._results_received = 0
         self._last_reported_load: LoadReport | None = None
         self._last_reported_s = -math.inf
-        self._periodic_reports = periodic_reports
 
     @property
     def all_delivered(self) -> bool:
@@ -187,9 +214,8 @@
 
     async def serve(self, first: ToAgent, welcome: AgentWelcome) -> None:
         """Handle messages until the entry closes the stream."""
-        self._runner.attach(self._key, self._outbox)
+        self._runner.attach(self.key, self._outbox)
         sender = asyncio.create_task(self._send(welcome))
-        reporter = asyncio.create_task(self._report_periodically())
         _cancel_reader_on_failure(sender)
         try:
             with self._crashes.subscribe(self._send_news):
@@ -198,9 +224,8 @@
                     self._handle(message)
         finally:
             sender.cancel()
-            reporter.cancel()
-            await asyncio.gather(sender, reporter, return_exceptions=True)
-            self._runner.detach(self._key, self._outbox)
+            await asyncio.gather(sender, return_exceptions=True)
+            self._runner.detach(self.key, self._outbox)
 
     def _handle(self, message: ToAgent) -> None:
         gate, clock = self._runner.gate, self._runner.clock
@@ -208,7 +233,7 @@
         if message.renewal is not None:
             lease_s = message.renewal.lease_ms / MS_PER_S
             heard_clock_s = message.renewal.heard_clock_s
-            gate.on_renewal(self._key, lease_s, clock(), heard_clock_s)
+            gate.on_renewal(self.key, lease_s, clock(), heard_clock_s)
         if message.held is not None:
             self.held = message.held
         for report in message.crashes:
@@ -217,11 +242,11 @@
             self._crashes.add_confinement(confinement, self._send_news)
         effects: list[Effect] = []
         for revoke in message.revokes:
-            effects += gate.on_revoke(self._key, revoke, clock())
+            effects += gate.on_revoke(self.key, revoke, clock())
         for dispatch in message.dispatches:
-            effects += gate.on_dispatch(self._key, dispatch, clock())
+            effects += gate.on_dispatch(self.key, dispatch, clock())
         for stop in message.stops:
-            effects += gate.on_stop(self._key, stop)
+            effects += gate.on_stop(self.key, stop)
         self._runner.apply_effects(effects)
 
     def _drop_received_results(self, results_received: int) -> None:
@@ -245,17 +270,21 @@
             self._sending = False
             self._changed.set()
 
-    async def _report_periodically(self) -> None:
-        """Report the load at intervals that let an entry detect a silent stream."""
-        while self._periodic_reports:
-            busy = self._runner.gate.has_work_from(self._key)
-            period_s = BUSY_REPORT_PERIOD_S if busy else IDLE_REPORT_PERIOD_S
-            since_report_s = self._runner.clock() - self._last_reported_s
-            if since_report_s < period_s:
-                await asyncio.sleep(period_s - since_report_s)
-                continue
-            self._outbox.put(self._load())
-            await asyncio.sleep(period_s)
+    def report_due_s(self, *, busy: bool) -> float:
+        """Return the monotonic time at which the next report is due.
+
+        Parameters
+        ----------
+        busy
+            Whether the entry has tasks on this agent.
+        """
+        period_s = BUSY_REPORT_PERIOD_S if busy else IDLE_REPORT_PERIOD_S
+        return self._last_reported_s + period_s
+
+    def report_now(self, load: LoadReport, now_s: float) -> None:
+        """Queue a periodic load report."""
+        self._last_reported_s = now_s
+        self._outbox.put(load)
 
     def report(self, load: LoadReport) -> None:
         """Queue a load report, unless the load is unchanged or a reply is queued."""
@@ -263,17 +292,19 @@
             self._outbox.put(load)
 
     async def _send_envelope(self, items: Sequence[OutboxItem]) -> None:
-        results = tuple(item for item in items if isinstance(item, TaskResult))
+        by_type: defaultdict[type, list[Any]] = defaultdict(list)
+        for item in items:
+            by_type[type(item)].append(item)
         self._results_sent.extend(
             format_task_id(result.job_id, result.task_index, result.attempt)
-            for result in results
+            for result in by_type[TaskResult]
         )
         envelope = FromAgent(
-            results=results,
-            refusals=tuple(item for item in items if isinstance(item, DispatchRefusal)),
-            revocations=tuple(item for item in items if isinstance(item, Revocation)),
-            crashes=tuple(item for item in items if isinstance(item, CrashReport)),
-            confinements=tuple(item for item in items if isinstance(item, Confinement)),
+            results=tuple(by_type[TaskResult]),
+            refusals=tuple(by_type[DispatchRefusal]),
+            revocations=tuple(by_type[Revocation]),
+            crashes=tuple(by_type[CrashReport]),
+            confinements=tuple(by_type[Confinement]),
             load=self._load(),
         )
         self._last_reported_load = envelope.load
--- a/tests/agent/test_work_service.py
+++ b/tests/agent/test_work_service.py
@@ -1,8 +1,11 @@
 from __future__ import annotations
 
+import asyncio
 from contextlib import AsyncExitStack
+from itertools import pairwise
 from typing import TYPE_CHECKING
 
+import attrs
 import msgspec
 import pytest
 from agent_helpers import HELLO
@@ -13,11 +16,14 @@
 from grpclib.exceptions import GRPCError
 
 from verbenaplank.agent.effects import EntryKey
+from verbenaplank.agent.work_service import IDLE_REPORT_PERIOD_S
 from verbenaplank.agent.work_service import MAX_ENVELOPE_OUTPUT_BYTES
 from verbenaplank.agent.work_service import MAX_REPORT_DELAY_S
+from verbenaplank.agent.work_service import REPORT_ADVANCE_S
 from verbenaplank.agent.work_service import _split_into_envelopes
 from verbenaplank.agent.work_service import report_delay_s
 from verbenaplank.clock.sources import monotonic_s
+from verbenaplank.entry.renewal import SHORT_LEASE
 from verbenaplank.history.event import EventKind
 from verbenaplank.protocol.work import FromAgent
 from verbenaplank.protocol.work import RefusalReason
@@ -198,3 +204,21 @@
     assert report_delay_s(3) < 0.02
     assert report_delay_s(14) * 1_000 > 14 * 20
     assert report_delay_s(1_000) == MAX_REPORT_DELAY_S
+
+
+async def test_idle_entries_get_reports_at_intervals() -> None:
+    """An entry closes a stream that is silent, and pays for each report."""
+    other = attrs.evolve(HELLO, entry_id="e2")
+    async with agent_site() as site, site.entry() as one, site.entry(other) as two:
+        reports = asyncio.create_task(site.streams.report_periodically())
+        for stream in (one, two):
+            clocks_s = []
+            for _ in range(3):
+                message = await receive(stream)
+                assert message.load is not None
+                clocks_s.append(message.load.clock_s or 0.0)
+            gaps_s = [later - sooner for sooner, later in pairwise(clocks_s)]
+            least_s = IDLE_REPORT_PERIOD_S - REPORT_ADVANCE_S
+            longest_s = SHORT_LEASE.idle_timeout_s
+            assert all(least_s <= gap_s <= longest_s for gap_s in gaps_s)
+        reports.cancel()
