--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -16,7 +16,7 @@
 from verbenaplank.agent.backend import BackendClient
 from verbenaplank.agent.crash_feed import CrashFeed
 from verbenaplank.agent.gate import Gate
-from verbenaplank.agent.gate import GateLimits
+from verbenaplank.agent.gate_limits import GateLimits
 from verbenaplank.agent.health_check import BackendHealthCheck
 from verbenaplank.agent.runner import TaskRunner
 from verbenaplank.agent.work_service import WorkStreams
@@ -139,7 +139,6 @@
             slots,
             crashes or CrashFeed(clock),
             cold=cold,
-            periodic_reports=backend is not None,
         )
         self._member = _make_member(settings, incarnation, self._worker)
         self._sends_load_reports = backend is not None
@@ -173,8 +172,10 @@
             )
             self._membership = await resources.enter_async_context(membership)
             if self._sends_load_reports:
-                load_reports = asyncio.create_task(self._streams.report_changes())
-                resources.callback(load_reports.cancel)
+                changes = asyncio.create_task(self._streams.report_changes())
+                resources.callback(changes.cancel)
+                reports = asyncio.create_task(self._streams.report_periodically())
+                resources.callback(reports.cancel)
             self._resources = resources.pop_all()
         return self
 
