Evaluate held tasks in the order of the queue and within a bound

Seen in replays without a network: with 66 tasks held for a rack, each message from one of its agents evaluated all of them, and later ones than the 64th were never evaluated; a held task of priority 1 waited 515 ms instead of 150 ms, because queued tasks of priority 2 took each core that became free first.

Causes: a rack was due as a whole, and tasks that were not urgent followed the whole queue.

Change: a change of load evaluates the tasks that may have capacity now (those that need less than one that stays held) and those whose hold has ended, at most 32 a flush, the rest in the next one. Tasks go before queued tasks of their own level. A held task returns to the queue if no server is free and another rack would end it earlier. Racks for which other entries hold tasks count as claimed too, but a claimed server is used if the task would miss its goal elsewhere. Drains and evacuations have all held tasks evaluated at once. The number of tasks that others hold is counted against what this entry has told the agents, not against what it holds now.

--- a/src/verbenaplank/entry/dispatcher.py
+++ b/src/verbenaplank/entry/dispatcher.py
@@ -11,6 +11,7 @@
 from verbenaplank.crashes.limit import start_permission
 from verbenaplank.entry.effects import Effect
 from verbenaplank.entry.effects import SendToAgent
+from verbenaplank.entry.holding_queue import level_of
 from verbenaplank.placement.locality import Hold
 from verbenaplank.placement.locality import Place
 from verbenaplank.placement.locality import weighs_waiting
@@ -19,13 +20,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
     from collections.abc import Mapping
 
     from verbenaplank.crashes.history import CrashHistory
     from verbenaplank.entry.dispatch_table import DispatchRecord
     from verbenaplank.entry.dispatch_table import DispatchTable
     from verbenaplank.entry.holding_queue import HoldingQueue
+    from verbenaplank.entry.holding_queue import Level
     from verbenaplank.entry.holds import Holds
     from verbenaplank.entry.jobs import JobTable
     from verbenaplank.entry.submission import Submission
@@ -73,13 +74,29 @@
         return agent_id in self._incarnations
 
     def dispatch_waiting(self, now_s: float) -> None:
-        """Dispatch waiting tasks until no agent can take any of them."""
-        due_racks = self._queue.take_due(now_s)
-        self._dispatch_held(due_racks, now_s, urgent=True)
+        """Dispatch waiting tasks until no agent can take any of them.
+
+        The held tasks that are to be evaluated again go before the queued tasks of
+        their level, and after those of the levels before it.
+        """
+        racks = self._queue.take_due(now_s)
         unplaceable: dict[str, UnplaceableNeeds] = defaultdict(UnplaceableNeeds)
+        for level in self._holds.due_levels(racks):
+            self._dispatch_queued(unplaceable, now_s, before=level)
+            for rack, changed in racks.items():
+                self._dispatch_held(rack, level, now_s, changed=changed)
+        self._dispatch_queued(unplaceable, now_s)
+
+    def _dispatch_queued(
+        self,
+        unplaceable: Mapping[str, UnplaceableNeeds],
+        now_s: float,
+        before: Level | None = None,
+    ) -> None:
+        """Dispatch or hold queued tasks, only those before a level if there is one."""
         while len(self._queue):
             chosen = _ChosenAgent()
-            choose = self._agent_chooser(chosen, unplaceable, now_s)
+            choose = self._agent_chooser(chosen, unplaceable, now_s, before)
             task = self._queue.pop(now_s, choose)
             if task is None:
                 break
@@ -89,25 +106,21 @@
             if chosen.place is not None:
                 self._holds.count_placed(task, chosen.place)
             self._dispatch(task, chosen.agent_id, now_s)
-        self._dispatch_held(due_racks, now_s, urgent=False)
 
     def _dispatch_held(
-        self, racks: Iterable[str], now_s: float, *, urgent: bool
+        self, rack: str, level: Level, now_s: float, *, changed: bool
     ) -> None:
-        """Decide again about the tasks that are held for some racks.
-
-        Urgent ones had their turn before the queued tasks.  The others follow the
-        queue, since urgent tasks in it go first.
-        """
-        for rack in racks:
-            for held, decision in self._holds.decide_again(rack, now_s, urgent=urgent):
-                if not isinstance(decision, Place):
-                    continue
-                if decision.member_id not in self._incarnations:
-                    self._queue.push(held.task, now_s)
-                    continue
-                self._holds.count_placed(held.task, decision)
-                self._dispatch(held.task, decision.member_id, now_s)
+        """Decide again about the tasks of a level that are held for a rack."""
+        for held, decision in self._holds.decide_again(
+            rack, level, now_s, changed=changed
+        ):
+            if not isinstance(decision, Place):
+                continue
+            if decision.member_id not in self._incarnations:
+                self._queue.push(held.task, now_s)
+                continue
+            self._holds.count_placed(held.task, decision)
+            self._dispatch(held.task, decision.member_id, now_s)
 
     def dispatch_elsewhere(self, task: TaskRequest, now_s: float) -> bool:
         """Dispatch another run of a task to an agent that is not to be avoided.
@@ -128,6 +141,7 @@
         chosen: _ChosenAgent,
         unplaceable: Mapping[str, UnplaceableNeeds],
         now_s: float,
+        before: Level | None,
     ) -> Callable[[TaskRequest], bool]:
         """Return a function that stores the agent chosen for a task in ``chosen``.
 
@@ -137,6 +151,8 @@
         """
 
         def choose(task: TaskRequest) -> bool:
+            if before is not None and level_of(task) >= before:
+                return False
             known = unplaceable[task.preferred_rack]
             if known.covers(task) or not self._may_start(task):
                 return False
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -213,7 +213,7 @@
         agent_id = member.member_id
         self._members[agent_id] = member
         self._fleet.add_or_update(member, now_s)
-        self._queue.mark_due(member.rack)
+        self._mark_due(agent_id)
         welcome = self._connected.get(agent_id)
         if welcome is not None and not self._dispatcher.is_agent_enabled(agent_id):
             self._enable_dispatch(welcome, now_s)
@@ -274,7 +274,9 @@
             self._message_handler.handle_result(agent_id, result, now_s)
         if message.load is not None:
             self._fleet.record_load_report(agent_id, message.load, now_s)
-        self._mark_due(agent_id)
+        member = self._members.get(agent_id)
+        if member is not None:
+            self._queue.mark_changed(member.rack)
 
     def tick(self, now_s: float) -> None:
         """Apply the timeouts that have passed, and start due retries and hedges.
@@ -338,6 +340,10 @@
         """Return the monotonic time by which held tasks need the next flush."""
         return self._queue.next_due_s()
 
+    def on_placement_changed(self) -> None:
+        """Have all held tasks evaluated, as drains or evacuations have changed."""
+        self._queue.mark_all_due()
+
     def _mark_due(self, agent_id: str) -> None:
         """Have the tasks that are held for an agent's rack evaluated again."""
         member = self._members.get(agent_id)
--- a/src/verbenaplank/entry/holding_queue.py
+++ b/src/verbenaplank/entry/holding_queue.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from sortedcontainers import SortedKeyList
 
 from verbenaplank.placement.locality import Hold
 from verbenaplank.placement.task import TaskRequest
@@ -17,12 +18,21 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from verbenaplank.admission.queue_protocol import TaskQueueProtocol
 
 HeldKey = tuple[str, int, int]
 """Job id, task index and attempt."""
 
+Level = tuple[bool, int]
+"""Precedence of a task; a smaller one goes first."""
+
+
+def level_of(task: TaskRequest) -> Level:
+    """Return the precedence of a task by its urgency and priority."""
+    return (not task.urgent, task.priority)
+
 
 @attrs.define(eq=False)
 class HeldTask:
@@ -46,9 +56,9 @@
         """Return the key of the task."""
         return held_key(self.task)
 
-    def order(self) -> tuple[int, float, float]:
+    def order(self) -> tuple[Level, float, float]:
         """Return what the tasks held for a rack are ordered by."""
-        return (self.task.priority, self.task.goal_s, self.since_s)
+        return (level_of(self.task), self.task.goal_s, self.since_s)
 
 
 def held_key(task: TaskRequest) -> HeldKey:
@@ -80,10 +90,11 @@
     ) -> None:
         self._queue = queue
         self.on_drop: Callable[[HeldTask], None] = ignore_drop
-        self._by_rack: dict[str, dict[HeldKey, HeldTask]] = {}
+        self._by_rack: dict[str, SortedKeyList[HeldTask]] = {}
         self._by_job: dict[str, dict[HeldKey, HeldTask]] = {}
         self._counts: dict[str, int] = {}
         self._due_s: dict[str, float] = {}
+        self._changed: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -125,46 +136,74 @@
         return self._queue.remove_job(job_id) + [item.task for item in held]
 
     def hold(self, held: HeldTask) -> None:
-        """Hold a task that has left the queue, or hold a held one with a new hold."""
+        """Hold a task that has left the queue."""
         rack = held.hold.rack
-        self._by_rack.setdefault(rack, {})[held.key] = held
+        if rack not in self._by_rack:
+            self._by_rack[rack] = SortedKeyList(key=HeldTask.order)
+        self._by_rack[rack].add(held)
         self._by_job.setdefault(held.task.job_id, {})[held.key] = held
         self._counts[rack] = len(self._by_rack[rack])
-        self._due_s[rack] = min(self._due_s.get(rack, math.inf), held.hold.until_s)
+        self.require_decision(held)
 
     def release(self, held: HeldTask) -> None:
         """Remove a held task."""
         rack, job_id = held.hold.rack, held.task.job_id
         in_rack, of_job = self._by_rack[rack], self._by_job[job_id]
-        del in_rack[held.key], of_job[held.key]
+        in_rack.remove(held)
+        del of_job[held.key]
         if in_rack:
             self._counts[rack] = len(in_rack)
         else:
             del self._by_rack[rack], self._counts[rack]
             self._due_s.pop(rack, None)
+            self._changed.discard(rack)
         if not of_job:
             del self._by_job[job_id]
 
-    def mark_due(self, rack: str) -> None:
-        """Have the tasks held for a rack evaluated again, as its state has changed."""
+    def require_decision(self, held: HeldTask) -> None:
+        """Have the rack of a held task evaluated at the time of its hold."""
+        rack = held.hold.rack
+        self._due_s[rack] = min(self._due_s.get(rack, math.inf), held.hold.until_s)
+
+    def mark_changed(self, rack: str) -> None:
+        """Have the held tasks of a rack evaluated that may have capacity there now."""
         if rack in self._by_rack:
+            self._changed.add(rack)
+
+    def mark_due(self, rack: str) -> None:
+        """Have all tasks held for a rack evaluated, as servers left or joined it."""
+        for held in self._by_rack.get(rack, ()):
+            held.hold = attrs.evolve(held.hold, until_s=-math.inf)
             self._due_s[rack] = -math.inf
 
-    def take_due(self, now_s: float) -> list[str]:
-        """Return the racks whose held tasks are to be evaluated again now.
+    def mark_all_due(self) -> None:
+        """Have all held tasks evaluated."""
+        for rack in self._by_rack:
+            self.mark_due(rack)
 
-        They are due again at the earliest time of the holds that are added from then
-        on.
+    def take_due(self, now_s: float) -> dict[str, bool]:
+        """Return the racks to evaluate now, and whether their load has changed.
+
+        They are due again at the earliest time of the holds that have not ended.
         """
-        due = [rack for rack, due_s in self._due_s.items() if due_s <= now_s]
+        due = {rack for rack, due_s in self._due_s.items() if due_s <= now_s}
+        changed, self._changed = self._changed, set()
         for rack in due:
-            del self._due_s[rack]
-        return due
+            left = [held.hold.until_s for held in self._by_rack[rack]]
+            self._due_s[rack] = min(
+                (until_s for until_s in left if until_s > now_s), default=math.inf
+            )
+        return {rack: rack in changed for rack in due | changed}
 
-    def held_for(self, rack: str) -> list[HeldTask]:
+    def held_for(self, rack: str) -> Sequence[HeldTask]:
         """Return the tasks held for a rack by priority, goal and age."""
-        return sorted(self._by_rack.get(rack, {}).values(), key=HeldTask.order)
+        return list(self._by_rack.get(rack, ()))
 
     def next_due_s(self) -> float:
-        """Return the monotonic time at which a rack is to be evaluated next."""
+        """Return the monotonic time at which a rack is to be evaluated next.
+
+        It is minus infinity if the last evaluation has left tasks out.
+        """
+        if self._changed:
+            return -math.inf
         return min(self._due_s.values(), default=math.inf)
--- a/src/verbenaplank/entry/holds.py
+++ b/src/verbenaplank/entry/holds.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -9,9 +11,11 @@
 from verbenaplank.entry import decision_log
 from verbenaplank.entry.effects import SendToAgent
 from verbenaplank.entry.holding_queue import HeldTask
+from verbenaplank.entry.holding_queue import level_of
 from verbenaplank.placement.local_choice import HoldClaim
 from verbenaplank.placement.locality import Hold
 from verbenaplank.placement.locality import Place
+from verbenaplank.placement.unplaceable import UnplaceableNeeds
 from verbenaplank.protocol.work import HeldCount
 
 if TYPE_CHECKING:
@@ -22,13 +26,17 @@
     from collections.abc import Mapping
 
     from verbenaplank.entry.holding_queue import HoldingQueue
+    from verbenaplank.entry.holding_queue import Level
     from verbenaplank.placement.fleet import Fleet
     from verbenaplank.placement.locality import Decision
     from verbenaplank.placement.task import TaskRequest
     from verbenaplank.protocol.membership import Member
 
-MAX_DECISIONS_PER_RACK = 64
-"""Held tasks of a rack that one event has evaluated again; later ones come after."""
+MAX_DECISIONS_PER_RACK = 32
+"""Held tasks of a rack and level that one flush evaluates; the next one goes on."""
+
+REPORT_LAG_S = 0.25
+"""Load reports may count the number that an entry sent before for this long."""
 
 JOB_ENDED = "the job ended"
 NO_SERVER = "no server is free"
@@ -91,6 +99,7 @@
         self.now_s = 0.0
         self._rank = 0.0
         self._sent: dict[str, int] = {}
+        self._sent_before: dict[str, tuple[int, float]] = {}
 
     def count(self) -> int:
         """Return the number of held tasks."""
@@ -105,6 +114,8 @@
         """
         counts = dict(self._queue.held_by_rack)
         changed = {rack for rack, _ in counts.items() ^ self._sent.items()}
+        for rack in changed:
+            self._sent_before[rack] = (self._sent.get(rack, 0), self.now_s)
         self._sent = counts
         if not changed:
             return []
@@ -121,7 +132,12 @@
         ahead = counts.get(task.preferred_rack, 0)
         if not task.preferred_rack:
             ahead = self._queue.held_count
-        claim = HoldClaim(rank=self._rank, ahead=ahead, own_held=counts)
+        claim = HoldClaim(
+            rank=self._rank,
+            ahead=ahead,
+            own_held=counts,
+            own_reported=self._own_reported(task.preferred_rack, now_s),
+        )
         return self._fleet.choose_or_hold(task, now_s, claim)
 
     def hold(self, task: TaskRequest, hold: Hold, now_s: float) -> None:
@@ -129,30 +145,54 @@
         self.counts.held += 1
         self._queue.hold(HeldTask(task, hold, since_s=now_s, rank=self._rank))
 
+    def due_levels(self, racks: Iterable[str]) -> list[Level]:
+        """Return the levels of the tasks held for some racks, in order."""
+        return sorted(
+            {
+                level_of(held.task)
+                for rack in racks
+                for held in self._queue.held_for(rack)
+            }
+        )
+
     def decide_again(
-        self, rack: str, now_s: float, *, urgent: bool
+        self, rack: str, level: Level, now_s: float, *, changed: bool
     ) -> Iterator[tuple[HeldTask, Decision]]:
         """Yield the tasks held for a rack that are held no longer, and the decisions.
 
         A task for which neither a free server nor a hold is left returns to the queue.
         The caller dispatches a task before it takes the next one, so that each
         decision sees the capacity that is left.
+
+        If the load of the rack has ``changed``, the tasks whose hold has not ended are
+        evaluated too, except those that need at least as much as one that stays held.
         """
+        decisions = 0
         ahead = 0
-        waiting = self._queue.held_for(rack)
-        for held in waiting[MAX_DECISIONS_PER_RACK : MAX_DECISIONS_PER_RACK + 1]:
-            self._queue.hold(held)
-        for held in waiting[:MAX_DECISIONS_PER_RACK]:
-            if held.task.urgent != urgent:
+        no_capacity: defaultdict[str, UnplaceableNeeds] = defaultdict(UnplaceableNeeds)
+        for held in self._queue.held_for(rack):
+            task = held.task
+            is_due = held.hold.until_s <= now_s
+            known = no_capacity[task.preferred_rack]
+            if level_of(task) != level or not (
+                is_due or (changed and not known.covers(task))
+            ):
                 ahead += 1
-                self._queue.hold(held)
                 continue
+            if decisions >= MAX_DECISIONS_PER_RACK:
+                self._queue.require_decision(held)
+                if changed:
+                    self._queue.mark_changed(rack)
+                return
+            decisions += 1
             decision = self._decide_again(held, rack, ahead, now_s)
             if isinstance(decision, Hold):
                 ahead += 1
                 self._queue.release(held)
                 held.hold = decision
                 self._queue.hold(held)
+                if not self._fleet.avoids_servers(task):
+                    known.add(task)
                 continue
             self._end(held, decision, now_s)
             yield held, decision
@@ -177,10 +217,20 @@
         if not held.task.preferred_rack:
             ahead += self._queue.held_count - counts[rack]
         claim = HoldClaim(
-            rank=held.rank, ahead=ahead, own_held=counts, held_since_s=held.since_s
+            rank=held.rank,
+            ahead=ahead,
+            own_held=counts,
+            own_reported=self._own_reported(rack, now_s),
+            held_since_s=held.since_s,
         )
         return self._fleet.choose_or_hold(held.task, now_s, claim)
 
+    def _own_reported(self, rack: str, now_s: float) -> int:
+        """Return how many of the reported held tasks may be this entry's own."""
+        sent = self._sent.get(rack, 0)
+        before, changed_s = self._sent_before.get(rack, (0, -math.inf))
+        return max(sent, before) if now_s - changed_s < REPORT_LAG_S else sent
+
     def _end(self, held: HeldTask, decision: Decision, now_s: float) -> None:
         self._queue.release(held)
         if not isinstance(decision, Place):
--- a/src/verbenaplank/entry/membership_watcher.py
+++ b/src/verbenaplank/entry/membership_watcher.py
@@ -90,6 +90,7 @@
             decision_log.members_changed(joined, sorted(left), version)
         self._routed.set_routing_table(membership.routing)
         self._fleet.set_drained(configuration.drained_backend_servers)
+        self._runner.engine.on_placement_changed()
         self._runner.flush_soon()
 
     def _apply_evacuations(self, evacuations: EvacuationList) -> None:
--- a/src/verbenaplank/placement/local_choice.py
+++ b/src/verbenaplank/placement/local_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
@@ -46,6 +47,9 @@
         Number of tasks of this entry that are held for the rack and come before.
     own_held
         Number of tasks that this entry holds by rack.
+    own_reported
+        Number of this entry's tasks among those that agents report as held for the
+        preferred rack.
     held_since_s
         Monotonic time since which the task is held, or ``None``.
     typical_run_s
@@ -55,6 +59,7 @@
     rank: float = 0.5
     ahead: int = 0
     own_held: Mapping[str, int] = NO_HELD_TASKS
+    own_reported: int = 0
     held_since_s: float | None = None
     typical_run_s: float = 0.2
 
@@ -88,20 +93,22 @@
     best: Option | None = None
     if free:
         best = _free_option(_without_claimed_racks(free, context, claim), context)
+    later = _later_option(waited_for, context, claim)
     return decide(
         task,
         now_s,
         best,
-        _later_option(waited_for, context, claim),
+        later,
+        elsewhere_end_s=_elsewhere_end_s(waited_for, later, context),
         tolerance_s=context.settings.tie_share * context.run_time_s,
         held_since_s=claim.held_since_s,
     )
 
 
-def others_held(servers: Sequence[BackendServer], own_held: int) -> int:
+def others_held(servers: Sequence[BackendServer], own_reported: int) -> int:
     """Return how many tasks other entries hold for the rack of some servers."""
     reported = max((server.reported_held for server in servers), default=0)
-    return max(0, reported - own_held)
+    return max(0, reported - own_reported)
 
 
 def _free_option(
@@ -125,18 +132,39 @@
     context: PlacementContext,
     claim: HoldClaim,
 ) -> Sequence[tuple[float, BackendServer]]:
-    """Leave out racks that tasks are held for, unless the task prefers them too.
+    """Leave out racks that tasks are held for, if the task runs as well elsewhere.
 
-    The servers there are used if no other has room, so that none is idle.
+    It does if it still meets its goal or ends as early there.  The servers of these
+    racks are used if no other has room, so that none is idle.
     """
-    if not claim.own_held:
-        return free
     others = [
         item
         for item in free
-        if _is_local(item[1], context) or not claim.own_held.get(item[1].member.rack)
+        if _is_local(item[1], context)
+        or not (item[1].reported_held or claim.own_held.get(item[1].member.rack))
     ]
-    return others or free
+    if not others or len(others) == len(free):
+        return free
+    best_s = min(end_s for end_s, _ in free)
+    other_s = min(end_s for end_s, _ in others)
+    as_early = other_s <= best_s + context.settings.tie_share * context.run_time_s
+    in_time = context.now_s + other_s <= context.task.goal_s
+    return others if as_early or in_time else free
+
+
+def _elsewhere_end_s(
+    servers: Sequence[BackendServer], later: Option | None, context: PlacementContext
+) -> float:
+    """Return when a task would end on the fastest other full server, if free now.
+
+    Servers in the rack of the one that is waited for are left out.
+    """
+    run_s = (
+        server.round_trip_s + expected_run_time_s(server, context)
+        for server in servers
+        if later is None or server.member.rack != later.rack
+    )
+    return context.now_s + min(run_s, default=math.inf)
 
 
 def _later_option(
@@ -157,8 +185,7 @@
         return None
     ahead = claim.ahead
     if local:
-        own = claim.own_held.get(context.task.preferred_rack, 0)
-        ahead += round(claim.rank * others_held(local, own))
+        ahead += round(claim.rank * others_held(local, claim.own_reported))
     if ahead > MAX_TASKS_AHEAD:
         return None
     options: list[tuple[float, float, str]] = []
--- a/src/verbenaplank/placement/locality.py
+++ b/src/verbenaplank/placement/locality.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -102,6 +103,7 @@
     *,
     tolerance_s: float = 0.0,
     held_since_s: float | None = None,
+    elsewhere_end_s: float = math.inf,
 ) -> Decision:
     """Return whether to place a task on a free server or to hold it for a later one.
 
@@ -119,10 +121,16 @@
         Ends that differ by less count as equal.
     held_since_s
         Monotonic time since which the task is held, or ``None``.
+    elsewhere_end_s
+        Monotonic time at which the task would be answered by a full server outside
+        the rack of ``later`` that became free now.  A held task returns to the queue
+        if that is earlier, since only queued tasks get such a server.
     """
     if free is None:
         if held_since_s is None or later is None or now_s >= task.latest_start_s:
             return None
+        if later.end_s >= elsewhere_end_s:
+            return None
         return _hold(task, now_s, later, task.latest_start_s)
     reason = _reason_to_place(task, now_s, free, later, tolerance_s, held_since_s)
     if reason is not None or later is None:
--- a/tests/entry/rack_world.py
+++ b/tests/entry/rack_world.py
@@ -30,6 +30,7 @@
 REPORT_PERIOD_S = 0.2
 TICK_S = 0.05
 FACTOR = 2.0
+SPREAD = 0.4
 
 
 @attrs.define
@@ -41,6 +42,7 @@
     used: float = 0.0
     held: dict[int, int] = attrs.field(factory=dict)
     silent: bool = False
+    lost: bool = False
 
     def load(self) -> work.LoadReport:
         held = sum(self.held.values())
@@ -52,11 +54,13 @@
 
     def __init__(self, servers: list[Server], entries: int = 1, seed: int = 1) -> None:
         self.now_s = 0.0
+        self.spread = SPREAD
         self.random = random.Random(seed)
         self.servers = {server.name: server for server in servers}
         self.latencies: dict[str, float] = {}
         self.failed: set[str] = set()
         self.starts: list[tuple[str, int, str]] = []
+        self.ran: list[tuple[str, int]] = []
         self.held_most = 0
         self._received_s: dict[str, float] = {}
         self._rack_of: dict[str, str] = {}
@@ -97,7 +101,7 @@
             member_id=server.name,
             role=MemberRole.AGENT,
             incarnation="1",
-            data_centre="norte",
+            data_centre=server.name[0],
             address="127.0.0.1:1",
             rack=server.rack,
             services=("s",),
@@ -183,10 +187,11 @@
             self._reply(entry, server, work.FromAgent(refusals=(refusal,)))
             return
         server.used += item.needs.cores
+        self.ran.append((item.job_id, item.task_index))
         rack = self._rack_of[item.job_id]
         run_s = self._run_s[item.job_id] / server.speed
         run_s *= FACTOR if rack and rack != server.rack else 1.0
-        run_s *= self.random.lognormvariate(-0.08, 0.4)
+        run_s *= self.random.lognormvariate(-(self.spread**2) / 2, self.spread)
 
         def end() -> None:
             server.used -= item.needs.cores
@@ -201,15 +206,42 @@
         self.after(run_s, end)
 
     def _reply(self, entry: int, server: Server, message: work.FromAgent) -> None:
-        message = attrs.evolve(message, load=server.load())
+        if server.lost:
+            return
+        if not server.silent:
+            message = attrs.evolve(message, load=server.load())
         self.after(ONE_WAY_S, lambda: self.receive(entry, server.name, message))
 
+    def lose(self, name: str) -> None:
+        """Cut a server off; it leaves the membership, and its runs have no result."""
+        self.servers[name].lost = True
+        for entry, engine in enumerate(self.engines):
+            engine.on_agent_disconnected(name, self.now_s)
+            engine.on_member_left(name, self.now_s)
+            self.flush(entry)
+
+    def drain(self, name: str) -> None:
+        member = self.member(self.servers[name], draining=True)
+        for entry, engine in enumerate(self.engines):
+            engine.on_member_joined(member, self.now_s)
+            self.flush(entry)
+
+    def evacuate(self, data_centre: str) -> None:
+        for entry, engine in enumerate(self.engines):
+            engine._fleet.set_evacuated(frozenset((data_centre,)))
+            engine.on_placement_changed()
+            self.flush(entry)
+
+    def placed(self, job: str) -> list[str]:
+        """Return the racks of the servers to which tasks of a job were sent."""
+        return [self.servers[name].rack for j, _, name in self.starts if j == job]
+
     def receive(self, entry: int, name: str, message: work.FromAgent) -> None:
         self.engines[entry].on_agent_message(name, message, self.now_s)
         self.flush(entry)
 
     def _report(self, server: Server) -> None:
-        if not server.silent:
+        if not (server.silent or server.lost):
             for entry in range(len(self.engines)):
                 self._reply(entry, server, work.FromAgent())
         self.after(REPORT_PERIOD_S, lambda: self._report(server))
--- /dev/null
+++ b/tests/entry/test_rack_replays.py
@@ -0,0 +1,208 @@
+"""Replays loads in which tasks name racks, and checks which tasks wait for how long."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from entry.rack_world import RackWorld
+from entry.rack_world import Server
+from verbenaplank.placement.task import Resources
+from verbenaplank.protocol import work
+
+RUN_S = 0.12
+CORES = 32.0
+PER_SERVER = 12
+"""Tasks of 2.6 cores that a server of 32 cores runs at a time."""
+
+
+def world(
+    racks: int = 3, per_rack: int = 2, entries: int = 1, spread: float = 0.0
+) -> RackWorld:
+    servers = [
+        Server(f"{rack}{number}", f"rack-{rack}", CORES, 1.0)
+        for rack in "abcdefghij"[:racks]
+        for number in range(per_rack)
+    ]
+    made = RackWorld(servers, entries)
+    made.spread = spread
+    return made
+
+
+def fill(made: RackWorld, rack: str, tasks: int, run_s: float) -> None:
+    made.submit(0, f"filler-{rack}", rack, tasks, declared_run_time_s=run_s)
+
+
+def test_tasks_with_free_local_capacity_run_locally_at_once() -> None:
+    """Tasks are held or sent away although their rack is free."""
+    made = world()
+    for number in range(20):
+        made.submit(0, f"job-{number}", "rack-a")
+        made.run_until(made.now_s + 0.13)
+    assert made.held_most == 0
+    assert {made.servers[name].rack for _, _, name in made.starts} == {"rack-a"}
+    assert max(made.latencies.values()) < RUN_S + 0.005
+
+
+def test_task_waits_for_a_rack_that_is_full_for_less_than_the_wait_pays() -> None:
+    """The rack is full for 30 ms; a remote run takes 120 ms longer."""
+    made = world()
+    fill(made, "rack-a", 2 * PER_SERVER, RUN_S)
+    made.run_until(RUN_S - 0.03)
+    made.submit(0, "job", "rack-a")
+    made.run_until(1.0)
+    assert set(made.placed("job")) == {"rack-a"}
+    assert made.latencies["job"] < 0.03 + RUN_S + 0.01
+
+
+def test_task_runs_elsewhere_if_its_rack_is_full_for_longer() -> None:
+    """A task is held although its rack is full for longer than it could gain."""
+    made = world()
+    fill(made, "rack-a", 2 * PER_SERVER, 1.8)
+    made.run_until(0.1)
+    made.submit(0, "job", "rack-a")
+    made.run_until(1.0)
+    assert "rack-a" not in made.placed("job")
+    assert made.latencies["job"] < 2 * RUN_S + 0.01
+
+
+def test_wait_that_turns_out_longer_than_expected_is_given_up() -> None:
+    """The rack was expected to be free after 30 ms, and stays full."""
+    made = world()
+    made.submit(0, "filler", "rack-a", 2 * PER_SERVER)
+    made._run_s["filler"] = 1.5
+    made.run_until(RUN_S - 0.03)
+    made.submit(0, "job", "rack-a")
+    made.run_until(1.4)
+    assert "rack-a" not in made.placed("job")
+    assert made.latencies["job"] < 3 * RUN_S + 0.03
+
+
+@pytest.mark.parametrize("entries", [3, 12])
+def test_entries_share_a_hot_rack(entries: int) -> None:
+    """All entries hold for the rack that 6 in 10 jobs name, or all give up at once."""
+    made = world(racks=9, per_rack=6, entries=entries, spread=0.4)
+    source = random.Random(5)
+    hot: list[str] = []
+    rate_per_s = 60.0 * 1.8
+    at_s = 0.3
+    for number in range(round(rate_per_s * 4)):
+        at_s += source.expovariate(rate_per_s)
+        is_hot = source.random() < 0.6
+        rack = "rack-a" if is_hot else f"rack-{source.choice('bcdefghi')}"
+        made.run_until(at_s)
+        made.submit(source.randrange(entries), f"job-{number}", rack)
+        if is_hot:
+            hot.append(f"job-{number}")
+    made.run_until(at_s + 1.5)
+    assert not made.failed
+    local = sum(made.placed(job).count("rack-a") for job in hot)
+    share = local / sum(len(made.placed(job)) for job in hot)
+    late = sum(made.latencies[job] > 0.253 for job in hot) / len(hot)
+    longest = max(made.latencies.values())
+    assert 0.2 < share < 0.999, (share, late, longest)
+    assert longest < 1.0
+
+
+def test_slow_local_server_is_left_for_a_fast_remote_one() -> None:
+    """A rack of servers of speed 0.4 takes longer than a remote run at speed 1.2."""
+    servers = [
+        Server("a0", "rack-a", CORES, 0.4),
+        Server("b0", "rack-b", CORES, 1.2),
+        Server("b1", "rack-b", CORES, 1.2),
+    ]
+    made = RackWorld(servers)
+    made.spread = 0.0
+    for number in range(40):
+        made.submit(0, f"job-{number}", ("rack-a", "rack-b")[number % 2], 4)
+        made.run_until(made.now_s + 0.5)
+    made.submit(0, "last", "rack-a", 4)
+    made.run_until(made.now_s + 1.0)
+    assert set(made.placed("last")) == {"rack-b"}
+    assert made.held_most == 0
+
+
+def test_nothing_is_held_on_reports_that_are_half_a_second_old() -> None:
+    """Tasks wait for servers of whose load nothing is known."""
+    made = world()
+    fill(made, "rack-a", 2 * PER_SERVER, 0.6)
+    for server in made.servers.values():
+        server.silent = True
+    made.run_until(0.58)
+    made.submit(0, "job", "rack-a")
+    made.run_until(0.585)
+    assert made.engines[0].holds.count() == 0
+    assert made.placed("job")
+
+
+@pytest.mark.parametrize("cause", ["loss", "drain", "evacuation"])
+def test_held_tasks_are_placed_elsewhere_when_their_rack_takes_no_tasks(
+    cause: str,
+) -> None:
+    """Held tasks wait for a rack that is lost, drained or evacuated."""
+    made = world()
+    fill(made, "rack-a", 2 * PER_SERVER, RUN_S)
+    made.run_until(RUN_S - 0.06)
+    made.submit(0, "job", "rack-a")
+    made.run_until(RUN_S - 0.05)
+    assert made.engines[0].holds.count() == 8
+    for name in ("a0", "a1"):
+        if cause == "loss":
+            made.lose(name)
+        elif cause == "drain":
+            made.drain(name)
+        else:
+            made.evacuate("a")
+    assert made.engines[0].holds.count() == 0
+    assert len(made.placed("job")) == 8
+    assert "rack-a" not in made.placed("job")
+
+
+def test_urgent_held_task_is_not_delayed_by_tasks_that_run_as_well_elsewhere() -> None:
+    """Local capacity goes to tasks without a rack while tasks are held for it."""
+    made = world()
+    fill(made, "rack-a", 2 * PER_SERVER, RUN_S)
+    made.run_until(RUN_S - 0.03)
+    made.submit(0, "job", "rack-a", tasks=24)
+    for number in range(4):
+        made.submit(0, f"other-{number}", "", tasks=8, priority=1, urgent=False)
+    made.run_until(1.0)
+    assert set(made.placed("job")) == {"rack-a"}
+
+
+def test_held_tasks_of_a_lower_priority_come_before_lower_ones_in_the_queue() -> None:
+    """Queued tasks of priority 2 take each core for which one of priority 1 waits."""
+    made = world(racks=2, per_rack=1)
+    changes = {"urgent": False, "goal_s": 0.0, "latest_start_s": 3.0, "deadline_s": 4.0}
+    fill(made, "rack-a", PER_SERVER, RUN_S)
+    fill(made, "rack-b", PER_SERVER - 1, 0.5)
+    made.run_until(RUN_S - 0.03)
+    made.submit(0, "medium", "rack-a", tasks=4, priority=1, **changes)
+    for number in range(12):
+        made.submit(0, f"long-{number}", "", tasks=4, priority=2, **changes)
+    made.run_until(3.0)
+    assert made.latencies["medium"] < 0.03 + RUN_S + 0.02
+
+
+def test_cost_of_an_event_is_bounded_when_hundreds_of_tasks_are_held() -> None:
+    """Each report of a hot rack has all the tasks evaluated again that wait for it."""
+    made = world(racks=3, per_rack=8)
+    engine = made.engines[0]
+    fill(made, "rack-a", 8 * PER_SERVER, RUN_S)
+    made.run_until(RUN_S - 0.03)
+    for number in range(40):
+        made.submit(0, f"job-{number}", "rack-a", needs=Resources(cores=2.6))
+    assert engine.holds.count() > 60
+    calls = 0
+    decide = engine._fleet.choose_or_hold
+
+    def count(*arguments: object) -> object:
+        nonlocal calls
+        calls += 1
+        return decide(*arguments)  # type: ignore[arg-type]
+
+    engine._fleet.choose_or_hold = count  # type: ignore[method-assign, assignment]
+    made._reply(0, made.servers["a0"], work.FromAgent())
+    made.run_until(made.now_s + 0.001)
+    assert calls <= 8
