Expect overdue tasks to run on, and forget the speed of ended incarnations

Cause: an overdue task was expected to run for a further quarter of its run time at any age, although 3% of the tasks take 7 times as long; a learned speed outlived the incarnation it was learned from; the last task of a wide job ran on a slow server that met the goal.

Change: the expected remaining run time grows by 2 s for each second beyond the expected end. Once a task of the entry weighs waits, another incarnation of an agent starts at the speed of the fleet; an agent has one incarnation for each of its backend server's. The last task of a job of at least 4 tasks is held for a faster server that is expected to end it earlier.

--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -25,6 +25,9 @@
     from verbenaplank.entry.dispatch_table import DispatchRecord
     from verbenaplank.entry.dispatch_table import DispatchTable
 
+MIN_WIDE_JOB_TASKS = 4
+"""Least number of tasks of a wide job, which is as late as its last task."""
+
 REVOCATION_TIMEOUT_S = 0.5
 """Longest time that the response of a failed job waits for agents to report which
 of its dispatches have started."""
@@ -209,6 +212,7 @@
 
 def task_request(submission: Submission, index: int) -> TaskRequest:
     """Return the placement request for the first attempt of a task."""
+    tasks = len(submission.payloads)
     return TaskRequest(
         job_id=submission.job_id,
         task_index=index,
@@ -227,4 +231,5 @@
         remote_factor=submission.remote_factor,
         weighs_waits=submission.weighs_waits,
         latest_start_s=min(submission.latest_start_s, submission.deadline_s),
+        ends_wide_job=tasks >= MIN_WIDE_JOB_TASKS and index == tasks - 1,
     )
--- a/src/verbenaplank/placement/backend_server.py
+++ b/src/verbenaplank/placement/backend_server.py
@@ -238,6 +238,14 @@
         discount = INITIAL_SLOWNESS_DISCOUNT / math.sqrt(self.slowness_samples)
         self.slowness = math.exp(self.log_slowness - discount)
 
+    def forget_slowness(self) -> None:
+        """Expect the speed of the fleet, as another incarnation has started."""
+        self.log_slowness = 0.0
+        self.slowness = 1.0
+        self.slowness_samples = 0
+        self.last_surprise = 0
+        self.runs_to_settle = 0
+
     def has_free_resources(self, needs: Resources, tasks: int = 1) -> bool:
         """Return whether the worker can take so many more tasks with these needs."""
         size = self.member.worker
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -10,6 +10,7 @@
 
 from verbenaplank.placement.backend_server import BackendServer
 from verbenaplank.placement.cells import ServiceCells
+from verbenaplank.placement.health import FAILURES
 from verbenaplank.placement.health import HealthTracker
 from verbenaplank.placement.load import PlacementContext
 from verbenaplank.placement.load import stall_timeout_s
@@ -39,14 +40,6 @@
 
 OTHER_TASKS_GAIN = 0.02
 MS_PER_S = 1_000.0
-FAILURES = frozenset(
-    {
-        TaskOutcome.FAILED,
-        TaskOutcome.TIMED_OUT,
-        TaskOutcome.CONNECTION_LOST,
-        TaskOutcome.NOT_STARTED,
-    }
-)
 
 
 class Fleet:
@@ -102,6 +95,7 @@
         self._rack_counts = JobRackCounts()
         self._average_other_tasks_per_slot = 0.0
         self._stragglers = Stragglers(self._services, self._settings)
+        self._weighs_waits = False
 
     def add_or_update(self, member: Member, now_s: float) -> None:
         """Add a backend server or apply its changed announcement.
@@ -120,6 +114,8 @@
         elif server.member.incarnation != member.incarnation:
             self._drop_outstanding(server)
             self._health.forget(server)
+            if self._weighs_waits:  # Set by the first task that weighs waits.
+                server.forget_slowness()
         self._services.remove(server)
         server.member = member
         server.evacuated = member.data_centre in self._evacuated
@@ -214,6 +210,7 @@
         self, task: TaskRequest, now_s: float, claim: HoldClaim
     ) -> Decision:
         """Return whether to place a task now or to hold it, see ``locality``."""
+        self._weighs_waits = True
         servers = self._sampler.sample_with_rack(task)
         usable = self._usable_servers(task, now_s, servers)
         known = {server.member_id for server in usable}
--- a/src/verbenaplank/placement/health.py
+++ b/src/verbenaplank/placement/health.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+from verbenaplank.protocol.work import TaskOutcome
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -25,6 +27,14 @@
 MIN_FAILURE_SHARE = 0.02
 FAILURE_SHARE_GAIN = 0.1
 MAX_WEIGHT_PER_JOB = 2
+FAILURES = frozenset(
+    {
+        TaskOutcome.FAILED,
+        TaskOutcome.TIMED_OUT,
+        TaskOutcome.CONNECTION_LOST,
+        TaskOutcome.NOT_STARTED,
+    }
+)
 
 
 @attrs.define
--- a/src/verbenaplank/placement/locality.py
+++ b/src/verbenaplank/placement/locality.py
@@ -109,7 +109,8 @@
 
     A task leaves for a server outside its rack only if the local one is not expected
     to end it earlier.  Apart from that, a free server that meets the goal is used
-    although a faster one would end earlier, so that slow servers have work too.
+    although a faster one would end earlier, so that slow servers have work too.  This
+    does not apply to the last task of a wide job, on which its other tasks wait.
 
     Parameters
     ----------
@@ -152,7 +153,7 @@
     tolerance_s: float,
     held_since_s: float | None,
 ) -> Reason | None:
-    meets_goal = free.end_s <= task.goal_s
+    meets_goal = free.end_s <= task.goal_s and not task.ends_wide_job
     leaves_rack = bool(task.preferred_rack) and not free.is_local
     if meets_goal and not leaves_rack:
         return Reason.LOCAL if free.is_local else Reason.MEETS_GOAL
--- a/src/verbenaplank/placement/openings.py
+++ b/src/verbenaplank/placement/openings.py
@@ -14,8 +14,14 @@
 
 MIN_TYPICAL_RUN_S = 0.001
 OVERDUE_SHARE = 0.25
-"""A task that runs longer than expected is expected to take this share of its run
-time longer; its real remaining time cannot be known."""
+"""Share of its run time for which a task is expected to run on at its expected end."""
+
+OVERDUE_GROWTH = 2.0
+"""Further run time to expect for each second beyond the expected end.
+
+It follows the mean remaining run time where run times are log-normal with a spread of
+0.4 and 3% of the tasks take 7 times as long: the longer a task is overdue, the more
+likely it is one of these."""
 
 
 def openings_s(
@@ -98,7 +104,23 @@
             needs = server.reservations.get(key)
             units = needs.cores if needs is not None else 0.0
         run_s = server.expected_run_s.get(key, context.run_time_s)
-        left_s = dispatched_s + server.round_trip_s + run_s - context.now_s
-        ends.append((left_s if left_s > 0.0 else OVERDUE_SHARE * run_s, units))
+        age_s = context.now_s - dispatched_s - server.round_trip_s
+        ends.append((remaining_run_time_s(run_s, age_s), units))
     ends.sort()
     return ends
+
+
+def remaining_run_time_s(run_s: float, age_s: float) -> float:
+    """Return how much longer a task is expected to run, in seconds.
+
+    Parameters
+    ----------
+    run_s
+        Expected run time, in seconds.
+    age_s
+        Time for which it has run, in seconds; negative before it starts.
+    """
+    overdue_s = age_s - run_s
+    if overdue_s < 0.0:
+        return -overdue_s
+    return OVERDUE_SHARE * run_s + OVERDUE_GROWTH * overdue_s
--- a/src/verbenaplank/placement/task.py
+++ b/src/verbenaplank/placement/task.py
@@ -52,6 +52,8 @@
         Whether its wait is weighed against what its answer is worth.
     latest_start_s
         Monotonic time after which the task is not held.
+    ends_wide_job
+        Whether it is the last task of a job of many tasks, which waits for it.
     """
 
     job_id: str
@@ -73,3 +75,4 @@
     remote_factor: float = 1.0
     weighs_waits: bool = False
     latest_start_s: float = float("inf")
+    ends_wide_job: bool = False
