Connect to the agents of the racks that tasks name

Cause: an entry that is connected to a subset of the agents ran tasks outside their rack when the subset held none or few of its servers.

Draining and evacuated agents are left out.

After: tests/subsetting and the tests of the connector, the application and the engine pass, among them three new ones.

--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -318,6 +318,7 @@
             tasks_wait=lambda: len(self.queue) > 0,
             clock=self._clock,
         )
+        self.engine.on_rack_named = connector.record_named_rack
         watcher = MembershipWatcher(
             runner=self._runner,
             connector=connector,
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -75,6 +75,10 @@
     return ()
 
 
+def ignore_rack(rack: str, tasks: int, now_s: float) -> None:
+    """Do nothing; the default for ``on_rack_named``."""
+
+
 def ignore_dispatch(record: DispatchRecord) -> None:
     """Do nothing; the default for ``on_dispatch``."""
 
@@ -115,6 +119,8 @@
         lost; exported as metrics.
     holds
         The tasks that are held for a server that is about to be free.
+    on_rack_named
+        Called with the rack that the tasks of a job prefer, their number and the time.
     crashes
         The crash reports of agents.
     confinement
@@ -174,6 +180,7 @@
             crashes=self.crashes.history,
         )
         self._on_dispatch = on_dispatch
+        self.on_rack_named: Callable[[str, int, float], None] = ignore_rack
         self._stalls_checked_s = float("-inf")
         self._disconnected_agents = DisconnectedAgents()
         self.counts = self._message_handler.counts
@@ -193,6 +200,9 @@
         arrived or if its deadline has passed.
         """
         self.confinement.on_job(submission, now_s)
+        if submission.preferred_rack:
+            tasks = len(submission.payloads)
+            self.on_rack_named(submission.preferred_rack, tasks, now_s)
         self.jobs.add(submission, now_s)
         self._deadlines.add(submission.job_id, submission.deadline_s)
         if submission.latest_start_s < submission.deadline_s:
--- a/src/verbenaplank/entry/subset_connector.py
+++ b/src/verbenaplank/entry/subset_connector.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from verbenaplank.entry import decision_log
+from verbenaplank.subsetting.named_racks import NamedRacks
 from verbenaplank.subsetting.subset import AgentSubset
 from verbenaplank.subsetting.widening import SubsetWidening
 
@@ -35,6 +38,8 @@
 class SubsetConnector:
     """Connects to the agents of a subset, and closes streams that are not needed.
 
+    Agents of the racks that tasks name are connected to in addition.
+
     Parameters
     ----------
     entry_id
@@ -67,7 +72,9 @@
         self._fleet = fleet
         self._tasks_wait = tasks_wait
         self._clock = clock
+        self._named_racks = NamedRacks(entry_id)
         self._agents: Mapping[str, Member] = {}
+        self._agents_by_rack: Mapping[str, list[Member]] = {}
         self._last_usable_s: dict[str, float] = {}
         self._wanted_s: dict[str, float] = {}
 
@@ -82,8 +89,16 @@
             if agents[agent_id] != self._agents.get(agent_id):
                 self._connections.connect(agents[agent_id])
         self._agents = dict(agents)
+        by_rack: defaultdict[str, list[Member]] = defaultdict(list)
+        for agent in agents.values():
+            by_rack[agent.rack].append(agent)
+        self._agents_by_rack = by_rack
         self.adjust()
 
+    def record_named_rack(self, rack: str, tasks: int, now_s: float) -> None:
+        """Record that tasks of a job run fastest on a rack."""
+        self._named_racks.record(rack, tasks, now_s)
+
     def adjust(self) -> None:
         """Open the streams that are needed now and close those that are not."""
         now_s = self._clock()
@@ -95,12 +110,17 @@
         chosen = self._subset.choose(now_s, self._is_usable, extra)
         added = [agent_id for agent_id in chosen if agent_id not in self._wanted_s]
         for agent_id in added:
-            self._last_usable_s[agent_id] = now_s + CONNECT_ALLOWANCE_S
-            self._fleet.set_retired(agent_id, retired=False)
-            self._connections.connect(self._agents[agent_id])
+            self._connect(agent_id, now_s)
         for agent_id in chosen:
             self._wanted_s[agent_id] = now_s
-        retired = self._retire_unwanted(now_s)
+        named = self._named_racks.choose(
+            self._agents_by_rack, lambda agent: self._may_be_added(agent, now_s), now_s
+        )
+        retired = self._retire_unwanted(named, now_s)
+        for agent_id in named - self._wanted_s.keys():
+            added.append(agent_id)
+            self._connect(agent_id, now_s)
+            self._wanted_s[agent_id] = -math.inf
         if added or retired:
             decision_log.subset_changed(added, retired, len(self._wanted_s), extra)
 
@@ -110,11 +130,23 @@
             await asyncio.sleep(ADJUST_PERIOD_S)
             self.adjust()
 
-    def _retire_unwanted(self, now_s: float) -> list[str]:
+    def _connect(self, agent_id: str, now_s: float) -> None:
+        self._last_usable_s[agent_id] = now_s + CONNECT_ALLOWANCE_S
+        self._fleet.set_retired(agent_id, retired=False)
+        self._connections.connect(self._agents[agent_id])
+
+    def _may_be_added(self, agent: Member, now_s: float) -> bool:
+        """Return whether an agent takes tasks and is not in the subset."""
+        if agent.draining or self._fleet.is_evacuated(agent.data_centre):
+            return False
+        wanted_s = self._wanted_s.get(agent.member_id, -math.inf)
+        return now_s - wanted_s >= RETIRE_AFTER_S
+
+    def _retire_unwanted(self, named: frozenset[str], now_s: float) -> list[str]:
         retired = [
             agent_id
             for agent_id, wanted_s in self._wanted_s.items()
-            if now_s - wanted_s >= RETIRE_AFTER_S
+            if now_s - wanted_s >= RETIRE_AFTER_S and agent_id not in named
         ]
         for agent_id in retired:
             del self._wanted_s[agent_id]
--- a/tests/entry/test_subset_connector.py
+++ b/tests/entry/test_subset_connector.py
@@ -12,6 +12,9 @@
 from verbenaplank.entry.subset_connector import SubsetConnector
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
+from verbenaplank.subsetting.named_racks import MAX_NAMED_RACK_AGENTS
+from verbenaplank.subsetting.named_racks import UNNAMED_AFTER_S
+from verbenaplank.subsetting.subset import ENTRIES_SETTLED_AFTER_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -146,3 +149,71 @@
     entry.agents["a1"] = attrs.evolve(member, incarnation="2")
     entry.set_members()
     assert entry.connections.open == {"a0", "a1", "a2"}
+
+
+def entry_with_racks(agents: int, per_rack: int) -> Entry:
+    entry = Entry(0)
+    for number in range(agents):
+        member = agent_member(f"a{number:03d}")
+        rack = f"rack-{number // per_rack}"
+        entry.agents[member.member_id] = attrs.evolve(member, rack=rack)
+    entry.set_members()
+    entry.advance(ENTRIES_SETTLED_AFTER_S + 0.2)
+    return entry
+
+
+def name_rack(entry: Entry, rack: str, length_s: float, tasks: int = 8) -> None:
+    for _ in range(round(length_s)):
+        entry.connector.record_named_rack(rack, tasks, entry.now_s)
+        entry.advance(1.0)
+
+
+def in_rack(entry: Entry, rack: str) -> set[str]:
+    return {
+        agent_id
+        for agent_id in entry.connections.open
+        if entry.agents[agent_id].rack == rack
+    }
+
+
+def test_streams_are_opened_to_a_named_rack_and_closed_when_it_is_named_no_more() -> (
+    None
+):
+    """An entry whose subset lacks a rack runs all tasks of that rack elsewhere."""
+    entry = entry_with_racks(160, 8)
+    before = set(entry.connections.open)
+    name_rack(entry, "rack-7", 20.0)
+    assert len(in_rack(entry, "rack-7")) == 8
+    assert before <= entry.connections.open
+    entry.advance(UNNAMED_AFTER_S - 1.5)
+    assert len(in_rack(entry, "rack-7")) == 8
+    entry.advance(1.0)
+    assert entry.connections.open == before
+
+
+def test_additional_streams_are_limited_and_follow_the_racks_named_most() -> None:
+    """Tasks name all racks; the entry connects to the whole fleet, or to idle racks."""
+    entry = entry_with_racks(160, 8)
+    limit = len(entry.connections.open) + MAX_NAMED_RACK_AGENTS
+    for _ in range(10):
+        for rack in range(20):
+            entry.connector.record_named_rack(f"rack-{rack}", 1, entry.now_s)
+        entry.connector.record_named_rack("rack-11", 20, entry.now_s)
+        entry.advance(1.0)
+        assert len(entry.connections.open) <= limit
+    assert len(in_rack(entry, "rack-11")) == 8
+    name_rack(entry, "rack-3", 8.0, tasks=200)
+    assert len(in_rack(entry, "rack-3")) == 8
+    assert len(entry.connections.open) <= limit
+
+
+def test_no_streams_are_opened_to_a_drained_rack() -> None:
+    """The additional streams are used up by agents that take no tasks."""
+    entry = entry_with_racks(160, 8)
+    for agent_id, agent in entry.agents.items():
+        if agent.rack == "rack-7":
+            entry.agents[agent_id] = attrs.evolve(agent, draining=True)
+    entry.set_members()
+    before = set(entry.connections.open)
+    name_rack(entry, "rack-7", 3.0)
+    assert entry.connections.open == before
