Export counters and hold times of held tasks

Cause: what became of held tasks was counted, but not exported.

Change: entry_metrics.py registers the counts of tasks placed locally and remotely, of holds and of holds that were given up, the number of held tasks, and a histogram of hold times by what ended the hold. The lines `task held` that verbena explain prints name the rack, the cause, the time and the end of a hold; a task that returns to the queue says so.

--- a/src/verbenaplank/entry/holds.py
+++ b/src/verbenaplank/entry/holds.py
@@ -39,7 +39,7 @@
 """Load reports may count the number that an entry sent before for this long."""
 
 JOB_ENDED = "the job ended"
-NO_SERVER = "no server is free"
+RETURNED = "returned to the queue, as no server is free"
 
 
 @attrs.define
@@ -51,9 +51,9 @@
     placed_locally, placed_remotely
         Tasks with a preferred rack that were placed there, and on other racks.
     held
-        Tasks that were held.
+        Holds of tasks; a task that returns to the queue may be held again.
     given_up
-        Held tasks that were then placed on another server than they waited for.
+        Held tasks with a preferred rack that were then placed on another one.
     """
 
     placed_locally: int = 0
@@ -235,7 +235,7 @@
         self._queue.release(held)
         if not isinstance(decision, Place):
             self._queue.push(held.task, now_s)
-            self._log_end(held, NO_SERVER, now_s)
+            self._log_end(held, RETURNED, now_s)
             return
         if held.task.preferred_rack and not decision.is_local:
             self.counts.given_up += 1
--- a/src/verbenaplank/observability/entry_metrics.py
+++ b/src/verbenaplank/observability/entry_metrics.py
@@ -8,6 +8,7 @@
 import attrs
 
 from verbenaplank.entry.application import EntryInstance
+from verbenaplank.entry.holds import LocalityCounts
 from verbenaplank.entry.traffic import Traffic
 from verbenaplank.observability.metrics import Metrics
 
@@ -15,6 +16,7 @@
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
+    from verbenaplank.entry.holds import Holds
     from verbenaplank.settings.entry import EntrySettings
 
 
@@ -32,6 +34,10 @@
         metrics.close()
 
 
+HOLD_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0)
+"""Bounds for hold times, most of which are a part of a sub-second run time."""
+
+
 def register_entry_metrics(metrics: Metrics, instance: EntryInstance) -> None:
     """Add the counters and gauges of an entry."""
     for field in attrs.fields(Traffic):
@@ -46,6 +52,7 @@
         name = f"verbenaplank_entry_crashes_{field.name}"
         read = _counter_reader(instance.engine.crashes.counts, field.name)
         metrics.add_counter(name, f"crash reports counted as {field.name}", read)
+    register_hold_metrics(metrics, instance.engine.holds)
     metrics.add_gauge(
         "verbenaplank_entry_queued_tasks",
         "tasks that wait at the entry",
@@ -63,5 +70,23 @@
     )
 
 
+def register_hold_metrics(metrics: Metrics, holds: Holds) -> None:
+    """Add the counters, the gauge and the histogram of held tasks."""
+    for field in attrs.fields(LocalityCounts):
+        name = f"verbenaplank_entry_locality_{field.name}"
+        read = _counter_reader(holds.counts, field.name)
+        metrics.add_counter(name, f"tasks counted as {field.name}", read)
+    metrics.add_gauge(
+        "verbenaplank_entry_held_tasks",
+        "tasks that are held for a server that is about to be free",
+        lambda: float(holds.count()),
+    )
+    holds.on_end = metrics.add_histogram(
+        "verbenaplank_entry_hold_duration_seconds",
+        "time for which tasks were held, by what ended the hold",
+        HOLD_BOUNDS_S,
+    )
+
+
 def _counter_reader(counts: object, name: str) -> Callable[[], float]:
     return lambda: float(getattr(counts, name))
--- a/tests/entry/test_rack_replays.py
+++ b/tests/entry/test_rack_replays.py
@@ -8,6 +8,8 @@
 
 from entry.rack_world import RackWorld
 from entry.rack_world import Server
+from verbenaplank.observability.entry_metrics import register_hold_metrics
+from verbenaplank.observability.metrics import Metrics
 from verbenaplank.placement.task import Resources
 from verbenaplank.protocol import work
 
@@ -206,3 +208,31 @@
     made._reply(0, made.servers["a0"], work.FromAgent())
     made.run_until(made.now_s + 0.001)
     assert calls <= 8
+
+
+def test_holds_are_counted_logged_and_exported(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """An operator cannot see that tasks wait for their rack, nor why one did."""
+    caplog.set_level("INFO")
+    made = world()
+    metrics = Metrics("entry-1", "norte")
+    register_hold_metrics(metrics, made.engines[0].holds)
+    fill(made, "rack-a", 2 * PER_SERVER, RUN_S)
+    made.run_until(RUN_S - 0.03)
+    made.submit(0, "job", "rack-a")
+    made.run_until(1.0)
+    text = metrics.render()[0].decode()
+    metrics.close()
+    name = "verbenaplank_entry"
+    labels = '{outcome="local server is free"}'
+    assert f"{name}_locality_placed_locally_total 32.0" in text
+    assert f"{name}_locality_placed_remotely_total 0.0" in text
+    assert f"{name}_locality_held_total 8.0" in text
+    assert f"{name}_locality_given_up_total 0.0" in text
+    assert f"{name}_held_tasks 0.0" in text
+    assert f"{name}_hold_duration_seconds_count{labels} 8.0" in text
+    lines = [record for record in caplog.records if record.message == "task held"]
+    assert {line.ended_by for line in lines} == {"local server is free"}  # type: ignore[attr-defined]
+    assert {line.rack for line in lines} == {"rack-a"}  # type: ignore[attr-defined]
+    assert all(20 <= line.held_ms <= 40 for line in lines)  # type: ignore[attr-defined]
--- a/tests/observability/test_explanation.py
+++ b/tests/observability/test_explanation.py
@@ -96,3 +96,21 @@
         item.line.event for item in explain(read_log_lines(unanswered), "r1").lines
     ]
     assert "run did not succeed" in events
+
+
+def test_history_tells_why_a_task_was_held_and_what_ended_the_hold() -> None:
+    """A late job waited for its rack, and nothing says so."""
+    held = log_line(
+        5.009,
+        "entry",
+        "task held",
+        **RUN,
+        rack="rack-a",
+        cause="a local server is expected to end it earlier",
+        held_ms=31,
+        ended_by="local server is free",
+    )
+    history = explain(read_log_lines([*LINES, held]), JOB)
+    lines = [each.line for each in history.lines if each.line.event == "task held"]
+    assert [line.fields["rack"] for line in lines] == ["rack-a"]
+    assert lines[0].fields["ended_by"] == "local server is free"
