--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -77,6 +77,10 @@
     return ()
 
 
+def ignore_rack(rack: str, tasks: int, now_s: float) -> None:
+    """Do nothing; the default for ``on_rack_named``."""
+
+
 def ignore_dispatch(record: DispatchRecord) -> None:
     """Do nothing; the default for ``on_dispatch``."""
 
@@ -117,6 +121,8 @@
         lost; exported as metrics.
     holds
         The tasks that are held for a server that is about to be free.
+    on_rack_named
+        Called with the rack that the tasks of a job prefer, their number and the time.
     crashes
         The crash reports of agents.
     confinement
@@ -177,6 +183,7 @@
             crashes=self.crashes.history,
         )
         self._on_dispatch = on_dispatch
+        self.on_rack_named: Callable[[str, int, float], None] = ignore_rack
         self._stalls_checked_s = float("-inf")
         self._disconnected_agents = DisconnectedAgents()
         self.counts = self._message_handler.counts
@@ -196,6 +203,9 @@
         arrived or if its deadline has passed.
         """
         self.confinement.on_job(submission, now_s)
+        if submission.preferred_rack:
+            tasks = len(submission.payloads)
+            self.on_rack_named(submission.preferred_rack, tasks, now_s)
         self.jobs.add(submission, now_s)
         self._deadlines.add(submission.job_id, submission.deadline_s)
         if submission.latest_start_s < submission.deadline_s:
@@ -216,7 +226,7 @@
         agent_id = member.member_id
         self._members[agent_id] = member
         self._fleet.add_or_update(member, now_s)
-        self._queue.mark_due(member.rack)
+        self._mark_due(agent_id)
         welcome = self._connected.get(agent_id)
         if welcome is not None and not self._dispatcher.is_agent_enabled(agent_id):
             self._enable_dispatch(welcome, now_s)
@@ -277,7 +287,9 @@
             self._message_handler.handle_result(agent_id, result, now_s)
         if message.load is not None:
             self._fleet.record_load_report(agent_id, message.load, now_s)
-        self._mark_due(agent_id)
+        member = self._members.get(agent_id)
+        if member is not None:
+            self._queue.mark_changed(member.rack)
 
     def tick(self, now_s: float) -> None:
         """Apply the timeouts that have passed, and start due retries and hedges.
@@ -343,6 +355,10 @@
         """Return the monotonic time by which held tasks need the next flush."""
         return self._queue.next_due_s()
 
+    def on_placement_changed(self) -> None:
+        """Have all held tasks evaluated, as drains or evacuations have changed."""
+        self._queue.mark_all_due()
+
     def _mark_due(self, agent_id: str) -> None:
         """Have the tasks that are held for an agent's rack evaluated again."""
         member = self._members.get(agent_id)
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -11,6 +11,7 @@
 from verbenaplank.placement.backend_server import BackendServer
 from verbenaplank.placement.cells import ServiceCells
 from verbenaplank.placement.cold import exceeds_share
+from verbenaplank.placement.health import FAILURES
 from verbenaplank.placement.health import SLOW_FAILURES
 from verbenaplank.placement.health import HealthTracker
 from verbenaplank.placement.load import PlacementContext
@@ -41,14 +42,6 @@
 
 OTHER_TASKS_GAIN = 0.02
 MS_PER_S = 1_000.0
-FAILURES = frozenset(
-    {
-        TaskOutcome.FAILED,
-        TaskOutcome.TIMED_OUT,
-        TaskOutcome.CONNECTION_LOST,
-        TaskOutcome.NOT_STARTED,
-    }
-)
 
 
 class Fleet:
@@ -104,6 +97,7 @@
         self._rack_counts = JobRackCounts()
         self._average_other_tasks_per_slot = 0.0
         self._stragglers = Stragglers(self._services, self._settings)
+        self._weighs_waits = False
 
     def add_or_update(self, member: Member, now_s: float) -> None:
         """Add a backend server or apply its changed announcement.
@@ -122,6 +116,8 @@
         elif server.member.incarnation != member.incarnation:
             self._drop_outstanding(server)
             self._health.forget(server)
+            if self._weighs_waits:  # Set by the first task that weighs waits.
+                server.forget_slowness()
         self._services.remove(server)
         server.member = member
         server.evacuated = member.data_centre in self._evacuated
@@ -216,6 +212,7 @@
         self, task: TaskRequest, now_s: float, claim: HoldClaim
     ) -> Decision:
         """Return whether to place a task now or to hold it, see ``locality``."""
+        self._weighs_waits = True
         servers = self._sampler.sample_with_rack(task)
         usable = self._usable_servers(task, now_s, servers)
         known = {server.member_id for server in usable}
@@ -307,6 +304,10 @@
             server.evacuated = evacuated
         self._services.refresh_evacuated()
 
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Return whether no tasks are sent to a data centre."""
+        return data_centre in self._evacuated
+
     @property
     def has_evacuations(self) -> bool:
         """Whether any data centre is evacuated."""
--- a/src/verbenaplank/placement/health.py
+++ b/src/verbenaplank/placement/health.py
@@ -27,6 +27,14 @@
 MIN_FAILURE_SHARE = 0.02
 FAILURE_SHARE_GAIN = 0.1
 MAX_WEIGHT_PER_JOB = 2
+FAILURES = frozenset(
+    {
+        TaskOutcome.FAILED,
+        TaskOutcome.TIMED_OUT,
+        TaskOutcome.CONNECTION_LOST,
+        TaskOutcome.NOT_STARTED,
+    }
+)
 
 SLOW_FAILURES = frozenset({TaskOutcome.TIMED_OUT, TaskOutcome.NOT_STARTED})
 """Failures that are no evidence on a cold server, because it is slow for a while."""
--- a/src/verbenaplank/placement/locality.py
+++ b/src/verbenaplank/placement/locality.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -102,12 +103,14 @@
     *,
     tolerance_s: float = 0.0,
     held_since_s: float | None = None,
+    elsewhere_end_s: float = math.inf,
 ) -> Decision:
     """Return whether to place a task on a free server or to hold it for a later one.
 
     A task leaves for a server outside its rack only if the local one is not expected
     to end it earlier.  Apart from that, a free server that meets the goal is used
-    although a faster one would end earlier, so that slow servers have work too.
+    although a faster one would end earlier, so that slow servers have work too.  This
+    does not apply to the last task of a wide job, on which its other tasks wait.
 
     Parameters
     ----------
@@ -119,10 +122,16 @@
         Ends that differ by less count as equal.
     held_since_s
         Monotonic time since which the task is held, or ``None``.
+    elsewhere_end_s
+        Monotonic time at which the task would be answered by a full server outside
+        the rack of ``later`` that became free now.  A held task returns to the queue
+        if that is earlier, since only queued tasks get such a server.
     """
     if free is None:
         if held_since_s is None or later is None or now_s >= task.latest_start_s:
             return None
+        if later.end_s >= elsewhere_end_s:
+            return None
         return _hold(task, now_s, later, task.latest_start_s)
     reason = _reason_to_place(task, now_s, free, later, tolerance_s, held_since_s)
     if reason is not None or later is None:
@@ -144,7 +153,7 @@
     tolerance_s: float,
     held_since_s: float | None,
 ) -> Reason | None:
-    meets_goal = free.end_s <= task.goal_s
+    meets_goal = free.end_s <= task.goal_s and not task.ends_wide_job
     leaves_rack = bool(task.preferred_rack) and not free.is_local
     if meets_goal and not leaves_rack:
         return Reason.LOCAL if free.is_local else Reason.MEETS_GOAL
