Admit, order and share by expected ends where jobs weigh waits

Cause: a job that would wait more than a fifth of its slack was refused also while servers were free, an entry assumed an equal part of the capacity, lower priorities could starve, and started jobs lost their work to jobs with earlier goals. Change, for jobs that weigh waits only: a job is admitted by the expected start of its last task behind the work ahead, the demand of higher priorities and the share that its priority keeps, and always while servers have unclaimed capacity for it and its answer is of use. The drain rate follows the entry's share of what is occupied and starts from an equal share. In the queue each lower priority keeps a tenth of the started work, started jobs go first within their priority, and smaller tasks overtake a job that fits nowhere up to the work of that job.

--- a/src/verbenaplank/admission/goal_queue.py
+++ b/src/verbenaplank/admission/goal_queue.py
@@ -3,6 +3,12 @@
 Within a priority, jobs that can still be answered by their goal come first, in
 the order of their goals.  Jobs that can no longer be answered by their goal follow,
 in the same order.
+
+Among jobs that weigh their waits, three rules apply in addition.  Within a priority, a
+job of which a task has left the queue goes first, since its work would be lost.  Each
+lower priority keeps a share of the started work.  A job whose tasks fit on no server
+for now is overtaken by smaller tasks up to a limit.  Where other jobs are concerned,
+the order is as if no job weighed its wait.
 """
 
 from __future__ import annotations
@@ -15,11 +21,14 @@
 import attrs
 from sortedcontainers import SortedKeyList
 
+from verbenaplank.admission.demand import Demand
+from verbenaplank.admission.priority_shares import PriorityShares
 from verbenaplank.placement.task import TaskRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
+    from collections.abc import Sequence
 
 MAX_JOBS_TRIED = 8
 """Largest number of jobs whose next task :meth:`GoalQueue.pop` tries to place.
@@ -28,6 +37,14 @@
 """
 
 
+MAX_OVERTAKEN_PER_WORK = 1.0
+"""Largest work that starts ahead of a job that fits on no server, per its queued work.
+
+Beyond it, capacity that becomes free is left to the job until it can only be late.
+Otherwise tasks of few cores take each core that becomes free, and a task of many cores
+never finds enough of them."""
+
+
 def one_pool(task: TaskRequest) -> str:
     """Return the same pool for every task."""
     return ""
@@ -43,8 +60,23 @@
     run_time_s: float
     sequence: int
     weighs_waits: bool
+    task_core_s: float = 0.0
     tasks: deque[TaskRequest] = attrs.field(factory=deque)
     is_late: bool = False
+    has_started: bool = False
+    overtaken_core_s: float = 0.0
+
+    @property
+    def core_s(self) -> float:
+        return len(self.tasks) * self.task_core_s
+
+    @property
+    def holds_up_smaller(self) -> bool:
+        """Return whether smaller tasks have overtaken it up to the limit."""
+        if not self.weighs_waits or self.is_late or self.tasks[0].attempt > 1:
+            return False
+        limit_core_s = MAX_OVERTAKEN_PER_WORK * self.core_s
+        return 0.0 < limit_core_s <= self.overtaken_core_s
 
     def sort_key(self) -> tuple[float, int]:
         return (self.goal_s, self.sequence)
@@ -52,24 +84,87 @@
 
 @attrs.frozen
 class QueuedWork:
-    """Number of a job's queued tasks, and the core seconds of each of them."""
+    """Queued work of a job.
+
+    Attributes
+    ----------
+    tasks
+        Number of queued tasks.
+    task_core_s
+        Expected work of each of them, in core seconds.
+    is_late
+        Whether the job can no longer meet its goal.
+    """
 
     tasks: int
     task_core_s: float
+    is_late: bool
+
+
+@attrs.frozen(kw_only=True)
+class QueuedAhead:
+    """Queued tasks that leave before those of a new job, by their expected run times.
+
+    Attributes
+    ----------
+    core_s
+        Work of a higher or the same priority, in core seconds.
+    own_priority_core_s
+        The part of it that has the same priority.
+    smaller_tasks
+        Number of the tasks that need no more cores than a task of the new job.
+    """
+
+    core_s: float
+    own_priority_core_s: float
+    smaller_tasks: int
 
 
 class _PriorityLevel:
-    """Jobs of one priority: those on time and those late, each ordered by goal."""
+    """Jobs of one priority: those on time and those late, each ordered by goal.
+
+    Started jobs are listed once more; they go first if all jobs weigh their waits.
+    """
 
     def __init__(self) -> None:
         self.on_time: SortedKeyList[_QueuedJob] = SortedKeyList(key=_QueuedJob.sort_key)
         self.late: SortedKeyList[_QueuedJob] = SortedKeyList(key=_QueuedJob.sort_key)
+        self._started: SortedKeyList[_QueuedJob] = SortedKeyList(
+            key=_QueuedJob.sort_key
+        )
+        self._weighing = 0
+
+    def __len__(self) -> int:
+        return len(self.on_time) + len(self.late)
+
+    @property
+    def all_weigh_waits(self) -> bool:
+        return self._weighing == len(self)
 
     def add(self, job: _QueuedJob) -> None:
         (self.late if job.is_late else self.on_time).add(job)
+        self._weighing += job.weighs_waits
+        if job.has_started:
+            self._started.add(job)
 
     def remove(self, job: _QueuedJob) -> None:
         (self.late if job.is_late else self.on_time).remove(job)
+        self._weighing -= job.weighs_waits
+        if job.has_started:
+            self._started.remove(job)
+
+    def mark_started(self, job: _QueuedJob) -> None:
+        if job.weighs_waits and not job.has_started:
+            job.has_started = True
+            self._started.add(job)
+
+    def in_order(self) -> Iterator[_QueuedJob]:
+        jobs = itertools.chain(self.on_time, self.late)
+        if not (self._started and self.all_weigh_waits):
+            return jobs
+        return itertools.chain(
+            self._started, (job for job in jobs if not job.has_started)
+        )
 
     def demote_late(self, now_s: float) -> None:
         while self.on_time:
@@ -91,6 +186,11 @@
     pool_of
         Returns the name of the backend servers on which a task may run; tasks of
         different pools do not wait for each other.
+
+    Attributes
+    ----------
+    has_started
+        Returns whether a task of a job has started, given the job's id.
     """
 
     def __init__(
@@ -106,6 +206,9 @@
         self._size = 0
         self._waiting_since_s: float | None = None
         self._weighing_jobs = 0
+        self._shares = PriorityShares()
+        self._demand = Demand()
+        self.has_started: Callable[[str], bool] = lambda job_id: False
 
     def __len__(self) -> int:
         return self._size
@@ -132,9 +235,18 @@
         tried.
         Returns ``None`` if none of these tasks can be placed.
         """
+        held_up: set[str] = set()
+        skipped: list[_QueuedJob] = []
         for job in self._jobs_in_order(now_s):
+            pool = self._pool_of(job.tasks[0])
+            if job.weighs_waits and pool in held_up:
+                continue
             if placeable(job.tasks[0]):
+                self._count_start(job, skipped)
                 return self._pop_from(job)
+            skipped.append(job)
+            if job.holds_up_smaller:
+                held_up.add(pool)
         if self._size and self._waiting_since_s is None:
             self._waiting_since_s = now_s
         return None
@@ -159,7 +271,7 @@
         return [
             job.job_id
             for _, level in sorted(self._levels.items())
-            for job in itertools.chain(level.on_time, level.late)
+            for job in level.in_order()
         ]
 
     def queued_work(self, job_id: str) -> QueuedWork | None:
@@ -167,7 +279,7 @@
         job = self._jobs.get(job_id)
         if job is None:
             return None
-        return QueuedWork(len(job.tasks), job.run_time_s * job.tasks[0].needs.cores)
+        return QueuedWork(len(job.tasks), job.task_core_s, job.is_late)
 
     def remove_job(self, job_id: str) -> list[TaskRequest]:
         """Remove all tasks of a job and return them."""
@@ -187,20 +299,63 @@
     def work_ahead_core_s(self, priority: int, pool: str = "") -> float:
         """Return a pool's queued work of this or a higher priority, in core seconds."""
         return sum(
-            len(job.tasks) * job.run_time_s * job.tasks[0].needs.cores
+            job.core_s
             for job in self._jobs.values()
             if job.priority <= priority and self._pool_of(job.tasks[0]) == pool
         )
 
+    def record_arrival(self, task: TaskRequest, tasks: int, now_s: float) -> None:
+        """Count the work of a new job as demand, by one of its equal tasks.
+
+        A task that returns to the queue is not new demand.
+        """
+        core_s = tasks * task.needs.cores * self._run_time_s_of(task)
+        self._demand.record(self._pool_of(task), task.priority, core_s, now_s)
+
+    def demand_above(self, pool: str, priority: int, now_s: float) -> float:
+        """Return the recorded demand of higher priorities, in cores."""
+        return self._demand.above(pool, priority, now_s)
+
+    def ahead_of(self, task: TaskRequest) -> QueuedAhead:
+        """Return the queued tasks that leave before those of a new job on time.
+
+        Late jobs of its priority leave after it.
+
+        Parameters
+        ----------
+        task
+            A task of the new job.
+        """
+        pool = self._pool_of(task)
+        core_s = own_core_s = 0.0
+        smaller = 0
+        for job in self._jobs.values():
+            is_own = job.priority == task.priority
+            leaves_after = is_own and job.is_late and not job.has_started
+            if job.priority > task.priority or leaves_after:
+                continue
+            if self._pool_of(job.tasks[0]) != pool:
+                continue
+            core_s += job.core_s
+            own_core_s += job.core_s if is_own else 0.0
+            if job.tasks[0].needs.cores <= task.needs.cores:
+                smaller += len(job.tasks)
+        return QueuedAhead(
+            core_s=core_s, own_priority_core_s=own_core_s, smaller_tasks=smaller
+        )
+
     def _add_job(self, task: TaskRequest) -> _QueuedJob:
         self._sequence += 1
+        run_time_s = self._run_time_s_of(task)
         job = _QueuedJob(
             job_id=task.job_id,
             priority=task.priority,
             goal_s=task.goal_s,
-            run_time_s=self._run_time_s_of(task),
+            run_time_s=run_time_s,
             sequence=self._sequence,
             weighs_waits=task.weighs_waits,
+            task_core_s=run_time_s * task.needs.cores,
+            has_started=task.weighs_waits and self.has_started(task.job_id),
         )
         self._jobs[task.job_id] = job
         self._weighing_jobs += job.weighs_waits
@@ -209,10 +364,13 @@
 
     def _jobs_in_order(self, now_s: float) -> Iterator[_QueuedJob]:
         tried: Counter[str] = Counter()
-        for priority in sorted(self._levels):
-            jobs = self._levels[priority]
-            jobs.demote_late(now_s)
-            for job in itertools.chain(jobs.on_time, jobs.late):
+        priorities = sorted(self._levels)
+        for priority in priorities:
+            self._levels[priority].demote_late(now_s)
+        if self._weighing_jobs:
+            yield from self._owed_jobs(priorities)
+        for priority in priorities:
+            for job in self._levels[priority].in_order():
                 pool = self._pool_of(job.tasks[0])
                 if tried[pool] < MAX_JOBS_TRIED:
                     tried[pool] += 1
@@ -220,9 +378,49 @@
                 elif not pool:
                     break
 
+    def _owed_jobs(self, priorities: list[int]) -> Iterator[_QueuedJob]:
+        """Yield the first jobs of lower priorities that are owed a start.
+
+        They go ahead only of jobs that weigh their waits as well.
+        """
+        is_first = True
+        for priority in priorities:
+            level = self._levels[priority]
+            if not level.all_weigh_waits:
+                return
+            job = next(level.in_order(), None)
+            if job is None:
+                continue
+            if not is_first and self._shares.is_owed(priority, job.task_core_s):
+                yield job
+            is_first = False
+
+    def _count_start(self, job: _QueuedJob, skipped: Sequence[_QueuedJob]) -> None:
+        """Update what is owed to the jobs that the next task of a job overtakes."""
+        if not job.weighs_waits:
+            return
+        job.overtaken_core_s = 0.0
+        for other in skipped:
+            other.overtaken_core_s += job.task_core_s
+        waiting: list[tuple[int, float]] = []
+        has_higher = False
+        for priority, level in self._levels.items():
+            if not level:
+                continue
+            if priority < job.priority:
+                has_higher = True
+            elif priority > job.priority:
+                head = next(level.in_order())
+                if head.weighs_waits:
+                    waiting.append((priority, head.task_core_s))
+        if has_higher and self._shares.is_owed(job.priority, job.task_core_s):
+            self._shares.charge(job.priority, job.task_core_s)
+        self._shares.record_start(job.task_core_s, waiting)
+
     def _pop_from(self, job: _QueuedJob) -> TaskRequest:
         task = job.tasks.popleft()
         self._size -= 1
+        self._levels[job.priority].mark_started(job)
         if not job.tasks:
             self._drop_job(job)
         return task
--- a/src/verbenaplank/entry/hopeless_jobs.py
+++ b/src/verbenaplank/entry/hopeless_jobs.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from verbenaplank.overload.expected_wait import drain_cores
+from verbenaplank.entry.jobs import task_request
 from verbenaplank.overload.hopeless import HopelessJob
 from verbenaplank.overload.hopeless import QueueWalk
 from verbenaplank.overload.hopeless import WaitingJob
@@ -19,6 +19,7 @@
     from verbenaplank.entry.service_loads import ServiceLoads
     from verbenaplank.overload.hopeless import PoolKey
     from verbenaplank.placement.fleet import Fleet
+    from verbenaplank.placement.task import TaskRequest
 
 WALK_PERIOD_S = 0.1
 """Time between two steps of a walk; a wait changes little in it."""
@@ -65,6 +66,7 @@
         self._loads = loads
         self._fleet = fleet
         self._walk: QueueWalk | None = None
+        self._tasks: dict[PoolKey, TaskRequest] = {}
         self._stepped_s = -math.inf
 
     def find(self, now_s: float) -> list[HopelessJob]:
@@ -72,11 +74,18 @@
         if not self._queue.weighs_waits or now_s < self._stepped_s + WALK_PERIOD_S:
             return []
         self._stepped_s = now_s
-        walk = self._walk or QueueWalk(self._waiting_jobs(), self._cores_of, now_s)
+        walk = self._walk or self._new_walk(now_s)
         found = walk.advance(MAX_JOBS_PER_STEP)
         self._walk = None if walk.is_finished else walk
         return [job for job in found if not self._fits_now(job.job_id)]
 
+    def _new_walk(self, now_s: float) -> QueueWalk:
+        def demand_above(pool: PoolKey, priority: int) -> float:
+            return self._queue.demand_above(pool[1], priority, now_s)
+
+        self._tasks.clear()
+        return QueueWalk(self._waiting_jobs(), self._cores_of, now_s, demand_above)
+
     def _waiting_jobs(self) -> Iterator[WaitingJob]:
         for job_id in self._queue.job_ids_in_order():
             queued = self._queue.queued_work(job_id)
@@ -88,17 +97,21 @@
                 submission.weighs_waits
                 and not self._dispatch_table.may_have_started(job_id)
             )
-            pool = self._fleet.pool_of(submission.service, submission.workload)
+            workload = self._fleet.pool_of(submission.service, submission.workload)
+            pool = (submission.service, workload)
+            self._tasks.setdefault(pool, task_request(submission, 0))
             yield WaitingJob(
                 job_id=job_id,
-                pool=(submission.service, pool),
+                pool=pool,
                 core_s=queued.tasks * queued.task_core_s,
                 last_task_core_s=queued.task_core_s,
                 latest_start_s=submission.latest_start_s if may_leave else math.inf,
+                priority=submission.priority,
+                is_late=queued.is_late,
             )
 
     def _cores_of(self, pool: PoolKey) -> float:
-        return drain_cores(self._loads.capacity_of(*pool))
+        return self._loads.drain_rate(self._tasks[pool])
 
     def _fits_now(self, job_id: str) -> bool:
         job = self._jobs.find_running(job_id)
--- a/src/verbenaplank/entry/routed_admission.py
+++ b/src/verbenaplank/entry/routed_admission.py
@@ -6,7 +6,10 @@
 
 from verbenaplank.entry.routed_job import RoutedJobState
 from verbenaplank.entry.routed_job import RoutedOutcome
+from verbenaplank.entry.routed_job import routed_task
 from verbenaplank.overload.admission import overload_refusal
+from verbenaplank.overload.expected_end import JobOutlook
+from verbenaplank.overload.expected_end import expected_end_refusal
 from verbenaplank.overload.retry_after import retry_after_s
 from verbenaplank.placement.feasibility import Feasibility
 
@@ -100,6 +103,8 @@
 
     def _overload_refusal(self, job: RoutedJob) -> RoutedOutcome | None:
         """Return a refusal if the job would wait too long to meet its goal."""
+        if job.weighs_waits:
+            return self._expected_end_refusal(job)
         route = job.route
         load = self._loads.load_of(route.service, route.name, route.priority)
         refusal = overload_refusal(load, job.slack_s)
@@ -107,6 +112,22 @@
             return None
         return _refused(job, refusal.detail, refusal.wait_s)
 
+    def _expected_end_refusal(self, job: RoutedJob) -> RoutedOutcome | None:
+        now_s = self._loads.clock()
+        task = routed_task(job, now_s)
+        use = self._fleet.capacity_use(task, now_s, job.useless_after_s)
+        outlook = JobOutlook(
+            tasks=len(job.tasks),
+            task_units=job.needs.cores,
+            run_s=self._fleet.expected_run_time_s(task),
+            goal_in_s=job.goal_s,
+            useless_in_s=job.useless_after_s,
+        )
+        refusal = expected_end_refusal(outlook, self._loads.queue_ahead(task), use)
+        if refusal is None:
+            return None
+        return _refused(job, refusal.detail, refusal.wait_s)
+
 
 def _refused(job: RoutedJob, detail: str, wait_s: float = 0.0) -> RoutedOutcome:
     return RoutedOutcome(
--- a/src/verbenaplank/entry/routed_job.py
+++ b/src/verbenaplank/entry/routed_job.py
@@ -11,6 +11,7 @@
 from verbenaplank.entry.submission import Submission
 from verbenaplank.overload.latest_start import latest_start_s
 from verbenaplank.placement.task import Resources
+from verbenaplank.placement.task import TaskRequest
 from verbenaplank.routing.table import Route
 from verbenaplank.routing.weighing import weighs_waits
 
@@ -104,6 +105,16 @@
         target_s = self.route.target_latency_ms / MS_PER_S
         return self.route.stretch * self.estimate_s + target_s
 
+    @property
+    def useless_after_s(self) -> float:
+        """Return the latency from which a result is useless, in seconds."""
+        return min(self.caller_timeout_s, USELESS_AFTER_FACTOR * self.goal_s)
+
+    @property
+    def weighs_waits(self) -> bool:
+        """Return whether the job weighs waits, once it has its remote factor."""
+        return weighs_waits(self.route, self.remote_factor)
+
     @property
     def slack_s(self) -> float:
         """Return the time that the job can wait and still meet its goal."""
@@ -162,3 +173,23 @@
         preferred_rack=job.preferred_rack,
         remote_factor=job.remote_factor,
     )
+
+
+def routed_task(job: RoutedJob, received_s: float) -> TaskRequest:
+    """Return a placement request for a task of a job that has no id yet."""
+    return TaskRequest(
+        job_id="",
+        task_index=0,
+        service=job.route.service,
+        team=job.route.name,
+        urgent=job.route.priority == 0,
+        needs=job.needs,
+        declared_run_time_s=job.estimate_s,
+        workload=job.route.name,
+        priority=job.route.priority,
+        goal_s=received_s + job.goal_s,
+        exclusive=True,
+        preferred_rack=job.preferred_rack,
+        remote_factor=job.remote_factor,
+        weighs_waits=job.weighs_waits,
+    )
--- a/src/verbenaplank/entry/routed_jobs.py
+++ b/src/verbenaplank/entry/routed_jobs.py
@@ -15,6 +15,7 @@
 from verbenaplank.entry import decision_log
 from verbenaplank.entry.effects import JobCompleted
 from verbenaplank.entry.hopeless_jobs import HopelessJobs
+from verbenaplank.entry.jobs import task_request
 from verbenaplank.entry.routed_admission import RoutedAdmission
 from verbenaplank.entry.routed_job import RoutedJobState
 from verbenaplank.entry.routed_job import RoutedOutcome
@@ -111,6 +112,7 @@
                 fleet=fleet,
             ).find
         )
+        queue.has_started = engine.dispatch_table.may_have_started
         self._numbers = itertools.count(1)
         self._lookup = RouteLookup(RoutingTable())
         self._running: dict[tuple[str, str], _RunningJob] = {}
@@ -210,6 +212,9 @@
             routed_submission(job, job_id, received_s),
             weighs_waits=weighs_waits(job.route, self._remote_factor),
         )
+        if submission.weighs_waits:
+            first = task_request(submission, 0)
+            self._queue.record_arrival(first, len(job.tasks), self._clock())
         queued = len(self._queue)
         version = self.table.version
         decision_log.job_admitted(submission, job.request_id, version, queued)
--- a/src/verbenaplank/entry/service_loads.py
+++ b/src/verbenaplank/entry/service_loads.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
 
 from verbenaplank.admission.goal_queue import GoalQueue
 from verbenaplank.clock.sources import MonotonicClock
+from verbenaplank.overload.expected_end import QueueAhead
 from verbenaplank.overload.expected_wait import ServiceLoad
+from verbenaplank.overload.own_share import OwnShares
 from verbenaplank.placement.fleet import Fleet
 
+if TYPE_CHECKING:
+    from verbenaplank.placement.task import TaskRequest
+
 
 @attrs.frozen(kw_only=True)
 class EntryView:
@@ -48,6 +54,8 @@
         The state of the entry.
     startup_ends_s
         Monotonic time until which the entry is about to connect to its agents.
+    shares
+        The entry's share of the work on the backend servers that it competes for.
     """
 
     fleet: Fleet
@@ -55,6 +63,38 @@
     clock: MonotonicClock
     view: EntryView
     startup_ends_s: float
+    shares: OwnShares = attrs.field(factory=OwnShares)
+
+    def queue_ahead(self, task: TaskRequest) -> QueueAhead:
+        """Return the queue ahead of a new job that weighs its wait.
+
+        Parameters
+        ----------
+        task
+            A task of the job.
+        """
+        ahead = self.queue.ahead_of(task)
+        now_s = self.clock()
+        pool = self.fleet.pool_of_task(task)
+        return QueueAhead(
+            work=ahead.core_s,
+            own_priority_work=ahead.own_priority_core_s,
+            drain_rate=self.drain_rate(task),
+            demand_above=self.queue.demand_above(pool, task.priority, now_s),
+            smaller_tasks=ahead.smaller_tasks,
+        )
+
+    def drain_rate(self, task: TaskRequest) -> float:
+        """Return the cores at which the queued tasks leave that weigh their waits."""
+        now_s = self.clock()
+        use = self.fleet.capacity_use(task, now_s)
+        pool = (task.service, self.fleet.pool_of_task(task))
+        entries = max(1, self.view.entry_count())
+        sharing = entries * self.fleet.capacity.connected_share_of(task.service)
+        rate = self.shares.drain_rate(pool, use, max(1.0, sharing), now_s)
+        if now_s < self.startup_ends_s:
+            return max(rate, self._equal_share_cores(task.service, task.workload))
+        return rate
 
     def load_of(self, service: str, workload: str, priority: int) -> ServiceLoad:
         """Return the load ahead of a new job of a workload and a priority."""
--- a/src/verbenaplank/placement/backend_server.py
+++ b/src/verbenaplank/placement/backend_server.py
@@ -252,6 +252,25 @@
             and tasks * needs.accelerators <= free_accelerators
         )
 
+    def free_tasks(self, needs: Resources) -> int:
+        """Return how many more tasks with these needs have a slot and resources."""
+        slots = self.slots - len(self.outstanding) - math.ceil(self.other_entries_tasks)
+        if slots <= 0 or not self.has_free_resources(needs):
+            return 0
+        size, count = self.member.worker, slots
+        if needs.cores > 0.0:
+            free = size.cores - self.reserved_cores - self.other_entries_cores
+            count = min(count, int((free + CORE_TOLERANCE) / needs.cores))
+        if needs.memory_mb > 0:
+            free = (
+                size.memory_mb - self.reserved_memory_mb - self.other_entries_memory_mb
+            )
+            count = min(count, int(free / needs.memory_mb))
+        if needs.accelerators > 0:
+            free = size.accelerators - self.reserved_accelerators
+            count = min(count, int(free / needs.accelerators))
+        return count
+
     def _release_resources(self, needs: Resources) -> None:
         if not self.reservations:
             self.reserved_cores = 0.0
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -15,6 +15,7 @@
 from verbenaplank.placement.load import stall_timeout_s
 from verbenaplank.placement.local_choice import choose_or_hold
 from verbenaplank.placement.rack_counts import JobRackCounts
+from verbenaplank.placement.room import capacity_use
 from verbenaplank.placement.run_time import RunTimeEstimator
 from verbenaplank.placement.sampling import CandidateSampler
 from verbenaplank.placement.service_capacity import ServiceCapacity
@@ -33,6 +34,7 @@
     from verbenaplank.placement.local_choice import HoldClaim
     from verbenaplank.placement.locality import Decision
     from verbenaplank.placement.policy import Policy
+    from verbenaplank.placement.room import CapacityUse
     from verbenaplank.placement.task import TaskRequest
     from verbenaplank.protocol.membership import Member
     from verbenaplank.protocol.work import LoadReport
@@ -228,6 +230,27 @@
         claim = attrs.evolve(claim, typical_run_s=self._run_times.typical_s)
         return choose_or_hold(usable, full, self._context(task, now_s), claim)
 
+    def capacity_use(
+        self, task: TaskRequest, now_s: float, within_s: float = math.inf
+    ) -> CapacityUse:
+        """Return the use of the backend servers on which a task may run.
+
+        Parameters
+        ----------
+        within_s
+            Seconds within which a run must end to be in time.
+        """
+        limit = math.inf
+        if task.exclusive:
+            limit = self._stragglers.limit(task.service, now_s)
+        servers = [
+            server
+            for server in self.capacity.connected_for(task.service, task.workload)
+            if self._health.is_usable(server, now_s)
+        ]
+        run_s = self._run_times.expected_s(task)
+        return capacity_use(servers, task, run_s, within_s, limit)
+
     def avoids_servers(self, task: TaskRequest) -> bool:
         """Return whether a task is kept from backend servers that take others."""
         if task.avoided_members or self._cells[task.service].confined:
--- /dev/null
+++ b/src/verbenaplank/placement/room.py
@@ -0,0 +1,105 @@
+"""What the tasks of all entries leave free on the backend servers of a service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.placement.expected_end import remote_factor
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from verbenaplank.placement.backend_server import BackendServer
+    from verbenaplank.placement.task import TaskRequest
+
+
+@attrs.frozen(kw_only=True)
+class CapacityUse:
+    """Use of the backend servers on which a task may run.
+
+    The unit is a core at the speed of a usual server, or a slot for a task that needs
+    no cores.
+
+    Attributes
+    ----------
+    own, others
+        Occupied by tasks of this entry, and of other entries as reports show.
+    idle
+        Not occupied, on servers that accept tasks.
+    free
+        The part of it that further tasks with the same needs can use.
+    free_tasks
+        Number of these tasks.
+    free_tasks_in_time
+        Number of them that would end in time.
+    """
+
+    own: float = 0.0
+    others: float = 0.0
+    idle: float = 0.0
+    free: float = 0.0
+    free_tasks: int = 0
+    free_tasks_in_time: int = 0
+
+    @property
+    def available(self) -> float:
+        """Return the capacity that is occupied or can be used by such tasks."""
+        return self.own + self.others + self.free
+
+
+def capacity_use(
+    servers: Iterable[BackendServer],
+    task: TaskRequest,
+    run_s: float,
+    within_s: float,
+    max_slowness: float,
+) -> CapacityUse:
+    """Return the use of some backend servers.
+
+    Parameters
+    ----------
+    run_s
+        Expected run time of the task at slowness 1, in seconds.
+    within_s
+        Seconds within which a run must end to be in time.
+    max_slowness
+        Slowness above which a server gets such tasks only as probes; its free capacity
+        does not count.
+    """
+    own = others = idle = free = 0.0
+    free_tasks = in_time = 0
+    by_cores = task.needs.cores > 0.0
+    for server in servers:
+        speed = 1.0 / server.slowness
+        size, used, used_by_others = _units(server, by_cores=by_cores)
+        own += speed * used
+        others += speed * used_by_others
+        if not server.accepts_tasks:
+            continue
+        idle += speed * max(0.0, size - used - used_by_others)
+        if server.slowness > max_slowness:
+            continue
+        count = server.free_tasks(task.needs)
+        free += speed * count * (task.needs.cores if by_cores else 1.0)
+        free_tasks += count
+        run_there_s = run_s * server.slowness * remote_factor(server, task)
+        if server.round_trip_s + run_there_s <= within_s:
+            in_time += count
+    return CapacityUse(
+        own=own,
+        others=others,
+        idle=idle,
+        free=free,
+        free_tasks=free_tasks,
+        free_tasks_in_time=in_time,
+    )
+
+
+def _units(server: BackendServer, *, by_cores: bool) -> tuple[float, float, float]:
+    """Return the size of a server, and what this and the other entries occupy."""
+    if by_cores:
+        size = server.member.worker.cores
+        return size, server.reserved_cores, server.other_entries_cores
+    return server.slots, len(server.outstanding), server.other_entries_tasks
--- a/tests/admission/test_goal_queue.py
+++ b/tests/admission/test_goal_queue.py
@@ -101,3 +101,92 @@
     queue.push(attrs.evolve(task("confined"), workload="deadly"), 0.0)
     assert queue.work_ahead_core_s(1) == 0.0
     assert queue.work_ahead_core_s(1, "deadly") == 2.0 * RUN_TIME_S
+
+
+def weighing(job_id: str, priority: int = 0, **changes: object) -> TaskRequest:
+    return attrs.evolve(task(job_id, priority), weighs_waits=True, **changes)
+
+
+def push_jobs(queue: GoalQueue, *jobs: TaskRequest, tasks: int = 1) -> None:
+    for job in jobs:
+        for index in range(tasks):
+            queue.push(attrs.evolve(job, task_index=index), 0.0)
+
+
+def test_each_lower_priority_keeps_a_share_of_the_starts() -> None:
+    """On the heaviest days the lowest priority was never served."""
+    queue = queue_of()
+    for priority in range(3):
+        jobs = [weighing(f"{priority}-{i}", priority) for i in range(120)]
+        push_jobs(queue, *jobs)
+    order = drain(queue)[:120]
+    counts = [sum(job.startswith(f"{p}-") for job in order) for p in range(3)]
+    assert 8 <= counts[2] <= 12
+    assert 8 <= counts[1] <= 13
+    assert sum(counts) == 120
+
+
+def test_share_is_not_taken_from_jobs_that_do_not_weigh_waits() -> None:
+    queue = queue_of(*[task(f"urgent-{i}") for i in range(50)])
+    push_jobs(queue, *[weighing(f"low-{i}", 1) for i in range(9)])
+    assert not [job for job in drain(queue)[:50] if job.startswith("low")]
+
+
+def test_started_job_goes_ahead_of_its_priority() -> None:
+    """Jobs with urgent goals took over, and the work of started ones was lost."""
+    queue = queue_of()
+    push_jobs(queue, weighing("started", goal_s=9.0), tasks=3)
+    assert queue.pop(0.0, lambda _: True) is not None
+    push_jobs(queue, weighing("sooner", goal_s=2.0), weighing("higher", -1))
+    assert drain(queue, now_s=9.0) == ["higher", "started", "started", "sooner"]
+
+
+def test_retried_task_of_a_started_job_goes_ahead() -> None:
+    queue = queue_of()
+    queue.has_started = lambda job_id: job_id == "retried"
+    push_jobs(queue, weighing("other", goal_s=2.0), weighing("retried", attempt=2))
+    assert drain(queue) == ["retried", "other"]
+
+
+def test_smaller_tasks_overtake_a_wide_job_only_up_to_a_limit() -> None:
+    """Tasks of one core took each core that became free, for as long as they came."""
+    queue = queue_of()
+    push_jobs(queue, weighing("wide", needs=Resources(cores=6.0)), tasks=8)
+    push_jobs(queue, *[weighing(f"{i}", 1) for i in range(99)])
+    overtaking = 0
+    while queue.pop(0.0, lambda item: item.job_id != "wide") is not None:
+        overtaking += 1
+    assert overtaking == 8 * 6.0 / 2.0
+    kept = 2
+    assert drain(queue)[: 8 + kept].count("wide") == 8
+
+
+def test_late_wide_job_does_not_hold_up_smaller_ones() -> None:
+    queue = queue_of()
+    push_jobs(queue, weighing("wide", needs=Resources(cores=6.0), goal_s=1.0))
+    push_jobs(queue, *[weighing(f"{i}", 1) for i in range(20)])
+    overtaking = 0
+    while queue.pop(1.0, lambda item: item.job_id != "wide") is not None:
+        overtaking += 1
+    assert overtaking == 20
+
+
+def test_only_what_leaves_earlier_is_ahead_of_a_new_job() -> None:
+    queue = queue_of(weighing("urgent"), weighing("low", 2))
+    push_jobs(queue, weighing("late", 1, goal_s=0.5), weighing("own", 1), tasks=2)
+    queue.pop(1.0, lambda _: False)
+    ahead = queue.ahead_of(weighing("new", 1))
+    assert ahead.smaller_tasks == 3
+    assert round(ahead.core_s, 3) == round(3 * 2.0 * RUN_TIME_S, 3)
+    assert round(ahead.own_priority_core_s, 3) == round(2 * 2.0 * RUN_TIME_S, 3)
+    small = queue.ahead_of(weighing("small", 1, needs=Resources(cores=1.0)))
+    assert small.smaller_tasks == 0
+
+
+def test_demand_is_the_recorded_work_of_higher_priorities() -> None:
+    queue = queue_of()
+    for step in range(200):
+        queue.record_arrival(weighing("a"), 4, step * 0.1)
+    demand = queue.demand_above("", 1, 20.0)
+    assert abs(demand - 4 * 2.0 * RUN_TIME_S / 0.1) < 1.0
+    assert queue.demand_above("", 0, 20.0) == 0.0
--- a/tests/entry/load_replay.py
+++ b/tests/entry/load_replay.py
@@ -20,8 +20,10 @@
 from verbenaplank.entry.effects import JobFailed
 from verbenaplank.entry.engine import Engine
 from verbenaplank.entry.hopeless_jobs import HopelessJobs
+from verbenaplank.entry.jobs import task_request
 from verbenaplank.entry.routed_admission import RoutedAdmission
 from verbenaplank.entry.routed_job import RoutedJob
+from verbenaplank.entry.routed_job import apply_remote_factor
 from verbenaplank.entry.routed_job import routed_submission
 from verbenaplank.entry.service_loads import EntryView
 from verbenaplank.entry.service_loads import ServiceLoads
@@ -128,6 +130,7 @@
         self.admission = RoutedAdmission(
             fleet=self.fleet, loads=loads, loop_lag=LoopLag(), view=view
         )
+        self.queue.has_started = self.engine.dispatch_table.may_have_started
         self.engine.set_hopeless_finder(
             HopelessJobs(
                 queue=self.queue,
@@ -223,6 +226,7 @@
             estimate_s=kind.run_s,
             caller_timeout_s=1.54 + 3 * kind.run_s,
         )
+        job = apply_remote_factor(job, self._remote_factor)
         end = End(kind, self.now_s, goal_s=job.goal_s, useless_s=3 * job.goal_s)
         self.ends[key] = end
         refusal = entry.admission.refusal(job)
@@ -233,6 +237,9 @@
             routed_submission(job, key, self.now_s),
             weighs_waits=weighs_waits(kind.route, self._remote_factor),
         )
+        if submission.weighs_waits:
+            task = task_request(submission, 0)
+            entry.queue.record_arrival(task, kind.tasks, self.now_s)
         entry.engine.submit(submission, self.now_s)
 
     def _flush(self, number: int) -> None:
--- a/tests/entry/test_load_replays.py
+++ b/tests/entry/test_load_replays.py
@@ -4,8 +4,10 @@
 
 from functools import partial
 
+from entry.load_replay import LONG
 from entry.load_replay import MEDIUM
 from entry.load_replay import SHORT
+from entry.load_replay import Arrival
 from entry.load_replay import Kind
 from entry.load_replay import Replay
 from entry.load_replay import arrivals
@@ -36,3 +38,40 @@
         assert bool(told) is (remote_factor > 1.0)
     assert held_s[2.0] < 0.9 * held_s[1.0]
     assert worth[2.0] >= worth[1.0]
+
+
+LONG_JOB = Kind(LONG, 4, 1.0, 1.8)
+OVERLOAD = 1.5
+CORES = 256.0
+PARTS = (0.1, 0.2, 0.3, 0.4)
+
+
+def overload(seed: int) -> list[Arrival]:
+    """Return one and a half times what the servers can do, at uneven entries."""
+    load: list[Arrival] = []
+    for entry, part in enumerate(PARTS):
+        for kind, share in ((SHORT_JOB, 0.4), (MEDIUM_JOB, 0.35), (LONG_JOB, 0.25)):
+            job_core_s = kind.tasks * kind.cores * kind.run_s
+            per_s = OVERLOAD * share * CORES * part / job_core_s
+            seed += 1
+            load += arrivals(kind, per_s, 0.0, 5.0, seed, entry)
+    return load
+
+
+def test_jobs_admitted_in_an_overload_meet_their_goal() -> None:
+    """Much was held until its latest start and never tried, or ended late."""
+    worth = {}
+    for remote_factor in (1.0, 2.0):
+        replay = Replay(
+            agents=8, cores=CORES / 8, entries=4, remote_factor=remote_factor
+        )
+        ends = replay.run(overload(seed=1), 12.0)
+        worth[remote_factor] = sum(end.worth for end in ends)
+    tried = [end for end in ends if end.outcome != "refused"]
+    assert sum(end.worth == 1.0 for end in tried) > 0.8 * len(tried)
+    assert not [end for end in ends if end.outcome in {"refused late", "open"}]
+    assert not [end for end in ends if end.outcome == "refused" and end.wait_s]
+    assert worth[2.0] >= worth[1.0]
+    for kind in (SHORT_JOB, MEDIUM_JOB, LONG_JOB):
+        of_kind = [end for end in ends if end.kind is kind]
+        assert sum(end.worth for end in of_kind) > 0.25 * len(of_kind), kind
