Decide admission for both interfaces in one path

Cause: the product's interface and the routes had separate steps and separate refusals, and refused requests were told a constant Retry-After of 1 s. Change: AdmissionPath checks servers, crashes and the queue for both; the limit for jobs that do not weigh waits stays that of their interface. A request with a preferred rack weighs its wait where the deployment states a remote factor. Retry-After follows from the queue and is spread over callers, urgent ones first. A constant is left where a control instance or a registrar is the cause, since no queue tells when these return. Each refusal has a cause.

--- a/src/verbenaplank/entry/admission_control.py
+++ b/src/verbenaplank/entry/admission_control.py
@@ -2,17 +2,26 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
+import attrs
+
 from verbenaplank.admission.estimate import StartRate
 from verbenaplank.admission.estimate import estimate
 from verbenaplank.admission.quota import QuotaState
 from verbenaplank.admission.quota import TeamQuotas
+from verbenaplank.entry.admission_path import AdmissionPath
+from verbenaplank.entry.admission_path import Candidate
 from verbenaplank.entry.jobs import task_request
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.finding import Finding
 from verbenaplank.outcome.rejection import Rejection
-from verbenaplank.placement.feasibility import Feasibility
+from verbenaplank.overload.expected_end import QueueAhead
+from verbenaplank.overload.own_share import OwnShares
+from verbenaplank.overload.refusal import Refusal
+from verbenaplank.overload.refusal import RefusalCause
+from verbenaplank.overload.retry_after import retry_after_s
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -23,7 +32,15 @@
     from verbenaplank.entry.submission import Submission
     from verbenaplank.placement.fleet import Fleet
 
-RETRY_AFTER_S = 1.0
+DEADLINE_CANNOT_BE_MET = (
+    "the deadline cannot be met because of the tasks queued at the entry"
+)
+
+KIND_BY_CAUSE = {
+    RefusalCause.NOT_READY: FailureKind.NOT_READY,
+    RefusalCause.NO_SERVER: FailureKind.NOT_READY,
+    RefusalCause.QUOTA: FailureKind.OVER_QUOTA,
+}
 
 
 class AdmissionController:
@@ -40,6 +57,11 @@
         The tasks that wait at this entry.
     max_queued_tasks
         Maximum number of tasks that may wait at this entry.
+
+    Attributes
+    ----------
+    refusals
+        Number of refused requests by service, urgency and cause.
     """
 
     def __init__(
@@ -51,6 +73,13 @@
         self._quotas = TeamQuotas()
         self._rate = StartRate()
         self._entry_count = 1
+        self._shares = OwnShares()
+        self.refusals: Counter[tuple[str, bool, RefusalCause]] = Counter()
+        self._path = AdmissionPath(
+            fleet=fleet,
+            queue_ahead=self._queue_ahead,
+            present_limit=self._present_limit,
+        )
 
     def configure(self, teams: Mapping[str, TeamRules], entries: int) -> None:
         """Set the rules of the teams and the number of entries that share them."""
@@ -68,54 +97,94 @@
 
         The caller must pass an admitted request to :meth:`release` when it ends.
         """
-        return (
-            _entry_rejection(submission, readiness)
-            or self._fleet_rejection(submission)
-            or self._load_rejection(submission, now_s)
-            or self._quota_rejection(submission, now_s)
+        candidate = Candidate(
+            task=task_request(submission, 0),
+            tasks=len(submission.payloads),
+            goal_in_s=submission.goal_s - now_s,
+            useless_in_s=submission.deadline_s - now_s,
+        )
+        refusal = (
+            _entry_refusal(submission, readiness)
+            or self._path.refusal(candidate, now_s)
+            or self._full_refusal(candidate, now_s)
+            or self._quota_refusal(submission, now_s)
         )
+        if refusal is None:
+            return None
+        self.refusals[submission.service, submission.urgent, refusal.cause] += 1
+        return _rejection(submission, refusal)
+
+    def with_retry_after(
+        self, rejection: Rejection, submission: Submission, now_s: float
+    ) -> Rejection:
+        """Return a rejection that says when its caller should try again.
+
+        The time follows from the tasks that are queued now.
+        """
+        priority = 0 if submission.urgent else 1
+        wait_s = self._queue_wait_s(submission.urgent, now_s)
+        told_s = retry_after_s(wait_s, priority, submission.job_id)
+        return attrs.evolve(rejection, retry_after_s=told_s)
+
+    def _queue_wait_s(self, urgent: bool, now_s: float) -> float:
+        """Return the expected time until the tasks have left that are queued now."""
+        tasks_ahead = self._queue.tasks_ahead(urgent)
+        rate_per_s = self._rate.per_s(now_s)
+        if not tasks_ahead or rate_per_s <= 0.0:
+            return 0.0
+        return tasks_ahead / rate_per_s
 
     def release(self, submission: Submission) -> None:
         """Release the quota of an admitted request that has ended."""
         self._quotas.record_ended(submission.team, len(submission.payloads))
 
-    def _fleet_rejection(self, submission: Submission) -> Rejection | None:
-        feasibility = self._fleet.capacity.feasibility(
-            submission.service, submission.needs
-        )
-        if feasibility is Feasibility.NO_SERVICE:
-            detail = f"no backend server currently offers {submission.service!r}"
-            return _retryable_rejection(FailureKind.NOT_READY, detail)
-        if feasibility is Feasibility.IMPOSSIBLE_NEEDS:
-            return _impossible_needs(submission)
-        return None
-
-    def _load_rejection(self, submission: Submission, now_s: float) -> Rejection | None:
-        count = len(submission.payloads)
-        if len(self._queue) + count > self._max_queued_tasks:
-            return _retryable_rejection(
-                FailureKind.OVERLOADED, "too many tasks are queued at the entry"
-            )
-        tasks_ahead = self._queue.tasks_ahead(submission.urgent)
-        if not tasks_ahead:
-            return None
-        task = task_request(submission, 0)
-        slots = self._fleet.capacity.slots_of(submission.service)
+    def _present_limit(self, candidate: Candidate, now_s: float) -> Refusal | None:
+        task = candidate.task
+        full = self._full_refusal(candidate, now_s)
+        tasks_ahead = self._queue.tasks_ahead(task.urgent)
+        if full is not None or not tasks_ahead:
+            return full
+        slots = self._fleet.capacity.slots_of(task.service)
         run_time_s = self._fleet.expected_run_time_s(task)
         expected = estimate(
-            tasks=count,
+            tasks=candidate.tasks,
             tasks_ahead=tasks_ahead,
             start_rate_per_s=self._start_rate_per_s(slots, run_time_s, now_s),
             slots=slots,
             run_time_s=run_time_s,
-            remaining_s=submission.deadline_s - now_s,
+            remaining_s=candidate.useless_in_s,
         )
         if expected.feasible:
             return None
-        return _retryable_rejection(
-            FailureKind.OVERLOADED,
-            "the deadline cannot be met because of the tasks queued at the entry",
-            expected.retry_after_s,
+        return Refusal(
+            cause=RefusalCause.NO_CAPACITY,
+            detail=DEADLINE_CANNOT_BE_MET,
+            wait_s=expected.retry_after_s,
+        )
+
+    def _full_refusal(self, candidate: Candidate, now_s: float) -> Refusal | None:
+        if len(self._queue) + candidate.tasks <= self._max_queued_tasks:
+            return None
+        return Refusal(
+            cause=RefusalCause.QUEUE_FULL,
+            detail="too many tasks are queued at the entry",
+            wait_s=self._queue_wait_s(candidate.task.urgent, now_s),
+        )
+
+    def _queue_ahead(self, candidate: Candidate, now_s: float) -> QueueAhead:
+        """Return the queue ahead, as if its tasks were like those of the candidate."""
+        task = candidate.task
+        tasks_ahead = self._queue.tasks_ahead(task.urgent)
+        run_time_s = self._fleet.expected_run_time_s(task)
+        units = task.needs.cores or 1.0
+        use = self._fleet.capacity_use(task, now_s)
+        pool = (task.service, self._fleet.pool_of_task(task))
+        work = tasks_ahead * run_time_s * units
+        return QueueAhead(
+            work=work,
+            own_priority_work=work,
+            drain_rate=self._shares.drain_rate(pool, use, self._entry_count, now_s),
+            smaller_tasks=tasks_ahead,
         )
 
     def _start_rate_per_s(self, slots: int, run_time_s: float, now_s: float) -> float:
@@ -126,27 +195,37 @@
         share_per_s = slots / run_time_s / self._entry_count
         return max(self._rate.per_s(now_s), share_per_s)
 
-    def _quota_rejection(
-        self, submission: Submission, now_s: float
-    ) -> Rejection | None:
+    def _quota_refusal(self, submission: Submission, now_s: float) -> Refusal | None:
         count = len(submission.payloads)
         decision = self._quotas.admit(submission.team, count, now_s)
         if decision.state is QuotaState.WITHIN:
             return None
         detail = f"team {submission.team!r} is over its quota: {decision.state}"
-        return _retryable_rejection(
-            FailureKind.OVER_QUOTA, detail, decision.retry_after_s
+        return Refusal(
+            cause=RefusalCause.QUOTA, detail=detail, wait_s=decision.retry_after_s
         )
 
 
-def _entry_rejection(submission: Submission, readiness: Readiness) -> Rejection | None:
+def _entry_refusal(submission: Submission, readiness: Readiness) -> Refusal | None:
+    detail = ""
     if readiness.draining:
-        return _retryable_rejection(FailureKind.NOT_READY, "the entry is draining")
-    if not readiness.current:
-        return _retryable_rejection(FailureKind.NOT_READY, "the entry is not ready")
-    if submission.claimed and not readiness.leased:
-        return _retryable_rejection(FailureKind.NOT_READY, "the entry holds no lease")
-    return None
+        detail = "the entry is draining"
+    elif not readiness.current:
+        detail = "the entry is not ready"
+    elif submission.claimed and not readiness.leased:
+        detail = "the entry holds no lease"
+    return Refusal(cause=RefusalCause.NOT_READY, detail=detail) if detail else None
+
+
+def _rejection(submission: Submission, refusal: Refusal) -> Rejection:
+    if refusal.cause is RefusalCause.TOO_LARGE:
+        return _impossible_needs(submission)
+    told_s = refusal.wait_s
+    if refusal.cause is not RefusalCause.QUOTA:
+        priority = 0 if submission.urgent else 1
+        told_s = retry_after_s(refusal.wait_s, priority, submission.job_id)
+    kind = KIND_BY_CAUSE.get(refusal.cause, FailureKind.OVERLOADED)
+    return Rejection(kind=kind, detail=refusal.detail, retry_after_s=told_s)
 
 
 def _impossible_needs(submission: Submission) -> Rejection:
@@ -160,9 +239,3 @@
         detail="no worker can meet the needs of a task",
         findings=(Finding("needs", message),),
     )
-
-
-def _retryable_rejection(
-    kind: FailureKind, detail: str, retry_after_s: float = RETRY_AFTER_S
-) -> Rejection:
-    return Rejection(kind=kind, detail=detail, retry_after_s=retry_after_s)
--- /dev/null
+++ b/src/verbenaplank/entry/admission_path.py
@@ -0,0 +1,116 @@
+"""The steps of admission that all interfaces of an entry share, in their order."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenaplank.overload.expected_end import JobOutlook
+from verbenaplank.overload.expected_end import QueueAhead
+from verbenaplank.overload.expected_end import expected_end_refusal
+from verbenaplank.overload.refusal import Refusal
+from verbenaplank.overload.refusal import RefusalCause
+from verbenaplank.placement.feasibility import Feasibility
+from verbenaplank.placement.task import TaskRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenaplank.placement.fleet import Fleet
+
+RESTART_WAIT_S = 2.0
+"""Usual time that a backend server takes to restart."""
+
+
+@attrs.frozen(kw_only=True)
+class Candidate:
+    """A job that an entry may admit.
+
+    Attributes
+    ----------
+    task
+        The request of one of its tasks, which are equal.
+    tasks
+        Number of its tasks.
+    goal_in_s, useless_in_s
+        Seconds until its answer is late, and until it is useless.
+    """
+
+    task: TaskRequest
+    tasks: int
+    goal_in_s: float
+    useless_in_s: float
+
+
+class AdmissionPath:
+    """Decides whether the backend servers and the queue allow for a job.
+
+    Parameters
+    ----------
+    fleet
+        The agents, with the services and capacity that they offer.
+    queue_ahead
+        Returns the queue ahead of a new job that weighs its wait.
+    present_limit
+        Returns why a job that does not weigh its wait is refused, or ``None``.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        queue_ahead: Callable[[Candidate, float], QueueAhead],
+        present_limit: Callable[[Candidate, float], Refusal | None],
+    ) -> None:
+        self._fleet = fleet
+        self._queue_ahead = queue_ahead
+        self._present_limit = present_limit
+
+    def refusal(self, candidate: Candidate, now_s: float) -> Refusal | None:
+        """Return why a job is refused now, or ``None`` to admit it."""
+        refusal = self._server_refusal(candidate.task)
+        if refusal is not None:
+            return refusal
+        if candidate.task.weighs_waits:
+            return self._late_end_refusal(candidate, now_s)
+        return self._present_limit(candidate, now_s)
+
+    def _server_refusal(self, task: TaskRequest) -> Refusal | None:
+        capacity = self._fleet.capacity
+        feasibility = capacity.feasibility(task.service, task.needs)
+        if feasibility is Feasibility.NO_SERVICE:
+            detail = f"no backend server currently offers {task.service!r}"
+            return Refusal(cause=RefusalCause.NO_SERVER, detail=detail)
+        if feasibility is Feasibility.IMPOSSIBLE_NEEDS:
+            detail = "no worker is large enough for a task of this job"
+            return Refusal(cause=RefusalCause.TOO_LARGE, detail=detail)
+        if not self._fleet.pool_of_task(task):
+            return None
+        if capacity.available_cores_of(task.service, task.workload) > 0.0:
+            return None
+        return Refusal(
+            cause=RefusalCause.NO_SERVER,
+            detail="the backend servers of the route have crashed and are restarting",
+            wait_s=RESTART_WAIT_S,
+        )
+
+    def _late_end_refusal(self, candidate: Candidate, now_s: float) -> Refusal | None:
+        task = candidate.task
+        outlook = JobOutlook(
+            tasks=candidate.tasks,
+            task_units=task.needs.cores or 1.0,
+            run_s=self._fleet.expected_run_time_s(task),
+            goal_in_s=candidate.goal_in_s,
+            useless_in_s=candidate.useless_in_s,
+        )
+        use = self._fleet.capacity_use(task, now_s, candidate.useless_in_s)
+        refusal = expected_end_refusal(
+            outlook, self._queue_ahead(candidate, now_s), use
+        )
+        if refusal is None:
+            return None
+        cause = RefusalCause.NO_CAPACITY
+        if refusal.is_capacity_elsewhere:
+            cause = RefusalCause.CAPACITY_ELSEWHERE
+        return Refusal(cause=cause, detail=refusal.detail, wait_s=refusal.wait_s)
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -38,7 +38,8 @@
 LOGGER = logging.getLogger(__name__)
 
 CLAIM_TIMEOUT_S = 2.0
-RETRY_AFTER_S = 1.0
+UNQUEUED_RETRY_AFTER_S = 1.0
+"""Retry-After where the cause is a control instance or a registrar and not a queue."""
 
 ID_REUSED = Rejection(
     kind=FailureKind.ID_REUSED,
@@ -47,22 +48,21 @@
 TOO_MANY_REQUESTS = Rejection(
     kind=FailureKind.OVERLOADED,
     detail="the entry holds the maximum number of requests",
-    retry_after_s=RETRY_AFTER_S,
 )
 NO_QUORUM = Rejection(
     kind=FailureKind.NO_QUORUM,
     detail="no majority of registrars granted the id",
-    retry_after_s=RETRY_AFTER_S,
+    retry_after_s=UNQUEUED_RETRY_AFTER_S,
 )
 STATE_NOT_CURRENT = Rejection(
     kind=FailureKind.NOT_READY,
     detail="this entry has not received the newest state from a control instance yet",
-    retry_after_s=RETRY_AFTER_S,
+    retry_after_s=UNQUEUED_RETRY_AFTER_S,
 )
 ID_MAY_BE_USED = Rejection(
     kind=FailureKind.OUTCOME_UNKNOWN,
     detail="the registrars no longer know whether the id was used before",
-    retry_after_s=RETRY_AFTER_S,
+    retry_after_s=UNQUEUED_RETRY_AFTER_S,
 )
 RESPONSE_DROPPED = Rejection(
     kind=FailureKind.OUTCOME_UNKNOWN, detail="the response is no longer stored"
@@ -219,7 +219,9 @@
     def _admit(self, submission: Submission) -> Rejection | None:
         deps = self._deps
         if deps.registry.is_full:
-            return TOO_MANY_REQUESTS
+            return deps.admission.with_retry_after(
+                TOO_MANY_REQUESTS, submission, deps.clock()
+            )
         return deps.admission.admit(submission, deps.readiness(), deps.clock())
 
     async def _response_of(self, record: RequestRecord) -> HttpResponse:
--- a/src/verbenaplank/entry/routed_job.py
+++ b/src/verbenaplank/entry/routed_job.py
@@ -10,6 +10,7 @@
 from verbenaplank.agent.named_task import encode_task
 from verbenaplank.entry.submission import Submission
 from verbenaplank.overload.latest_start import latest_start_s
+from verbenaplank.overload.refusal import RefusalCause
 from verbenaplank.placement.task import Resources
 from verbenaplank.placement.task import TaskRequest
 from verbenaplank.routing.table import Route
@@ -53,11 +54,14 @@
         The reason if the job did not succeed.
     retry_after_s
         Seconds after which a refused job may be sent again, or ``None``.
+    cause
+        Why the job was refused; ``None`` if it was not.
     """
 
     state: RoutedJobState
     detail: str = ""
     retry_after_s: float | None = None
+    cause: RefusalCause | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/verbenaplank/entry/validation.py
+++ b/src/verbenaplank/entry/validation.py
@@ -189,6 +189,7 @@
         run_timeout_ms=rules.run_timeout_ms,
         preferred_rack=parsed.preferred_rack,
         remote_factor=context.remote_factor if parsed.preferred_rack else 1.0,
+        weighs_waits=bool(parsed.preferred_rack) and context.remote_factor > 1.0,
     )
 
 
--- a/src/verbenaplank/overload/expected_end.py
+++ b/src/verbenaplank/overload/expected_end.py
@@ -85,8 +85,8 @@
     Attributes
     ----------
     is_capacity_elsewhere
-        Whether enough capacity for the job is idle, but on servers that are too small
-        or too slow for its tasks, or claimed by the queue.
+        Whether enough capacity for the job is idle on servers that can't take its
+        tasks: what each has left is too small, or the server is too slow.
     """
 
     is_capacity_elsewhere: bool
@@ -140,7 +140,7 @@
         slack_s = max(0.0, job.goal_in_s - job.run_s)
         if unclaimed or start_s <= MAX_WAIT_PER_SLACK * slack_s:
             return None
-    is_elsewhere = use.idle >= job.tasks * job.task_units
+    is_elsewhere = use.idle - use.free >= job.tasks * job.task_units
     return LateEndRefusal(
         wait_s=start_s,
         is_capacity_elsewhere=is_elsewhere,
--- a/tests/entry/test_admission_control.py
+++ b/tests/entry/test_admission_control.py
@@ -13,8 +13,10 @@
 from verbenaplank.entry.jobs import task_request
 from verbenaplank.entry.readiness import Readiness
 from verbenaplank.outcome.failure import FailureKind
+from verbenaplank.overload.refusal import RefusalCause
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
+from verbenaplank.placement.task import Resources
 
 READY = Readiness(current=True, leased=True, draining=False)
 NOW_S = 1.0
@@ -122,3 +124,39 @@
     assert free is None
     assert claimed is not None
     assert claimed.kind is FailureKind.NOT_READY
+
+
+WEIGHING = {"weighs_waits": True, "needs": Resources(cores=1.0)}
+
+
+def test_request_that_weighs_its_wait_is_refused_by_its_expected_end() -> None:
+    """Behind a long queue it would be tried when its answer is useless."""
+    setup = AdmissionSetup()
+    admission = setup.create_controller()
+    setup.fill(400)
+
+    soon = submission(deadline_s=NOW_S + 2.0, **WEIGHING)
+    refused = admission.admit(soon, READY, NOW_S)
+    later = submission(deadline_s=NOW_S + 200.0, **WEIGHING)
+
+    assert admission.admit(later, READY, NOW_S) is None
+    assert refused is not None
+    assert refused.kind is FailureKind.OVERLOADED
+    assert "expected to start" in refused.detail
+    key = (soon.service, soon.urgent, RefusalCause.NO_CAPACITY)
+    assert admission.refusals[key] == 1
+
+
+def test_refused_callers_return_at_different_times_urgent_ones_first() -> None:
+    """All were told the same constant and returned together."""
+    admission = AdmissionSetup().create_controller()
+    times_s: dict[bool, set[float]] = {True: set(), False: set()}
+    for number in range(20):
+        for urgent in times_s:
+            request = submission(f"{number}", service="unknown", urgent=urgent)
+            rejection = admission.admit(request, READY, NOW_S)
+            assert rejection is not None
+            assert rejection.retry_after_s
+            times_s[urgent].add(rejection.retry_after_s)
+    assert len(times_s[True]) == len(times_s[False]) == 20
+    assert max(times_s[True]) <= min(times_s[False])
