Count refused and served jobs by route, priority and cause

Cause: the metrics did not show which route was refused and why, and an operator could not distinguish too little capacity from capacity in the wrong place. A job in progress that is sent again is not counted as refused for lag.

--- a/src/verbenaplank/admission/goal_queue.py
+++ b/src/verbenaplank/admission/goal_queue.py
@@ -274,6 +274,12 @@
             for job in level.in_order()
         ]
 
+    def waiting_jobs(self) -> Counter[tuple[str, int]]:
+        """Return the number of queued jobs by workload and priority."""
+        return Counter(
+            (job.tasks[0].workload, job.priority) for job in self._jobs.values()
+        )
+
     def queued_work(self, job_id: str) -> QueuedWork | None:
         """Return the queued work of a job; ``None`` if it has left the queue."""
         job = self._jobs.get(job_id)
--- a/src/verbenaplank/entry/admission_control.py
+++ b/src/verbenaplank/entry/admission_control.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -18,6 +17,7 @@
 from verbenaplank.outcome.finding import Finding
 from verbenaplank.outcome.rejection import Rejection
 from verbenaplank.overload.expected_end import QueueAhead
+from verbenaplank.overload.job_counts import JobCounts
 from verbenaplank.overload.own_share import OwnShares
 from verbenaplank.overload.refusal import Refusal
 from verbenaplank.overload.refusal import RefusalCause
@@ -57,15 +57,16 @@
         The tasks that wait at this entry.
     max_queued_tasks
         Maximum number of tasks that may wait at this entry.
-
-    Attributes
-    ----------
-    refusals
-        Number of refused requests by service, urgency and cause.
+    counts
+        Counts the refused requests; the service stands for the route.
     """
 
     def __init__(
-        self, fleet: Fleet, queue: TaskQueueProtocol, max_queued_tasks: int
+        self,
+        fleet: Fleet,
+        queue: TaskQueueProtocol,
+        max_queued_tasks: int,
+        counts: JobCounts | None = None,
     ) -> None:
         self._fleet = fleet
         self._queue = queue
@@ -74,7 +75,7 @@
         self._rate = StartRate()
         self._entry_count = 1
         self._shares = OwnShares()
-        self.refusals: Counter[tuple[str, bool, RefusalCause]] = Counter()
+        self._counts = counts or JobCounts()
         self._path = AdmissionPath(
             fleet=fleet,
             queue_ahead=self._queue_ahead,
@@ -111,7 +112,9 @@
         )
         if refusal is None:
             return None
-        self.refusals[submission.service, submission.urgent, refusal.cause] += 1
+        self._counts.record_refused(
+            submission.service, _priority(submission), refusal.cause
+        )
         return _rejection(submission, refusal)
 
     def with_retry_after(
@@ -121,7 +124,7 @@
 
         The time follows from the tasks that are queued now.
         """
-        priority = 0 if submission.urgent else 1
+        priority = _priority(submission)
         wait_s = self._queue_wait_s(submission.urgent, now_s)
         told_s = retry_after_s(wait_s, priority, submission.job_id)
         return attrs.evolve(rejection, retry_after_s=told_s)
@@ -206,6 +209,10 @@
         )
 
 
+def _priority(submission: Submission) -> int:
+    return 0 if submission.urgent else 1
+
+
 def _entry_refusal(submission: Submission, readiness: Readiness) -> Refusal | None:
     detail = ""
     if readiness.draining:
@@ -222,8 +229,7 @@
         return _impossible_needs(submission)
     told_s = refusal.wait_s
     if refusal.cause is not RefusalCause.QUOTA:
-        priority = 0 if submission.urgent else 1
-        told_s = retry_after_s(refusal.wait_s, priority, submission.job_id)
+        told_s = retry_after_s(refusal.wait_s, _priority(submission), submission.job_id)
     kind = KIND_BY_CAUSE.get(refusal.cause, FailureKind.OVERLOADED)
     return Rejection(kind=kind, detail=refusal.detail, retry_after_s=told_s)
 
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -44,6 +44,7 @@
 from verbenaplank.http.server import HttpServer
 from verbenaplank.membership.client import MembershipClient
 from verbenaplank.observability.rendering import no_metrics
+from verbenaplank.overload.job_counts import JobCounts
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
 from verbenaplank.protocol.membership import Member
@@ -53,6 +54,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
+    from collections.abc import Mapping
     from collections.abc import Sequence
     from types import TracebackType
     from typing import Any
@@ -67,6 +69,7 @@
     from verbenaplank.entry.interfaces import MembershipFactory
     from verbenaplank.entry.pipeline import Pipeline
     from verbenaplank.observability.rendering import RenderMetrics
+    from verbenaplank.overload.job_counts import RouteKey
     from verbenaplank.placement.policy import Policy
     from verbenaplank.rpc.address import Address
     from verbenaplank.settings.common import ControlPeer
@@ -130,6 +133,8 @@
         Runs the jobs that callers submit through a route.
     queue
         The tasks that wait for an agent.
+    job_counts
+        Counts of refused and served jobs.
     traffic
         Counts of the messages to and from agents.
     agent_connections
@@ -170,13 +175,15 @@
         self._order_by_goal = order_by_goal
         self._serve_http = serve_http
         goals = GoalQueue(self._fleet.expected_run_time_s, self._fleet.pool_of_task)
+        self._goals = goals
         self.queue: TaskQueueProtocol = goals
         if not order_by_goal:
             self.queue = TaskQueue(
                 self._status.team_weight, self._fleet.expected_run_time_s
             )
+        self.job_counts = JobCounts()
         self._admission = AdmissionController(
-            self._fleet, self.queue, limits.max_queued_tasks
+            self._fleet, self.queue, limits.max_queued_tasks, self.job_counts
         )
         self.engine = Engine(
             fleet=self._fleet,
@@ -203,6 +210,7 @@
                 time_left_s=self._time_left_s,
             ),
             remote_factor=settings.placement.remote_factor,
+            counts=self.job_counts,
         )
         self.pipeline: Pipeline | None = None
         self._stop_time_s = math.inf
@@ -243,6 +251,14 @@
             readiness.current and not readiness.draining and has_routes and has_agents
         )
 
+    def cores_by_state(self) -> Mapping[tuple[str, str], float]:
+        """Return the cores of the backend servers by data centre and state."""
+        return self._fleet.cores_by_state()
+
+    def waiting_jobs(self) -> Mapping[RouteKey, int]:
+        """Return the number of routed jobs with queued tasks by route and priority."""
+        return self._goals.waiting_jobs()
+
     def set_control_instances(self, control: Sequence[ControlPeer]) -> None:
         """Use the given control instances from the next connection on."""
         if isinstance(self._membership, MembershipClient):
--- a/src/verbenaplank/entry/routed_jobs.py
+++ b/src/verbenaplank/entry/routed_jobs.py
@@ -24,6 +24,8 @@
 from verbenaplank.entry.service_loads import ServiceLoads
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.failure import RunState
+from verbenaplank.overload.job_counts import JobCounts
+from verbenaplank.overload.refusal import RefusalCause
 from verbenaplank.overload.retry_after import retry_after_s
 from verbenaplank.routing.lookup import RouteLookup
 from verbenaplank.routing.table import RoutingTable
@@ -39,6 +41,8 @@
     from verbenaplank.entry.runner import EngineRunner
     from verbenaplank.entry.service_loads import EntryView
     from verbenaplank.entry.submission import Submission
+    from verbenaplank.outcome.failure import Failure
+    from verbenaplank.overload.loop_lag import LoopLag
     from verbenaplank.placement.fleet import Fleet
     from verbenaplank.routing.lookup import RouteMatch
     from verbenaplank.routing.table import Route
@@ -71,6 +75,8 @@
         The state of the entry.
     remote_factor
         How many times longer a task takes outside the rack that it prefers.
+    counts
+        Counts what becomes of the jobs.
     """
 
     def __init__(
@@ -83,7 +89,9 @@
         entry_name: str,
         view: EntryView,
         remote_factor: float = 1.0,
+        counts: JobCounts | None = None,
     ) -> None:
+        self.counts = counts or JobCounts()
         self._runner = runner
         self._fleet = fleet
         self._clock = clock
@@ -124,6 +132,11 @@
         """Return the current time of the monotonic clock, in seconds."""
         return self._clock()
 
+    @property
+    def loop_lag(self) -> LoopLag:
+        """Return how far the entry's event loop is behind."""
+        return self._runner.loop_lag
+
     @property
     def table(self) -> RoutingTable:
         """Return the routing table that this entry uses."""
@@ -147,8 +160,16 @@
         return self._lookup.find(host, path)
 
     def refusal_for_lag(self, route: Route, key: str) -> RoutedOutcome | None:
-        """Return a refusal if this entry's processor is overloaded."""
-        return self._admission.refusal_for_lag(route, key)
+        """Return a refusal if this entry's processor is overloaded.
+
+        A job that is in progress at this entry is not refused.
+        """
+        if self.is_running(route, key):
+            return None
+        refusal = self._admission.refusal_for_lag(route, key)
+        if refusal is not None:
+            self._count(route, refusal)
+        return refusal
 
     def is_running(self, route: Route, key: str) -> bool:
         """Return whether a job is in progress at this entry."""
@@ -181,6 +202,7 @@
             job = apply_remote_factor(job, self._remote_factor)
             refusal = self._admission.refusal(job)
             if refusal is not None:
+                self._count(job.route, refusal)
                 return refusal
             running = self._start(job, received_s, job_key)
         else:
@@ -218,17 +240,29 @@
         queued = len(self._queue)
         version = self.table.version
         decision_log.job_admitted(submission, job.request_id, version, queued)
-        task = asyncio.get_running_loop().create_task(self._run(submission))
+        task = asyncio.get_running_loop().create_task(self._run(submission, job.route))
         running = _RunningJob(submission.job_id, task)
         self._running[job_key] = running
         self._idle.clear()
         task.add_done_callback(lambda _: self._remove(job_key))
         return running
 
-    async def _run(self, submission: Submission) -> RoutedOutcome:
-        return _routed_outcome(
+    async def _run(self, submission: Submission, route: Route) -> RoutedOutcome:
+        outcome = _routed_outcome(
             await self._runner.run_to_outcome(submission), submission
         )
+        self._count(route, outcome, within_goal=self._clock() <= submission.goal_s)
+        return outcome
+
+    def _count(
+        self, route: Route, outcome: RoutedOutcome, *, within_goal: bool = False
+    ) -> None:
+        if outcome.cause is not None:
+            self.counts.record_refused(route.name, route.priority, outcome.cause)
+        elif outcome.state is RoutedJobState.SUCCEEDED:
+            self.counts.record_served(
+                route.name, route.priority, within_goal=within_goal
+            )
 
     def _remove(self, job_key: tuple[str, str]) -> None:
         del self._running[job_key]
@@ -255,5 +289,15 @@
             state=RoutedJobState.REFUSED,
             detail=failure.detail,
             retry_after_s=retry_after_s(wait_s, submission.priority, submission.job_id),
+            cause=_refusal_cause(failure),
         )
     return RoutedOutcome(state=RoutedJobState.UNKNOWN, detail=failure.detail)
+
+
+def _refusal_cause(failure: Failure) -> RefusalCause | None:
+    """Return why an admitted job was refused; ``None`` if its caller withdrew it."""
+    if failure.kind is FailureKind.CANCELLED:
+        return None
+    if failure.kind is FailureKind.OVERLOADED and failure.retry_after_s is not None:
+        return RefusalCause.HOPELESS
+    return RefusalCause.LATEST_START
--- a/src/verbenaplank/observability/entry_metrics.py
+++ b/src/verbenaplank/observability/entry_metrics.py
@@ -10,6 +10,7 @@
 from verbenaplank.entry.application import EntryInstance
 from verbenaplank.entry.traffic import Traffic
 from verbenaplank.observability.metrics import Metrics
+from verbenaplank.overload.job_counts import route_labels
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -46,6 +47,7 @@
         name = f"verbenaplank_entry_crashes_{field.name}"
         read = _counter_reader(instance.engine.crashes.counts, field.name)
         metrics.add_counter(name, f"crash reports counted as {field.name}", read)
+    _register_job_metrics(metrics, instance)
     metrics.add_gauge(
         "verbenaplank_entry_queued_tasks",
         "tasks that wait at the entry",
@@ -63,5 +65,35 @@
     )
 
 
+def _register_job_metrics(metrics: Metrics, instance: EntryInstance) -> None:
+    """Add what becomes of jobs by route, and the use of the backend servers."""
+    metrics.add_labelled_counter(
+        "verbenaplank_entry_jobs_refused",
+        "refused jobs by route, priority and cause",
+        instance.job_counts.refused,
+    )
+    metrics.add_labelled_counter(
+        "verbenaplank_entry_jobs_served",
+        "jobs that succeeded, by route, priority and whether the goal was met",
+        instance.job_counts.served,
+    )
+    metrics.add_labelled_gauge(
+        "verbenaplank_entry_jobs_waiting",
+        "routed jobs with queued tasks, by route and priority",
+        lambda: [
+            (route_labels(key), float(count))
+            for key, count in instance.waiting_jobs().items()
+        ],
+    )
+    metrics.add_labelled_gauge(
+        "verbenaplank_entry_cores",
+        "cores of the backend servers by data centre and state",
+        lambda: [
+            ({"data_centre": data_centre, "state": state}, cores)
+            for (data_centre, state), cores in instance.cores_by_state().items()
+        ],
+    )
+
+
 def _counter_reader(counts: object, name: str) -> Callable[[], float]:
     return lambda: float(getattr(counts, name))
--- a/src/verbenaplank/observability/metrics.py
+++ b/src/verbenaplank/observability/metrics.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 import attrs
@@ -25,6 +27,19 @@
     read: Callable[[], float]
 
 
+LabelledValues = Iterable[tuple[Mapping[str, str], float]]
+"""Values of a metric, each with its labels."""
+
+
+@attrs.frozen
+class LabelledMetric:
+    """A counter or gauge whose values by label are read at each export."""
+
+    name: str
+    description: str
+    read: Callable[[], LabelledValues]
+
+
 class Metrics:
     """The metrics of one program.
 
@@ -37,6 +52,8 @@
         self._data_centre = data_centre
         self._counters: list[ReadMetric] = []
         self._gauges: list[ReadMetric] = []
+        self._labelled_counters: list[LabelledMetric] = []
+        self._labelled_gauges: list[LabelledMetric] = []
         self._histograms: list[Histogram] = []
         self._exporter: MetricsExporter | None = None
 
@@ -59,6 +76,18 @@
         """Add a gauge whose value is read when the metrics are rendered."""
         self._gauges.append(ReadMetric(name, description, read))
 
+    def add_labelled_counter(
+        self, name: str, description: str, read: Callable[[], LabelledValues]
+    ) -> None:
+        """Add a counter whose values by label are read when metrics are rendered."""
+        self._labelled_counters.append(LabelledMetric(name, description, read))
+
+    def add_labelled_gauge(
+        self, name: str, description: str, read: Callable[[], LabelledValues]
+    ) -> None:
+        """Add a gauge whose values by label are read when metrics are rendered."""
+        self._labelled_gauges.append(LabelledMetric(name, description, read))
+
     def add_histogram(
         self, name: str, description: str, bounds: Sequence[float]
     ) -> Callable[[str, float], None]:
@@ -94,6 +123,10 @@
             exporter.add_counter(counter)
         for gauge in self._gauges:
             exporter.add_gauge(gauge)
+        for labelled in self._labelled_counters:
+            exporter.add_labelled_counter(labelled)
+        for labelled in self._labelled_gauges:
+            exporter.add_labelled_gauge(labelled)
         for histogram in self._histograms:
             histogram.export_to(exporter.add_histogram(histogram))
         self._exporter = exporter
--- a/src/verbenaplank/observability/metrics_exporter.py
+++ b/src/verbenaplank/observability/metrics_exporter.py
@@ -17,6 +17,8 @@
     from collections.abc import Callable
 
     from verbenaplank.observability.metrics import Histogram
+    from verbenaplank.observability.metrics import LabelledMetric
+    from verbenaplank.observability.metrics import LabelledValues
     from verbenaplank.observability.metrics import ReadMetric
 
 METER_NAME = "verbenaplank"
@@ -56,6 +58,22 @@
             metric.name, [_observe(metric.read)], description=metric.description
         )
 
+    def add_labelled_counter(self, metric: LabelledMetric) -> None:
+        """Add a counter with labels."""
+        self._meter.create_observable_counter(
+            metric.name,
+            [_observe_labelled(metric.read)],
+            description=metric.description,
+        )
+
+    def add_labelled_gauge(self, metric: LabelledMetric) -> None:
+        """Add a gauge with labels."""
+        self._meter.create_observable_gauge(
+            metric.name,
+            [_observe_labelled(metric.read)],
+            description=metric.description,
+        )
+
     def add_histogram(self, histogram: Histogram) -> Callable[[str, float], None]:
         """Add a histogram and return the function that records its values."""
         instrument = self._meter.create_histogram(
@@ -79,3 +97,13 @@
         return [Observation(read())]
 
     return observe
+
+
+def _observe_labelled(
+    read: Callable[[], LabelledValues],
+) -> Callable[[CallbackOptions], list[Observation]]:
+    def observe(options: CallbackOptions) -> list[Observation]:
+        del options
+        return [Observation(value, labels) for labels, value in read()]
+
+    return observe
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -16,6 +16,7 @@
 from verbenaplank.placement.local_choice import choose_or_hold
 from verbenaplank.placement.rack_counts import JobRackCounts
 from verbenaplank.placement.room import capacity_use
+from verbenaplank.placement.room import cores_by_state
 from verbenaplank.placement.run_time import RunTimeEstimator
 from verbenaplank.placement.sampling import CandidateSampler
 from verbenaplank.placement.service_capacity import ServiceCapacity
@@ -251,6 +252,10 @@
         run_s = self._run_times.expected_s(task)
         return capacity_use(servers, task, run_s, within_s, limit)
 
+    def cores_by_state(self) -> Mapping[tuple[str, str], float]:
+        """Return the cores of all backend servers by data centre and state."""
+        return cores_by_state(self._servers.values())
+
     def avoids_servers(self, task: TaskRequest) -> bool:
         """Return whether a task is kept from backend servers that take others."""
         if task.avoided_members or self._cells[task.service].confined:
--- a/src/verbenaplank/placement/room.py
+++ b/src/verbenaplank/placement/room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -10,6 +11,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from verbenaplank.placement.backend_server import BackendServer
     from verbenaplank.placement.task import TaskRequest
@@ -103,3 +105,25 @@
         size = server.member.worker.cores
         return size, server.reserved_cores, server.other_entries_cores
     return server.slots, len(server.outstanding), server.other_entries_tasks
+
+
+def cores_by_state(
+    servers: Iterable[BackendServer],
+) -> Mapping[tuple[str, str], float]:
+    """Return the cores of backend servers by data centre and state.
+
+    The states are ``own`` and ``others`` (occupied by tasks of this entry and of other
+    entries), ``idle``, and ``unavailable`` (of servers that take no tasks of this entry
+    now).
+    """
+    cores: defaultdict[tuple[str, str], float] = defaultdict(float)
+    for server in servers:
+        data_centre, size = server.member.data_centre, server.member.worker.cores
+        if not server.accepts_tasks:
+            cores[data_centre, "unavailable"] += size
+            continue
+        own, others = server.reserved_cores, server.other_entries_cores
+        cores[data_centre, "own"] += own
+        cores[data_centre, "others"] += others
+        cores[data_centre, "idle"] += max(0.0, size - own - others)
+    return cores
--- a/tests/entry/test_admission_control.py
+++ b/tests/entry/test_admission_control.py
@@ -13,7 +13,7 @@
 from verbenaplank.entry.jobs import task_request
 from verbenaplank.entry.readiness import Readiness
 from verbenaplank.outcome.failure import FailureKind
-from verbenaplank.overload.refusal import RefusalCause
+from verbenaplank.overload.job_counts import JobCounts
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
 from verbenaplank.placement.task import Resources
@@ -27,6 +27,7 @@
     """Creates an admission controller for a fleet of one agent with 8 slots."""
 
     queue: TaskQueue = attrs.field(factory=TaskQueue)
+    counts: JobCounts = attrs.field(factory=JobCounts)
     fleet: Fleet = attrs.field(
         factory=lambda: Fleet(least_expected_completion, random.Random(1), "Kochi")
     )
@@ -36,7 +37,9 @@
     ) -> AdmissionController:
         self.fleet.add_or_update(agent_member("a"), 0.0)
         self.fleet.mark_connected("a", "1", 8, 0.0)
-        admission = AdmissionController(self.fleet, self.queue, max_queued_tasks)
+        admission = AdmissionController(
+            self.fleet, self.queue, max_queued_tasks, self.counts
+        )
         team = TeamRules(name=TEAM, **rules)  # type: ignore[arg-type]
         admission.configure({TEAM: team}, entries=2)
         return admission
@@ -143,8 +146,8 @@
     assert refused is not None
     assert refused.kind is FailureKind.OVERLOADED
     assert "expected to start" in refused.detail
-    key = (soon.service, soon.urgent, RefusalCause.NO_CAPACITY)
-    assert admission.refusals[key] == 1
+    labels = {"route": soon.service, "priority": "1", "cause": "no_capacity"}
+    assert list(setup.counts.refused()) == [(labels, 1)]
 
 
 def test_refused_callers_return_at_different_times_urgent_ones_first() -> None:
