--- a/tests/entry/rack_world.py
+++ b/tests/entry/rack_world.py
@@ -228,7 +228,7 @@
 
     def evacuate(self, data_centre: str) -> None:
         for entry, engine in enumerate(self.engines):
-            engine._fleet.set_evacuated(frozenset((data_centre,)))
+            engine._fleet.set_evacuated(frozenset((data_centre,)), self.now_s)
             engine.on_placement_changed()
             self.flush(entry)
 
