Do not hold tasks for a faster server outside their rack

Cause: where a route weighs waits, each task was held for a faster server that was about to be free, if no free one met its goal. With speeds of 0.8, 1.0 and 1.25 the error of the expected wait exceeds the gain.

Change: only tasks with a preferred rack, and the last task of a wide job, are held.

--- a/src/verbenaplank/placement/locality.py
+++ b/src/verbenaplank/placement/locality.py
@@ -91,8 +91,15 @@
 
 
 def weighs_waiting(task: TaskRequest) -> bool:
-    """Return whether a task is held when waiting is expected to end earlier."""
-    return task.remote_factor > 1.0 or bool(task.preferred_rack)
+    """Return whether a task is held when waiting is expected to end earlier.
+
+    A task without a preferred rack takes a free server at once, unless the rest of a
+    wide job waits for it: how much faster another server is counts for less than the
+    error in the expected wait for it.
+    """
+    if task.preferred_rack:
+        return True
+    return task.remote_factor > 1.0 and task.ends_wide_job
 
 
 def decide(
