--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -268,12 +268,15 @@
         return reply
 
     async def _wait_for_end(self, run: ActiveRun, timeout_s: float) -> EndKind:
+        """Return how a run ended; it is stopped if it exceeds ``timeout_s``."""
+        timer = asyncio.get_running_loop().call_later(timeout_s, self._stop_soon, run)
         try:
-            async with asyncio.timeout(timeout_s):
-                return await asyncio.shield(run.end)
-        except TimeoutError:
-            await self._stop_and_wait(run)
-            return run.end.result()
+            return await run.end
+        finally:
+            timer.cancel()
+
+    def _stop_soon(self, run: ActiveRun) -> None:
+        self._spawn(self._stop_and_wait(run))
 
     async def _stop_and_wait(self, run: ActiveRun) -> None:
         """Stop a run and wait until it has ended.
