--- a/src/verbenaplank/agent/lease_protocol.py
+++ b/src/verbenaplank/agent/lease_protocol.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import NamedTuple
 from typing import Protocol
 
 import attrs
@@ -53,9 +54,12 @@
     OTHER = "other"
 
 
-@attrs.frozen(kw_only=True)
-class RunId:
-    """Identifies one run of a task on the backend server."""
+class RunId(NamedTuple):
+    """Identifies one run of a task on the backend server.
+
+    It and the rows of a :class:`PollReply` are tuples, because each reply to a poll
+    lists all active runs.
+    """
 
     task: str
     number: int
@@ -96,8 +100,7 @@
     clock_ms: int | None = None
 
 
-@attrs.frozen(kw_only=True)
-class RunEnd:
+class RunEnd(NamedTuple):
     """The end of a run.
 
     Attributes
@@ -111,8 +114,7 @@
     kind: EndKind
 
 
-@attrs.frozen(kw_only=True)
-class RunProgress:
+class RunProgress(NamedTuple):
     """An active run and the share of its work that is done, in percent."""
 
     run: RunId
