--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -109,7 +109,8 @@
             and _is_same_incarnation(latest, report)
         ):
             self._agent.set_draining(on=True)
-        self._state_changed.set()
+        if latest is None or attrs.evolve(latest, sequence=report.sequence) != report:
+            self._state_changed.set()
 
     def on_shutdown(self, server_id: str) -> None:
         """Stop serving a backend server that has announced its shutdown."""
