Split the leased backend by concern

The runs and their ends (active_runs.py, without I/O), start requests (start_sender.py), the take-over (take_over.py) and the timeouts of calls (call_timeouts.py) are now modules of their own; behaviour is unchanged. A test imports CALL_TIMEOUTS_S from its new module. tests/agent passes (119 tests).

--- /dev/null
+++ b/src/verbenaplank/agent/active_runs.py
@@ -0,0 +1,102 @@
+"""The runs on a leased backend server whose end is not known yet, without I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from verbenaplank.agent.active_run import infer_end
+from verbenaplank.agent.active_run import record_end
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from verbenaplank.agent.active_run import ActiveRun
+    from verbenaplank.agent.lease_protocol import EndKind
+    from verbenaplank.agent.lease_protocol import PollReply
+    from verbenaplank.agent.lease_protocol import RunId
+
+
+class ActiveRuns:
+    """Finds runs by their id and by task, and records their ends.
+
+    Attributes
+    ----------
+    acknowledged_sequence
+        Highest sequence number of the ends that were listed.
+    has_unacknowledged_ends
+        Whether ends were listed since the last request that acknowledges them.
+    """
+
+    def __init__(self) -> None:
+        self.acknowledged_sequence = 0
+        self.has_unacknowledged_ends = False
+        self._runs: dict[RunId, ActiveRun] = {}
+        self._runs_by_task_id: dict[str, ActiveRun] = {}
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def __iter__(self) -> Iterator[ActiveRun]:
+        return iter(self._runs.values())
+
+    def __contains__(self, run_id: RunId) -> bool:
+        return run_id in self._runs
+
+    def add(self, task_id: str, run: ActiveRun) -> None:
+        """Add a run that is about to start."""
+        self._runs[run.run_id] = self._runs_by_task_id[task_id] = run
+
+    def remove(self, task_id: str, run: ActiveRun) -> None:
+        """Remove a run that has ended or has not started."""
+        self._runs.pop(run.run_id, None)
+        self._runs_by_task_id.pop(task_id, None)
+
+    def find(self, task_id: str) -> ActiveRun | None:
+        """Return the run of a task, or ``None`` if it has none."""
+        return self._runs_by_task_id.get(task_id)
+
+    @property
+    def any_stopping(self) -> bool:
+        """Whether the agent is stopping a run."""
+        return any(run.stop_requested for run in self._runs.values())
+
+    def record_ends(self, reply: PollReply) -> None:
+        """Record the ends that a reply lists."""
+        for ended in reply.ended:
+            self.acknowledged_sequence = max(self.acknowledged_sequence, ended.sequence)
+            self.has_unacknowledged_ends = True
+            run = self._runs.get(ended.run)
+            if run is not None:
+                record_end(run, ended.kind)
+
+    def record_unlisted(self, reply: PollReply, poll_number: int) -> None:
+        """Infer the ends of runs that a reply should list as active, but does not.
+
+        Parameters
+        ----------
+        poll_number
+            Number of the poll that was answered.
+        """
+        listed = {progress.run for progress in reply.active}
+        for run_id, run in list(self._runs.items()):
+            visible_after = run.visible_after_poll
+            if visible_after is None or poll_number <= visible_after:
+                continue
+            if run_id not in listed:
+                record_end(run, infer_end(run))
+
+    def update_progress(self, reply: PollReply, now_s: float) -> list[ActiveRun]:
+        """Record the progress of the active runs, and return those that stall."""
+        stalled = []
+        for progress in reply.active:
+            run = self._runs.get(progress.run)
+            if run is None or run.visible_after_poll is None or run.stop_requested:
+                continue
+            if run.update_progress(progress.percent, now_s):
+                stalled.append(run)
+        return stalled
+
+    def end_all(self, kind: EndKind) -> None:
+        """Record the same end for all runs."""
+        for run in list(self._runs.values()):
+            record_end(run, kind)
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -17,13 +17,14 @@
 
 from verbenaplank.agent import decision_log
 from verbenaplank.agent.active_run import ActiveRun
-from verbenaplank.agent.active_run import infer_end
-from verbenaplank.agent.active_run import record_end
 from verbenaplank.agent.active_run import report_for_end
 from verbenaplank.agent.active_run import report_for_run
+from verbenaplank.agent.active_runs import ActiveRuns
 from verbenaplank.agent.backend import BackendServerDownError
 from verbenaplank.agent.backend import RunReport
 from verbenaplank.agent.backend_lease import BackendLease
+from verbenaplank.agent.call_timeouts import RETRY_S
+from verbenaplank.agent.call_timeouts import call_timeout_s
 from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import EndKind
@@ -31,10 +32,11 @@
 from verbenaplank.agent.lease_protocol import PollRequest
 from verbenaplank.agent.lease_protocol import RunId
 from verbenaplank.agent.lease_protocol import StartReply
-from verbenaplank.agent.lease_protocol import StartRequest
 from verbenaplank.agent.lease_protocol import StartStatus
 from verbenaplank.agent.named_task import decode_task
 from verbenaplank.agent.run_numbers import RunNumbers
+from verbenaplank.agent.start_sender import StartSender
+from verbenaplank.agent.take_over import take_over
 from verbenaplank.protocol.work import TaskOutcome
 
 if TYPE_CHECKING:
@@ -53,15 +55,6 @@
 """How long the backend server may delay the reply to a poll while no run ends.  One
 poll without a reply then still leaves more than half of the shortest lease."""
 
-CALL_TIMEOUTS_S = (0.06, 0.12, 0.2)
-"""Timeouts of a call and of its repetitions; the last one applies to all further ones.
-
-The backend server runs on the same machine and replies within milliseconds, so a call
-that takes longer is probably lost.
-"""
-
-TAKE_OVER_TIMEOUT_S = 0.2
-RETRY_S = 0.05
 MAX_OUTDATED_STARTS = 4
 OUTDATED_STEP = 16
 """Added to a run number that was refused as outdated, to get the next one to try."""
@@ -109,13 +102,13 @@
         self._lease = BackendLease(lease_s, clock)
         self._on_lost = on_lost
         self._run_numbers = RunNumbers()
-        self._acknowledged_sequence = 0
-        self._has_unacknowledged_ends = False
-        self._runs: dict[RunId, ActiveRun] = {}
-        self._runs_by_task_id: dict[str, ActiveRun] = {}
+        self._runs = ActiveRuns()
         self._unknown_runs: set[RunId] = set()
         self._polls_sent = 0
         self._wake = asyncio.Event()
+        self._starts = StartSender(
+            client, self._lease, self._wake.set, self._handle_lost
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Self:
@@ -129,7 +122,7 @@
         BackendRestartedError
             If the backend server has restarted.
         """
-        await self._take_over()
+        await take_over(self._client, self._lease, self._runs, self._clock)
         self._spawn(self._poll_forever())
         return self
 
@@ -184,10 +177,11 @@
             run_id = RunId(task=task.name, number=number)
             end: asyncio.Future[EndKind] = asyncio.get_running_loop().create_future()
             run = ActiveRun(run_id, end, task.workload)
-            self._runs[run_id] = self._runs_by_task_id[task_id] = run
+            self._runs.add(task_id, run)
             try:
-                reply = await self._start(run, task.content)
+                reply = await self._starts.send(run, task.content)
                 if reply.status is StartStatus.STARTED:
+                    self._on_started(run)
                     return report_for_run(run, await self._wait_for_end(run, timeout_s))
             except NotSentError as error:
                 return RunReport(TaskOutcome.NOT_STARTED, error=str(error))
@@ -195,8 +189,7 @@
                 await self._stop_and_wait(run)
                 return report_for_end(run.end.result(), START_UNANSWERED)
             finally:
-                self._runs.pop(run_id, None)
-                self._runs_by_task_id.pop(task_id, None)
+                self._runs.remove(task_id, run)
             if reply.status is not StartStatus.OUTDATED:
                 break
             attempt = number + OUTDATED_STEP
@@ -204,68 +197,15 @@
 
     async def stop(self, task_id: str) -> None:
         """Stop a run and wait for its end, which :meth:`run` reports."""
-        run = self._runs_by_task_id.get(task_id)
+        run = self._runs.find(task_id)
         if run is not None:
             await self._stop_and_wait(run)
 
-    async def _start(self, run: ActiveRun, content: str) -> StartReply:
-        """Send a start request, and repeat it while it is unanswered.
-
-        All requests carry the same run number, so at most one of them starts a run.
-
-        Raises
-        ------
-        NotSentError
-            If no request was sent, so that the run has not started.
-        CallFailedError
-            If no usable reply came, so that the run may have started or may start
-            later.
-        """
-        for repetition, timeout_s in enumerate(CALL_TIMEOUTS_S):
-            try:
-                reply = await self._send_start(run, content, timeout_s)
-            except NotSentError:
-                if repetition == 0:
-                    raise
-                break
-            except CallFailedError as error:
-                decision_log.log_start_unanswered(run.run_id, str(error))
-                if self._lease.is_down or run.end.done():
-                    raise
-            else:
-                if repetition == 0 or reply.status is StartStatus.STARTED:
-                    return reply
-                break
-        raise CallFailedError("a start request got no reply")
-
-    async def _send_start(
-        self, run: ActiveRun, content: str, timeout_s: float
-    ) -> StartReply:
-        """Send one start request, which also extends the lease."""
-        extended_s = self._lease.extended_s
-        request = StartRequest(
-            run=run.run_id,
-            content=content,
-            deadline_ms=self._lease.extend(),
-            fence=self._lease.fence,
-        )
-        try:
-            reply = await self._client.start(request, timeout_s)
-        except NotSentError:
-            self._lease.record_not_sent(extended_s)
-            self._wake.set()
-            raise
-        except BackendRestartedError:
-            self._handle_lost()
-            raise CallFailedError("the backend server restarted") from None
-        if reply.clock_ms is not None:
-            self._lease.update_clock(reply.clock_ms)
-        if reply.status is StartStatus.STARTED:
-            run.visible_after_poll = self._polls_sent
-            run.started_s = run.progressed_s = self._clock()
-            run.start_acknowledged = True
-            self._wake.set()
-        return reply
+    def _on_started(self, run: ActiveRun) -> None:
+        run.visible_after_poll = self._polls_sent
+        run.started_s = run.progressed_s = self._clock()
+        run.start_acknowledged = True
+        self._wake.set()
 
     async def _wait_for_end(self, run: ActiveRun, timeout_s: float) -> EndKind:
         """Return how a run ended; it is stopped if it exceeds ``timeout_s``."""
@@ -307,38 +247,11 @@
                 self._wake.set()
                 await asyncio.wait([run.end])
 
-    async def _take_over(self) -> None:
-        """Fence off earlier agents and stop their runs.
-
-        The fencing token is the backend server's clock, so it is above the token of
-        every earlier agent.
-        """
-        first = PollRequest(fence=0, deadline_ms=None, acknowledged=0)
-        reply = await self._client.poll(first, TAKE_OVER_TIMEOUT_S)
-        self._lease.update_clock(reply.clock_ms)
-        self._lease.fence = reply.clock_ms
-        give_up_s = self._clock() + 2 * self._lease.longest_expiry_s
-        while self._clock() < give_up_s:
-            request = PollRequest(
-                fence=self._lease.fence,
-                deadline_ms=None,
-                acknowledged=self._acknowledged_sequence,
-            )
-            reply = await self._client.poll(request, TAKE_OVER_TIMEOUT_S)
-            self._record_ends(reply)
-            if not reply.active:
-                self._lease.record_poll_reply(reply.clock_ms)
-                return
-            for progress in reply.active:
-                await self._client.stop(
-                    progress.run, self._lease.fence, TAKE_OVER_TIMEOUT_S
-                )
-            await asyncio.sleep(RETRY_S)
-        raise CallFailedError("runs of an earlier agent do not end")
-
     async def _poll_forever(self) -> None:
         while True:
-            if not (self._runs or self._has_unacknowledged_ends or self._lease.is_down):
+            if not (
+                self._runs or self._runs.has_unacknowledged_ends or self._lease.is_down
+            ):
                 self._wake.clear()
                 await self._wake.wait()
             if self._lease.is_down:
@@ -356,16 +269,14 @@
     async def _poll_once(self) -> None:
         self._polls_sent += 1
         poll_number = self._polls_sent
-        self._has_unacknowledged_ends = False
+        self._runs.has_unacknowledged_ends = False
         extended_s = self._lease.extended_s
         is_responsive = self._lease.is_responsive
-        may_wait = is_responsive and not any(
-            run.stop_requested for run in self._runs.values()
-        )
+        may_wait = is_responsive and not self._runs.any_stopping
         request = PollRequest(
             fence=self._lease.fence,
             deadline_ms=self._lease.extend() if is_responsive and self._runs else None,
-            acknowledged=self._acknowledged_sequence,
+            acknowledged=self._runs.acknowledged_sequence,
             wait_ms=POLL_WAIT_MS if may_wait and self._runs else 0,
         )
         timeout_s = call_timeout_s(self._lease.failed_polls) + request.wait_ms / 1_000
@@ -384,23 +295,14 @@
         if self._crash_watch is not None:
             self._crash_watch.on_answer()
         self._process_reply(reply, poll_number)
-        if any(run.stop_requested for run in self._runs.values()):
+        if self._runs.any_stopping:
             await asyncio.sleep(RETRY_S / 5)
 
     def _process_reply(self, reply: PollReply, poll_number: int) -> None:
-        self._record_ends(reply)
-        active = {progress.run for progress in reply.active}
+        self._runs.record_ends(reply)
         self._stop_unknown_runs(reply)
         self._stop_stalled_runs(reply)
-        for run_id, run in list(self._runs.items()):
-            visible_after = run.visible_after_poll
-            if (
-                visible_after is None
-                or poll_number <= visible_after
-                or run_id in active
-            ):
-                continue
-            record_end(run, infer_end(run))
+        self._runs.record_unlisted(reply, poll_number)
 
     def _stop_unknown_runs(self, reply: PollReply) -> None:
         """Stop active runs that this agent has not started or has reported as ended.
@@ -427,28 +329,13 @@
             self._unknown_runs.discard(run_id)
 
     def _stop_stalled_runs(self, reply: PollReply) -> None:
-        now_s = self._clock()
-        for progress in reply.active:
-            run = self._runs.get(progress.run)
-            if run is None or run.visible_after_poll is None or run.stop_requested:
-                continue
-            if run.update_progress(progress.percent, now_s):
-                logger.warning(
-                    "run stalled",
-                    extra={"task": run.run_id.task, "percent": run.percent},
-                )
-                run.stalled = True
-                self._spawn(self._stop_and_wait(run))
-
-    def _record_ends(self, reply: PollReply) -> None:
-        for ended in reply.ended:
-            self._acknowledged_sequence = max(
-                self._acknowledged_sequence, ended.sequence
+        for run in self._runs.update_progress(reply, self._clock()):
+            logger.warning(
+                "run stalled",
+                extra={"task": run.run_id.task, "percent": run.percent},
             )
-            self._has_unacknowledged_ends = True
-            run = self._runs.get(ended.run)
-            if run is not None:
-                record_end(run, ended.kind)
+            run.stalled = True
+            self._spawn(self._stop_and_wait(run))
 
     def _on_poll_failed(self, error: CallFailedError) -> None:
         """Record a failed poll, and end all runs once their lease has expired.
@@ -458,14 +345,13 @@
         self._lease.record_poll_failure()
         if self._crash_watch is not None:
             refused = isinstance(error, NotSentError)
-            self._crash_watch.on_silent(self._runs.values(), refused=refused)
+            self._crash_watch.on_silent(self._runs, refused=refused)
         if self._lease.failed_polls == 1:
             silent_s = self._lease.silent_s
             decision_log.log_poll_failed(str(error), silent_s, len(self._runs))
         if not self._lease.has_expired:
             return
-        for run in list(self._runs.values()):
-            record_end(run, EndKind.LEASE_EXPIRED)
+        self._runs.end_all(EndKind.LEASE_EXPIRED)
 
     def record_replaced(self, *, planned: bool) -> None:
         """Report a crash if runs were lost when another incarnation took over.
@@ -476,23 +362,17 @@
             Whether the incarnation had announced its end.
         """
         if self._crash_watch is not None and not self._taken_over:
-            self._crash_watch.on_replaced(self._runs.values(), planned=planned)
+            self._crash_watch.on_replaced(self._runs, planned=planned)
 
     def _handle_lost(self) -> None:
         """End all runs, because the backend server has restarted or is taken over."""
         self._lease.is_down = True
         if self._crash_watch is not None:
-            self._crash_watch.on_silent(self._runs.values(), refused=False)
-        for run in list(self._runs.values()):
-            record_end(run, EndKind.LEASE_EXPIRED)
+            self._crash_watch.on_silent(self._runs, refused=False)
+        self._runs.end_all(EndKind.LEASE_EXPIRED)
         self._on_lost()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def call_timeout_s(repetition: int) -> float:
-    """Return the timeout of a call that was repeated so many times, in seconds."""
-    return CALL_TIMEOUTS_S[min(repetition, len(CALL_TIMEOUTS_S) - 1)]
--- /dev/null
+++ b/src/verbenaplank/agent/start_sender.py
@@ -0,0 +1,99 @@
+"""Sends start requests to a leased backend server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from verbenaplank.agent import decision_log
+from verbenaplank.agent.call_timeouts import CALL_TIMEOUTS_S
+from verbenaplank.agent.lease_protocol import BackendRestartedError
+from verbenaplank.agent.lease_protocol import CallFailedError
+from verbenaplank.agent.lease_protocol import NotSentError
+from verbenaplank.agent.lease_protocol import StartReply
+from verbenaplank.agent.lease_protocol import StartRequest
+from verbenaplank.agent.lease_protocol import StartStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenaplank.agent.active_run import ActiveRun
+    from verbenaplank.agent.backend_lease import BackendLease
+    from verbenaplank.agent.lease_protocol import LeasedBackendClient
+
+
+class StartSender:
+    """Sends start requests, which also extend the lease.
+
+    Parameters
+    ----------
+    on_not_sent
+        Called when a request could not be sent.
+    on_lost
+        Called when the backend server has restarted.
+    """
+
+    def __init__(
+        self,
+        client: LeasedBackendClient,
+        lease: BackendLease,
+        on_not_sent: Callable[[], None],
+        on_lost: Callable[[], None],
+    ) -> None:
+        self._client = client
+        self._lease = lease
+        self._on_not_sent = on_not_sent
+        self._on_lost = on_lost
+
+    async def send(self, run: ActiveRun, content: str) -> StartReply:
+        """Send a start request, and repeat it while it is unanswered.
+
+        All requests carry the same run number, so at most one of them starts a run.
+
+        Raises
+        ------
+        NotSentError
+            If no request was sent, so that the run has not started.
+        CallFailedError
+            If no usable reply came, so that the run may have started or may start
+            later.
+        """
+        for repetition, timeout_s in enumerate(CALL_TIMEOUTS_S):
+            try:
+                reply = await self._send_once(run, content, timeout_s)
+            except NotSentError:
+                if repetition == 0:
+                    raise
+                break
+            except CallFailedError as error:
+                decision_log.log_start_unanswered(run.run_id, str(error))
+                if self._lease.is_down or run.end.done():
+                    raise
+            else:
+                if repetition == 0 or reply.status is StartStatus.STARTED:
+                    return reply
+                break
+        raise CallFailedError("a start request got no reply")
+
+    async def _send_once(
+        self, run: ActiveRun, content: str, timeout_s: float
+    ) -> StartReply:
+        """Send one start request, which also extends the lease."""
+        extended_s = self._lease.extended_s
+        request = StartRequest(
+            run=run.run_id,
+            content=content,
+            deadline_ms=self._lease.extend(),
+            fence=self._lease.fence,
+        )
+        try:
+            reply = await self._client.start(request, timeout_s)
+        except NotSentError:
+            self._lease.record_not_sent(extended_s)
+            self._on_not_sent()
+            raise
+        except BackendRestartedError:
+            self._on_lost()
+            raise CallFailedError("the backend server restarted") from None
+        if reply.clock_ms is not None:
+            self._lease.update_clock(reply.clock_ms)
+        return reply
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -12,11 +12,11 @@
 from verbenaplank.agent.active_run import STALL_TIMEOUT_S
 from verbenaplank.agent.backend import BackendServerDownError
 from verbenaplank.agent.backend_lease import EXPIRY_MARGIN_S
+from verbenaplank.agent.call_timeouts import CALL_TIMEOUTS_S
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import EndKind
 from verbenaplank.agent.lease_protocol import RunId
 from verbenaplank.agent.lease_protocol import StartStatus
-from verbenaplank.agent.leased_backend import CALL_TIMEOUTS_S
 from verbenaplank.agent.leased_backend import POLL_WAIT_MS
 from verbenaplank.agent.leased_backend import LeasedBackend
 from verbenaplank.agent.named_task import NamedTask
