Give all measured entries the same jobs at the same times

The machine is shared, and what else ran on it changed the processor time per job of the same code by up to 15% from turn to turn. All trees now run each turn together. The kept connections are closed after each turn, since an entry closes connections that stay idle, which failed a run of 3 trees.

--- a/benchmarks/entry_time.py
+++ b/benchmarks/entry_time.py
@@ -3,7 +3,8 @@
 It is run as ``python -m benchmarks.entry_time --tree OLD --tree NEW``.  Each tree is a
 checkout whose platform entry program runs as a process of its own, unchanged.  A
 control instance and simulated agents run in this process, which also sends jobs over
-HTTP.  The trees take turns, so that what else runs on the machine affects both.
+HTTP.  All trees get the same jobs at the same times, so that what else runs on the
+machine affects all of them.
 """
 
 from __future__ import annotations
@@ -73,7 +74,7 @@
 
 @attrs.define
 class Round:
-    """Answers and processor time of one tree in one of its turns."""
+    """Answers and processor time of one tree in one turn."""
 
     jobs: int = 0
     succeeded: int = 0
@@ -200,12 +201,18 @@
         await wait_for_status(readiness, request_bytes("GET", "/v1/ready", host))
         yield entry
     finally:
-        for _, writer in entry.connections:
-            writer.close()
+        close_connections(entry)
         process.terminate()
         await asyncio.to_thread(process.wait)
 
 
+def close_connections(entry: EntryProcess) -> None:
+    """Close the kept connections, which the entry closes if they stay idle."""
+    for _, writer in entry.connections:
+        writer.close()
+    entry.connections.clear()
+
+
 async def run_job(entry: EntryProcess, kind: JobKind, turn: Round) -> None:
     """Send a job on a kept connection and record its answer."""
     step = {
@@ -248,6 +255,7 @@
             kind = schedule.choices(JOB_KINDS, weights)[0]
             group.create_task(run_job(entry, kind, turn))
             due_s += schedule.expovariate(jobs_per_s)
+    close_connections(entry)
     turn.processor_s = processor_time_s(entry.process.pid) - before_s
     return turn
 
@@ -268,7 +276,7 @@
     length_s: float,
     profile: Path | None,
 ) -> list[EntryProcess]:
-    """Run the trees' entries side by side, and let them take turns."""
+    """Run the trees' entries side by side and return them with their turns."""
     async with AsyncExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         node = decode_node_settings(settings_document(CONTROL_HOST, folder))
@@ -291,8 +299,10 @@
         for entry in entries:
             entry.idle_share = await measure_idle(entry, length_s)
         for number in range(turns):
-            for entry in entries:
-                turn = await run_turn(entry, number, jobs_per_s, length_s)
+            rounds = await asyncio.gather(
+                *(run_turn(entry, number, jobs_per_s, length_s) for entry in entries)
+            )
+            for entry, turn in zip(entries, rounds, strict=True):
                 entry.rounds.append(turn)
     return entries
 
