Serve callers, readiness checks and metrics without ASGI

For each job, uvicorn and the ASGI adapter ran three asyncio tasks and wrote the answer in two pieces. A connection on httptools and asyncio calls the handler in one task, cancels it when the client disconnects, and writes once. Keep-alive, pipelining, limit of the body, 100-continue, answers to malformed requests and the graceful stop are as before, with a test each.

--- a/src/verbenaplank/http/asgi.py
+++ b/src/verbenaplank/http/asgi.py
@@ -67,18 +67,27 @@
         request = Request(
             method=scope["method"], path=scope["path"], headers=headers, body=body
         )
-        answer = await _call_handler(handler, request, receive)
+        answer = await _answer_or_disconnect(handler, request, receive)
         if answer is not None:
             await _send(send, answer)
 
     return serve
 
 
-async def _call_handler(
+async def call_handler(handler: Handler, request: Request) -> Response:
+    """Return the handler's response, or one with status 502 if it raises."""
+    try:
+        return await handler(request)
+    except Exception:
+        logger.exception("request handler failed", extra={"path": request.path})
+        return Response(status=HTTPStatus.BAD_GATEWAY)
+
+
+async def _answer_or_disconnect(
     handler: Handler, request: Request, receive: Any
 ) -> Response | None:
     """Return the handler's response, or ``None`` if the client disconnected."""
-    handling = asyncio.ensure_future(handler(request))
+    handling = asyncio.ensure_future(call_handler(handler, request))
     disconnection = asyncio.ensure_future(_wait_for_disconnect(receive))
     try:
         await asyncio.wait(
@@ -87,9 +96,6 @@
         if not handling.done():
             return None
         return handling.result()
-    except Exception:
-        logger.exception("request handler failed", extra={"path": request.path})
-        return Response(status=HTTPStatus.BAD_GATEWAY)
     finally:
         handling.cancel()
         disconnection.cancel()
--- /dev/null
+++ b/src/verbenaplank/http/connection.py
@@ -0,0 +1,282 @@
+"""HTTP/1.1 connection whose requests a handler answers, one after the other.
+
+It serves a handler without ASGI, whose tasks and messages for each request cost more
+processor time than many handlers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import logging
+import time
+import urllib.parse
+from collections import deque
+from collections.abc import Callable
+from email.utils import formatdate
+from http import HTTPStatus
+
+import attrs
+import httptools
+
+from verbenaplank.http.asgi import Handler
+from verbenaplank.http.asgi import Request
+from verbenaplank.http.asgi import Response
+from verbenaplank.http.asgi import call_handler
+
+MAX_UNANSWERED = 8
+"""Unanswered requests of a connection beyond which nothing more is read.
+
+While nothing is read, a client that disconnects is not noticed.
+"""
+
+TEXT = {"content-type": "text/plain; charset=utf-8", "connection": "close"}
+MALFORMED = Response(
+    status=HTTPStatus.BAD_REQUEST, body=b"Invalid HTTP request received.", headers=TEXT
+)
+STOPPED = Response(
+    status=HTTPStatus.INTERNAL_SERVER_ERROR, body=b"Internal Server Error", headers=TEXT
+)
+TOO_LARGE = Response(status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+STATUS_LINES = {
+    int(status): f"HTTP/1.1 {int(status)} {status.phrase}\r\n" for status in HTTPStatus
+}
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class ConnectionSettings:
+    """What the connections of one server have in common.
+
+    Attributes
+    ----------
+    max_body_bytes
+        Returns the size of the largest permitted body, in bytes; a request with a
+        larger one gets status 413.
+    keep_alive_s
+        How long a connection without requests stays open, in seconds.
+    on_close
+        Called when a connection is closed.
+    """
+
+    handler: Handler
+    max_body_bytes: Callable[[], int]
+    keep_alive_s: float
+    on_close: Callable[[HttpConnection], None]
+
+
+@attrs.define(eq=False)
+class _Incoming:
+    """A request that is being received or waits for its answer."""
+
+    method: str = ""
+    path: str = ""
+    url: bytes = b""
+    headers: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+    keep_alive: bool = True
+    is_complete: bool = False
+    is_too_large: bool = False
+
+    def needs_continue(self) -> bool:
+        """Return whether the client waits for permission to send the body."""
+        return self.headers.get("expect", "").lower() == "100-continue"
+
+
+class HttpConnection(asyncio.Protocol):
+    """One connection of a client.
+
+    A handler is cancelled when its client disconnects.  Pipelined requests wait until
+    the earlier ones are answered.
+    """
+
+    def __init__(self, settings: ConnectionSettings) -> None:
+        self._settings = settings
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport
+        self._incoming = _Incoming()
+        self._unanswered: deque[_Incoming] = deque()
+        self._handling: asyncio.Task[None] | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._write_paused = False
+        self._stopping = False
+
+    def stop(self) -> None:
+        """Close the connection after the answers to the requests received so far."""
+        self._stopping = True
+        if not self._unanswered:
+            self._transport.close()
+
+    def cancel(self) -> None:
+        """Cancel the handler of the request in progress."""
+        if self._handling is not None:
+            self._handling.cancel()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Handle a connection that was accepted."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Handle a connection that was closed by either side."""
+        self._stop_idle_timer()
+        self.cancel()
+        self._settings.on_close(self)
+
+    def pause_writing(self) -> None:
+        """Read nothing more until the client has received earlier answers."""
+        self._write_paused = True
+        self._update_reading()
+
+    def resume_writing(self) -> None:
+        """Read again after the client has received earlier answers."""
+        self._write_paused = False
+        self._update_reading()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received data, which calls the methods ``on_...``."""
+        self._stop_idle_timer()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            logger.warning("Unsupported upgrade request.")
+        except httptools.HttpParserError:
+            logger.warning("Invalid HTTP request received.")
+            self._write(MALFORMED, keep_alive=False, has_body=True)
+            self._transport.close()
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._incoming = _Incoming()
+
+    def on_url(self, url: bytes) -> None:
+        """Add a part of the request's target."""
+        self._incoming.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header field."""
+        text = value.rstrip(b" \t").decode("latin-1")
+        self._incoming.headers[name.decode("latin-1").lower()] = text
+
+    def on_headers_complete(self) -> None:
+        """Queue the request behind those that are not answered yet."""
+        incoming, parser = self._incoming, self._parser
+        path = httptools.parse_url(incoming.url).path.decode("ascii")
+        incoming.path = urllib.parse.unquote(path) if "%" in path else path
+        incoming.method = parser.get_method().decode("ascii")
+        is_current = parser.get_http_version() != "1.0"
+        incoming.keep_alive = is_current and parser.should_keep_alive()
+        self._unanswered.append(incoming)
+        self._update_reading()
+        if len(self._unanswered) == 1:
+            self._begin(incoming)
+
+    def on_body(self, body: bytes) -> None:
+        """Add a part of the body, unless the body is too large."""
+        incoming = self._incoming
+        if incoming.is_too_large:
+            return
+        incoming.body += body
+        if len(incoming.body) > self._settings.max_body_bytes():
+            incoming.is_too_large = True
+            incoming.body = b""
+            self._continue(incoming)
+
+    def on_message_complete(self) -> None:
+        """Handle the request if it is the next one to answer."""
+        self._incoming.is_complete = True
+        if not self._incoming.is_too_large:
+            self._continue(self._incoming)
+
+    def _begin(self, incoming: _Incoming) -> None:
+        if incoming.needs_continue():
+            self._transport.write(CONTINUE)
+        if incoming.is_complete or incoming.is_too_large:
+            self._continue(incoming)
+
+    def _continue(self, incoming: _Incoming) -> None:
+        """Answer a request that was received or refused, once it is the next one."""
+        if self._unanswered[0] is not incoming or self._transport.is_closing():
+            return
+        if incoming.is_too_large:
+            self._answer(incoming, TOO_LARGE)
+            return
+        handling = asyncio.get_running_loop().create_task(self._handle(incoming))
+        self._handling = handling
+
+    async def _handle(self, incoming: _Incoming) -> None:
+        request = Request(
+            method=incoming.method,
+            path=incoming.path,
+            headers=incoming.headers,
+            body=incoming.body,
+        )
+        try:
+            response = await call_handler(self._settings.handler, request)
+        except asyncio.CancelledError:
+            if not self._transport.is_closing():
+                incoming.keep_alive = False
+                self._answer(incoming, STOPPED)
+            raise
+        self._answer(incoming, response)
+
+    def _answer(self, incoming: _Incoming, response: Response) -> None:
+        self._handling = None
+        if self._transport.is_closing():
+            return
+        is_last = self._stopping and len(self._unanswered) == 1
+        closes = is_last or _asks_to_close(response)
+        keep_alive = incoming.keep_alive and not closes
+        has_body = incoming.method != "HEAD"
+        self._write(response, keep_alive=keep_alive, has_body=has_body)
+        self._unanswered.popleft()
+        if not keep_alive:
+            self._transport.close()
+            return
+        self._update_reading()
+        if self._unanswered:
+            self._begin(self._unanswered[0])
+        else:
+            loop, delay_s = asyncio.get_running_loop(), self._settings.keep_alive_s
+            self._idle_timer = loop.call_later(delay_s, self._transport.close)
+
+    def _write(self, response: Response, *, keep_alive: bool, has_body: bool) -> None:
+        """Write an answer in one piece."""
+        lines = [
+            STATUS_LINES[response.status],
+            f"date: {_date(int(time.time()))}\r\ncontent-length: {len(response.body)}",
+        ]
+        lines += [
+            f"\r\n{key.lower()}: {text}" for key, text in response.headers.items()
+        ]
+        if not keep_alive and not _asks_to_close(response):
+            lines.append("\r\nconnection: close")
+        lines.append("\r\n\r\n")
+        head = "".join(lines).encode("latin-1")
+        self._transport.write(head + response.body if has_body else head)
+
+    def _update_reading(self) -> None:
+        if self._write_paused or len(self._unanswered) > MAX_UNANSWERED:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _stop_idle_timer(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+
+def _asks_to_close(response: Response) -> bool:
+    return any(
+        name.lower() == "connection" and "close" in value.lower()
+        for name, value in response.headers.items()
+    )
+
+
+@functools.lru_cache(maxsize=1)
+def _date(second: int) -> str:
+    """Return the text of a date header, which changes once a second."""
+    return formatdate(second, usegmt=True)
--- /dev/null
+++ b/tests/http/test_handler_server.py
@@ -0,0 +1,219 @@
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from verbenaplank.http.asgi import Request
+from verbenaplank.http.asgi import Response
+from verbenaplank.http.connection import MAX_UNANSWERED
+from verbenaplank.http.handler_server import HandlerServer
+from verbenaplank.rpc.address import Address
+
+if TYPE_CHECKING:
+    from asyncio import StreamReader
+    from asyncio import StreamWriter
+    from collections.abc import AsyncIterator
+
+MAX_BODY_BYTES = 100
+
+
+class Desk:
+    """A handler that answers with the path and the body, once it may."""
+
+    def __init__(self) -> None:
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
+        self.begun: asyncio.Queue[str] = asyncio.Queue()
+        self.cancelled: asyncio.Queue[str] = asyncio.Queue()
+
+    async def handle(self, request: Request) -> Response:
+        await self.begun.put(request.path)
+        try:
+            await self.may_answer.wait()
+        except asyncio.CancelledError:
+            self.cancelled.put_nowait(request.path)
+            raise
+        if request.path == "/fault":
+            raise ValueError("fault")
+        closes = {"Connection": "close"} if request.path == "/close" else {}
+        text = f"{request.method} {request.path} {request.headers.get('key')} "
+        body = text.encode() + request.body
+        return Response(status=200, body=body, headers={"Content-Type": "x", **closes})
+
+
+@asynccontextmanager
+async def serving(desk: Desk, **changes: Any) -> AsyncIterator[HandlerServer]:
+    server = HandlerServer(
+        desk.handle, lambda: MAX_BODY_BYTES, Address("127.0.0.1", 0), 1.0, **changes
+    )
+    async with asyncio.timeout(20), server:
+        yield server
+
+
+async def connect(server: HandlerServer) -> tuple[StreamReader, StreamWriter]:
+    return await asyncio.open_connection(server.address.host, server.address.port)
+
+
+async def answer(reader: StreamReader) -> tuple[int, dict[str, str], bytes]:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = dict(line.split(": ", 1) for line in head[1:-2])
+    body = await reader.readexactly(int(headers["content-length"]))
+    return int(head[0].split()[1]), headers, body
+
+
+async def test_kept_connection_serves_requests_one_after_the_other() -> None:
+    """Guards against state of one request that leaks into the next."""
+    async with serving(Desk()) as server:
+        reader, writer = await connect(server)
+        writer.write(b"PUT /%61?b HTTP/1.1\r\nKey:  v \r\nContent-Length: 2\r\n\r\nab")
+        status, headers, body = await answer(reader)
+        assert (status, body) == (200, b"PUT /a v ab")
+        assert headers.keys() == {"date", "content-length", "content-type"}
+        writer.write(b"PUT /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nd\r\n")
+        await writer.drain()
+        writer.write(b"2\r\nef\r\n0\r\n\r\n")
+        assert (await answer(reader))[2] == b"PUT /c None def"
+        writer.close()
+
+
+async def test_pipelined_requests_are_answered_in_order_and_one_at_a_time() -> None:
+    """Guards against answers that overtake each other on a connection."""
+    desk = Desk()
+    desk.may_answer.clear()
+    async with serving(desk) as server:
+        reader, writer = await connect(server)
+        count = 2 * MAX_UNANSWERED
+        writer.write(b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % n for n in range(count)))
+        writer.write(b"PUT /big HTTP/1.1\r\nContent-Length: 200\r\n\r\n" + b"x" * 200)
+        assert await desk.begun.get() == "/0"
+        await asyncio.sleep(0.05)
+        assert desk.begun.empty()
+        desk.may_answer.set()
+        for number in range(count):
+            assert (await answer(reader))[2] == b"GET /%d None " % number
+        assert (await answer(reader))[0] == 413
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /\xff HTTP/1.1\r\n\r\n", 400),
+        (b"GET /a HTTP/1.0\r\n\r\n", 200),
+        (b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n", 200),
+        (b"GET /close HTTP/1.1\r\n\r\n", 200),
+    ],
+)
+async def test_connection_is_closed_after_last_answer(
+    request_bytes: bytes, status: int
+) -> None:
+    """Guards against callers that wait for the end of a response."""
+    async with serving(Desk()) as server:
+        reader, writer = await connect(server)
+        writer.write(request_bytes)
+        found, headers, _ = await answer(reader)
+        assert (found, headers["connection"]) == (status, "close")
+        assert await reader.read() == b""
+        writer.close()
+
+
+async def test_connection_survives_refused_body_and_failed_handler() -> None:
+    async with serving(Desk()) as server:
+        reader, writer = await connect(server)
+        writer.write(b"PUT /a HTTP/1.1\r\nContent-Length: 250\r\n\r\n" + b"x" * 150)
+        assert (await answer(reader))[0] == 413
+        writer.write(b"x" * 100 + b"GET /fault HTTP/1.1\r\n\r\n")
+        assert (await answer(reader))[0] == 502
+        writer.write(b"HEAD /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"content-length: 13\r\n" in head
+        assert (await answer(reader))[2] == b"GET /b None "
+        writer.close()
+
+
+async def test_client_that_asks_first_is_told_to_send_the_body() -> None:
+    """Guards against clients that wait a second before they send a large body."""
+    async with serving(Desk()) as server:
+        reader, writer = await connect(server)
+        writer.write(
+            b"PUT /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+        )
+        assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        writer.write(b"b")
+        assert (await answer(reader))[2] == b"PUT /a None b"
+        writer.close()
+
+
+async def test_handler_is_cancelled_when_its_client_disconnects() -> None:
+    """Guards against jobs that run although nobody waits for them."""
+    desk = Desk()
+    desk.may_answer.clear()
+    async with serving(desk) as server:
+        _, writer = await connect(server)
+        writer.write(b"GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
+        assert await desk.begun.get() == "/a"
+        writer.close()
+        assert await desk.cancelled.get() == "/a"
+        assert desk.begun.empty()
+
+
+async def test_idle_connection_is_closed() -> None:
+    async with serving(Desk(), keep_alive_s=0.05) as server:
+        reader, writer = await connect(server)
+        writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        await answer(reader)
+        assert await reader.read() == b""
+        writer.close()
+
+
+async def test_stop_answers_requests_in_progress_and_closes_idle_connections() -> None:
+    """Guards against a stop that interrupts a request."""
+    desk = Desk()
+    desk.may_answer.clear()
+    async with serving(desk) as server:
+        idle_reader, idle_writer = await connect(server)
+        reader, writer = await connect(server)
+        writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        await desk.begun.get()
+        closing = asyncio.create_task(server.close())
+        assert await idle_reader.read() == b""
+        desk.may_answer.set()
+        status, headers, _ = await answer(reader)
+        assert (status, headers["connection"]) == (200, "close")
+        await closing
+        with pytest.raises(ConnectionError):
+            await connect(server)
+        writer.close()
+        idle_writer.close()
+
+
+async def test_stop_cancels_requests_that_outlast_its_timeout() -> None:
+    """Guards against a program that is killed because a handler never ends."""
+    desk = Desk()
+    desk.may_answer.clear()
+    async with serving(desk) as server:
+        reader, writer = await connect(server)
+        writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        await desk.begun.get()
+        await server.close()
+        assert (await answer(reader))[0] == 500
+        assert await reader.read() == b""
+        writer.close()
+
+
+async def test_client_that_reads_no_answers_is_not_read_from() -> None:
+    """Guards against memory that grows with the requests of a stalled client."""
+    async with serving(Desk()) as server:
+        _, writer = await connect(server)
+        request = b"GET /" + b"x" * 8_000 + b" HTTP/1.1\r\n\r\n"
+        writer.transport.set_write_buffer_limits(0)
+        for _ in range(10_000):
+            writer.write(request)
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(writer.drain(), 1.0)
+        writer.transport.abort()
