Submit a routed job at once, and log after its start orders

A routed job was submitted by an asyncio task of its own, one iteration of the event loop later, and two log lines came before its start orders. Its waiters now wait for the future of its outcome, and both lines are written after the sending. The job and its submission are no longer copied to set single fields.

--- a/src/verbenaplank/entry/routed_job.py
+++ b/src/verbenaplank/entry/routed_job.py
@@ -116,12 +116,17 @@
     A goal of more run times than the factor allows for a run on any rack; such a job
     is placed without regard to its rack.
     """
-    if weighs_waits(job.route, remote_factor):
+    weighs = weighs_waits(job.route, remote_factor)
+    if not weighs and job.remote_factor == 1.0 and not job.preferred_rack:
+        return job
+    if weighs:
         return attrs.evolve(job, remote_factor=remote_factor)
     return attrs.evolve(job, remote_factor=1.0, preferred_rack="")
 
 
-def routed_submission(job: RoutedJob, job_id: str, received_s: float) -> Submission:
+def routed_submission(
+    job: RoutedJob, job_id: str, received_s: float, *, weighs_waits: bool = False
+) -> Submission:
     """Return the submission that runs a routed job.
 
     Parameters
@@ -130,6 +135,8 @@
         Id that is unique among the jobs of all entries.
     received_s
         Monotonic time at which the job was received.
+    weighs_waits
+        Whether the job leaves the queue as soon as its expected start is too late.
     """
     goal_s = job.goal_s
     useless_after_s = USELESS_AFTER_FACTOR * goal_s * ESTIMATE_ERROR_FACTOR
@@ -142,7 +149,9 @@
         team=job.route.name,
         digest=b"",
         payloads=tuple(
-            encode_task(attrs.evolve(task, workload=job.route.name))
+            encode_task(
+                NamedTask(name=task.name, content=task.content, workload=job.route.name)
+            )
             for task in job.tasks
         ),
         received_s=received_s,
@@ -161,4 +170,5 @@
         task_names=tuple(task.name for task in job.tasks),
         preferred_rack=job.preferred_rack,
         remote_factor=job.remote_factor,
+        weighs_waits=weighs_waits,
     )
--- a/src/verbenaplank/entry/routed_jobs.py
+++ b/src/verbenaplank/entry/routed_jobs.py
@@ -14,6 +14,7 @@
 
 from verbenaplank.entry import decision_log
 from verbenaplank.entry.effects import JobCompleted
+from verbenaplank.entry.effects import JobOutcome
 from verbenaplank.entry.hopeless_jobs import HopelessJobs
 from verbenaplank.entry.routed_admission import RoutedAdmission
 from verbenaplank.entry.routed_job import RoutedJobState
@@ -21,6 +22,8 @@
 from verbenaplank.entry.routed_job import apply_remote_factor
 from verbenaplank.entry.routed_job import routed_submission
 from verbenaplank.entry.service_loads import ServiceLoads
+from verbenaplank.entry.state_logging import log_after_sending
+from verbenaplank.entry.submission import Submission
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.failure import RunState
 from verbenaplank.overload.retry_after import retry_after_s
@@ -33,11 +36,9 @@
 
     from verbenaplank.admission.goal_queue import GoalQueue
     from verbenaplank.clock.sources import MonotonicClock
-    from verbenaplank.entry.effects import JobOutcome
     from verbenaplank.entry.routed_job import RoutedJob
     from verbenaplank.entry.runner import EngineRunner
     from verbenaplank.entry.service_loads import EntryView
-    from verbenaplank.entry.submission import Submission
     from verbenaplank.placement.fleet import Fleet
     from verbenaplank.routing.lookup import RouteMatch
     from verbenaplank.routing.table import Route
@@ -155,7 +156,9 @@
     def cancel(self, route: Route, key: str) -> bool:
         """Cancel a job and return whether it was in progress at this entry."""
         running = self._running.get((route.name, key))
-        return running is not None and self._runner.cancel(running.job_id)
+        if running is None:
+            return False
+        return self._runner.cancel(running.submission.job_id)
 
     async def run(
         self, job: RoutedJob, received_s: float | None = None
@@ -182,14 +185,15 @@
                 return refusal
             running = self._start(job, received_s, job_key)
         else:
-            decision_log.job_joined(running.job_id, job.request_id)
+            decision_log.job_joined(running.submission.job_id, job.request_id)
         running.waiters += 1
         try:
-            return await asyncio.shield(running.outcome)
+            outcome = await asyncio.shield(running.outcome)
+            return _routed_outcome(outcome, running.submission)
         finally:
             running.waiters -= 1
             if not (running.waiters or running.outcome.done()):
-                self._runner.cancel(running.job_id)
+                self._runner.cancel(running.submission.job_id)
 
     async def join(self) -> None:
         """Wait until no job is in progress."""
@@ -206,24 +210,25 @@
         self, job: RoutedJob, received_s: float, job_key: tuple[str, str]
     ) -> _RunningJob:
         job_id = f"{job.key}.{self._entry_name}.{next(self._numbers)}"
-        submission = attrs.evolve(
-            routed_submission(job, job_id, received_s),
+        submission = routed_submission(
+            job,
+            job_id,
+            received_s,
             weighs_waits=weighs_waits(job.route, self._remote_factor),
         )
         queued = len(self._queue)
-        version = self.table.version
-        decision_log.job_admitted(submission, job.request_id, version, queued)
-        task = asyncio.get_running_loop().create_task(self._run(submission))
-        running = _RunningJob(submission.job_id, task)
+        running = _RunningJob(submission, self._runner.start(submission))
         self._running[job_key] = running
         self._idle.clear()
-        task.add_done_callback(lambda _: self._remove(job_key))
-        return running
-
-    async def _run(self, submission: Submission) -> RoutedOutcome:
-        return _routed_outcome(
-            await self._runner.run_to_outcome(submission), submission
+        running.outcome.add_done_callback(lambda _: self._remove(job_key))
+        log_after_sending(
+            decision_log.job_admitted,
+            submission,
+            job.request_id,
+            self.table.version,
+            queued,
         )
+        return running
 
     def _remove(self, job_key: tuple[str, str]) -> None:
         del self._running[job_key]
@@ -233,8 +238,8 @@
 
 @attrs.define
 class _RunningJob:
-    job_id: str
-    outcome: asyncio.Task[RoutedOutcome]
+    submission: Submission
+    outcome: asyncio.Future[JobOutcome]
     waiters: int = 0
 
 
--- a/src/verbenaplank/entry/runner.py
+++ b/src/verbenaplank/entry/runner.py
@@ -53,18 +53,18 @@
 
     async def run(self, submission: Submission) -> HttpResponse:
         """Run a request and return its response."""
-        outcome = await self.run_to_outcome(submission)
+        outcome = await self.start(submission)
         if isinstance(outcome, JobCompleted):
             return _completed_response(submission, outcome)
         return failure_response(outcome.failure, outcome.job_id)
 
-    async def run_to_outcome(self, submission: Submission) -> JobOutcome:
-        """Run a request and return its outcome."""
+    def start(self, submission: Submission) -> asyncio.Future[JobOutcome]:
+        """Start a request and return the future of its outcome."""
         future: asyncio.Future[JobOutcome] = asyncio.get_running_loop().create_future()
         self._outcome_futures[submission.job_id] = future
         self.engine.submit(submission, self._clock())
         self.flush_soon()
-        return await future
+        return future
 
     def cancel(self, job_id: str) -> bool:
         """Cancel a request and return whether it was in progress."""
--- a/src/verbenaplank/entry/state_logging.py
+++ b/src/verbenaplank/entry/state_logging.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
+    from typing import Any
 
     from verbenaplank.entry.decision_log import Placement
     from verbenaplank.entry.readiness import Readiness
@@ -17,6 +18,16 @@
 STATE_LOG_PERIOD_S = 0.1
 
 
+def log_after_sending(log: Callable[..., None], *values: Any) -> None:
+    """Log in the event loop iteration after the next, with some values.
+
+    What this iteration has for an agent is put into the agent's outbox and written
+    before, so that no log line delays a start order.
+    """
+    loop = asyncio.get_running_loop()
+    loop.call_soon(loop.call_soon, log, *values)
+
+
 class PlacementLogBuffer:
     """Collects placements and logs one line per job and event loop iteration."""
 
@@ -24,9 +35,9 @@
         self._placements: dict[str, list[Placement]] = {}
 
     def add(self, job_id: str, placement: Placement) -> None:
-        """Add a placement; it is logged in the next event loop iteration."""
+        """Add a placement; it is logged after the start orders are sent."""
         if not self._placements:
-            asyncio.get_running_loop().call_soon(self._log)
+            log_after_sending(self._log)
         self._placements.setdefault(job_id, []).append(placement)
 
     def _log(self) -> None:
