Ask for health, crashes and stalls only where there are any

For each candidate of each task, placement called the health tracker, the stall timeout and the crash history, which say nothing for nearly all servers and tasks.

--- a/src/verbenaplank/crashes/history.py
+++ b/src/verbenaplank/crashes/history.py
@@ -91,6 +91,10 @@
         self._evict(now_s)
         return True
 
+    def has_crashes(self, task: str) -> bool:
+        """Return whether any report names a task."""
+        return task in self._keys_by_task
+
     def count(self, task: str, *, confirmed: bool = False) -> CrashCount:
         """Return how often backend servers crashed while a task was running there.
 
--- a/src/verbenaplank/crashes/limit.py
+++ b/src/verbenaplank/crashes/limit.py
@@ -36,7 +36,7 @@
     task
         Name of the task; empty for a task that crash reports do not name.
     """
-    if not task:
+    if not task or not history.has_crashes(task):
         return StartPermission.GRANTED
     if is_exceeded(history.count(task, confirmed=True)):
         return StartPermission.GIVEN_UP
--- a/src/verbenaplank/entry/dispatcher.py
+++ b/src/verbenaplank/entry/dispatcher.py
@@ -76,10 +76,15 @@
         """Dispatch waiting tasks until no agent can take any of them."""
         due_racks = self._queue.take_due(now_s)
         self._dispatch_held(due_racks, now_s, urgent=True)
+        if len(self._queue):
+            self._dispatch_queued(now_s)
+        self._dispatch_held(due_racks, now_s, urgent=False)
+
+    def _dispatch_queued(self, now_s: float) -> None:
+        chosen = _ChosenAgent()
         unplaceable: dict[str, UnplaceableNeeds] = defaultdict(UnplaceableNeeds)
+        choose = self._agent_chooser(chosen, unplaceable, now_s)
         while len(self._queue):
-            chosen = _ChosenAgent()
-            choose = self._agent_chooser(chosen, unplaceable, now_s)
             task = self._queue.pop(now_s, choose)
             if task is None:
                 break
@@ -89,7 +94,6 @@
             if chosen.place is not None:
                 self._holds.count_placed(task, chosen.place)
             self._dispatch(task, chosen.agent_id, now_s)
-        self._dispatch_held(due_racks, now_s, urgent=False)
 
     def _dispatch_held(
         self, racks: Iterable[str], now_s: float, *, urgent: bool
@@ -137,6 +141,7 @@
         """
 
         def choose(task: TaskRequest) -> bool:
+            chosen.place = chosen.hold = None
             known = unplaceable[task.preferred_rack]
             if known.covers(task) or not self._may_start(task):
                 return False
--- a/src/verbenaplank/placement/expected_end.py
+++ b/src/verbenaplank/placement/expected_end.py
@@ -57,6 +57,8 @@
     if not server.outstanding:
         return 0.0
     without_progress_s = context.now_s - server.last_progress_s
+    if without_progress_s <= context.settings.minimum_stall_s:
+        return 0.0
     return max(0.0, without_progress_s - stall_timeout_s(run_s, context.settings))
 
 
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -353,8 +353,13 @@
             limit = self._stragglers.limit(task.service, now_s)
         usable: list[BackendServer] = []
         preferred: list[BackendServer] = []
+        health, avoids = self._health, bool(task.avoided_members)
         for server in servers:
-            if not (server.accepts_tasks and self._health.is_usable(server, now_s)):
+            if not server.accepts_tasks:
+                continue
+            # Nearly all servers have no failures, and their health need not be asked.
+            has_failures = bool(server.failures_by_job) or server.on_probation
+            if has_failures and not health.is_usable(server, now_s):
                 continue
             if needs is not None and not server.has_free_resources(needs):
                 continue
@@ -363,7 +368,7 @@
             ):
                 continue
             usable.append(server)
-            if not self._health.should_avoid(task, server):
+            if not (has_failures or avoids) or not health.should_avoid(task, server):
                 preferred.append(server)
         if preferred or (task.exclusive and self._has_other_accepting_server(task)):
             return preferred
--- a/src/verbenaplank/placement/policy.py
+++ b/src/verbenaplank/placement/policy.py
@@ -35,7 +35,7 @@
     full: list[BackendServer] = []
     for server in servers:
         load = estimated_load(server, context)
-        if has_room(server, load, context):
+        if load < server.slots or has_room(server, load, context):
             free.append((expected_completion_s(server, load, context), server))
         else:
             full.append(server)
