--- a/src/verbenaplank/entry/dispatcher.py
+++ b/src/verbenaplank/entry/dispatcher.py
@@ -94,9 +94,11 @@
         before: Level | None = None,
     ) -> None:
         """Dispatch or hold queued tasks, only those before a level if there is one."""
+        if not len(self._queue):
+            return
+        chosen = _ChosenAgent()
+        choose = self._agent_chooser(chosen, unplaceable, now_s, before)
         while len(self._queue):
-            chosen = _ChosenAgent()
-            choose = self._agent_chooser(chosen, unplaceable, now_s, before)
             task = self._queue.pop(now_s, choose)
             if task is None:
                 break
@@ -153,6 +155,7 @@
         def choose(task: TaskRequest) -> bool:
             if before is not None and level_of(task) >= before:
                 return False
+            chosen.place = chosen.hold = None
             known = unplaceable[task.preferred_rack]
             if known.covers(task) or not self._may_start(task):
                 return False
