Compare rules for waiting in verbena bench, and measure a decision

Cause: the rule for holding tasks was not compared with simpler ones, nor its cost stated.

`verbenaplank.bench.decision_cost` measures a decision for `verbena bench decision`. Racks are evaluated in a fixed order, so that runs are repeatable; the wake-ups of the replays in tests/entry are no longer scheduled twice.

--- a/src/verbenaplank/console/commands/bench.py
+++ b/src/verbenaplank/console/commands/bench.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from pathlib import Path
 from typing import Annotated
 
@@ -91,6 +92,41 @@
     compare_main.main(seed, workload, scenario, policy, path)
 
 
+@application.command()
+def locality(
+    offered: Annotated[
+        list[float], typer.Option("--load", help="Share of the capacity; repeatable.")
+    ] = [0.5, 0.7, 0.85, 1.0],  # noqa: B006
+    skew: Annotated[
+        list[float],
+        typer.Option(help="Share of the short jobs that name one rack; repeatable."),
+    ] = [0.0, 0.6],  # noqa: B006
+    seeds: Annotated[int, typer.Option(help="Traces for each row.")] = 3,
+    length_s: Annotated[
+        float, typer.Option(help="Length of a trace in seconds.")
+    ] = 15.0,
+) -> None:
+    """Compare how long tasks wait for the rack that they name, in a simulation."""
+    logging.disable(logging.CRITICAL)
+    from verbenaplank.bench.locality_comparison import compare_rules
+    from verbenaplank.bench.locality_comparison import markdown_table
+
+    typer.echo(markdown_table(compare_rules(offered, skew, seeds, length_s)))
+
+
+@application.command()
+def decision(
+    servers: Annotated[
+        list[int], typer.Option(help="Servers that the entry knows; repeatable.")
+    ] = [11, 66, 160, 3_800],  # noqa: B006
+    repeats: Annotated[int, typer.Option(help="Decisions for each row.")] = 2_000,
+) -> None:
+    """Measure the processor time of one decision whether to hold a task."""
+    from verbenaplank.bench.decision_cost import cost_table
+
+    typer.echo(cost_table(servers, repeats))
+
+
 def _print_progress(done: int, total: int) -> None:
     step = max(1, total // PROGRESS_REPORTS)
     if done % step == 0 or done == total:
--- a/src/verbenaplank/entry/holding_queue.py
+++ b/src/verbenaplank/entry/holding_queue.py
@@ -193,7 +193,7 @@
             self._due_s[rack] = min(
                 (until_s for until_s in left if until_s > now_s), default=math.inf
             )
-        return {rack: rack in changed for rack in due | changed}
+        return {rack: rack in changed for rack in sorted(due | changed)}
 
     def held_for(self, rack: str) -> Sequence[HeldTask]:
         """Return the tasks held for a rack by priority, goal and age."""
--- a/src/verbenaplank/entry/holds.py
+++ b/src/verbenaplank/entry/holds.py
@@ -24,6 +24,7 @@
     from collections.abc import Iterable
     from collections.abc import Iterator
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from verbenaplank.entry.holding_queue import HoldingQueue
     from verbenaplank.entry.holding_queue import Level
@@ -105,6 +106,10 @@
         """Return the number of held tasks."""
         return self._queue.held_count
 
+    def held_for(self, rack: str) -> Sequence[HeldTask]:
+        """Return the tasks that are held for a rack."""
+        return self._queue.held_for(rack)
+
     def changed_counts(
         self, connected: Iterable[str], members: Mapping[str, Member]
     ) -> list[SendToAgent]:
--- a/tests/entry/rack_world.py
+++ b/tests/entry/rack_world.py
@@ -62,6 +62,7 @@
         self.starts: list[tuple[str, int, str]] = []
         self.ran: list[tuple[str, int]] = []
         self.held_most = 0
+        self._waking: set[int] = set()
         self._received_s: dict[str, float] = {}
         self._rack_of: dict[str, str] = {}
         self._run_s: dict[str, float] = {}
@@ -163,8 +164,13 @@
         held = engine.holds.count()
         self.held_most = max(self.held_most, held)
         due_s = engine.next_hold_due_s() - self.now_s
-        if due_s < TICK_S:
-            self.after(max(due_s, 0.001), lambda: self.flush(entry))
+        if due_s < TICK_S and entry not in self._waking:
+            self._waking.add(entry)
+            self.after(max(due_s, 0.001), lambda: self._wake(entry))
+
+    def _wake(self, entry: int) -> None:
+        self._waking.discard(entry)
+        self.flush(entry)
 
     def _send(self, entry: int, effect: SendToAgent) -> None:
         server, item = self.servers[effect.agent_id], effect.item
