Report not ready while the event loop of an entry lags

Cause: a lagging entry refused new requests, but the load balancer went on sending it new connections. The log event 'readiness changed' has the field 'lagging'.

--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -45,6 +45,7 @@
 from verbenaplank.membership.client import MembershipClient
 from verbenaplank.observability.rendering import no_metrics
 from verbenaplank.overload.job_counts import JobCounts
+from verbenaplank.overload.lag_readiness import LagReadiness
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
 from verbenaplank.protocol.membership import Member
@@ -168,7 +169,8 @@
         self._open_membership = open_membership or membership_factory(settings, clock)
         self._open_claims = open_claims or claims_factory(settings, clock, self._random)
         self._incarnation = uuid4().hex
-        self._status = EntryStatus(clock)
+        self._status = EntryStatus(clock, self._is_lagging)
+        self._lag_readiness = LagReadiness(self._random.random)
         self._resources = AsyncExitStack()
         limits = settings.limits
         self._fleet = Fleet(policy, self._random, settings.data_centre)
@@ -242,14 +244,13 @@
         """Whether the entry can run routed jobs.
 
         Its state must be confirmed, it must not drain, it must have a routing table,
-        and an agent must be connected.
+        and an agent must be connected.  Where a route weighs waits, its event loop must
+        not lag.
         """
-        readiness = self._status.readiness()
+        is_ready = self._status.readiness().ready_for_routed_jobs
         has_agents = self._fleet.has_connected_agent()
         has_routes = self.routed.table.version > 0
-        return (
-            readiness.current and not readiness.draining and has_routes and has_agents
-        )
+        return is_ready and has_routes and has_agents
 
     def cores_by_state(self) -> Mapping[tuple[str, str], float]:
         """Return the cores of the backend servers by data centre and state."""
@@ -425,6 +426,12 @@
             )
         )
 
+    def _is_lagging(self) -> bool:
+        if not self.routed.weighs_waits:
+            return False
+        lag_s = self._runner.loop_lag.lag_s
+        return not self._lag_readiness.update(lag_s, self._clock())
+
     def _time_left_s(self) -> float:
         return self._stop_time_s - self._clock()
 
--- a/src/verbenaplank/entry/decision_log.py
+++ b/src/verbenaplank/entry/decision_log.py
@@ -239,10 +239,12 @@
     logger.info("evacuations in force", extra=extra)
 
 
-def readiness_changed(*, ready: bool, current: bool, draining: bool) -> None:
+def readiness_changed(
+    *, ready: bool, current: bool, draining: bool, lagging: bool
+) -> None:
     """Log that the entry became ready for new requests or unready, and why."""
     extra = {"ready": ready, "current": current, "draining": draining}
-    logger.info("readiness changed", extra=extra)
+    logger.info("readiness changed", extra={**extra, "lagging": lagging})
 
 
 def _dispatch_fields(record: DispatchRecord) -> dict[str, object]:
--- a/src/verbenaplank/entry/readiness.py
+++ b/src/verbenaplank/entry/readiness.py
@@ -7,6 +7,8 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.entry.interfaces import Membership
 
@@ -25,29 +27,53 @@
         Whether the entry holds its lease, which requests with a claim require.
     draining
         Whether the entry is stopping or an operator ordered it to drain.
+    lagging
+        Whether new connections should go to other entries, since this entry's event
+        loop lags.  Requests that arrive are not refused for it.
     """
 
     current: bool
     leased: bool
     draining: bool
+    lagging: bool = False
 
     @property
     def ready(self) -> bool:
         """Return whether requests of every kind can be accepted."""
-        return self.current and self.leased and not self.draining
+        return self.current and self.leased and not (self.draining or self.lagging)
+
+    @property
+    def ready_for_routed_jobs(self) -> bool:
+        """Return whether routed jobs, which need no lease, can be accepted."""
+        return self.current and not (self.draining or self.lagging)
+
+
+def never_lagging() -> bool:
+    """Return that the event loop does not lag; the default of an entry's status."""
+    return False
 
 
 class EntryStatus:
     """Derives the entry's readiness, lease and team weights from its membership.
 
+    Parameters
+    ----------
+    clock
+        The monotonic clock, in seconds.
+    is_lagging
+        Returns whether new connections should go to other entries.
+
     Attributes
     ----------
     draining
         Whether the entry itself has begun to stop.
     """
 
-    def __init__(self, clock: MonotonicClock) -> None:
+    def __init__(
+        self, clock: MonotonicClock, is_lagging: Callable[[], bool] = never_lagging
+    ) -> None:
         self.draining = False
+        self._is_lagging = is_lagging
         self._clock = clock
         self._membership: Membership | None = None
 
@@ -64,6 +90,7 @@
             current=membership.ready,
             leased=membership.lease_valid(self._clock()),
             draining=self.draining or membership.drain_ordered,
+            lagging=self._is_lagging(),
         )
 
     def lease_held_since(self, now_s: float) -> float:
--- a/src/verbenaplank/entry/routed_jobs.py
+++ b/src/verbenaplank/entry/routed_jobs.py
@@ -77,6 +77,11 @@
         How many times longer a task takes outside the rack that it prefers.
     counts
         Counts what becomes of the jobs.
+
+    Attributes
+    ----------
+    weighs_waits
+        Whether the jobs of any route weigh their waits.
     """
 
     def __init__(
@@ -123,6 +128,7 @@
         queue.has_started = engine.dispatch_table.may_have_started
         self._numbers = itertools.count(1)
         self._lookup = RouteLookup(RoutingTable())
+        self.weighs_waits = False
         self._running: dict[tuple[str, str], _RunningJob] = {}
         self._idle = asyncio.Event()
         self._idle.set()
@@ -146,6 +152,9 @@
         """Use a routing table if it is newer than the current one."""
         if table.version > self.table.version:
             self._lookup = RouteLookup(table)
+            self.weighs_waits = any(
+                weighs_waits(route, self._remote_factor) for route in table.routes
+            )
             decision_log.routing_in_force(table.version, len(table.routes))
 
     async def wait_for_routes(self) -> None:
--- a/src/verbenaplank/entry/state_logging.py
+++ b/src/verbenaplank/entry/state_logging.py
@@ -48,7 +48,10 @@
             was_ready = not was_ready
             now = readiness()
             decision_log.readiness_changed(
-                ready=was_ready, current=now.current, draining=now.draining
+                ready=was_ready,
+                current=now.current,
+                draining=now.draining,
+                lagging=now.lagging,
             )
         found = set(quarantined())
         if found != known:
--- a/tests/entry/fake_cluster.py
+++ b/tests/entry/fake_cluster.py
@@ -16,6 +16,7 @@
 from verbenaplank.settings.common import ControlPeer
 from verbenaplank.settings.common import Listen
 from verbenaplank.settings.entry import EntryLimits
+from verbenaplank.settings.entry import EntryPlacement
 from verbenaplank.settings.entry import EntrySettings
 
 if TYPE_CHECKING:
@@ -44,6 +45,7 @@
         name: str = "entry-1",
         limits: EntryLimits = LIMITS,
         rpc: Listen = ANYWHERE,
+        placement: EntryPlacement | None = None,
         **hooks: Any,
     ) -> EntryInstance:
         settings = EntrySettings(
@@ -53,6 +55,7 @@
             rpc=rpc,
             control=(ControlPeer(instance_id="control-1", host="127.0.0.1", port=1),),
             limits=limits,
+            placement=placement or EntryPlacement(),
         )
         instance = EntryInstance(
             settings,
--- a/tests/entry/test_job_metrics.py
+++ b/tests/entry/test_job_metrics.py
@@ -6,15 +6,21 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import pytest
 
 from entry.test_routed_jobs import ROUTE
+from entry.test_routed_jobs import TABLE
 from entry.test_routed_jobs import finish
 from entry.test_routed_jobs import routed_job
 from entry.test_routed_jobs import served
+from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.observability.entry_metrics import register_entry_metrics
 from verbenaplank.observability.metrics import Metrics
+from verbenaplank.overload.lag_readiness import MAX_LEAVE_DELAY_S
+from verbenaplank.overload.lag_readiness import MAX_NOT_READY_S
 from verbenaplank.overload.loop_lag import MAX_LAG_S
 from verbenaplank.protocol import work
+from verbenaplank.settings.entry import EntryPlacement
 
 if TYPE_CHECKING:
     from entry.fake_cluster import FakeCluster
@@ -61,3 +67,29 @@
     assert refused == [({"route": "r", "priority": "0", "cause": "event_loop"}, 1)]
     await finish(agent, work.TaskOutcome.SUCCEEDED)
     await running
+
+
+@pytest.mark.parametrize("stretch", [1.6, 3.0])
+async def test_lagging_entry_reports_not_ready_where_a_route_weighs_waits(
+    cluster: FakeCluster, stretch: float
+) -> None:
+    """Callers kept their connections to the busiest entry."""
+    await cluster.agent()
+    route = attrs.evolve(ROUTE, stretch=stretch)
+    cluster.membership.routing = attrs.evolve(TABLE, routes=(route,))
+    ahead_s = 0.0
+    entry = await cluster.entry(
+        order_by_goal=True,
+        placement=EntryPlacement(remote_factor=2.0),
+        clock=lambda: monotonic_s() + ahead_s,
+    )
+    async with asyncio.timeout(10):
+        while not entry.ready_for_routed_jobs:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+    for _ in range(3):
+        entry.routed.loop_lag.record(2 * MAX_LAG_S)
+    assert entry.ready_for_routed_jobs
+    ahead_s = MAX_LEAVE_DELAY_S
+    assert entry.ready_for_routed_jobs is (stretch > 2.0)
+    ahead_s += MAX_NOT_READY_S
+    assert entry.ready_for_routed_jobs
