Look at no more servers than an admission needs

Change: while no task waits, a job for which free capacity is found is admitted after a look at the first servers; the sums are taken every 0.5 s, for the entry's share of the work. A server that is full is passed over early. The levels of the goal queue move to a module of their own.

--- a/src/verbenaplank/admission/goal_queue.py
+++ b/src/verbenaplank/admission/goal_queue.py
@@ -13,23 +13,23 @@
 
 from __future__ import annotations
 
-import itertools
 from collections import Counter
-from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
-from sortedcontainers import SortedKeyList
 
 from verbenaplank.admission.demand import Demand
+from verbenaplank.admission.priority_level import PriorityLevel
+from verbenaplank.admission.priority_level import QueuedJob
 from verbenaplank.admission.priority_shares import PriorityShares
-from verbenaplank.placement.task import TaskRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
     from collections.abc import Sequence
 
+    from verbenaplank.placement.task import TaskRequest
+
 MAX_JOBS_TRIED = 8
 """Largest number of jobs whose next task :meth:`GoalQueue.pop` tries to place.
 
@@ -37,51 +37,11 @@
 """
 
 
-MAX_OVERTAKEN_PER_WORK = 1.0
-"""Largest work that starts ahead of a job that fits on no server, per its queued work.
-
-Beyond it, capacity that becomes free is left to the job until it can only be late.
-Otherwise tasks of few cores take each core that becomes free, and a task of many cores
-never finds enough of them."""
-
-
 def one_pool(task: TaskRequest) -> str:
     """Return the same pool for every task."""
     return ""
 
 
-@attrs.define(eq=False)
-class _QueuedJob:
-    """Queued tasks of one job; retried tasks come first."""
-
-    job_id: str
-    priority: int
-    goal_s: float
-    run_time_s: float
-    sequence: int
-    weighs_waits: bool
-    task_core_s: float = 0.0
-    tasks: deque[TaskRequest] = attrs.field(factory=deque)
-    is_late: bool = False
-    has_started: bool = False
-    overtaken_core_s: float = 0.0
-
-    @property
-    def core_s(self) -> float:
-        return len(self.tasks) * self.task_core_s
-
-    @property
-    def holds_up_smaller(self) -> bool:
-        """Return whether smaller tasks have overtaken it up to the limit."""
-        if not self.weighs_waits or self.is_late or self.tasks[0].attempt > 1:
-            return False
-        limit_core_s = MAX_OVERTAKEN_PER_WORK * self.core_s
-        return 0.0 < limit_core_s <= self.overtaken_core_s
-
-    def sort_key(self) -> tuple[float, int]:
-        return (self.goal_s, self.sequence)
-
-
 @attrs.frozen
 class QueuedWork:
     """Queued work of a job.
@@ -120,62 +80,6 @@
     smaller_tasks: int
 
 
-class _PriorityLevel:
-    """Jobs of one priority: those on time and those late, each ordered by goal.
-
-    Started jobs are listed once more; they go first if all jobs weigh their waits.
-    """
-
-    def __init__(self) -> None:
-        self.on_time: SortedKeyList[_QueuedJob] = SortedKeyList(key=_QueuedJob.sort_key)
-        self.late: SortedKeyList[_QueuedJob] = SortedKeyList(key=_QueuedJob.sort_key)
-        self._started: SortedKeyList[_QueuedJob] = SortedKeyList(
-            key=_QueuedJob.sort_key
-        )
-        self._weighing = 0
-
-    def __len__(self) -> int:
-        return len(self.on_time) + len(self.late)
-
-    @property
-    def all_weigh_waits(self) -> bool:
-        return self._weighing == len(self)
-
-    def add(self, job: _QueuedJob) -> None:
-        (self.late if job.is_late else self.on_time).add(job)
-        self._weighing += job.weighs_waits
-        if job.has_started:
-            self._started.add(job)
-
-    def remove(self, job: _QueuedJob) -> None:
-        (self.late if job.is_late else self.on_time).remove(job)
-        self._weighing -= job.weighs_waits
-        if job.has_started:
-            self._started.remove(job)
-
-    def mark_started(self, job: _QueuedJob) -> None:
-        if job.weighs_waits and not job.has_started:
-            job.has_started = True
-            self._started.add(job)
-
-    def in_order(self) -> Iterator[_QueuedJob]:
-        jobs = itertools.chain(self.on_time, self.late)
-        if not (self._started and self.all_weigh_waits):
-            return jobs
-        return itertools.chain(
-            self._started, (job for job in jobs if not job.has_started)
-        )
-
-    def demote_late(self, now_s: float) -> None:
-        while self.on_time:
-            first = self.on_time[0]
-            if now_s + first.run_time_s <= first.goal_s:
-                return
-            self.on_time.remove(first)
-            first.is_late = True
-            self.late.add(first)
-
-
 class GoalQueue:
     """Tasks that wait for a backend server, by strict priority and then by goal.
 
@@ -200,8 +104,8 @@
     ) -> None:
         self._run_time_s_of = run_time_s_of
         self._pool_of = pool_of
-        self._levels: dict[int, _PriorityLevel] = {}
-        self._jobs: dict[str, _QueuedJob] = {}
+        self._levels: dict[int, PriorityLevel] = {}
+        self._jobs: dict[str, QueuedJob] = {}
         self._sequence = 0
         self._size = 0
         self._waiting_since_s: float | None = None
@@ -236,17 +140,16 @@
         Returns ``None`` if none of these tasks can be placed.
         """
         held_up: set[str] = set()
-        skipped: list[_QueuedJob] = []
+        skipped: list[QueuedJob] = []
         for job in self._jobs_in_order(now_s):
-            pool = self._pool_of(job.tasks[0])
-            if job.weighs_waits and pool in held_up:
+            if held_up and job.weighs_waits and self._pool_of(job.tasks[0]) in held_up:
                 continue
             if placeable(job.tasks[0]):
                 self._count_start(job, skipped)
                 return self._pop_from(job)
             skipped.append(job)
             if job.holds_up_smaller:
-                held_up.add(pool)
+                held_up.add(self._pool_of(job.tasks[0]))
         if self._size and self._waiting_since_s is None:
             self._waiting_since_s = now_s
         return None
@@ -350,10 +253,10 @@
             core_s=core_s, own_priority_core_s=own_core_s, smaller_tasks=smaller
         )
 
-    def _add_job(self, task: TaskRequest) -> _QueuedJob:
+    def _add_job(self, task: TaskRequest) -> QueuedJob:
         self._sequence += 1
         run_time_s = self._run_time_s_of(task)
-        job = _QueuedJob(
+        job = QueuedJob(
             job_id=task.job_id,
             priority=task.priority,
             goal_s=task.goal_s,
@@ -365,10 +268,10 @@
         )
         self._jobs[task.job_id] = job
         self._weighing_jobs += job.weighs_waits
-        self._levels.setdefault(job.priority, _PriorityLevel()).add(job)
+        self._levels.setdefault(job.priority, PriorityLevel()).add(job)
         return job
 
-    def _jobs_in_order(self, now_s: float) -> Iterator[_QueuedJob]:
+    def _jobs_in_order(self, now_s: float) -> Iterator[QueuedJob]:
         tried: Counter[str] = Counter()
         priorities = sorted(self._levels)
         for priority in priorities:
@@ -384,7 +287,7 @@
                 elif not pool:
                     break
 
-    def _owed_jobs(self, priorities: list[int]) -> Iterator[_QueuedJob]:
+    def _owed_jobs(self, priorities: list[int]) -> Iterator[QueuedJob]:
         """Yield the first jobs of lower priorities that are owed a start.
 
         They go ahead only of jobs that weigh their waits as well.
@@ -401,7 +304,7 @@
                 yield job
             is_first = False
 
-    def _count_start(self, job: _QueuedJob, skipped: Sequence[_QueuedJob]) -> None:
+    def _count_start(self, job: QueuedJob, skipped: Sequence[QueuedJob]) -> None:
         """Update what is owed to the jobs that the next task of a job overtakes."""
         if not job.weighs_waits:
             return
@@ -423,7 +326,7 @@
             self._shares.charge(job.priority, job.task_core_s)
         self._shares.record_start(job.task_core_s, waiting)
 
-    def _pop_from(self, job: _QueuedJob) -> TaskRequest:
+    def _pop_from(self, job: QueuedJob) -> TaskRequest:
         task = job.tasks.popleft()
         self._size -= 1
         self._levels[job.priority].mark_started(job)
@@ -431,7 +334,7 @@
             self._drop_job(job)
         return task
 
-    def _drop_job(self, job: _QueuedJob) -> None:
+    def _drop_job(self, job: QueuedJob) -> None:
         del self._jobs[job.job_id]
         self._weighing_jobs -= job.weighs_waits
         self._levels[job.priority].remove(job)
--- a/src/verbenaplank/entry/admission_control.py
+++ b/src/verbenaplank/entry/admission_control.py
@@ -31,6 +31,7 @@
     from verbenaplank.entry.readiness import Readiness
     from verbenaplank.entry.submission import Submission
     from verbenaplank.placement.fleet import Fleet
+    from verbenaplank.placement.room import CapacityUse
 
 DEADLINE_CANNOT_BE_MET = (
     "the deadline cannot be met because of the tasks queued at the entry"
@@ -78,6 +79,7 @@
         self._counts = counts or JobCounts()
         self._path = AdmissionPath(
             fleet=fleet,
+            is_waiting=lambda: len(queue) > 0,
             queue_ahead=self._queue_ahead,
             present_limit=self._present_limit,
         )
@@ -174,13 +176,14 @@
             wait_s=self._queue_wait_s(candidate.task.urgent, now_s),
         )
 
-    def _queue_ahead(self, candidate: Candidate, now_s: float) -> QueueAhead:
+    def _queue_ahead(
+        self, candidate: Candidate, use: CapacityUse, now_s: float
+    ) -> QueueAhead:
         """Return the queue ahead, as if its tasks were like those of the candidate."""
         task = candidate.task
         tasks_ahead = self._queue.tasks_ahead(task.urgent)
         run_time_s = self._fleet.expected_run_time_s(task)
         units = task.needs.cores or 1.0
-        use = self._fleet.capacity_use(task, now_s)
         pool = (task.service, self._fleet.pool_of_task(task))
         work = tasks_ahead * run_time_s * units
         return QueueAhead(
--- a/src/verbenaplank/entry/admission_path.py
+++ b/src/verbenaplank/entry/admission_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -18,6 +19,12 @@
     from collections.abc import Callable
 
     from verbenaplank.placement.fleet import Fleet
+    from verbenaplank.placement.room import CapacityUse
+
+OBSERVATION_PERIOD_S = 0.5
+"""Longest time between two looks at the use of all servers while jobs arrive.
+
+A fraction of the time over which the entry's share of it is averaged."""
 
 RESTART_WAIT_S = 2.0
 """Usual time that a backend server takes to restart."""
@@ -50,8 +57,11 @@
     ----------
     fleet
         The agents, with the services and capacity that they offer.
+    is_waiting
+        Returns whether any task is queued at the entry.
     queue_ahead
-        Returns the queue ahead of a new job that weighs its wait.
+        Returns the queue ahead of a new job that weighs its wait, given the use of the
+        backend servers.
     present_limit
         Returns why a job that does not weigh its wait is refused, or ``None``.
     """
@@ -60,12 +70,15 @@
         self,
         *,
         fleet: Fleet,
-        queue_ahead: Callable[[Candidate, float], QueueAhead],
+        is_waiting: Callable[[], bool],
+        queue_ahead: Callable[[Candidate, CapacityUse, float], QueueAhead],
         present_limit: Callable[[Candidate, float], Refusal | None],
     ) -> None:
         self._fleet = fleet
         self._queue_ahead = queue_ahead
         self._present_limit = present_limit
+        self._is_waiting = is_waiting
+        self._observed_s = -math.inf
 
     def refusal(self, candidate: Candidate, now_s: float) -> Refusal | None:
         """Return why a job is refused now, or ``None`` to admit it."""
@@ -97,6 +110,8 @@
 
     def _late_end_refusal(self, candidate: Candidate, now_s: float) -> Refusal | None:
         task = candidate.task
+        if not self._is_due(now_s) and self._has_room(candidate, now_s):
+            return None
         outlook = JobOutlook(
             tasks=candidate.tasks,
             task_units=task.needs.cores or 1.0,
@@ -105,12 +120,29 @@
             useless_in_s=candidate.useless_in_s,
         )
         use = self._fleet.capacity_use(task, now_s, candidate.useless_in_s)
-        refusal = expected_end_refusal(
-            outlook, self._queue_ahead(candidate, now_s), use
-        )
+        queue = self._queue_ahead(candidate, use, now_s)
+        refusal = expected_end_refusal(outlook, queue, use)
         if refusal is None:
             return None
         cause = RefusalCause.NO_CAPACITY
         if refusal.is_capacity_elsewhere:
             cause = RefusalCause.CAPACITY_ELSEWHERE
         return Refusal(cause=cause, detail=refusal.detail, wait_s=refusal.wait_s)
+
+    def _has_room(self, candidate: Candidate, now_s: float) -> bool:
+        """Return whether nothing waits and the whole job has free capacity.
+
+        It spares the sums over all servers while there is no shortage.
+        """
+        if self._is_waiting():
+            return False
+        return self._fleet.has_room(
+            candidate.task, candidate.tasks, now_s, candidate.useless_in_s
+        )
+
+    def _is_due(self, now_s: float) -> bool:
+        """Return whether it is time to observe the use of all servers again."""
+        if now_s < self._observed_s + OBSERVATION_PERIOD_S:
+            return False
+        self._observed_s = now_s
+        return True
--- a/src/verbenaplank/entry/hopeless_jobs.py
+++ b/src/verbenaplank/entry/hopeless_jobs.py
@@ -111,7 +111,9 @@
             )
 
     def _cores_of(self, pool: PoolKey) -> float:
-        return self._loads.drain_rate(self._tasks[pool])
+        task = self._tasks[pool]
+        use = self._fleet.capacity_use(task, self._loads.clock())
+        return self._loads.drain_rate(task, use)
 
     def _fits_now(self, job_id: str) -> bool:
         job = self._jobs.find_running(job_id)
--- a/src/verbenaplank/entry/routed_admission.py
+++ b/src/verbenaplank/entry/routed_admission.py
@@ -21,6 +21,7 @@
     from verbenaplank.overload.expected_end import QueueAhead
     from verbenaplank.overload.loop_lag import LoopLag
     from verbenaplank.placement.fleet import Fleet
+    from verbenaplank.placement.room import CapacityUse
     from verbenaplank.routing.table import Route
 
 DRAIN_ESTIMATE_FACTOR = 1.5
@@ -56,6 +57,7 @@
         self._view = view
         self._path = AdmissionPath(
             fleet=fleet,
+            is_waiting=lambda: len(loads.queue) > 0,
             queue_ahead=self._queue_ahead,
             present_limit=self._present_limit,
         )
@@ -103,8 +105,10 @@
             return None
         return Refusal(cause=RefusalCause.NOT_READY, detail=detail)
 
-    def _queue_ahead(self, candidate: Candidate, now_s: float) -> QueueAhead:
-        return self._loads.queue_ahead(candidate.task)
+    def _queue_ahead(
+        self, candidate: Candidate, use: CapacityUse, now_s: float
+    ) -> QueueAhead:
+        return self._loads.queue_ahead(candidate.task, use)
 
     def _present_limit(self, candidate: Candidate, now_s: float) -> Refusal | None:
         """Return a refusal if a job would wait too long to meet its goal."""
--- a/src/verbenaplank/entry/service_loads.py
+++ b/src/verbenaplank/entry/service_loads.py
@@ -15,6 +15,7 @@
 from verbenaplank.placement.fleet import Fleet
 
 if TYPE_CHECKING:
+    from verbenaplank.placement.room import CapacityUse
     from verbenaplank.placement.task import TaskRequest
 
 
@@ -65,13 +66,15 @@
     startup_ends_s: float
     shares: OwnShares = attrs.field(factory=OwnShares)
 
-    def queue_ahead(self, task: TaskRequest) -> QueueAhead:
+    def queue_ahead(self, task: TaskRequest, use: CapacityUse) -> QueueAhead:
         """Return the queue ahead of a new job that weighs its wait.
 
         Parameters
         ----------
         task
             A task of the job.
+        use
+            Use of the backend servers on which it may run.
         """
         ahead = self.queue.ahead_of(task)
         now_s = self.clock()
@@ -79,15 +82,14 @@
         return QueueAhead(
             work=ahead.core_s,
             own_priority_work=ahead.own_priority_core_s,
-            drain_rate=self.drain_rate(task),
+            drain_rate=self.drain_rate(task, use),
             demand_above=self.queue.demand_above(pool, task.priority, now_s),
             smaller_tasks=ahead.smaller_tasks,
         )
 
-    def drain_rate(self, task: TaskRequest) -> float:
+    def drain_rate(self, task: TaskRequest, use: CapacityUse) -> float:
         """Return the cores at which the queued tasks leave that weigh their waits."""
         now_s = self.clock()
-        use = self.fleet.capacity_use(task, now_s)
         pool = (task.service, self.fleet.pool_of_task(task))
         entries = max(1, self.view.entry_count())
         sharing = entries * self.fleet.capacity.connected_share_of(task.service)
--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -17,6 +17,7 @@
 from verbenaplank.placement.rack_counts import JobRackCounts
 from verbenaplank.placement.room import capacity_use
 from verbenaplank.placement.room import cores_by_state
+from verbenaplank.placement.room import has_room
 from verbenaplank.placement.run_time import RunTimeEstimator
 from verbenaplank.placement.sampling import CandidateSampler
 from verbenaplank.placement.service_capacity import ServiceCapacity
@@ -29,6 +30,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterator
     from collections.abc import Mapping
     from collections.abc import Sequence
 
@@ -241,17 +243,20 @@
         within_s
             Seconds within which a run must end to be in time.
         """
-        limit = math.inf
-        if task.exclusive:
-            limit = self._stragglers.limit(task.service, now_s)
-        servers = [
-            server
-            for server in self.capacity.connected_for(task.service, task.workload)
-            if self._health.is_usable(server, now_s)
-        ]
         run_s = self._run_times.expected_s(task)
+        limit = self._straggler_limit(task, now_s)
+        servers = self._healthy_servers(task, now_s)
         return capacity_use(servers, task, run_s, within_s, limit)
 
+    def has_room(
+        self, task: TaskRequest, tasks: int, now_s: float, within_s: float
+    ) -> bool:
+        """Return whether free capacity lets so many equal tasks end in time."""
+        run_s = self._run_times.expected_s(task)
+        limit = self._straggler_limit(task, now_s)
+        servers = self._healthy_servers(task, now_s)
+        return has_room(servers, task, tasks, run_s, within_s, limit)
+
     def cores_by_state(self) -> Mapping[tuple[str, str], float]:
         """Return the cores of all backend servers by data centre and state."""
         return cores_by_state(self._servers.values())
@@ -376,9 +381,7 @@
         self, task: TaskRequest, now_s: float, servers: Sequence[BackendServer]
     ) -> list[BackendServer]:
         needs = None if task.needs == NO_RESOURCES else task.needs
-        limit = math.inf
-        if task.exclusive:
-            limit = self._stragglers.limit(task.service, now_s)
+        limit = self._straggler_limit(task, now_s)
         usable: list[BackendServer] = []
         preferred: list[BackendServer] = []
         for server in servers:
@@ -397,6 +400,21 @@
             return preferred
         return usable
 
+    def _healthy_servers(
+        self, task: TaskRequest, now_s: float
+    ) -> Iterator[BackendServer]:
+        return (
+            server
+            for server in self.capacity.connected_for(task.service, task.workload)
+            if self._health.is_usable(server, now_s)
+        )
+
+    def _straggler_limit(self, task: TaskRequest, now_s: float) -> float:
+        """Return the slowness above which a server gets such a task as a probe."""
+        if not task.exclusive:
+            return math.inf
+        return self._stragglers.limit(task.service, now_s)
+
     def _has_other_accepting_server(self, task: TaskRequest) -> bool:
         """Return whether a server that the task need not avoid accepts tasks.
 
--- a/src/verbenaplank/placement/room.py
+++ b/src/verbenaplank/placement/room.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from verbenaplank.placement.backend_server import CORE_TOLERANCE
 from verbenaplank.placement.expected_end import remote_factor
 
 if TYPE_CHECKING:
@@ -72,22 +73,22 @@
     """
     own = others = idle = free = 0.0
     free_tasks = in_time = 0
-    by_cores = task.needs.cores > 0.0
+    cores = task.needs.cores
     for server in servers:
         speed = 1.0 / server.slowness
-        size, used, used_by_others = _units(server, by_cores=by_cores)
+        size, used, used_by_others = _units(server, by_cores=cores > 0.0)
         own += speed * used
         others += speed * used_by_others
-        if not server.accepts_tasks:
+        idle_there = size - used - used_by_others
+        if idle_there <= 0.0 or not server.accepts_tasks:
             continue
-        idle += speed * max(0.0, size - used - used_by_others)
-        if server.slowness > max_slowness:
+        idle += speed * idle_there
+        if idle_there + CORE_TOLERANCE < cores or server.slowness > max_slowness:
             continue
         count = server.free_tasks(task.needs)
-        free += speed * count * (task.needs.cores if by_cores else 1.0)
+        free += speed * count * (cores or 1.0)
         free_tasks += count
-        run_there_s = run_s * server.slowness * remote_factor(server, task)
-        if server.round_trip_s + run_there_s <= within_s:
+        if _ends_within(server, task, run_s, within_s):
             in_time += count
     return CapacityUse(
         own=own,
@@ -99,6 +100,36 @@
     )
 
 
+def has_room(
+    servers: Iterable[BackendServer],
+    task: TaskRequest,
+    tasks: int,
+    run_s: float,
+    within_s: float,
+    max_slowness: float,
+) -> bool:
+    """Return whether servers have free capacity for so many tasks, to end in time.
+
+    It looks at no more servers than it needs.  The parameters are those of
+    :func:`capacity_use`.
+    """
+    for server in servers:
+        if server.slowness > max_slowness or not server.accepts_tasks:
+            continue
+        if _ends_within(server, task, run_s, within_s):
+            tasks -= server.free_tasks(task.needs)
+            if tasks <= 0:
+                return True
+    return False
+
+
+def _ends_within(
+    server: BackendServer, task: TaskRequest, run_s: float, within_s: float
+) -> bool:
+    run_there_s = run_s * server.slowness * remote_factor(server, task)
+    return server.round_trip_s + run_there_s <= within_s
+
+
 def _units(server: BackendServer, *, by_cores: bool) -> tuple[float, float, float]:
     """Return the size of a server, and what this and the other entries occupy."""
     if by_cores:
