Tell an agent the number of held tasks when its stream opens

Cause: the number was sent only when it changed, so an agent whose stream had just opened reported too few held tasks until the next change. Change: a stream that opens has the number for its rack sent again with the next tick.

--- a/src/verbenaplank/entry/holds.py
+++ b/src/verbenaplank/entry/holds.py
@@ -113,10 +113,7 @@
     def changed_counts(
         self, connected: Iterable[str], members: Mapping[str, Member]
     ) -> list[SendToAgent]:
-        """Return messages to the agents of racks whose number of held tasks changed.
-
-        An agent whose stream has opened since is told by the next change.
-        """
+        """Return messages to the agents of racks whose number of held tasks changed."""
         counts = dict(self._queue.held_by_rack)
         changed = {rack for rack, _ in counts.items() ^ self._sent.items()}
         for rack in changed:
@@ -130,6 +127,10 @@
             if agent_id in members and members[agent_id].rack in changed
         ]
 
+    def resend_count(self, rack: str) -> None:
+        """Send the number for a rack again, as a stream to it has opened."""
+        self._sent.pop(rack, None)
+
     def decide(self, task: TaskRequest, now_s: float) -> Decision:
         """Return whether to place or hold a task that is in the queue."""
         self._rank = self._random.random()
--- a/tests/entry/test_rack_replays.py
+++ b/tests/entry/test_rack_replays.py
@@ -210,6 +210,26 @@
     assert calls <= 8
 
 
+def test_agent_whose_stream_opens_is_told_how_many_tasks_are_held() -> None:
+    """Its reports leave out the tasks held here, so other entries hold too many."""
+    made = world()
+    fill(made, "rack-a", 2 * PER_SERVER, RUN_S)
+    made.run_until(RUN_S - 0.06)
+    made.submit(0, "job", "rack-a")
+    engine = made.engines[0]
+    engine.tick(made.now_s)
+    made.flush(0)
+    server = made.servers["a1"]
+    assert server.held == {0: 8}
+    server.held.clear()
+    engine.on_agent_disconnected("a1", made.now_s)
+    welcome = work.AgentWelcome(agent_id="a1", incarnation="1", slots=1_000)
+    engine.on_agent_connected(welcome, made.now_s)
+    engine.tick(made.now_s)
+    made.flush(0)
+    assert server.held == {0: 8}
+
+
 def test_holds_are_counted_logged_and_exported(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
