--- a/tests/entry/test_load_replays.py
+++ b/tests/entry/test_load_replays.py
@@ -75,3 +75,24 @@
     for kind in (SHORT_JOB, MEDIUM_JOB, LONG_JOB):
         of_kind = [end for end in ends if end.kind is kind]
         assert sum(end.worth for end in of_kind) > 0.25 * len(of_kind), kind
+
+
+def test_burst_of_urgent_jobs_wastes_little_work_and_leaves_others_a_share() -> None:
+    """Jobs lost the work of tasks that had run, and the lowest priority its starts."""
+    lost = {}
+    long_served = {}
+    for remote_factor in (1.0, 2.0):
+        replay = Replay(
+            agents=8, cores=CORES / 8, remote_factor=remote_factor, admits_all=True
+        )
+        load = arrivals(SHORT_JOB, 40, 0.0, 6.0, seed=1)
+        load += arrivals(SHORT_JOB, 90, 1.0, 4.0, seed=6)
+        load += arrivals(MEDIUM_JOB, 60, 0.0, 6.0, seed=4)
+        load += arrivals(LONG_JOB, 12, 0.0, 6.0, seed=3)
+        ends = replay.run(load, 13.0)
+        lost[remote_factor] = sum(end.outcome == "unknown" for end in ends)
+        long_served[remote_factor] = sum(
+            end.outcome == "served" for end in ends if end.kind is LONG_JOB
+        )
+    assert lost[2.0] < 0.5 * lost[1.0]
+    assert long_served[2.0] > long_served[1.0]
