Hold no task without a rack while other jobs are queued

Cause: tasks without a rack were held for faster servers, which queued tasks then took, while slow ones were idle.

Change: the queued tasks count as ahead of a task without a rack, and more of them than one job has prevent the hold.

--- a/src/verbenaplank/entry/holds.py
+++ b/src/verbenaplank/entry/holds.py
@@ -12,6 +12,7 @@
 from verbenaplank.entry.effects import SendToAgent
 from verbenaplank.entry.holding_queue import HeldTask
 from verbenaplank.entry.holding_queue import level_of
+from verbenaplank.placement.local_choice import MAX_TASKS_AHEAD
 from verbenaplank.placement.local_choice import HoldClaim
 from verbenaplank.placement.locality import Hold
 from verbenaplank.placement.locality import Place
@@ -36,6 +37,9 @@
 MAX_DECISIONS_PER_RACK = 32
 """Held tasks of a rack and level that one flush evaluates; the next one goes on."""
 
+MAX_TASKS_OF_A_JOB = 4
+"""Queued tasks that count as those of the same job, and do not prevent a hold."""
+
 REPORT_LAG_S = 0.25
 """Load reports may count the number that an entry sent before for this long."""
 
@@ -137,7 +141,7 @@
         counts = self._queue.held_by_rack
         ahead = counts.get(task.preferred_rack, 0)
         if not task.preferred_rack:
-            ahead = self._queue.held_count
+            ahead = self._queue.held_count + self._competing()
         claim = HoldClaim(
             rank=self._rank,
             ahead=ahead,
@@ -221,7 +225,7 @@
     ) -> Decision:
         counts = self._queue.held_by_rack
         if not held.task.preferred_rack:
-            ahead += self._queue.held_count - counts[rack]
+            ahead += self._queue.held_count - counts[rack] + self._competing()
         claim = HoldClaim(
             rank=held.rank,
             ahead=ahead,
@@ -231,6 +235,15 @@
         )
         return self._fleet.choose_or_hold(held.task, now_s, claim)
 
+    def _competing(self) -> int:
+        """Return the tasks that may take a server before a task without a rack does.
+
+        Behind a queue of other jobs it is too many for a hold, since the queue would
+        take the fast servers while the slow ones idle.
+        """
+        queued = len(self._queue)
+        return queued if queued <= MAX_TASKS_OF_A_JOB else MAX_TASKS_AHEAD + queued
+
     def _own_reported(self, rack: str, now_s: float) -> int:
         """Return how many of the reported held tasks may be this entry's own."""
         sent = self._sent.get(rack, 0)
