--- a/src/verbenaplank/placement/stragglers.py
+++ b/src/verbenaplank/placement/stragglers.py
@@ -25,6 +25,12 @@
         self._settings = settings
         self._limits: dict[str, tuple[float, float]] = {}
 
+    def copy(self) -> Stragglers:
+        """Return a copy whose limits are computed and kept apart from now on."""
+        copied = Stragglers(self._services, self._settings)
+        copied._limits = dict(self._limits)
+        return copied
+
     def limit(self, service: str, now_s: float) -> float:
         """Return the slowness above which a server gets exclusive tasks as probes."""
         computed_s, limit = self._limits.get(service, (-math.inf, 0.0))
