Answer where a request would be placed without submitting it

Cause: an operator had to submit a job to learn whether it would be refused, wait or run, and where.

Change: POST /v1/where takes the body of a job or a request. It validates and admits like a submission and explains each group of identical tasks. Quotas, shares and limits that a decision changes are copied for the query; ids, queue, counters and the generators of later decisions are not touched. On the path of a submission only the place of a task among the held ones became a method.

Run: pytest tests/entry tests/admission tests/overload tests/placement, 470 passed. With the copy of the quotas or of the shares removed, 4 and 1 cases of test_query_changes_no_state fail.

--- a/src/verbenaplank/admission/quota.py
+++ b/src/verbenaplank/admission/quota.py
@@ -60,6 +60,15 @@
         for team in [team for team in self._usages if team not in rules]:
             del self._usages[team]
 
+    def copy_for(self, team: str) -> TeamQuotas:
+        """Return quotas with the same rules, and with a copy of one team's usage."""
+        copied = TeamQuotas()
+        copied.configure(self._rules, self._entries)
+        usage = self._usages.get(team)
+        if usage is not None:
+            copied._usages[team] = attrs.evolve(usage)
+        return copied
+
     def admit(self, team: str, tasks: int, now_s: float) -> QuotaDecision:
         """Admit all tasks of a request, or none.
 
--- a/src/verbenaplank/entry/admission_control.py
+++ b/src/verbenaplank/entry/admission_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from copy import copy
 from typing import TYPE_CHECKING
 
 import attrs
@@ -88,6 +89,28 @@
         self._entry_count = max(1, entries)
         self._quotas.configure(teams, self._entry_count)
 
+    def for_query(self, fleet: Fleet, team: str) -> AdmissionController:
+        """Return a controller that decides alike about one request of a team.
+
+        It counts and charges apart from this one.
+
+        Parameters
+        ----------
+        fleet
+            The fleet for decisions that are not carried out.
+        """
+        query = copy(self)
+        query._fleet = fleet
+        query._quotas = self._quotas.copy_for(team)
+        query._shares = self._shares.copy()
+        query._counts = JobCounts()
+        query._path = AdmissionPath(
+            fleet=fleet,
+            queue_ahead=query._queue_ahead,
+            present_limit=query._present_limit,
+        )
+        return query
+
     def count_dispatch(self, now_s: float) -> None:
         """Include a dispatch in the measured start rate."""
         self._rate.record_starts(now_s)
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -396,6 +396,7 @@
             wall_clock=self._wall_clock,
             admission=self._admission,
             readiness=self._status.readiness,
+            fleet=self._fleet,
             remote_factor=settings.placement.remote_factor,
         )
         return Pipeline(dependencies)
--- a/src/verbenaplank/entry/decode.py
+++ b/src/verbenaplank/entry/decode.py
@@ -50,6 +50,20 @@
     return _decode(body, _read_request, single=True)
 
 
+def decode_query(body: bytes) -> ParsedRequest:
+    """Decode the body of ``POST /v1/where``, which is that of a job or a request.
+
+    It is a request if it has a field that only requests have, and no tasks.
+    """
+    try:
+        names = _BODY.decode(body).keys()
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return decode_job(body)
+    if "tasks" not in names and names & _REQUEST_FIELDS - _JOB_FIELDS:
+        return decode_request(body)
+    return decode_job(body)
+
+
 def _decode(
     body: bytes,
     read: Callable[[FieldReader, list[Finding]], ParsedRequest],
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -355,6 +355,11 @@
         """Return the monotonic time by which held tasks need the next flush."""
         return self._queue.next_due_s()
 
+    @property
+    def queued_tasks(self) -> int:
+        """Return the number of queued tasks that are not held."""
+        return len(self._queue)
+
     def on_placement_changed(self) -> None:
         """Have all held tasks evaluated, as drains or evacuations have changed."""
         self._queue.mark_all_due()
--- a/src/verbenaplank/entry/holds.py
+++ b/src/verbenaplank/entry/holds.py
@@ -128,17 +128,21 @@
     def decide(self, task: TaskRequest, now_s: float) -> Decision:
         """Return whether to place or hold a task that is in the queue."""
         self._rank = self._random.random()
+        claim = self.claim(task, self._rank, now_s)
+        return self._fleet.choose_or_hold(task, now_s, claim)
+
+    def claim(self, task: TaskRequest, rank: float, now_s: float) -> HoldClaim:
+        """Return the place of a task that is not held among those that are."""
         counts = self._queue.held_by_rack
         ahead = counts.get(task.preferred_rack, 0)
         if not task.preferred_rack:
             ahead = self._queue.held_count
-        claim = HoldClaim(
-            rank=self._rank,
+        return HoldClaim(
+            rank=rank,
             ahead=ahead,
             own_held=counts,
             own_reported=self._own_reported(task.preferred_rack, now_s),
         )
-        return self._fleet.choose_or_hold(task, now_s, claim)
 
     def hold(self, task: TaskRequest, hold: Hold, now_s: float) -> None:
         """Hold a task that :meth:`decide` was called for last."""
--- a/src/verbenaplank/entry/http.py
+++ b/src/verbenaplank/entry/http.py
@@ -82,6 +82,10 @@
         body = await request.body()
         return _response(await pipeline.submit(body, _token(request), single=True))
 
+    @post("/v1/where", status_code=HTTPStatus.OK)
+    async def where(request: Request[Any, Any, Any]) -> Response[bytes]:
+        return _response(pipeline.where(await request.body(), _token(request)))
+
     @get("/v1/jobs/{job_id:str}")
     async def attach(job_id: FromPath[str]) -> Response[bytes]:
         try:
@@ -96,7 +100,7 @@
         except InvalidJobIdError as error:
             return _response(pipeline.rejection_response(_invalid_id_rejection(error)))
 
-    return [submit_job, submit_request, attach, cancel]
+    return [submit_job, submit_request, where, attach, cancel]
 
 
 def _operations_routes(dependencies: HttpDependencies) -> list[Any]:
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from verbenaplank.clock.sources import WallClock
 from verbenaplank.entry.admission_control import AdmissionController
 from verbenaplank.entry.decode import decode_job
+from verbenaplank.entry.decode import decode_query
 from verbenaplank.entry.decode import decode_request
 from verbenaplank.entry.interfaces import Claims
 from verbenaplank.entry.interfaces import Membership
@@ -24,9 +26,13 @@
 from verbenaplank.entry.runner import EngineRunner
 from verbenaplank.entry.validation import ValidationContext
 from verbenaplank.entry.validation import validate
+from verbenaplank.entry.where import answer
+from verbenaplank.entry.where import known_answer
 from verbenaplank.identifiers.job_id import job_timestamp_ms
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
+from verbenaplank.placement.fleet import Fleet
+from verbenaplank.placement.fleet_query import FleetQuery
 from verbenaplank.settings.entry import EntryLimits
 
 if TYPE_CHECKING:
@@ -105,6 +111,8 @@
         Decides whether requests are admitted.
     readiness
         Returns the entry's readiness.
+    fleet
+        The agents, for queries about placement.
     remote_factor
         How many times longer a task takes outside the rack that it prefers.
     """
@@ -119,6 +127,7 @@
     wall_clock: WallClock
     admission: AdmissionController
     readiness: Callable[[], Readiness]
+    fleet: Fleet
     remote_factor: float = 1.0
 
 
@@ -133,6 +142,7 @@
         self._deps = dependencies
         self._dispatch_table = dependencies.runner.engine.dispatch_table
         self._in_progress: set[asyncio.Task[None]] = set()
+        self._query_random = random.Random()
 
     async def submit(self, body: bytes, token: str, *, single: bool) -> HttpResponse:
         """Handle ``POST /v1/jobs`` or, if ``single``, ``POST /v1/requests``."""
@@ -155,11 +165,37 @@
                 return self.rejection_response(ID_REUSED, submission.job_id)
             await record.answered.wait()
             record = self._deps.registry.find(submission.job_id)
-        rejection = self._admit(submission)
+        rejection = self._admit(submission, self._deps.admission)
         if rejection is not None:
             return await self._reject_unless_known(submission, rejection)
         return await self._response_of(self._start(submission))
 
+    def where(self, body: bytes, token: str) -> HttpResponse:
+        """Handle ``POST /v1/where``: explain where a request would be placed now.
+
+        It decides like :meth:`submit`, but on copies of what a decision changes.
+        """
+        deps = self._deps
+        parsed = decode_query(body)
+        if not deps.readiness().current:
+            return self.rejection_response(STATE_NOT_CURRENT)
+        validated = validate(parsed, self._validation_context(token))
+        if validated.is_error():
+            return self.rejection_response(validated.error, parsed.job_id)
+        submission = validated.ok
+        record = deps.registry.find(submission.job_id)
+        if record is not None and record.digest == submission.digest:
+            return known_answer()
+        fleet = FleetQuery(deps.fleet, self._query_random)
+        if record is not None and record.owned:
+            rejection: Rejection | None = ID_REUSED
+        else:
+            admission = deps.admission.for_query(fleet, submission.team)
+            rejection = self._admit(submission, admission)
+        return answer(
+            submission, rejection, deps.runner.engine, fleet, submission.received_s
+        )
+
     async def attach(self, job_id: str) -> HttpResponse:
         """Return the response of a job, from this or any other entry that knows it."""
         record = self._deps.registry.find(job_id)
@@ -216,13 +252,15 @@
             remote_factor=deps.remote_factor,
         )
 
-    def _admit(self, submission: Submission) -> Rejection | None:
+    def _admit(
+        self, submission: Submission, admission: AdmissionController
+    ) -> Rejection | None:
         deps = self._deps
         if deps.registry.is_full:
-            return deps.admission.with_retry_after(
+            return admission.with_retry_after(
                 TOO_MANY_REQUESTS, submission, deps.clock()
             )
-        return deps.admission.admit(submission, deps.readiness(), deps.clock())
+        return admission.admit(submission, deps.readiness(), deps.clock())
 
     async def _response_of(self, record: RequestRecord) -> HttpResponse:
         await record.answered.wait()
--- a/src/verbenaplank/overload/own_share.py
+++ b/src/verbenaplank/overload/own_share.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import math
+from copy import copy
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -81,6 +82,12 @@
     def __init__(self) -> None:
         self._shares: dict[PoolKey, OwnShare] = {}
 
+    def copy(self) -> OwnShares:
+        """Return a copy that observes for itself from now on."""
+        copied = OwnShares()
+        copied._shares = {pool: copy(share) for pool, share in self._shares.items()}
+        return copied
+
     def drain_rate(
         self, pool: PoolKey, use: CapacityUse, entries: float, now_s: float
     ) -> float:
