--- a/src/verbenaplank/console/application.py
+++ b/src/verbenaplank/console/application.py
@@ -16,12 +16,14 @@
 from verbenaplank.console.commands import standalone
 from verbenaplank.console.commands import status
 from verbenaplank.console.commands import submit
+from verbenaplank.console.commands import where
 
 application = typer.Typer(
     add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False
 )
 application.command()(submit.submit)
 application.command()(request.request)
+application.command()(where.where)
 application.command()(status.status)
 application.command()(cancel.cancel)
 application.command()(members.members)
--- a/src/verbenaplank/console/exit_code.py
+++ b/src/verbenaplank/console/exit_code.py
@@ -25,6 +25,8 @@
         the job was already complete, or the id is in use with other content.
     UNREACHABLE
         A request was sent but not answered; its outcome is not known.
+    WOULD_BE_REFUSED
+        A query was answered: the request would be refused if it were submitted now.
     """
 
     OK = 0
@@ -33,3 +35,4 @@
     NOT_RUN = 3
     CONFLICT = 4
     UNREACHABLE = 5
+    WOULD_BE_REFUSED = 6
