--- a/src/verbenaplank/placement/explain.py
+++ b/src/verbenaplank/placement/explain.py
@@ -1,7 +1,8 @@
 """Explains where a task would be placed now, and why not on each other server.
 
 The decision is that of the fleet itself.  This module only names the causes and the
-expected times behind it.
+expected times behind it.  Its cost grows with the connected servers of the service,
+which are a subset of bounded size, and not with the fleet.
 """
 
 from __future__ import annotations
