--- a/benchmarks/entry_time.py
+++ b/benchmarks/entry_time.py
@@ -229,7 +229,7 @@
 
 async def run_job(entry: EntryProcess, kind: JobKind, turn: Round) -> None:
     """Send a job on a kept connection and record its answer."""
-    step = {
+    step: dict[str, float | str] = {
         "count": kind.tasks,
         "cpu": kind.millicores,
         "mem-mb": 64,
