--- a/src/verbenaplank/admission/priority_shares.py
+++ b/src/verbenaplank/admission/priority_shares.py
@@ -10,8 +10,7 @@
 LOWER_PRIORITY_SHARE = 0.1
 """Share of the started work that is reserved for each lower priority.
 
-Half of the usual demand of a priority is of this size, and the priorities above it lose
-no more than it."""
+It keeps a lower priority from being starved, and higher ones lose no more than it."""
 
 MAX_RESERVED_TASKS = 2.0
 """Largest number of tasks whose reserved work accumulates while none can be used."""
--- a/src/verbenaplank/overload/expected_end.py
+++ b/src/verbenaplank/overload/expected_end.py
@@ -1,10 +1,9 @@
 """Decides by its expected end whether a job that weighs its wait is admitted.
 
-Load pattern: more jobs arrive than can be answered in time.  A late answer is worth a
-fifth of an earlier one, so a short queue, in which the admitted jobs meet their goal,
-is worth more than a long one, in which most are late and the last are never tried.
-While servers have free capacity there is no such choice: a job that uses it is worth
-something as long as its answer is of use.
+Load pattern: more jobs arrive than can be answered in time.  Callers are served better
+by a short queue, in which the admitted jobs meet their goal, than by a long one, in
+which most are late and the last are never tried.  While servers have free capacity
+there is no such choice: a job that uses it is admitted as long as its answer is of use.
 """
 
 from __future__ import annotations
@@ -20,10 +19,12 @@
 if TYPE_CHECKING:
     from verbenaplank.placement.room import CapacityUse
 
-MAX_WAIT_PER_SLACK = 0.1
+MAX_QUEUE_WAIT_PER_SLACK = 0.1
 """A job may wait for this share of the time that its goal leaves besides a usual run.
 
-The last of several tasks ends later than a usual one, which takes most of that time."""
+The last of several tasks ends later than a usual one, which takes most of that time.
+It is less than for jobs that weigh no waits, as the expected start already counts the
+demand of higher priorities."""
 
 
 @attrs.frozen(kw_only=True)
@@ -39,7 +40,7 @@
     task_units
         Units of capacity that a task occupies.
     run_s
-        Expected run time of a task on a usual server, round trip included.
+        Expected run time of a task on a server of usual speed, in seconds.
     goal_in_s
         Seconds until the answer is late.
     useless_in_s
@@ -138,7 +139,7 @@
     start_s = expected_start_s(queue, (waiting - 1) * job.task_units * job.run_s)
     if start_s + job.run_s <= job.useless_in_s:
         slack_s = max(0.0, job.goal_in_s - job.run_s)
-        if unclaimed or start_s <= MAX_WAIT_PER_SLACK * slack_s:
+        if unclaimed or start_s <= MAX_QUEUE_WAIT_PER_SLACK * slack_s:
             return None
     is_elsewhere = use.idle - use.free >= job.tasks * job.task_units
     return LateEndRefusal(
