Split the crash limit, the lease check and the reasons of aborts from the engine

The reasons for which a job is aborted move to abort_reasons.py, the abort itself to JobTable.abort beside the other ends of a job, the jobs given up for crashes to crashing_jobs.py, and the check of claimed jobs after a change of the lease to lease_expiry.py. The engine calls them directly, in the same order as before.

--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -13,12 +13,17 @@
 
 from verbenaplank.admission.budget import HEDGE_SHARE
 from verbenaplank.admission.budget import StartBudget
-from verbenaplank.crashes.limit import StartPermission
-from verbenaplank.crashes.limit import start_permission
 from verbenaplank.entry import decision_log
+from verbenaplank.entry.abort_reasons import CANCELLED
+from verbenaplank.entry.abort_reasons import DEADLINE_EXCEEDED
+from verbenaplank.entry.abort_reasons import LEASE_EXPIRED
+from verbenaplank.entry.abort_reasons import NO_SERVER_IN_TIME
+from verbenaplank.entry.abort_reasons import NO_TIME_TO_START
+from verbenaplank.entry.abort_reasons import STOPPED
 from verbenaplank.entry.agent_message_handler import AgentMessageHandler
 from verbenaplank.entry.crash_confinement import CrashConfinement
 from verbenaplank.entry.crash_exchange import CrashExchange
+from verbenaplank.entry.crashing_jobs import CrashingJobs
 from verbenaplank.entry.disconnected_agents import DisconnectedAgents
 from verbenaplank.entry.dispatch_table import DispatchTable
 from verbenaplank.entry.dispatcher import Dispatcher
@@ -29,6 +34,7 @@
 from verbenaplank.entry.holding_queue import HoldingQueue
 from verbenaplank.entry.holds import Holds
 from verbenaplank.entry.jobs import JobTable
+from verbenaplank.entry.lease_expiry import LeaseExpiry
 from verbenaplank.entry.retry import RetryQueue
 from verbenaplank.entry.timer_queue import TimerQueue
 from verbenaplank.outcome.failure import FailureKind
@@ -45,32 +51,12 @@
     from verbenaplank.entry.submission import Submission
     from verbenaplank.overload.hopeless import HopelessJob
     from verbenaplank.placement.fleet import Fleet
-    from verbenaplank.protocol.crash import CrashReport
     from verbenaplank.protocol.membership import Member
     from verbenaplank.protocol.work import AgentWelcome
     from verbenaplank.protocol.work import FromAgent
 
 STALL_CHECK_PERIOD_S = 0.2
 
-CANCELLED = Rejection(kind=FailureKind.CANCELLED, detail="cancelled by the caller")
-DEADLINE_EXCEEDED = Rejection(
-    kind=FailureKind.DEADLINE_EXCEEDED, detail="the deadline passed"
-)
-NO_TIME_TO_START = Rejection(
-    kind=FailureKind.OVERLOADED,
-    detail="no worker became free in time to complete the request",
-)
-LEASE_EXPIRED = Rejection(
-    kind=FailureKind.OUTCOME_UNKNOWN,
-    detail="the lease of this entry expired while the request was in progress",
-)
-STOPPED = Rejection(
-    kind=FailureKind.CANCELLED, detail="the entry stopped before the request completed"
-)
-
-
-NO_SERVER_IN_TIME = "the queue ahead is too long for the request to start in time"
-
 
 def find_none(now_s: float) -> Sequence[HopelessJob]:
     """Return no hopeless jobs; the default until a finder is set."""
@@ -148,10 +134,11 @@
         self.holds = Holds(self._queue, fleet, random or random_module.Random())
         self._queue.on_drop = self.holds.drop
         self.jobs = JobTable(self.dispatch_table, self._queue, self.effects)
+        self._crashing_jobs = CrashingJobs(self.jobs, self.crashes)
         self._evacuated_jobs = EvacuatedJobs(self.jobs, self.dispatch_table, fleet)
         self._fleet = fleet
         self._lease_held_since = lease_held_since
-        self._checked_lease_since_s = float("-inf")
+        self._lease_expiry = LeaseExpiry(self.jobs, lease_held_since)
         self._deadlines: TimerQueue[str] = TimerQueue()
         self._latest_starts: TimerQueue[str] = TimerQueue()
         self._members: dict[str, Member] = {}
@@ -211,15 +198,15 @@
         if submission.latest_start_s < submission.deadline_s:
             self._latest_starts.add(submission.job_id, submission.latest_start_s)
         if submission.claimed and submission.received_s < self._lease_held_since(now_s):
-            self._abort(submission.job_id, LEASE_EXPIRED, now_s)
+            self.jobs.abort(submission.job_id, LEASE_EXPIRED, now_s)
         elif now_s >= submission.deadline_s:
-            self._abort(submission.job_id, DEADLINE_EXCEEDED, now_s)
+            self.jobs.abort(submission.job_id, DEADLINE_EXCEEDED, now_s)
         else:
-            self._give_up_crashing_job(submission.job_id, now_s)
+            self._crashing_jobs.give_up(submission.job_id, now_s)
 
     def cancel(self, job_id: str, now_s: float) -> bool:
         """Cancel a job and return whether it was in progress."""
-        return self._abort(job_id, CANCELLED, now_s)
+        return self.jobs.abort(job_id, CANCELLED, now_s)
 
     def on_member_joined(self, member: Member, now_s: float) -> None:
         """Add an agent to the fleet, or update one that changed."""
@@ -271,11 +258,11 @@
 
     def on_agent_message(self, agent_id: str, message: FromAgent, now_s: float) -> None:
         """Handle the revocations, refusals, results and load in a message."""
-        self._fail_jobs_after_lease_expiry(now_s)
+        self._lease_expiry.fail_jobs(now_s)
         for report in message.crashes:
             if self.crashes.receive(report, agent_id, self._connected, now_s):
                 self.confinement.on_crash(report, now_s)
-                self._give_up_crashing_jobs(report, now_s)
+                self._crashing_jobs.give_up_suspects(report, now_s)
         for confinement in message.confinements:
             self.confinement.on_confinement(confinement, now_s)
         if message.confinements:
@@ -299,21 +286,21 @@
         failing jobs that are ready.
         """
         self.holds.now_s = now_s
-        self._fail_jobs_after_lease_expiry(now_s)
+        self._lease_expiry.fail_jobs(now_s)
         for job_id in self._deadlines.pop_due(now_s):
-            self._abort(job_id, DEADLINE_EXCEEDED, now_s)
+            self.jobs.abort(job_id, DEADLINE_EXCEEDED, now_s)
         for job_id in self._latest_starts.pop_due(now_s):
             if self._queue.has_tasks_of(job_id):
-                self._abort(job_id, NO_TIME_TO_START, now_s)
+                self.jobs.abort(job_id, NO_TIME_TO_START, now_s)
         for hopeless in self._find_hopeless(now_s):
             rejection = Rejection(
                 kind=FailureKind.OVERLOADED,
                 detail=f"{NO_SERVER_IN_TIME}: expected wait is {hopeless.wait_s:.2f} s",
                 retry_after_s=hopeless.wait_s,
             )
-            self._abort(hopeless.job_id, rejection, now_s)
+            self.jobs.abort(hopeless.job_id, rejection, now_s)
         for job_id in self._evacuated_jobs.find(now_s):
-            self._abort(job_id, EVACUATED, now_s)
+            self.jobs.abort(job_id, EVACUATED, now_s)
         for agent_id in self._disconnected_agents.pop_runs_ended(now_s):
             decision_log.agent_runs_ended(agent_id)
             self._message_handler.mark_all_lost(agent_id, now_s)
@@ -331,7 +318,7 @@
 
     def flush(self, now_s: float) -> list[Effect]:
         """Dispatch the tasks that an agent can take, and return all effects."""
-        self._fail_jobs_after_lease_expiry(now_s)
+        self._lease_expiry.fail_jobs(now_s)
         self._dispatcher.dispatch_waiting(now_s)
         effects = self.effects.copy()
         self.effects.clear()
@@ -386,62 +373,7 @@
         for agent_id in self._fleet.stalled_agents(now_s):
             self._message_handler.revoke_outstanding(agent_id)
 
-    def _abort(self, job_id: str, rejection: Rejection, now_s: float) -> bool:
-        job = self.jobs.find_running(job_id)
-        if job is None:
-            return False
-        decision_log.job_aborted(job_id, rejection)
-        self.jobs.fail(job, rejection, now_s)
-        return True
-
     def _update_confinement(self, now_s: float) -> None:
         for confinement in self.confinement.update(now_s):
             for agent_id in self._connected:
                 self.effects.append(SendToAgent(agent_id, confinement))
-
-    def _give_up_crashing_jobs(self, report: CrashReport, now_s: float) -> None:
-        """Fail the jobs with a task of a report that has reached the limit."""
-        tasks = {run.task for run in report.runs}
-        for job in self.jobs:
-            if not tasks.isdisjoint(job.submission.task_names):
-                self._give_up_crashing_job(job.submission.job_id, now_s)
-
-    def _give_up_crashing_job(self, job_id: str, now_s: float) -> None:
-        """Fail a job if too many backend servers have crashed under one of its tasks.
-
-        A job whose other tasks would start only to be thrown away is not started.
-        """
-        job = self.jobs.find_running(job_id)
-        if job is None:
-            return
-        for index, name in enumerate(job.submission.task_names):
-            permission = start_permission(self.crashes.history, name)
-            if permission is StartPermission.GIVEN_UP:
-                self.crashes.counts.jobs_given_up += 1
-                self._abort(job_id, _crash_limit_rejection(index), now_s)
-                return
-
-    def _fail_jobs_after_lease_expiry(self, now_s: float) -> None:
-        """Fail claimed jobs as ``OUTCOME_UNKNOWN`` once the lease has expired.
-
-        From then on, another entry may return that outcome for the same id.
-        """
-        since_s = self._lease_held_since(now_s)
-        if since_s == self._checked_lease_since_s:
-            return
-        self._checked_lease_since_s = since_s
-        for job in self.jobs:
-            if job.submission.claimed and job.submission.received_s < since_s:
-                self.jobs.fail_immediately(job, LEASE_EXPIRED, now_s)
-
-
-def _crash_limit_rejection(task_index: int) -> Rejection:
-    """Return the rejection of a job with a task that is given up.
-
-    The task has not failed for certain: a start that a crashing backend server did not
-    answer may never have taken place.
-    """
-    return Rejection(
-        kind=FailureKind.OUTCOME_UNKNOWN,
-        detail=f"task {task_index}: several backend servers crashed while it ran",
-    )
--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from verbenaplank.entry import decision_log
 from verbenaplank.entry.dispatch_table import DispatchState
 from verbenaplank.entry.effects import Effect
 from verbenaplank.entry.effects import JobCompleted
@@ -142,6 +143,15 @@
         self._stop_or_revoke_open_dispatches(job_id)
         self.complete_failure_if_ready(job_id, now_s)
 
+    def abort(self, job_id: str, rejection: Rejection, now_s: float) -> bool:
+        """Fail a job and log why, and return whether it was running."""
+        job = self.find_running(job_id)
+        if job is None:
+            return False
+        decision_log.job_aborted(job_id, rejection)
+        self.fail(job, rejection, now_s)
+        return True
+
     def fail_immediately(self, job: Job, rejection: Rejection, now_s: float) -> None:
         """Fail a job and answer it without waiting for the agents."""
         self.fail(job, rejection, now_s)
