Split the scheduling components and the HTTP interface from the entry instance

Building the components that schedule and record jobs moves to components.py, building the pipeline and the HTTP server to caller_interface.py, which is still imported only where the interface is served. EntryInstance keeps the start, the drain and the stop. non_decreasing moves to the other clock functions; its test imports it there.

--- a/src/verbenaplank/clock/sources.py
+++ b/src/verbenaplank/clock/sources.py
@@ -24,3 +24,15 @@
 def wall_clock_ms() -> int:
     """Return the current time in milliseconds since the Unix epoch."""
     return time.time_ns() // 1_000_000
+
+
+def non_decreasing(wall_clock: WallClock) -> WallClock:
+    """Return a clock that repeats its last time while the given one is behind it."""
+    latest_ms = 0
+
+    def read_ms() -> int:
+        nonlocal latest_ms
+        latest_ms = max(latest_ms, wall_clock())
+        return latest_ms
+
+    return read_ms
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -11,44 +11,27 @@
 from typing import Self
 from uuid import uuid4
 
-from verbenaplank.admission.budget import hedge_budget
-from verbenaplank.admission.budget import retry_budget
-from verbenaplank.admission.goal_queue import GoalQueue
-from verbenaplank.admission.queue import TaskQueue
 from verbenaplank.clock.sources import monotonic_s
+from verbenaplank.clock.sources import non_decreasing
 from verbenaplank.clock.sources import wall_clock_ms
-from verbenaplank.entry.admission_control import AdmissionController
 from verbenaplank.entry.agent_connections import AgentConnections
 from verbenaplank.entry.agent_connections import EngineListener
 from verbenaplank.entry.client_factories import claims_factory
 from verbenaplank.entry.client_factories import membership_factory
-from verbenaplank.entry.engine import Engine
+from verbenaplank.entry.components import EntryComponents
 from verbenaplank.entry.membership_watcher import MembershipWatcher
-from verbenaplank.entry.peer_client import PeerClient
 from verbenaplank.entry.peer_service import PeerService
-from verbenaplank.entry.readiness import EntryStatus
-from verbenaplank.entry.registry import RequestRegistry
 from verbenaplank.entry.renewal import LONG_LEASE
 from verbenaplank.entry.renewal import SHORT_LEASE
-from verbenaplank.entry.routed_jobs import RoutedJobs
-from verbenaplank.entry.runner import EngineRunner
 from verbenaplank.entry.service_loads import EntryView
-from verbenaplank.entry.state_logging import PlacementLogBuffer
 from verbenaplank.entry.state_logging import log_state_changes_forever
 from verbenaplank.entry.subset_connector import SubsetConnector
 from verbenaplank.entry.traffic import Traffic
-from verbenaplank.history.event import Event
 from verbenaplank.history.event import EventHook
-from verbenaplank.history.event import EventKind
 from verbenaplank.history.event import ignore_event
-from verbenaplank.http.server import HttpServer
 from verbenaplank.membership.client import MembershipClient
 from verbenaplank.observability.rendering import no_metrics
-from verbenaplank.overload.job_counts import JobCounts
-from verbenaplank.overload.lag_readiness import LagReadiness
-from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
-from verbenaplank.placement.settings import PlacementSettings
 from verbenaplank.protocol.membership import Member
 from verbenaplank.protocol.membership import MemberRole
 from verbenaplank.protocol.work import EntryHello
@@ -61,15 +44,14 @@
     from types import TracebackType
     from typing import Any
 
-    from verbenaplank.admission.queue_protocol import TaskQueueProtocol
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.clock.sources import WallClock
-    from verbenaplank.entry.dispatch_table import DispatchRecord
     from verbenaplank.entry.interfaces import Claims
     from verbenaplank.entry.interfaces import ClaimsFactory
     from verbenaplank.entry.interfaces import Membership
     from verbenaplank.entry.interfaces import MembershipFactory
     from verbenaplank.entry.pipeline import Pipeline
+    from verbenaplank.http.server import HttpServer
     from verbenaplank.observability.rendering import RenderMetrics
     from verbenaplank.overload.job_counts import RouteKey
     from verbenaplank.placement.policy import Policy
@@ -78,8 +60,6 @@
     from verbenaplank.settings.common import ControlPeer
     from verbenaplank.settings.entry import EntrySettings
 
-MAX_RECORDS = 1_000_000
-MAX_RESPONSE_BYTES = 256 * 1024 * 1024
 STOP_GRACE_S = 1.0
 """Time that a drain waits for the responses of requests that it has failed."""
 
@@ -164,64 +144,40 @@
         self.traffic = Traffic()
         self._settings = settings
         self._metrics = metrics
-        self._record = record
         self._clock = clock
         self._wall_clock = non_decreasing(wall_clock)
         self._random = random or random_module.Random()
         self._open_membership = open_membership or membership_factory(settings, clock)
         self._open_claims = open_claims or claims_factory(settings, clock, self._random)
         self._incarnation = uuid4().hex
-        self._status = EntryStatus(clock, self._is_lagging)
-        self._lag_readiness = LagReadiness(self._random.random)
         self._resources = AsyncExitStack()
-        limits = settings.limits
-        placement = PlacementSettings(cold_factor=settings.placement.cold_factor)
-        self._fleet = Fleet(policy, self._random, settings.data_centre, placement)
         self._order_by_goal = order_by_goal
         self._serve_http = serve_http
-        goals = GoalQueue(self._fleet.expected_run_time_s, self._fleet.pool_of_task)
-        self._goals = goals
-        self.queue: TaskQueueProtocol = goals
-        if not order_by_goal:
-            self.queue = TaskQueue(
-                self._status.team_weight, self._fleet.expected_run_time_s
-            )
-        self.job_counts = JobCounts()
-        self._admission = AdmissionController(
-            self._fleet, self.queue, limits.max_queued_tasks, self.job_counts
-        )
-        self.engine = Engine(
-            fleet=self._fleet,
-            queue=self.queue,
-            retry_budget=retry_budget(),
-            hedge_budget=hedge_budget(),
-            lease_held_since=self._status.lease_held_since,
-            on_dispatch=self._on_dispatch,
-            random=self._random,
-        )
-        self._registry = RequestRegistry(
-            max_records=MAX_RECORDS, max_response_bytes=MAX_RESPONSE_BYTES
-        )
-        self._runner = EngineRunner(self.engine, clock)
-        self.routed = RoutedJobs(
-            runner=self._runner,
-            fleet=self._fleet,
+        self._components = EntryComponents(
+            settings,
+            policy=policy,
+            record=record,
             clock=clock,
-            queue=goals,
+            random=self._random,
+            order_by_goal=order_by_goal,
             entry_name=self._incarnation[:INCARNATION_CHARACTERS],
             view=EntryView(
                 entry_count=lambda: len(self._membership.entries),
                 is_current=lambda: self._status.readiness().current,
                 time_left_s=self._time_left_s,
             ),
-            remote_factor=settings.placement.remote_factor,
-            counts=self.job_counts,
         )
+        self._status = self._components.status
+        self._fleet = self._components.fleet
+        self._runner = self._components.runner
+        self.queue = self._components.queue
+        self.job_counts = self._components.job_counts
+        self.engine = self._components.engine
+        self.routed = self._components.routed
         self.pipeline: Pipeline | None = None
         self._stop_time_s = math.inf
-        self._placements = PlacementLogBuffer()
         self._http_server: HttpServer | None = None
-        self._peer_service = PeerService(self._registry, self._runner.cancel)
+        self._peer_service = PeerService(self._components.registry, self._runner.cancel)
 
     @property
     def evacuations(self) -> EvacuationList:
@@ -270,7 +226,7 @@
 
     def waiting_jobs(self) -> Mapping[RouteKey, int]:
         """Return the number of routed jobs with queued tasks by route and priority."""
-        return self._goals.waiting_jobs()
+        return self._components.goals.waiting_jobs()
 
     def set_control_instances(self, control: Sequence[ControlPeer]) -> None:
         """Use the given control instances from the next connection on."""
@@ -351,7 +307,7 @@
         watcher = MembershipWatcher(
             runner=self._runner,
             connector=connector,
-            admission=self._admission,
+            admission=self._components.admission,
             fleet=self._fleet,
             routed=self.routed,
             clock=self._clock,
@@ -363,8 +319,7 @@
         self._membership = membership
         self._status.set_membership(membership)
         if self._serve_http:
-            self.pipeline = self._new_pipeline(membership, claims)
-            await self._serve_callers(stack, self.pipeline)
+            await self._serve_callers(stack, membership, claims)
         for run in (
             self._runner.tick_forever,
             connector.adjust_forever,
@@ -374,78 +329,31 @@
             task = asyncio.create_task(run())
             stack.callback(task.cancel)
 
-    def _new_pipeline(self, membership: Membership, claims: Claims) -> Pipeline:
-        from verbenaplank.entry.pipeline import Pipeline
-        from verbenaplank.entry.pipeline import PipelineDependencies
+    async def _serve_callers(
+        self, stack: AsyncExitStack, membership: Membership, claims: Claims
+    ) -> None:
+        from verbenaplank.entry.caller_interface import new_http_server
+        from verbenaplank.entry.caller_interface import new_pipeline
 
-        settings = self._settings
-        peers = PeerClient(
+        self.pipeline = new_pipeline(
+            self._settings,
+            self._components,
             member=self._member(),
             membership=membership,
-            dispatch_table=self.engine.dispatch_table,
-            clock=self._clock,
-            tls=settings.tls,
-        )
-        dependencies = PipelineDependencies(
-            limits=settings.limits,
-            membership=membership,
             claims=claims,
-            peers=peers,
-            registry=self._registry,
-            runner=self._runner,
             clock=self._clock,
             wall_clock=self._wall_clock,
-            admission=self._admission,
-            readiness=self._status.readiness,
-            fleet=self._fleet,
-            remote_factor=settings.placement.remote_factor,
         )
-        return Pipeline(dependencies)
-
-    async def _serve_callers(self, stack: AsyncExitStack, pipeline: Pipeline) -> None:
-        from verbenaplank.entry.http import HttpDependencies
-        from verbenaplank.entry.http import http_application
-
-        limits = self._settings.limits
-        application = http_application(
-            HttpDependencies(
-                pipeline=pipeline,
-                ready=lambda: self.ready,
-                metrics=self._metrics,
-                max_body_bytes=limits.max_body_bytes,
-            )
+        server = new_http_server(
+            self._settings,
+            self.http_address,
+            self.pipeline,
+            lambda: self.ready,
+            self._metrics,
         )
-        server = HttpServer(application, self.http_address, limits.drain_timeout_s)
         self._http_server = await stack.enter_async_context(server)
         self.http_address = server.address
 
-    def _on_dispatch(self, dispatch: DispatchRecord) -> None:
-        now_s = self._clock()
-        self._admission.count_dispatch(now_s)
-        task, agent_id = dispatch.task, dispatch.agent_id
-        age_ms = self._fleet.report_age_ms(agent_id, now_s)
-        placement = (task.task_index, task.attempt, agent_id, age_ms)
-        self._placements.add(task.job_id, placement)
-        if self._record is ignore_event:
-            return
-        self._record(
-            Event(
-                kind=EventKind.DISPATCHED,
-                time_s=now_s,
-                process=self._settings.instance_id,
-                job_id=task.job_id,
-                task_index=task.task_index,
-                attempt=task.attempt,
-                detail=agent_id,
-            )
-        )
-
-    def _is_lagging(self) -> bool:
-        if not self.routed.weighs_waits:
-            return False
-        lag_s = self._runner.loop_lag.lag_s
-        return not self._lag_readiness.update(lag_s, self._clock())
-
     def _time_left_s(self) -> float:
         return self._stop_time_s - self._clock()
 
@@ -462,7 +370,7 @@
     async def _expire_forever(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_PERIOD_S)
-            self._registry.expire(self._clock())
+            self._components.registry.expire(self._clock())
 
     def _log_state_changes_forever(self) -> Coroutine[Any, Any, None]:
         return log_state_changes_forever(
@@ -470,15 +378,3 @@
             self._status.readiness,
             lambda: self._fleet.quarantined_agents(self._clock()),
         )
-
-
-def non_decreasing(wall_clock: WallClock) -> WallClock:
-    """Return a clock that repeats its last time while the given one is behind it."""
-    latest_ms = 0
-
-    def read_ms() -> int:
-        nonlocal latest_ms
-        latest_ms = max(latest_ms, wall_clock())
-        return latest_ms
-
-    return read_ms
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -7,8 +7,8 @@
 from entry.fake_cluster import job
 from entry.fakes import configuration
 from entry.messages import TEAM
+from verbenaplank.clock.sources import non_decreasing
 from verbenaplank.configuration.effective import TeamRules
-from verbenaplank.entry.application import non_decreasing
 from verbenaplank.history.event import Event
 from verbenaplank.history.event import EventKind
 
