Keep held-up wide jobs from blocking higher priorities

A wide job that is owed a start comes first and may fit on no server. The starts of higher priorities counted as overtaking it, and then all jobs of its pool were skipped. Only starts of the same or a lower priority count now, and only these are held up; a higher priority takes what is free. Lower priorities stay bounded, which an existing test requires.

The new test fails before the change and passes with it; tests/admission passes.

--- a/src/verbenaplank/admission/goal_queue.py
+++ b/src/verbenaplank/admission/goal_queue.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from verbenaplank.placement.task import TaskRequest
@@ -139,17 +140,18 @@
         tried.
         Returns ``None`` if none of these tasks can be placed.
         """
-        held_up: set[str] = set()
+        held_up: dict[str, int] = {}
         skipped: list[QueuedJob] = []
         for job in self._jobs_in_order(now_s):
-            if held_up and job.weighs_waits and self._pool_of(job.tasks[0]) in held_up:
+            if held_up and self._is_held_up(job, held_up):
                 continue
             if placeable(job.tasks[0]):
                 self._count_start(job, skipped)
                 return self._pop_from(job)
             skipped.append(job)
             if job.holds_up_smaller:
-                held_up.add(self._pool_of(job.tasks[0]))
+                pool = self._pool_of(job.tasks[0])
+                held_up[pool] = min(job.priority, held_up.get(pool, job.priority))
         if self._size and self._waiting_since_s is None:
             self._waiting_since_s = now_s
         return None
@@ -304,13 +306,27 @@
                 yield job
             is_first = False
 
+    def _is_held_up(self, job: QueuedJob, held_up: Mapping[str, int]) -> bool:
+        """Return whether what is free is left to another job.
+
+        Parameters
+        ----------
+        held_up
+            The highest priority for which servers are left free, by pool.
+        """
+        if not job.weighs_waits:
+            return False
+        priority = held_up.get(self._pool_of(job.tasks[0]))
+        return priority is not None and job.priority >= priority
+
     def _count_start(self, job: QueuedJob, skipped: Sequence[QueuedJob]) -> None:
         """Update what is owed to the jobs that the next task of a job overtakes."""
         if not job.weighs_waits:
             return
         job.overtaken_core_s = 0.0
         for other in skipped:
-            other.overtaken_core_s += job.task_core_s
+            if job.priority >= other.priority:
+                other.overtaken_core_s += job.task_core_s
         waiting: list[tuple[int, float]] = []
         has_higher = False
         for priority, level in self._levels.items():
--- a/tests/admission/test_goal_queue.py
+++ b/tests/admission/test_goal_queue.py
@@ -190,3 +190,14 @@
     demand = queue.demand_above("", 1, 20.0)
     assert abs(demand - 4 * 2.0 * RUN_TIME_S / 0.1) < 1.0
     assert queue.demand_above("", 0, 20.0) == 0.0
+
+
+def test_owed_wide_job_does_not_hold_up_higher_priorities() -> None:
+    """Guards against a low wide job that keeps urgent jobs from free servers."""
+    queue = queue_of()
+    push_jobs(queue, *[weighing(f"urgent-{i}") for i in range(60)])
+    push_jobs(queue, weighing("wide", 2, needs=Resources(cores=4.0)))
+    started = 0
+    while queue.pop(0.0, lambda item: item.job_id != "wide") is not None:
+        started += 1
+    assert started == 60
