Try an owed job once per pop

A job that is owed a start was yielded ahead of the others and again in the normal order, so it was placed twice, and the work that overtakes it was counted twice.

The new test fails before the change and passes with it; tests/admission passes.

--- a/src/verbenaplank/admission/goal_queue.py
+++ b/src/verbenaplank/admission/goal_queue.py
@@ -278,10 +278,15 @@
         priorities = sorted(self._levels)
         for priority in priorities:
             self._levels[priority].demote_late(now_s)
+        owed: list[QueuedJob] = []
         if self._weighing_jobs:
-            yield from self._owed_jobs(priorities)
+            for job in self._owed_jobs(priorities):
+                owed.append(job)
+                yield job
         for priority in priorities:
             for job in self._levels[priority].in_order():
+                if job in owed:
+                    continue
                 pool = self._pool_of(job.tasks[0])
                 if tried[pool] < MAX_JOBS_TRIED:
                     tried[pool] += 1
--- a/tests/admission/test_goal_queue.py
+++ b/tests/admission/test_goal_queue.py
@@ -201,3 +201,16 @@
     while queue.pop(0.0, lambda item: item.job_id != "wide") is not None:
         started += 1
     assert started == 60
+
+
+def test_owed_job_is_tried_once_per_pop() -> None:
+    """Guards against an owed job that is placed and counted as overtaken twice."""
+    queue = queue_of()
+    push_jobs(queue, *[weighing(f"urgent-{i}") for i in range(24)])
+    push_jobs(queue, weighing("low", 1), weighing("lowest", 2))
+    for _ in range(20):
+        queue.pop(0.0, lambda item: item.job_id.startswith("urgent"))
+    tried: list[str] = []
+    queue.pop(0.0, lambda item: bool(tried.append(item.job_id)))
+    assert tried[0] == "low"
+    assert len(tried) == len(set(tried)) == 6
