Count only a lack of capacity as being overtaken

The chooser returned the same for the crash limit, for the levels after a held one and for full servers, so jobs that may not start yet counted as overtaken and held up others. It now returns what it decided, and the goal queue ignores tasks that may not start.

The queue test fails without the check and passes with it; tests/admission and tests/entry/test_crash_limit.py pass.

--- a/src/verbenaplank/admission/goal_queue.py
+++ b/src/verbenaplank/admission/goal_queue.py
@@ -22,6 +22,7 @@
 from verbenaplank.admission.priority_level import PriorityLevel
 from verbenaplank.admission.priority_level import QueuedJob
 from verbenaplank.admission.priority_shares import PriorityShares
+from verbenaplank.admission.queue_protocol import Choice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -132,7 +133,7 @@
         self._size += 1
 
     def pop(
-        self, now_s: float, placeable: Callable[[TaskRequest], bool]
+        self, now_s: float, placeable: Callable[[TaskRequest], Choice | bool]
     ) -> TaskRequest | None:
         """Remove and return the next task that can be placed now.
 
@@ -145,7 +146,10 @@
         for job in self._jobs_in_order(now_s):
             if held_up and self._is_held_up(job, held_up):
                 continue
-            if placeable(job.tasks[0]):
+            choice = placeable(job.tasks[0])
+            if choice is Choice.NOT_NOW:
+                continue
+            if choice:
                 self._count_start(job, skipped)
                 return self._pop_from(job)
             skipped.append(job)
--- a/src/verbenaplank/admission/queue.py
+++ b/src/verbenaplank/admission/queue.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from verbenaplank.admission.queue_protocol import Choice
     from verbenaplank.admission.sub_queue import SchedulingKey
     from verbenaplank.placement.task import TaskRequest
 
@@ -83,7 +84,7 @@
         (self._urgent if task.urgent else self._routine).push(task, ordering)
 
     def pop(
-        self, now_s: float, placeable: Callable[[TaskRequest], bool]
+        self, now_s: float, placeable: Callable[[TaskRequest], Choice | bool]
     ) -> TaskRequest | None:
         """Remove and return the next task that can be placed now.
 
@@ -143,7 +144,7 @@
 
     def pop(
         self,
-        placeable: Callable[[TaskRequest], bool],
+        placeable: Callable[[TaskRequest], Choice | bool],
         work_s_of: Callable[[TaskRequest], float],
     ) -> TaskRequest | None:
         for sub_queue in self._sub_queues_in_order():
--- a/src/verbenaplank/admission/queue_protocol.py
+++ b/src/verbenaplank/admission/queue_protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -11,6 +12,24 @@
     from verbenaplank.placement.task import TaskRequest
 
 
+class Choice(Enum):
+    """What is decided about the next task of a queue; true if it leaves the queue.
+
+    ``PLACED``: a server takes it.
+    ``HELD``: it waits for a server outside the queue.
+    ``NO_CAPACITY``: no server has capacity for it.
+    ``NOT_NOW``: it may not start yet, whatever the servers have free.
+    """
+
+    PLACED = "placed"
+    HELD = "held"
+    NO_CAPACITY = "no_capacity"
+    NOT_NOW = "not_now"
+
+    def __bool__(self) -> bool:
+        return self in {Choice.PLACED, Choice.HELD}
+
+
 class TaskQueueProtocol(Protocol):
     """Tasks that wait at an entry for a backend server."""
 
@@ -21,9 +40,12 @@
         """Add a task."""
 
     def pop(
-        self, now_s: float, placeable: Callable[[TaskRequest], bool]
+        self, now_s: float, placeable: Callable[[TaskRequest], Choice | bool]
     ) -> TaskRequest | None:
-        """Remove and return the next task that can be placed now, if any."""
+        """Remove and return the next task that can be placed now, if any.
+
+        A plain ``False`` of ``placeable`` is a lack of capacity.
+        """
 
     def remove_job(self, job_id: str) -> list[TaskRequest]:
         """Remove all tasks of a job and return them."""
--- a/src/verbenaplank/entry/dispatcher.py
+++ b/src/verbenaplank/entry/dispatcher.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from verbenaplank.admission.queue_protocol import Choice
 from verbenaplank.crashes.limit import StartPermission
 from verbenaplank.crashes.limit import start_permission
 from verbenaplank.entry.effects import Effect
@@ -144,26 +145,29 @@
         unplaceable: Mapping[str, UnplaceableNeeds],
         now_s: float,
         before: Level | None,
-    ) -> Callable[[TaskRequest], bool]:
+    ) -> Callable[[TaskRequest], Choice]:
         """Return a function that stores the agent chosen for a task in ``chosen``.
 
-        The function returns whether an agent can take the task or it is to be held.
+        Only a lack of capacity is reported as one; a task that the crash limit or
+        ``before`` keeps back is not tried.
         The servers of a rack are added to the candidates of the tasks that prefer it,
         so what could not be placed is remembered by preferred rack.
         """
 
-        def choose(task: TaskRequest) -> bool:
+        def choose(task: TaskRequest) -> Choice:
             if before is not None and level_of(task) >= before:
-                return False
+                return Choice.NOT_NOW
             chosen.place = chosen.hold = None
+            if not self._may_start(task):
+                return Choice.NOT_NOW
             known = unplaceable[task.preferred_rack]
-            if known.covers(task) or not self._may_start(task):
-                return False
+            if known.covers(task):
+                return Choice.NO_CAPACITY
             if weighs_waiting(task):
                 decision = self._holds.decide(task, now_s)
                 if isinstance(decision, Hold):
                     chosen.hold = decision
-                    return True
+                    return Choice.HELD
                 chosen.place = decision
                 agent_id = self._enabled(decision.member_id if decision else None)
             else:
@@ -171,9 +175,9 @@
             if agent_id is None:
                 if not self._fleet.avoids_servers(task):
                     known.add(task)
-                return False
+                return Choice.NO_CAPACITY
             chosen.agent_id = agent_id
-            return True
+            return Choice.PLACED
 
         return choose
 
--- a/src/verbenaplank/entry/holding_queue.py
+++ b/src/verbenaplank/entry/holding_queue.py
@@ -20,6 +20,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from verbenaplank.admission.queue_protocol import Choice
     from verbenaplank.admission.queue_protocol import TaskQueueProtocol
 
 HeldKey = tuple[str, int, int]
@@ -114,7 +115,7 @@
         self._queue.push(task, now_s)
 
     def pop(
-        self, now_s: float, placeable: Callable[[TaskRequest], bool]
+        self, now_s: float, placeable: Callable[[TaskRequest], Choice | bool]
     ) -> TaskRequest | None:
         """Remove and return the next task that can be placed or held now, if any."""
         return self._queue.pop(now_s, placeable)
--- a/tests/admission/test_goal_queue.py
+++ b/tests/admission/test_goal_queue.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from verbenaplank.admission.goal_queue import GoalQueue
+from verbenaplank.admission.queue_protocol import Choice
 from verbenaplank.placement.task import Resources
 from verbenaplank.placement.task import TaskRequest
 
@@ -214,3 +215,18 @@
     queue.pop(0.0, lambda item: bool(tried.append(item.job_id)))
     assert tried[0] == "low"
     assert len(tried) == len(set(tried)) == 6
+
+
+def test_only_jobs_without_capacity_count_as_overtaken() -> None:
+    """Guards against jobs that may not start yet and hold up smaller ones."""
+    queue = queue_of()
+    push_jobs(queue, weighing("waits", goal_s=1.0))
+    push_jobs(queue, *[weighing(f"{i}") for i in range(20)])
+
+    def choose(item: TaskRequest) -> Choice:
+        return Choice.NOT_NOW if item.job_id == "waits" else Choice.PLACED
+
+    started = 0
+    while queue.pop(0.0, choose) is not None:
+        started += 1
+    assert started == 20
