Charge a held task when it is dispatched

A hold counted as a start: it used the share of its priority, reserved work for others, raised the work that overtakes other jobs and marked its job as started, again after each return to the queue. The queue now charges a placed task when it leaves and a held one when it is dispatched.

The four new tests fail before the change and pass with it; tests/admission passes.

--- a/src/verbenaplank/admission/goal_queue.py
+++ b/src/verbenaplank/admission/goal_queue.py
@@ -5,7 +5,7 @@
 in the same order.
 
 Among jobs that weigh their waits, three rules apply in addition.  Within a priority, a
-job of which a task has left the queue goes first, since its work would be lost.  Each
+job of which a task has started goes first, since its work would be lost.  Each
 lower priority keeps a share of the started work.  A job whose tasks fit on no server
 for now is overtaken by smaller tasks up to a limit.  Where other jobs are concerned,
 the order is as if no job weighed its wait.
@@ -149,6 +149,8 @@
             choice = placeable(job.tasks[0])
             if choice is Choice.NOT_NOW:
                 continue
+            if choice is Choice.HELD:
+                return self._pop_from(job)
             if choice:
                 self._count_start(job, skipped)
                 return self._pop_from(job)
@@ -160,6 +162,17 @@
             self._waiting_since_s = now_s
         return None
 
+    def record_start(self, task: TaskRequest) -> None:
+        """Count the start of a task that was held after it had left the queue."""
+        if not task.weighs_waits:
+            return
+        job = self._jobs.get(task.job_id)
+        if job is not None:
+            job.overtaken_core_s = 0.0
+            self._levels[job.priority].mark_started(job)
+        core_s = self._run_time_s_of(task) * task.needs.cores
+        self._charge_start(task.priority, core_s)
+
     def waiting_for_s(self, now_s: float) -> float:
         """Return how long some task has had to wait without a gap, in seconds."""
         if not self._size or self._waiting_since_s is None:
@@ -336,25 +349,29 @@
         for other in skipped:
             if job.priority >= other.priority:
                 other.overtaken_core_s += job.task_core_s
+        self._levels[job.priority].mark_started(job)
+        self._charge_start(job.priority, job.task_core_s)
+
+    def _charge_start(self, started_priority: int, core_s: float) -> None:
+        """Charge a start to its priority, and reserve work for the lower ones."""
         waiting: list[tuple[int, float]] = []
         has_higher = False
         for priority, level in self._levels.items():
             if not level:
                 continue
-            if priority < job.priority:
+            if priority < started_priority:
                 has_higher = True
-            elif priority > job.priority:
+            elif priority > started_priority:
                 head = next(level.in_order())
                 if head.weighs_waits:
                     waiting.append((priority, head.task_core_s))
-        if has_higher and self._shares.is_owed(job.priority, job.task_core_s):
-            self._shares.charge(job.priority, job.task_core_s)
-        self._shares.record_start(job.task_core_s, waiting)
+        if has_higher and self._shares.is_owed(started_priority, core_s):
+            self._shares.charge(started_priority, core_s)
+        self._shares.record_start(core_s, waiting)
 
     def _pop_from(self, job: QueuedJob) -> TaskRequest:
         task = job.tasks.popleft()
         self._size -= 1
-        self._levels[job.priority].mark_started(job)
         if not job.tasks:
             self._drop_job(job)
         return task
--- a/src/verbenaplank/admission/priority_level.py
+++ b/src/verbenaplank/admission/priority_level.py
@@ -91,7 +91,7 @@
             self._started.remove(job)
 
     def mark_started(self, job: QueuedJob) -> None:
-        """Record that a task of a job has left the queue."""
+        """Record that a task of a job has started."""
         if job.weighs_waits and not job.has_started:
             job.has_started = True
             self._started.add(job)
--- a/src/verbenaplank/admission/queue.py
+++ b/src/verbenaplank/admission/queue.py
@@ -107,6 +107,9 @@
             self._routine_credit = min(earned, MAX_ROUTINE_CREDIT)
         return task
 
+    def record_start(self, task: TaskRequest) -> None:
+        """Do nothing, as :meth:`pop` has charged the task to its team."""
+
     def remove_job(self, job_id: str) -> list[TaskRequest]:
         """Remove all tasks of a job and return them."""
         return self._urgent.remove_job(job_id) + self._routine.remove_job(job_id)
--- a/src/verbenaplank/admission/queue_protocol.py
+++ b/src/verbenaplank/admission/queue_protocol.py
@@ -47,6 +47,9 @@
         A plain ``False`` of ``placeable`` is a lack of capacity.
         """
 
+    def record_start(self, task: TaskRequest) -> None:
+        """Count the start of a task that was held after it had left the queue."""
+
     def remove_job(self, job_id: str) -> list[TaskRequest]:
         """Remove all tasks of a job and return them."""
 
--- a/src/verbenaplank/entry/dispatcher.py
+++ b/src/verbenaplank/entry/dispatcher.py
@@ -123,6 +123,7 @@
                 self._queue.push(held.task, now_s)
                 continue
             self._holds.count_placed(held.task, decision)
+            self._queue.record_start(held.task)
             self._dispatch(held.task, decision.member_id, now_s)
 
     def dispatch_elsewhere(self, task: TaskRequest, now_s: float) -> bool:
--- a/src/verbenaplank/entry/holding_queue.py
+++ b/src/verbenaplank/entry/holding_queue.py
@@ -120,6 +120,10 @@
         """Remove and return the next task that can be placed or held now, if any."""
         return self._queue.pop(now_s, placeable)
 
+    def record_start(self, task: TaskRequest) -> None:
+        """Count the start of a task that was held."""
+        self._queue.record_start(task)
+
     def tasks_ahead(self, urgent: bool) -> int:
         """Return the number of tasks that leave before a new one of this urgency."""
         return self._queue.tasks_ahead(urgent)
--- a/tests/admission/test_goal_queue.py
+++ b/tests/admission/test_goal_queue.py
@@ -230,3 +230,59 @@
     while queue.pop(0.0, choose) is not None:
         started += 1
     assert started == 20
+
+
+def hold_and_return(queue: GoalQueue, times: int) -> set[str]:
+    job_ids = set()
+    for _ in range(times):
+        held = queue.pop(0.0, lambda _: Choice.HELD)
+        assert held is not None
+        job_ids.add(held.job_id)
+        queue.push(held, 0.0)
+    return job_ids
+
+
+def test_hold_does_not_use_up_the_share_of_a_priority() -> None:
+    """Guards against holds that are charged as starts, again after each return."""
+    queue = queue_of()
+    push_jobs(queue, *[weighing(f"urgent-{i}") for i in range(20)])
+    push_jobs(queue, weighing("low", 1))
+    for _ in range(10):
+        queue.pop(0.0, lambda item: item.job_id.startswith("urgent"))
+    hold_and_return(queue, 3)
+    assert drain(queue)[0] == "low"
+
+
+def test_hold_earns_no_share_for_lower_priorities() -> None:
+    """Guards against holds of urgent tasks that let low jobs go first."""
+    queue = queue_of()
+    push_jobs(queue, weighing("urgent"), weighing("low", 1))
+    assert hold_and_return(queue, 30) == {"urgent"}
+
+
+def test_held_job_has_started_only_when_its_task_is_dispatched() -> None:
+    """Guards against held jobs that go ahead of earlier goals as if they had run."""
+    queue = queue_of()
+    push_jobs(queue, weighing("held", goal_s=5.0), tasks=3)
+    held = queue.pop(0.0, lambda _: Choice.HELD)
+    assert held is not None
+    push_jobs(queue, *[weighing(f"sooner-{i}", goal_s=2.0) for i in range(2)])
+    first = queue.pop(0.0, lambda _: Choice.PLACED)
+    assert first is not None
+    assert first.job_id == "sooner-0"
+    queue.record_start(held)
+    assert drain(queue) == ["held", "held", "sooner-1"]
+
+
+def test_dispatched_held_task_is_charged_to_its_priority() -> None:
+    """Guards against held tasks that start without using the share they are owed."""
+    queue = queue_of()
+    push_jobs(queue, *[weighing(f"urgent-{i}") for i in range(20)])
+    push_jobs(queue, weighing("low", 1), tasks=2)
+    for _ in range(10):
+        queue.pop(0.0, lambda item: item.job_id.startswith("urgent"))
+    held = queue.pop(0.0, lambda _: Choice.HELD)
+    assert held is not None
+    assert held.job_id == "low"
+    queue.record_start(held)
+    assert drain(queue)[0].startswith("urgent")
