Count queued work and demand by service and workload

The pool of a queued task was its confined workload or empty, without the service, so the work of other services counted as ahead of a job and as a claim on the free servers of its own, and a job of another service could hold it up. The present limit of jobs that weigh no wait, and the number of jobs tried, keep their key.

test_demand_is_the_recorded_work_of_higher_priorities passes the service now. The two new tests fail before the change and pass with it; tests/admission passes.

--- a/src/verbenaplank/admission/demand.py
+++ b/src/verbenaplank/admission/demand.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from verbenaplank.overload.hopeless import PoolKey
+
 DEMAND_WINDOW_S = 2.0
 """Time constant of the average, long enough for several jobs of each kind."""
 
@@ -24,15 +28,15 @@
     """Core seconds of work that arrive per second, by pool and priority."""
 
     def __init__(self) -> None:
-        self._rates: dict[tuple[str, int], _Average] = {}
+        self._rates: dict[tuple[PoolKey, int], _Average] = {}
 
-    def record(self, pool: str, priority: int, core_s: float, now_s: float) -> None:
+    def record(self, pool: PoolKey, priority: int, core_s: float, now_s: float) -> None:
         """Add the work of a task that arrives."""
         average = self._rates.setdefault((pool, priority), _Average())
         average.rate = average.at(now_s) + core_s / DEMAND_WINDOW_S
         average.updated_s = now_s
 
-    def above(self, pool: str, priority: int, now_s: float) -> float:
+    def above(self, pool: PoolKey, priority: int, now_s: float) -> float:
         """Return the arriving work of higher priorities, in cores."""
         return sum(
             average.at(now_s)
--- a/src/verbenaplank/admission/goal_queue.py
+++ b/src/verbenaplank/admission/goal_queue.py
@@ -30,6 +30,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from verbenaplank.overload.hopeless import PoolKey
     from verbenaplank.placement.task import TaskRequest
 
 MAX_JOBS_TRIED = 8
@@ -90,8 +91,8 @@
     run_time_s_of
         Returns the expected run time of a task, in seconds.
     pool_of
-        Returns the name of the backend servers on which a task may run; tasks of
-        different pools do not wait for each other.
+        Returns the name of the backend servers of its service on which a task may run;
+        tasks of different pools do not wait for each other.
 
     Attributes
     ----------
@@ -141,7 +142,7 @@
         tried.
         Returns ``None`` if none of these tasks can be placed.
         """
-        held_up: dict[str, int] = {}
+        held_up: dict[PoolKey, int] = {}
         skipped: list[QueuedJob] = []
         for job in self._jobs_in_order(now_s):
             if held_up and self._is_held_up(job, held_up):
@@ -156,7 +157,7 @@
                 return self._pop_from(job)
             skipped.append(job)
             if job.holds_up_smaller:
-                pool = self._pool_of(job.tasks[0])
+                pool = self._key_of(job.tasks[0])
                 held_up[pool] = min(job.priority, held_up.get(pool, job.priority))
         if self._size and self._waiting_since_s is None:
             self._waiting_since_s = now_s
@@ -238,9 +239,9 @@
         A task that returns to the queue is not new demand.
         """
         core_s = tasks * task.needs.cores * self._run_time_s_of(task)
-        self._demand.record(self._pool_of(task), task.priority, core_s, now_s)
+        self._demand.record(self._key_of(task), task.priority, core_s, now_s)
 
-    def demand_above(self, pool: str, priority: int, now_s: float) -> float:
+    def demand_above(self, pool: PoolKey, priority: int, now_s: float) -> float:
         """Return the recorded demand of higher priorities, in cores."""
         return self._demand.above(pool, priority, now_s)
 
@@ -254,7 +255,7 @@
         task
             A task of the new job.
         """
-        pool = self._pool_of(task)
+        pool = self._key_of(task)
         core_s = own_core_s = 0.0
         smaller = 0
         for job in self._jobs.values():
@@ -262,7 +263,7 @@
             leaves_after = is_own and job.is_late and not job.has_started
             if job.priority > task.priority or leaves_after:
                 continue
-            if self._pool_of(job.tasks[0]) != pool:
+            if self._key_of(job.tasks[0]) != pool:
                 continue
             core_s += job.core_s
             own_core_s += job.core_s if is_own else 0.0
@@ -272,6 +273,9 @@
             core_s=core_s, own_priority_core_s=own_core_s, smaller_tasks=smaller
         )
 
+    def _key_of(self, task: TaskRequest) -> PoolKey:
+        return (task.service, self._pool_of(task))
+
     def _add_job(self, task: TaskRequest) -> QueuedJob:
         self._sequence += 1
         run_time_s = self._run_time_s_of(task)
@@ -328,7 +332,7 @@
                 yield job
             is_first = False
 
-    def _is_held_up(self, job: QueuedJob, held_up: Mapping[str, int]) -> bool:
+    def _is_held_up(self, job: QueuedJob, held_up: Mapping[PoolKey, int]) -> bool:
         """Return whether what is free is left to another job.
 
         Parameters
@@ -338,7 +342,7 @@
         """
         if not job.weighs_waits:
             return False
-        priority = held_up.get(self._pool_of(job.tasks[0]))
+        priority = held_up.get(self._key_of(job.tasks[0]))
         return priority is not None and job.priority >= priority
 
     def _count_start(self, job: QueuedJob, skipped: Sequence[QueuedJob]) -> None:
--- a/src/verbenaplank/entry/hopeless_jobs.py
+++ b/src/verbenaplank/entry/hopeless_jobs.py
@@ -81,7 +81,7 @@
 
     def _new_walk(self, now_s: float) -> QueueWalk:
         def demand_above(pool: PoolKey, priority: int) -> float:
-            return self._queue.demand_above(pool[1], priority, now_s)
+            return self._queue.demand_above(pool, priority, now_s)
 
         self._tasks.clear()
         return QueueWalk(self._waiting_jobs(), self._cores_of, now_s, demand_above)
--- a/src/verbenaplank/entry/service_loads.py
+++ b/src/verbenaplank/entry/service_loads.py
@@ -78,7 +78,7 @@
         """
         ahead = self.queue.ahead_of(task)
         now_s = self.clock()
-        pool = self.fleet.pool_of_task(task)
+        pool = (task.service, self.fleet.pool_of_task(task))
         return QueueAhead(
             work=ahead.core_s,
             own_priority_work=ahead.own_priority_core_s,
--- a/tests/admission/test_goal_queue.py
+++ b/tests/admission/test_goal_queue.py
@@ -188,9 +188,9 @@
     queue = queue_of()
     for step in range(200):
         queue.record_arrival(weighing("a"), 4, step * 0.1)
-    demand = queue.demand_above("", 1, 20.0)
+    demand = queue.demand_above(("draw", ""), 1, 20.0)
     assert abs(demand - 4 * 2.0 * RUN_TIME_S / 0.1) < 1.0
-    assert queue.demand_above("", 0, 20.0) == 0.0
+    assert queue.demand_above(("draw", ""), 0, 20.0) == 0.0
 
 
 def test_owed_wide_job_does_not_hold_up_higher_priorities() -> None:
@@ -286,3 +286,26 @@
     assert held.job_id == "low"
     queue.record_start(held)
     assert drain(queue)[0].startswith("urgent")
+
+
+def test_work_of_other_services_is_not_ahead_of_a_job() -> None:
+    """Guards against jobs that are refused while the servers of their service idle."""
+    queue = queue_of()
+    push_jobs(queue, weighing("other", service="paint"), tasks=9)
+    queue.record_arrival(weighing("arriving", service="paint"), 9, 0.0)
+    ahead = queue.ahead_of(weighing("new", 1))
+    assert (ahead.core_s, ahead.smaller_tasks) == (0.0, 0)
+    assert queue.demand_above(("draw", ""), 1, 0.0) == 0.0
+    assert queue.demand_above(("paint", ""), 1, 0.0) > 0.0
+
+
+def test_wide_job_does_not_hold_up_jobs_of_other_services() -> None:
+    """Guards against capacity that is left to a job which cannot use it."""
+    queue = queue_of()
+    push_jobs(queue, weighing("wide", needs=Resources(cores=6.0)))
+    jobs = [weighing(f"{i}", service="paint", goal_s=11.0) for i in range(20)]
+    push_jobs(queue, *jobs)
+    started = 0
+    while queue.pop(0.0, lambda item: item.job_id != "wide") is not None:
+        started += 1
+    assert started == 20
