Check the room for a hopeless job as admission does

The check looked only at free cores and ignored the health, slowness, cold share and rack of servers, so one idle straggler kept every hopeless job queued. It now asks for room for one task that ends by the deadline, as admission does.

The new test fails with the former check and passes with the new one, and so does tests/overload/test_hopeless.py.

--- a/src/verbenaplank/entry/hopeless_jobs.py
+++ b/src/verbenaplank/entry/hopeless_jobs.py
@@ -77,7 +77,7 @@
         walk = self._walk or self._new_walk(now_s)
         found = walk.advance(MAX_JOBS_PER_STEP)
         self._walk = None if walk.is_finished else walk
-        return [job for job in found if not self._fits_now(job.job_id)]
+        return [job for job in found if not self._fits_now(job.job_id, now_s)]
 
     def _new_walk(self, now_s: float) -> QueueWalk:
         def demand_above(pool: PoolKey, priority: int) -> float:
@@ -115,11 +115,11 @@
         use = self._fleet.capacity_use(task, self._loads.clock())
         return self._loads.drain_rate(task, use)
 
-    def _fits_now(self, job_id: str) -> bool:
+    def _fits_now(self, job_id: str, now_s: float) -> bool:
+        """Return whether admission would find room for one of the job's tasks."""
         job = self._jobs.find_running(job_id)
         if job is None:
             return True
         submission = job.submission
-        return self._fleet.capacity.has_free_server(
-            submission.service, submission.workload, submission.needs
-        )
+        left_s = submission.deadline_s - now_s
+        return self._fleet.has_room(task_request(submission, 0), 1, now_s, left_s)
