Observe the use of servers for each pool

The time of the last observation was one value for all pools, so the jobs of one service kept the entry's share of the servers of another from being observed. The function that records it says so in its name.

The new test fails before the change and passes with it; tests/entry/test_routed_admission.py and test_admission_control.py pass.

--- a/src/verbenaplank/entry/admission_path.py
+++ b/src/verbenaplank/entry/admission_path.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from verbenaplank.overload.hopeless import PoolKey
     from verbenaplank.placement.fleet import Fleet
     from verbenaplank.placement.room import CapacityUse
 
@@ -79,7 +80,7 @@
         self._queue_ahead = queue_ahead
         self._present_limit = present_limit
         self._is_waiting = is_waiting
-        self._observed_s = -math.inf
+        self._observed_s: dict[PoolKey, float] = {}
 
     def refusal(self, candidate: Candidate, now_s: float) -> Refusal | None:
         """Return why a job is refused now, or ``None`` to admit it."""
@@ -113,7 +114,9 @@
 
     def _late_end_refusal(self, candidate: Candidate, now_s: float) -> Refusal | None:
         task = candidate.task
-        if not self._is_due(now_s) and self._has_room(candidate, now_s):
+        if not self._begin_observation(task, now_s) and self._has_room(
+            candidate, now_s
+        ):
             return None
         outlook = JobOutlook(
             tasks=candidate.tasks,
@@ -143,9 +146,16 @@
             candidate.task, candidate.tasks, now_s, candidate.useless_in_s
         )
 
-    def _is_due(self, now_s: float) -> bool:
-        """Return whether it is time to observe the use of all servers again."""
-        if now_s < self._observed_s + OBSERVATION_PERIOD_S:
+    def _begin_observation(self, task: TaskRequest, now_s: float) -> bool:
+        """Record an observation of the servers of a task if one is due.
+
+        Returns
+        -------
+        bool
+            Whether one is due, so that the use of all of them is to be looked at now.
+        """
+        pool = (task.service, self._fleet.pool_of_task(task))
+        if now_s < self._observed_s.get(pool, -math.inf) + OBSERVATION_PERIOD_S:
             return False
-        self._observed_s = now_s
+        self._observed_s[pool] = now_s
         return True
