Weigh waits only where a remote factor is set

With the default factor of 1, a route with a stretch below 1 weighed waits.

The first case of the new test fails before the change; tests/routing passes with it.

--- a/src/verbenaplank/routing/weighing.py
+++ b/src/verbenaplank/routing/weighing.py
@@ -14,6 +14,7 @@
     Parameters
     ----------
     remote_factor
-        How many times longer a task may run away from its data in this deployment.
+        How many times longer a task may run away from its data in this deployment;
+        at 1, the default, no route weighs waits.
     """
-    return remote_factor > route.stretch
+    return remote_factor > max(1.0, route.stretch)
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
 from verbenaplank.routing.check import check_table
 from verbenaplank.routing.lookup import RouteLookup
@@ -11,6 +12,7 @@
 from verbenaplank.routing.table import RoutedService
 from verbenaplank.routing.table import RoutingDocument
 from verbenaplank.routing.table import RoutingTable
+from verbenaplank.routing.weighing import weighs_waits
 
 
 def route(prefix: str = "/a/", host: str = "one.example", **changes: object) -> Route:
@@ -72,3 +74,14 @@
     assert replace(state, 7, b"other") is RoutingVerdict.CONFLICT
     assert state.document is not None
     assert (state.version, state.document.source) == (7, b"seven")
+
+
+@pytest.mark.parametrize(
+    ("factor", "stretch", "expected"),
+    [(1.0, 0.8, False), (2.0, 0.8, True), (2.0, 1.6, True), (1.5, 1.6, False)],
+)
+def test_route_weighs_waits_only_with_a_remote_factor(
+    factor: float, stretch: float, expected: bool
+) -> None:
+    """Guards against a small stretch that enables it where no factor is set."""
+    assert weighs_waits(attrs.evolve(route(), stretch=stretch), factor) is expected
