Carry the cause of a refusal in the failure

The cause of an admitted job's refusal was inferred from the kind of its failure, so evacuations and passed deadlines counted as latest_start.

--- a/src/verbenaplank/entry/agent_message_handler.py
+++ b/src/verbenaplank/entry/agent_message_handler.py
@@ -11,6 +11,7 @@
 from verbenaplank.entry.dispatch_table import DispatchState
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
+from verbenaplank.overload.refusal import RefusalCause
 from verbenaplank.protocol.work import RefusalReason
 from verbenaplank.protocol.work import RevocationState
 from verbenaplank.protocol.work import TaskOutcome
@@ -34,6 +35,7 @@
 NO_TIME_TO_RETRY = Rejection(
     kind=FailureKind.DEADLINE_EXCEEDED,
     detail="no time is left to retry a task",
+    cause=RefusalCause.DEADLINE,
 )
 
 _RAW = msgspec.json.Decoder(msgspec.Raw)
--- a/src/verbenaplank/entry/dispatch_table.py
+++ b/src/verbenaplank/entry/dispatch_table.py
@@ -234,6 +234,7 @@
             run=self._run_state(rejection, self._counts.get(job_id)),
             findings=rejection.findings,
             retry_after_s=rejection.retry_after_s,
+            cause=rejection.cause,
         )
 
     def release_job(self, job_id: str) -> None:
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -33,6 +33,7 @@
 from verbenaplank.entry.timer_queue import TimerQueue
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
+from verbenaplank.overload.refusal import RefusalCause
 from verbenaplank.protocol.work import LoadReport
 
 if TYPE_CHECKING:
@@ -54,11 +55,14 @@
 
 CANCELLED = Rejection(kind=FailureKind.CANCELLED, detail="cancelled by the caller")
 DEADLINE_EXCEEDED = Rejection(
-    kind=FailureKind.DEADLINE_EXCEEDED, detail="the deadline passed"
+    kind=FailureKind.DEADLINE_EXCEEDED,
+    detail="the deadline passed",
+    cause=RefusalCause.DEADLINE,
 )
 NO_TIME_TO_START = Rejection(
     kind=FailureKind.OVERLOADED,
     detail="no worker became free in time to complete the request",
+    cause=RefusalCause.LATEST_START,
 )
 LEASE_EXPIRED = Rejection(
     kind=FailureKind.OUTCOME_UNKNOWN,
@@ -310,6 +314,7 @@
                 kind=FailureKind.OVERLOADED,
                 detail=f"{NO_SERVER_IN_TIME}: expected wait is {hopeless.wait_s:.2f} s",
                 retry_after_s=hopeless.wait_s,
+                cause=RefusalCause.HOPELESS,
             )
             self._abort(hopeless.job_id, rejection, now_s)
         for job_id in self._evacuated_jobs.find(now_s):
--- a/src/verbenaplank/entry/evacuated_jobs.py
+++ b/src/verbenaplank/entry/evacuated_jobs.py
@@ -7,6 +7,7 @@
 
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
+from verbenaplank.overload.refusal import RefusalCause
 from verbenaplank.placement.feasibility import Feasibility
 
 if TYPE_CHECKING:
@@ -18,7 +19,9 @@
 """Time between two checks, which bounds their processor time."""
 
 EVACUATED_DETAIL = "every data centre with servers that could run it is evacuated"
-EVACUATED = Rejection(kind=FailureKind.NOT_READY, detail=EVACUATED_DETAIL)
+EVACUATED = Rejection(
+    kind=FailureKind.NOT_READY, detail=EVACUATED_DETAIL, cause=RefusalCause.EVACUATED
+)
 
 
 class EvacuatedJobs:
--- a/src/verbenaplank/entry/routed_jobs.py
+++ b/src/verbenaplank/entry/routed_jobs.py
@@ -28,7 +28,6 @@
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.failure import RunState
 from verbenaplank.overload.job_counts import JobCounts
-from verbenaplank.overload.refusal import RefusalCause
 from verbenaplank.overload.retry_after import retry_after_s
 from verbenaplank.routing.lookup import RouteLookup
 from verbenaplank.routing.table import RoutingTable
@@ -42,7 +41,6 @@
     from verbenaplank.entry.routed_job import RoutedJob
     from verbenaplank.entry.runner import EngineRunner
     from verbenaplank.entry.service_loads import EntryView
-    from verbenaplank.outcome.failure import Failure
     from verbenaplank.overload.loop_lag import LoopLag
     from verbenaplank.placement.fleet import Fleet
     from verbenaplank.routing.lookup import RouteMatch
@@ -318,15 +316,6 @@
             state=RoutedJobState.REFUSED,
             detail=failure.detail,
             retry_after_s=retry_after_s(wait_s, submission.priority, submission.job_id),
-            cause=_refusal_cause(failure),
+            cause=failure.cause,
         )
     return RoutedOutcome(state=RoutedJobState.UNKNOWN, detail=failure.detail)
-
-
-def _refusal_cause(failure: Failure) -> RefusalCause | None:
-    """Return why an admitted job was refused; ``None`` if its caller withdrew it."""
-    if failure.kind is FailureKind.CANCELLED:
-        return None
-    if failure.kind is FailureKind.OVERLOADED and failure.retry_after_s is not None:
-        return RefusalCause.HOPELESS
-    return RefusalCause.LATEST_START
--- a/src/verbenaplank/outcome/failure.py
+++ b/src/verbenaplank/outcome/failure.py
@@ -7,6 +7,7 @@
 import attrs
 
 from verbenaplank.outcome.finding import Finding
+from verbenaplank.overload.refusal import RefusalCause
 
 
 class RunState(StrEnum):
@@ -55,6 +56,8 @@
     retry_after_s
         Time in seconds after which the caller may retry; ``None`` if a retry is
         of no use.
+    cause
+        Why the entry refused it; ``None`` if it is not a refusal.
     """
 
     kind: FailureKind
@@ -62,3 +65,4 @@
     run: RunState
     findings: tuple[Finding, ...] = ()
     retry_after_s: float | None = None
+    cause: RefusalCause | None = None
--- a/src/verbenaplank/outcome/rejection.py
+++ b/src/verbenaplank/outcome/rejection.py
@@ -6,6 +6,7 @@
 
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.finding import Finding
+from verbenaplank.overload.refusal import RefusalCause
 
 
 @attrs.frozen(kw_only=True)
@@ -29,6 +30,8 @@
     knows_id
         Whether the process knows if the request's id was submitted before; if it
         does not, tasks of an earlier submission may have run.
+    cause
+        Why the entry refuses the request; ``None`` if it is not a refusal.
     """
 
     kind: FailureKind
@@ -36,3 +39,4 @@
     findings: tuple[Finding, ...] = ()
     retry_after_s: float | None = None
     knows_id: bool = True
+    cause: RefusalCause | None = None
--- a/src/verbenaplank/overload/refusal.py
+++ b/src/verbenaplank/overload/refusal.py
@@ -23,6 +23,7 @@
     ``HOPELESS``: the job was admitted and left the queue when its expected start was
     too late.
     ``LATEST_START``: the job was admitted and none of its tasks had started in time.
+    ``DEADLINE``: the job was admitted and its deadline passed before a task had run.
     """
 
     NOT_READY = "not_ready"
@@ -36,6 +37,7 @@
     QUOTA = "quota"
     HOPELESS = "hopeless"
     LATEST_START = "latest_start"
+    DEADLINE = "deadline"
 
 
 @attrs.frozen(kw_only=True)
