--- a/src/verbenaplank/admission/goal_queue.py
+++ b/src/verbenaplank/admission/goal_queue.py
@@ -5,7 +5,7 @@
 in the same order.
 
 Among jobs that weigh their waits, three rules apply in addition.  Within a priority, a
-job of which a task has left the queue goes first, since its work would be lost.  Each
+job of which a task has started goes first, since its work would be lost.  Each
 lower priority keeps a share of the started work.  A job whose tasks fit on no server
 for now is overtaken by smaller tasks up to a limit.  Where other jobs are concerned,
 the order is as if no job weighed its wait.
@@ -22,12 +22,15 @@
 from verbenaplank.admission.priority_level import PriorityLevel
 from verbenaplank.admission.priority_level import QueuedJob
 from verbenaplank.admission.priority_shares import PriorityShares
+from verbenaplank.admission.queue_protocol import Choice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from verbenaplank.overload.hopeless import PoolKey
     from verbenaplank.placement.task import TaskRequest
 
 MAX_JOBS_TRIED = 8
@@ -88,8 +91,8 @@
     run_time_s_of
         Returns the expected run time of a task, in seconds.
     pool_of
-        Returns the name of the backend servers on which a task may run; tasks of
-        different pools do not wait for each other.
+        Returns the name of the backend servers of its service on which a task may run;
+        tasks of different pools do not wait for each other.
 
     Attributes
     ----------
@@ -131,7 +134,7 @@
         self._size += 1
 
     def pop(
-        self, now_s: float, placeable: Callable[[TaskRequest], bool]
+        self, now_s: float, placeable: Callable[[TaskRequest], Choice | bool]
     ) -> TaskRequest | None:
         """Remove and return the next task that can be placed now.
 
@@ -139,21 +142,38 @@
         tried.
         Returns ``None`` if none of these tasks can be placed.
         """
-        held_up: set[str] = set()
+        held_up: dict[PoolKey, int] = {}
         skipped: list[QueuedJob] = []
         for job in self._jobs_in_order(now_s):
-            if held_up and job.weighs_waits and self._pool_of(job.tasks[0]) in held_up:
+            if held_up and self._is_held_up(job, held_up):
                 continue
-            if placeable(job.tasks[0]):
+            choice = placeable(job.tasks[0])
+            if choice is Choice.NOT_NOW:
+                continue
+            if choice is Choice.HELD:
+                return self._pop_from(job)
+            if choice:
                 self._count_start(job, skipped)
                 return self._pop_from(job)
             skipped.append(job)
             if job.holds_up_smaller:
-                held_up.add(self._pool_of(job.tasks[0]))
+                pool = self._key_of(job.tasks[0])
+                held_up[pool] = min(job.priority, held_up.get(pool, job.priority))
         if self._size and self._waiting_since_s is None:
             self._waiting_since_s = now_s
         return None
 
+    def record_start(self, task: TaskRequest) -> None:
+        """Count the start of a task that was held after it had left the queue."""
+        if not task.weighs_waits:
+            return
+        job = self._jobs.get(task.job_id)
+        if job is not None:
+            job.overtaken_core_s = 0.0
+            self._levels[job.priority].mark_started(job)
+        core_s = self._run_time_s_of(task) * task.needs.cores
+        self._charge_start(task.priority, core_s)
+
     def waiting_for_s(self, now_s: float) -> float:
         """Return how long some task has had to wait without a gap, in seconds."""
         if not self._size or self._waiting_since_s is None:
@@ -219,9 +239,9 @@
         A task that returns to the queue is not new demand.
         """
         core_s = tasks * task.needs.cores * self._run_time_s_of(task)
-        self._demand.record(self._pool_of(task), task.priority, core_s, now_s)
+        self._demand.record(self._key_of(task), task.priority, core_s, now_s)
 
-    def demand_above(self, pool: str, priority: int, now_s: float) -> float:
+    def demand_above(self, pool: PoolKey, priority: int, now_s: float) -> float:
         """Return the recorded demand of higher priorities, in cores."""
         return self._demand.above(pool, priority, now_s)
 
@@ -235,7 +255,7 @@
         task
             A task of the new job.
         """
-        pool = self._pool_of(task)
+        pool = self._key_of(task)
         core_s = own_core_s = 0.0
         smaller = 0
         for job in self._jobs.values():
@@ -243,7 +263,7 @@
             leaves_after = is_own and job.is_late and not job.has_started
             if job.priority > task.priority or leaves_after:
                 continue
-            if self._pool_of(job.tasks[0]) != pool:
+            if self._key_of(job.tasks[0]) != pool:
                 continue
             core_s += job.core_s
             own_core_s += job.core_s if is_own else 0.0
@@ -253,6 +273,9 @@
             core_s=core_s, own_priority_core_s=own_core_s, smaller_tasks=smaller
         )
 
+    def _key_of(self, task: TaskRequest) -> PoolKey:
+        return (task.service, self._pool_of(task))
+
     def _add_job(self, task: TaskRequest) -> QueuedJob:
         self._sequence += 1
         run_time_s = self._run_time_s_of(task)
@@ -276,10 +299,15 @@
         priorities = sorted(self._levels)
         for priority in priorities:
             self._levels[priority].demote_late(now_s)
+        owed: list[QueuedJob] = []
         if self._weighing_jobs:
-            yield from self._owed_jobs(priorities)
+            for job in self._owed_jobs(priorities):
+                owed.append(job)
+                yield job
         for priority in priorities:
             for job in self._levels[priority].in_order():
+                if job in owed:
+                    continue
                 pool = self._pool_of(job.tasks[0])
                 if tried[pool] < MAX_JOBS_TRIED:
                     tried[pool] += 1
@@ -304,32 +332,50 @@
                 yield job
             is_first = False
 
+    def _is_held_up(self, job: QueuedJob, held_up: Mapping[PoolKey, int]) -> bool:
+        """Return whether what is free is left to another job.
+
+        Parameters
+        ----------
+        held_up
+            The highest priority for which servers are left free, by pool.
+        """
+        if not job.weighs_waits:
+            return False
+        priority = held_up.get(self._key_of(job.tasks[0]))
+        return priority is not None and job.priority >= priority
+
     def _count_start(self, job: QueuedJob, skipped: Sequence[QueuedJob]) -> None:
         """Update what is owed to the jobs that the next task of a job overtakes."""
         if not job.weighs_waits:
             return
         job.overtaken_core_s = 0.0
         for other in skipped:
-            other.overtaken_core_s += job.task_core_s
+            if job.priority >= other.priority:
+                other.overtaken_core_s += job.task_core_s
+        self._levels[job.priority].mark_started(job)
+        self._charge_start(job.priority, job.task_core_s)
+
+    def _charge_start(self, started_priority: int, core_s: float) -> None:
+        """Charge a start to its priority, and reserve work for the lower ones."""
         waiting: list[tuple[int, float]] = []
         has_higher = False
         for priority, level in self._levels.items():
             if not level:
                 continue
-            if priority < job.priority:
+            if priority < started_priority:
                 has_higher = True
-            elif priority > job.priority:
+            elif priority > started_priority:
                 head = next(level.in_order())
                 if head.weighs_waits:
                     waiting.append((priority, head.task_core_s))
-        if has_higher and self._shares.is_owed(job.priority, job.task_core_s):
-            self._shares.charge(job.priority, job.task_core_s)
-        self._shares.record_start(job.task_core_s, waiting)
+        if has_higher and self._shares.is_owed(started_priority, core_s):
+            self._shares.charge(started_priority, core_s)
+        self._shares.record_start(core_s, waiting)
 
     def _pop_from(self, job: QueuedJob) -> TaskRequest:
         task = job.tasks.popleft()
         self._size -= 1
-        self._levels[job.priority].mark_started(job)
         if not job.tasks:
             self._drop_job(job)
         return task
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -39,6 +39,7 @@
 from verbenaplank.entry.timer_queue import TimerQueue
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
+from verbenaplank.overload.refusal import RefusalCause
 from verbenaplank.protocol.work import LoadReport
 
 if TYPE_CHECKING:
@@ -297,6 +298,7 @@
                 kind=FailureKind.OVERLOADED,
                 detail=f"{NO_SERVER_IN_TIME}: expected wait is {hopeless.wait_s:.2f} s",
                 retry_after_s=hopeless.wait_s,
+                cause=RefusalCause.HOPELESS,
             )
             self.jobs.abort(hopeless.job_id, rejection, now_s)
         for job_id in self._evacuated_jobs.find(now_s):
--- a/tests/admission/test_goal_queue.py
+++ b/tests/admission/test_goal_queue.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from verbenaplank.admission.goal_queue import GoalQueue
+from verbenaplank.admission.queue_protocol import Choice
 from verbenaplank.placement.task import Resources
 from verbenaplank.placement.task import TaskRequest
 
@@ -187,6 +188,124 @@
     queue = queue_of()
     for step in range(200):
         queue.record_arrival(weighing("a"), 4, step * 0.1)
-    demand = queue.demand_above("", 1, 20.0)
+    demand = queue.demand_above(("draw", ""), 1, 20.0)
     assert abs(demand - 4 * 2.0 * RUN_TIME_S / 0.1) < 1.0
-    assert queue.demand_above("", 0, 20.0) == 0.0
+    assert queue.demand_above(("draw", ""), 0, 20.0) == 0.0
+
+
+def test_owed_wide_job_does_not_hold_up_higher_priorities() -> None:
+    """Guards against a low wide job that keeps urgent jobs from free servers."""
+    queue = queue_of()
+    push_jobs(queue, *[weighing(f"urgent-{i}") for i in range(60)])
+    push_jobs(queue, weighing("wide", 2, needs=Resources(cores=4.0)))
+    started = 0
+    while queue.pop(0.0, lambda item: item.job_id != "wide") is not None:
+        started += 1
+    assert started == 60
+
+
+def test_owed_job_is_tried_once_per_pop() -> None:
+    """Guards against an owed job that is placed and counted as overtaken twice."""
+    queue = queue_of()
+    push_jobs(queue, *[weighing(f"urgent-{i}") for i in range(24)])
+    push_jobs(queue, weighing("low", 1), weighing("lowest", 2))
+    for _ in range(20):
+        queue.pop(0.0, lambda item: item.job_id.startswith("urgent"))
+    tried: list[str] = []
+    queue.pop(0.0, lambda item: bool(tried.append(item.job_id)))
+    assert tried[0] == "low"
+    assert len(tried) == len(set(tried)) == 6
+
+
+def test_only_jobs_without_capacity_count_as_overtaken() -> None:
+    """Guards against jobs that may not start yet and hold up smaller ones."""
+    queue = queue_of()
+    push_jobs(queue, weighing("waits", goal_s=1.0))
+    push_jobs(queue, *[weighing(f"{i}") for i in range(20)])
+
+    def choose(item: TaskRequest) -> Choice:
+        return Choice.NOT_NOW if item.job_id == "waits" else Choice.PLACED
+
+    started = 0
+    while queue.pop(0.0, choose) is not None:
+        started += 1
+    assert started == 20
+
+
+def hold_and_return(queue: GoalQueue, times: int) -> set[str]:
+    job_ids = set()
+    for _ in range(times):
+        held = queue.pop(0.0, lambda _: Choice.HELD)
+        assert held is not None
+        job_ids.add(held.job_id)
+        queue.push(held, 0.0)
+    return job_ids
+
+
+def test_hold_does_not_use_up_the_share_of_a_priority() -> None:
+    """Guards against holds that are charged as starts, again after each return."""
+    queue = queue_of()
+    push_jobs(queue, *[weighing(f"urgent-{i}") for i in range(20)])
+    push_jobs(queue, weighing("low", 1))
+    for _ in range(10):
+        queue.pop(0.0, lambda item: item.job_id.startswith("urgent"))
+    hold_and_return(queue, 3)
+    assert drain(queue)[0] == "low"
+
+
+def test_hold_earns_no_share_for_lower_priorities() -> None:
+    """Guards against holds of urgent tasks that let low jobs go first."""
+    queue = queue_of()
+    push_jobs(queue, weighing("urgent"), weighing("low", 1))
+    assert hold_and_return(queue, 30) == {"urgent"}
+
+
+def test_held_job_has_started_only_when_its_task_is_dispatched() -> None:
+    """Guards against held jobs that go ahead of earlier goals as if they had run."""
+    queue = queue_of()
+    push_jobs(queue, weighing("held", goal_s=5.0), tasks=3)
+    held = queue.pop(0.0, lambda _: Choice.HELD)
+    assert held is not None
+    push_jobs(queue, *[weighing(f"sooner-{i}", goal_s=2.0) for i in range(2)])
+    first = queue.pop(0.0, lambda _: Choice.PLACED)
+    assert first is not None
+    assert first.job_id == "sooner-0"
+    queue.record_start(held)
+    assert drain(queue) == ["held", "held", "sooner-1"]
+
+
+def test_dispatched_held_task_is_charged_to_its_priority() -> None:
+    """Guards against held tasks that start without using the share they are owed."""
+    queue = queue_of()
+    push_jobs(queue, *[weighing(f"urgent-{i}") for i in range(20)])
+    push_jobs(queue, weighing("low", 1), tasks=2)
+    for _ in range(10):
+        queue.pop(0.0, lambda item: item.job_id.startswith("urgent"))
+    held = queue.pop(0.0, lambda _: Choice.HELD)
+    assert held is not None
+    assert held.job_id == "low"
+    queue.record_start(held)
+    assert drain(queue)[0].startswith("urgent")
+
+
+def test_work_of_other_services_is_not_ahead_of_a_job() -> None:
+    """Guards against jobs that are refused while the servers of their service idle."""
+    queue = queue_of()
+    push_jobs(queue, weighing("other", service="paint"), tasks=9)
+    queue.record_arrival(weighing("arriving", service="paint"), 9, 0.0)
+    ahead = queue.ahead_of(weighing("new", 1))
+    assert (ahead.core_s, ahead.smaller_tasks) == (0.0, 0)
+    assert queue.demand_above(("draw", ""), 1, 0.0) == 0.0
+    assert queue.demand_above(("paint", ""), 1, 0.0) > 0.0
+
+
+def test_wide_job_does_not_hold_up_jobs_of_other_services() -> None:
+    """Guards against capacity that is left to a job which cannot use it."""
+    queue = queue_of()
+    push_jobs(queue, weighing("wide", needs=Resources(cores=6.0)))
+    jobs = [weighing(f"{i}", service="paint", goal_s=11.0) for i in range(20)]
+    push_jobs(queue, *jobs)
+    started = 0
+    while queue.pop(0.0, lambda item: item.job_id != "wide") is not None:
+        started += 1
+    assert started == 20
