Continue the evaluation of held tasks where the last flush stopped

With a confined workload, a rack with more than 32 held tasks was evaluated from its first task at every flush: the later tasks were never reached, and the flushes did not end. The order of the last evaluated task is kept by rack and level. A change of the load in between has the evaluation begin again after its end. Tasks of equal goal and age are ordered by job and index, so that no two have the same place.

--- a/src/verbenaplank/entry/holding_queue.py
+++ b/src/verbenaplank/entry/holding_queue.py
@@ -28,6 +28,9 @@
 Level = tuple[bool, int]
 """Precedence of a task; a smaller one goes first."""
 
+Order = tuple[Level, float, float, HeldKey]
+"""Place of a held task among those of its rack; no two are equal."""
+
 
 def level_of(task: TaskRequest) -> Level:
     """Return the precedence of a task by its urgency and priority."""
@@ -56,9 +59,29 @@
         """Return the key of the task."""
         return held_key(self.task)
 
-    def order(self) -> tuple[Level, float, float]:
+    def order(self) -> Order:
         """Return what the tasks held for a rack are ordered by."""
-        return (level_of(self.task), self.task.goal_s, self.since_s)
+        return (level_of(self.task), self.task.goal_s, self.since_s, self.key)
+
+
+@attrs.frozen(kw_only=True)
+class Evaluation:
+    """An evaluation of the tasks of a rack and level, which may take several flushes.
+
+    Attributes
+    ----------
+    after
+        Order of the last task that was evaluated, or ``None``.
+    changed
+        Whether the tasks whose hold has not ended are evaluated too.
+    restarts
+        Whether all tasks are evaluated again afterwards, as the load of the rack has
+        changed in between.
+    """
+
+    after: Order | None = None
+    changed: bool
+    restarts: bool = False
 
 
 def held_key(task: TaskRequest) -> HeldKey:
@@ -95,6 +118,8 @@
         self._counts: dict[str, int] = {}
         self._due_s: dict[str, float] = {}
         self._changed: set[str] = set()
+        self._unfinished: dict[tuple[str, Level], Evaluation] = {}
+        self._continued: dict[tuple[str, Level], Evaluation] = {}
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -185,15 +210,40 @@
         """Return the racks to evaluate now, and whether their load has changed.
 
         They are due again at the earliest time of the holds that have not ended.
+        Racks with an unfinished evaluation are among them.
         """
         due = {rack for rack, due_s in self._due_s.items() if due_s <= now_s}
         changed, self._changed = self._changed, set()
+        self._continued, self._unfinished = self._unfinished, {}
+        unfinished = {rack for rack, _ in self._continued}
         for rack in due:
             left = [held.hold.until_s for held in self._by_rack[rack]]
             self._due_s[rack] = min(
                 (until_s for until_s in left if until_s > now_s), default=math.inf
             )
-        return {rack: rack in changed for rack in sorted(due | changed)}
+        racks = sorted(due | changed | unfinished)
+        return {rack: rack in changed for rack in racks}
+
+    def begin_or_continue(
+        self, rack: str, level: Level, *, changed: bool
+    ) -> Evaluation:
+        """Return the evaluation that the last flush left unfinished, or a new one.
+
+        If the load has ``changed`` in between, it continues nevertheless, since the
+        last tasks would never be evaluated otherwise, and then begins again.
+        """
+        left = self._continued.get((rack, level))
+        if left is None or left.after is None:
+            return Evaluation(changed=changed or left is not None)
+        return attrs.evolve(
+            left,
+            changed=changed or left.changed,
+            restarts=changed or left.restarts,
+        )
+
+    def leave_unfinished(self, rack: str, level: Level, left: Evaluation) -> None:
+        """Have the next flush continue an evaluation."""
+        self._unfinished[rack, level] = left
 
     def held_for(self, rack: str) -> Sequence[HeldTask]:
         """Return the tasks held for a rack by priority, goal and age."""
@@ -204,6 +254,6 @@
 
         It is minus infinity if the last evaluation has left tasks out.
         """
-        if self._changed:
+        if self._changed or self._unfinished:
             return -math.inf
         return min(self._due_s.values(), default=math.inf)
--- a/src/verbenaplank/entry/holds.py
+++ b/src/verbenaplank/entry/holds.py
@@ -10,6 +10,7 @@
 
 from verbenaplank.entry import decision_log
 from verbenaplank.entry.effects import SendToAgent
+from verbenaplank.entry.holding_queue import Evaluation
 from verbenaplank.entry.holding_queue import HeldTask
 from verbenaplank.entry.holding_queue import level_of
 from verbenaplank.placement.local_choice import MAX_TASKS_AHEAD
@@ -181,24 +182,30 @@
         If the load of the rack has ``changed``, the tasks whose hold has not ended are
         evaluated too, except those that need at least as much as one that stays held.
         """
+        begun = self._queue.begin_or_continue(rack, level, changed=changed)
+        last = begun.after
         decisions = 0
         ahead = 0
         no_capacity: defaultdict[str, UnplaceableNeeds] = defaultdict(UnplaceableNeeds)
         for held in self._queue.held_for(rack):
-            task = held.task
+            task, order = held.task, held.order()
             is_due = held.hold.until_s <= now_s
             known = no_capacity[task.preferred_rack]
             if level_of(task) != level or not (
-                is_due or (changed and not known.covers(task))
+                is_due or (begun.changed and not known.covers(task))
             ):
                 ahead += 1
                 continue
-            if decisions >= MAX_DECISIONS_PER_RACK:
+            if begun.after is not None and order <= begun.after:
+                ahead += 1
                 self._queue.require_decision(held)
-                if changed:
-                    self._queue.mark_changed(rack)
+                continue
+            if decisions >= MAX_DECISIONS_PER_RACK:
+                left = attrs.evolve(begun, after=last)
+                self._queue.leave_unfinished(rack, level, left)
                 return
             decisions += 1
+            last = order
             decision = self._decide_again(held, rack, ahead, now_s)
             if isinstance(decision, Hold):
                 ahead += 1
@@ -210,6 +217,8 @@
                 continue
             self._end(held, decision, now_s)
             yield held, decision
+        if begun.restarts:
+            self._queue.leave_unfinished(rack, level, Evaluation(changed=True))
 
     def count_placed(self, task: TaskRequest, place: Place) -> None:
         """Count a placement of a task that may be held."""
--- a/tests/entry/test_rack_replays.py
+++ b/tests/entry/test_rack_replays.py
@@ -3,16 +3,24 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 
 import pytest
 
 from entry.rack_world import RackWorld
 from entry.rack_world import Server
+from verbenaplank.entry.holding_queue import held_key
+from verbenaplank.entry.holds import MAX_DECISIONS_PER_RACK
 from verbenaplank.observability.entry_metrics import register_hold_metrics
 from verbenaplank.observability.metrics import Metrics
 from verbenaplank.placement.task import Resources
 from verbenaplank.protocol import work
 
+if TYPE_CHECKING:
+    from verbenaplank.placement.local_choice import HoldClaim
+    from verbenaplank.placement.locality import Decision
+    from verbenaplank.placement.task import TaskRequest
+
 RUN_S = 0.12
 CORES = 32.0
 PER_SERVER = 12
@@ -210,6 +218,41 @@
     assert calls <= 8
 
 
+def test_evaluation_of_many_held_tasks_ends_and_leaves_none_out() -> None:
+    """Guards against flushes without end that evaluate only the first held tasks.
+
+    With a confined workload, a task that stays held does not stand for equal ones.
+    """
+    made = world(racks=3, per_rack=8)
+    engine = made.engines[0]
+    fill(made, "rack-a", 8 * PER_SERVER, RUN_S)
+    made.run_until(RUN_S - 0.03)
+    for number in range(6):
+        made.submit(0, f"job-{number}", "rack-a")
+    held = {item.key for item in engine.holds.held_for("rack-a")}
+    assert len(held) > MAX_DECISIONS_PER_RACK
+    engine._fleet.confine("s", {"other": 0.01}, made.now_s)
+    evaluated: list[tuple[str, int, int]] = []
+    decide = engine._fleet.choose_or_hold
+
+    def record(task: TaskRequest, now_s: float, claim: HoldClaim) -> Decision:
+        evaluated.append(held_key(task))
+        return decide(task, now_s, claim)
+
+    engine._fleet.choose_or_hold = record  # type: ignore[method-assign]
+    message = work.FromAgent(load=made.servers["a0"].load())
+    for _ in range(2):
+        engine.on_agent_message("a0", message, made.now_s)
+        engine.flush(made.now_s)
+    flushes = 0
+    while engine.next_hold_due_s() <= made.now_s and flushes < 100:
+        engine.flush(made.now_s)
+        flushes += 1
+    assert flushes <= 4
+    assert set(evaluated) == held
+    assert len(evaluated) == 2 * len(held)
+
+
 def test_agent_whose_stream_opens_is_told_how_many_tasks_are_held() -> None:
     """Its reports leave out the tasks held here, so other entries hold too many."""
     made = world()
