Send the number of held tasks again only to the agent that has connected

The number last sent for a rack was forgotten when a stream to the rack opened. If no task was held any more at the next tick, no difference was seen, and the other agents of the rack kept reporting held tasks that did not exist.

The new test failed before (8 instead of 0); tests/entry pass.

--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -256,7 +256,8 @@
             self.effects.append(SendToAgent(agent_id, confinement))
         self._message_handler.reconcile_agent(agent_id, welcome.incarnation, now_s)
         if agent_id in self._members:
-            self.holds.resend_count(self._members[agent_id].rack)
+            rack = self._members[agent_id].rack
+            self.effects += self.holds.count_for_new_stream(agent_id, rack)
             self._enable_dispatch(welcome, now_s)
 
     def on_agent_disconnected(self, agent_id: str, now_s: float) -> None:
--- a/src/verbenaplank/entry/holds.py
+++ b/src/verbenaplank/entry/holds.py
@@ -132,9 +132,14 @@
             if agent_id in members and members[agent_id].rack in changed
         ]
 
-    def resend_count(self, rack: str) -> None:
-        """Send the number for a rack again, as a stream to it has opened."""
-        self._sent.pop(rack, None)
+    def count_for_new_stream(self, agent_id: str, rack: str) -> list[SendToAgent]:
+        """Return the message to an agent of a rack whose stream has opened, if any.
+
+        It has the number that the other agents of the rack were sent last, and is left
+        out if that is 0, which an agent assumes for a new stream.
+        """
+        sent = self._sent.get(rack, 0)
+        return [SendToAgent(agent_id, HeldCount(sent))] if sent else []
 
     def decide(self, task: TaskRequest, now_s: float) -> Decision:
         """Return whether to place or hold a task that is in the queue."""
--- a/tests/entry/test_rack_replays.py
+++ b/tests/entry/test_rack_replays.py
@@ -273,6 +273,28 @@
     assert server.held == {0: 8}
 
 
+def test_agents_of_a_rack_learn_that_nothing_is_held_after_one_has_connected() -> None:
+    """Guards against a number of held tasks that stays after the last hold has ended.
+
+    Other entries would leave capacity to tasks that do not exist.
+    """
+    made = world()
+    fill(made, "rack-a", 2 * PER_SERVER, RUN_S)
+    made.run_until(RUN_S - 0.06)
+    made.submit(0, "job", "rack-a")
+    engine = made.engines[0]
+    engine.tick(made.now_s)
+    made.flush(0)
+    engine.on_agent_disconnected("a1", made.now_s)
+    welcome = work.AgentWelcome(agent_id="a1", incarnation="1", slots=1_000)
+    engine.on_agent_connected(welcome, made.now_s)
+    engine.cancel("job", made.now_s)
+    engine.tick(made.now_s)
+    made.flush(0)
+    assert made.servers["a0"].held == {0: 0}
+    assert made.servers["a1"].held == {0: 0}
+
+
 def test_holds_are_counted_logged_and_exported(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
