Log the end of a hold by the time of the event that ends its job

The time of the last tick was used, so that a job that was held and cancelled between two ticks logged a negative hold time and counted it in the histogram.

The new test failed before (-20 ms instead of 2 ms).

--- a/src/verbenaplank/entry/agent_message_handler.py
+++ b/src/verbenaplank/entry/agent_message_handler.py
@@ -107,7 +107,7 @@
         rejection = _result_rejection(result)
         if rejection is None:
             self._latencies.record(task.service, now_s - record.sent_s)
-            self._jobs.record_output(job, task.task_index, result.output)
+            self._jobs.record_output(job, task.task_index, result.output, now_s)
             return
         if result.outcome in COUNTED_FAILURES:
             self._retry_queue.count_failure(job, record)
--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -299,7 +299,6 @@
         This also revokes the unstarted dispatches of stalled agents and answers the
         failing jobs that are ready.
         """
-        self.holds.now_s = now_s
         self._fail_jobs_after_lease_expiry(now_s)
         for job_id in self._deadlines.pop_due(now_s):
             self._abort(job_id, DEADLINE_EXCEEDED, now_s)
@@ -320,7 +319,7 @@
             self._message_handler.mark_all_lost(agent_id, now_s)
         self._retry_queue.requeue_due(now_s, self.jobs.is_running)
         self._hedger.hedge_due(now_s, self._dispatcher.dispatch_elsewhere)
-        self.effects += self.holds.changed_counts(self._connected, self._members)
+        self.effects += self.holds.changed_counts(self._connected, self._members, now_s)
         self._revoke_stalled(now_s)
         self._update_confinement(now_s)
         self.jobs.complete_ready_failures(now_s)
--- a/src/verbenaplank/entry/holding_queue.py
+++ b/src/verbenaplank/entry/holding_queue.py
@@ -89,7 +89,7 @@
     return (task.job_id, task.task_index, task.attempt)
 
 
-def ignore_drop(held: HeldTask) -> None:
+def ignore_drop(held: HeldTask, now_s: float) -> None:
     """Do nothing; the default for ``on_drop``."""
 
 
@@ -104,7 +104,7 @@
     Attributes
     ----------
     on_drop
-        Called with each held task whose job has ended.
+        Called with each held task whose job has ended, and the time.
     """
 
     def __init__(
@@ -112,7 +112,7 @@
         queue: TaskQueueProtocol,
     ) -> None:
         self._queue = queue
-        self.on_drop: Callable[[HeldTask], None] = ignore_drop
+        self.on_drop: Callable[[HeldTask, float], None] = ignore_drop
         self._by_rack: dict[str, SortedKeyList[HeldTask]] = {}
         self._by_job: dict[str, dict[HeldKey, HeldTask]] = {}
         self._counts: dict[str, int] = {}
@@ -152,12 +152,12 @@
         """Return whether tasks of a job are queued or held."""
         return job_id in self._by_job or self._queue.has_tasks_of(job_id)
 
-    def remove_job(self, job_id: str) -> list[TaskRequest]:
+    def remove_job(self, job_id: str, now_s: float) -> list[TaskRequest]:
         """Remove all tasks of a job, held ones included, and return them."""
         held = list(self._by_job.get(job_id, {}).values())
         for item in held:
             self.release(item)
-            self.on_drop(item)
+            self.on_drop(item, now_s)
         return self._queue.remove_job(job_id) + [item.task for item in held]
 
     def hold(self, held: HeldTask) -> None:
--- a/src/verbenaplank/entry/holds.py
+++ b/src/verbenaplank/entry/holds.py
@@ -88,8 +88,6 @@
     ----------
     counts
         Counts for metrics.
-    now_s
-        Monotonic time of the last event, by which the end of a job is logged.
     on_end
         Called with what ended a hold, and its duration in seconds.
     """
@@ -102,7 +100,6 @@
         self._queue = queue
         self._fleet = fleet
         self._random = random
-        self.now_s = 0.0
         self._rank = 0.0
         self._sent: dict[str, int] = {}
         self._sent_before: dict[str, tuple[int, float]] = {}
@@ -116,13 +113,13 @@
         return self._queue.held_for(rack)
 
     def changed_counts(
-        self, connected: Iterable[str], members: Mapping[str, Member]
+        self, connected: Iterable[str], members: Mapping[str, Member], now_s: float
     ) -> list[SendToAgent]:
         """Return messages to the agents of racks whose number of held tasks changed."""
         counts = dict(self._queue.held_by_rack)
         changed = {rack for rack, _ in counts.items() ^ self._sent.items()}
         for rack in changed:
-            self._sent_before[rack] = (self._sent.get(rack, 0), self.now_s)
+            self._sent_before[rack] = (self._sent.get(rack, 0), now_s)
         self._sent = counts
         if not changed:
             return []
@@ -234,9 +231,9 @@
         else:
             self.counts.placed_remotely += 1
 
-    def drop(self, held: HeldTask) -> None:
+    def drop(self, held: HeldTask, now_s: float) -> None:
         """Log the end of a hold whose job has ended."""
-        self._log_end(held, JOB_ENDED, self.now_s)
+        self._log_end(held, JOB_ENDED, now_s)
 
     def _decide_again(
         self, held: HeldTask, rack: str, ahead: int, now_s: float
--- a/src/verbenaplank/entry/jobs.py
+++ b/src/verbenaplank/entry/jobs.py
@@ -21,9 +21,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from verbenaplank.admission.queue_protocol import TaskQueueProtocol
     from verbenaplank.entry.dispatch_table import DispatchRecord
     from verbenaplank.entry.dispatch_table import DispatchTable
+    from verbenaplank.entry.holding_queue import HoldingQueue
 
 MIN_WIDE_JOB_TASKS = 4
 """Least number of tasks of a wide job, which is as late as its last task."""
@@ -69,7 +69,7 @@
     def __init__(
         self,
         dispatch_table: DispatchTable,
-        queue: TaskQueueProtocol,
+        queue: HoldingQueue,
         effects: list[Effect],
     ) -> None:
         self._dispatch_table = dispatch_table
@@ -106,7 +106,9 @@
         for index in range(count):
             self._queue.push(task_request(submission, index), now_s)
 
-    def record_output(self, job: Job, task_index: int, output: bytes) -> None:
+    def record_output(
+        self, job: Job, task_index: int, output: bytes, now_s: float
+    ) -> None:
         """Store the output of a task; the last output completes the job.
 
         A second output of a task, from a hedged run, is ignored.
@@ -120,7 +122,7 @@
         results = tuple(result for result in job.results if result is not None)
         job_id = job.submission.job_id
         if job.submission.max_runs > 1:
-            self._queue.remove_job(job_id)
+            self._queue.remove_job(job_id, now_s)
             self._stop_or_revoke_open_dispatches(job_id)
         self._close(job_id)
         self._effects.append(JobCompleted(job_id, results))
@@ -138,7 +140,7 @@
         job.respond_by_s = now_s + REVOCATION_TIMEOUT_S
         self._failing[job_id] = job
         self._dispatch_table.seal(job_id)
-        self._queue.remove_job(job_id)
+        self._queue.remove_job(job_id, now_s)
         self._stop_or_revoke_open_dispatches(job_id)
         self.complete_failure_if_ready(job_id, now_s)
 
--- a/src/verbenaplank/entry/retry.py
+++ b/src/verbenaplank/entry/retry.py
@@ -12,9 +12,9 @@
     from collections.abc import Callable
 
     from verbenaplank.admission.budget import StartBudget
-    from verbenaplank.admission.queue_protocol import TaskQueueProtocol
     from verbenaplank.entry.dispatch_table import DispatchRecord
     from verbenaplank.entry.dispatch_table import DispatchTable
+    from verbenaplank.entry.holding_queue import HoldingQueue
     from verbenaplank.entry.jobs import Job
     from verbenaplank.placement.task import TaskRequest
 
@@ -29,7 +29,7 @@
         self,
         *,
         dispatch_table: DispatchTable,
-        queue: TaskQueueProtocol,
+        queue: HoldingQueue,
         budget: StartBudget,
     ) -> None:
         self._dispatch_table = dispatch_table
--- a/tests/entry/test_rack_replays.py
+++ b/tests/entry/test_rack_replays.py
@@ -295,6 +295,21 @@
     assert made.servers["a1"].held == {0: 0}
 
 
+def test_hold_of_a_job_that_is_cancelled_between_ticks_has_its_duration(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against negative hold times, which were counted up to the last tick."""
+    caplog.set_level("INFO")
+    made = world()
+    fill(made, "rack-a", 2 * PER_SERVER, RUN_S)
+    made.run_until(0.07)
+    made.submit(0, "job", "rack-a")
+    assert made.engines[0].holds.count() == 8
+    made.engines[0].cancel("job", made.now_s + 0.002)
+    lines = [record for record in caplog.records if record.message == "task held"]
+    assert {line.held_ms for line in lines} == {2.0}  # type: ignore[attr-defined]
+
+
 def test_holds_are_counted_logged_and_exported(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
