Check that a server is enabled before the end of a hold is logged

A held task whose server was not enabled went back to the queue after its hold had been logged as ended by that server, or counted as given up.

The new test failed before ("local server is free" for such tasks).

--- a/src/verbenaplank/entry/dispatcher.py
+++ b/src/verbenaplank/entry/dispatcher.py
@@ -114,13 +114,10 @@
     ) -> None:
         """Decide again about the tasks of a level that are held for a rack."""
         for held, decision in self._holds.decide_again(
-            rack, level, now_s, changed=changed
+            rack, level, now_s, changed=changed, is_enabled=self.is_agent_enabled
         ):
             if not isinstance(decision, Place):
                 continue
-            if decision.member_id not in self._incarnations:
-                self._queue.push(held.task, now_s)
-                continue
             self._holds.count_placed(held.task, decision)
             self._dispatch(held.task, decision.member_id, now_s)
 
--- a/src/verbenaplank/entry/holds.py
+++ b/src/verbenaplank/entry/holds.py
@@ -173,7 +173,13 @@
         )
 
     def decide_again(
-        self, rack: str, level: Level, now_s: float, *, changed: bool
+        self,
+        rack: str,
+        level: Level,
+        now_s: float,
+        *,
+        changed: bool,
+        is_enabled: Callable[[str], bool],
     ) -> Iterator[tuple[HeldTask, Decision]]:
         """Yield the tasks held for a rack that are held no longer, and the decisions.
 
@@ -183,6 +189,7 @@
 
         If the load of the rack has ``changed``, the tasks whose hold has not ended are
         evaluated too, except those that need at least as much as one that stays held.
+        A task whose server is not enabled returns to the queue.
         """
         begun = self._queue.begin_or_continue(rack, level, changed=changed)
         last = begun.after
@@ -217,6 +224,8 @@
                 if not self._fleet.avoids_servers(task):
                     known.add(task)
                 continue
+            if decision is not None and not is_enabled(decision.member_id):
+                decision = None
             self._end(held, decision, now_s)
             yield held, decision
         if begun.restarts:
--- a/tests/entry/test_rack_replays.py
+++ b/tests/entry/test_rack_replays.py
@@ -11,6 +11,7 @@
 from entry.rack_world import Server
 from verbenaplank.entry.holding_queue import held_key
 from verbenaplank.entry.holds import MAX_DECISIONS_PER_RACK
+from verbenaplank.entry.holds import RETURNED
 from verbenaplank.observability.entry_metrics import register_hold_metrics
 from verbenaplank.observability.metrics import Metrics
 from verbenaplank.placement.task import Resources
@@ -310,6 +311,27 @@
     assert {line.held_ms for line in lines} == {2.0}  # type: ignore[attr-defined]
 
 
+def test_held_task_whose_server_is_not_enabled_is_not_counted_as_placed(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against holds that are logged as ended by a server that gets no task."""
+    caplog.set_level("INFO")
+    made = world()
+    fill(made, "rack-a", 2 * PER_SERVER, RUN_S)
+    made.run_until(RUN_S - 0.03)
+    made.submit(0, "job", "rack-a")
+    engine = made.engines[0]
+    assert engine.holds.count() == 8
+    for name in made.servers:
+        engine._dispatcher.disable_agent(name)
+    made.run_until(RUN_S + 0.05)
+    lines = [record for record in caplog.records if record.message == "task held"]
+    assert len(lines) == 8
+    assert {line.ended_by for line in lines} == {RETURNED}  # type: ignore[attr-defined]
+    assert engine.holds.counts.given_up == 0
+    assert engine.queued_tasks == 8
+
+
 def test_holds_are_counted_logged_and_exported(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
