Hold no task for a server that will not take it

Stragglers above the limit and cold servers over their share counted as full servers that are about to be free.

--- a/src/verbenaplank/placement/fleet.py
+++ b/src/verbenaplank/placement/fleet.py
@@ -221,6 +221,7 @@
         servers = self._sampler.sample_with_rack(task)
         usable = self._usable_servers(task, now_s, servers)
         known = {server.member_id for server in usable}
+        limit = self._straggler_limit(task, now_s)
         full = [
             server
             for server in servers
@@ -228,6 +229,8 @@
             and server.accepts_tasks
             and self._health.is_usable(server, now_s)
             and not self._health.should_avoid(task, server)
+            and server.slowness <= limit
+            and not self._is_cold_share_used(server, task, now_s)
         ]
         claim = attrs.evolve(claim, typical_run_s=self._run_times.typical_s)
         return choose_or_hold(usable, full, self._context(task, now_s), claim)
--- a/src/verbenaplank/placement/local_choice.py
+++ b/src/verbenaplank/placement/local_choice.py
@@ -77,7 +77,8 @@
     usable
         Servers that take tasks and have the resources that the task needs.
     full
-        Servers that take tasks and lack these resources.
+        Servers that lack only these resources; stragglers and cold servers that may
+        not get the task are left out.
     claim
         The task's place among the tasks that are held.
     """
--- a/tests/placement/test_uneven_speed.py
+++ b/tests/placement/test_uneven_speed.py
@@ -19,6 +19,7 @@
 from verbenaplank.placement.task import Resources
 from verbenaplank.placement.task import TaskRequest
 from verbenaplank.protocol.membership import WorkerSize
+from verbenaplank.protocol.work import LoadReport
 
 SPREAD = 0.4
 LONG_SHARE = 0.03
@@ -88,6 +89,32 @@
     assert placed.member_id == "slow"
 
 
+@pytest.mark.parametrize("cause", ["straggler", "cold", "none"])
+def test_task_is_not_held_for_a_server_that_will_not_take_it(cause: str) -> None:
+    """Guards against holds for stragglers, and for cold servers over their share."""
+    driver = make_driver()
+    driver.add("local", "b", "c", "d", worker=WorkerSize(cores=2, memory_mb=0))
+    driver.fleet.record_dispatch(
+        "local", job_task(100, needs=Resources(cores=2)), driver.now_s
+    )
+    driver.now_s += 0.09
+    cold_ms = 10_000.0 if cause == "cold" else 0.0
+    for name in ("local", "b", "c", "d"):
+        load = LoadReport(
+            running=int(name == "local"),
+            queued=0,
+            cold_remaining_ms=cold_ms if name == "local" else 0.0,
+            cold_span_ms=cold_ms if name == "local" else 0.0,
+        )
+        driver.fleet.record_load_report(name, load, driver.now_s)
+    if cause == "straggler":
+        driver.fleet._servers["local"].slowness = 3.0
+    decision = decide(
+        driver, exclusive=True, preferred_rack="rack-local", remote_factor=20.0
+    )
+    assert isinstance(decision, Hold if cause == "none" else Place)
+
+
 @pytest.mark.parametrize("weighs_waits", [True, False])
 def test_learned_speed_ends_with_its_incarnation(weighs_waits: bool) -> None:
     """A server that replaces a slow one gets no tasks because of its predecessor."""
