--- a/src/verbenaplank/placement/locality.py
+++ b/src/verbenaplank/placement/locality.py
@@ -22,8 +22,8 @@
 LONGEST_HOLD_S = 0.1
 """A hold is evaluated again after this time even if no event of its rack arrives.
 
-A server that is drained or evacuated sends no event, and the tasks held for it must
-be placed elsewhere."""
+Reports grow old without an event, and no task is held for a server whose last report
+is too old."""
 
 
 class Reason(StrEnum):
