--- a/src/verbenaplank/entry/engine.py
+++ b/src/verbenaplank/entry/engine.py
@@ -244,7 +244,8 @@
             self.effects.append(SendToAgent(agent_id, confinement))
         self._message_handler.reconcile_agent(agent_id, welcome.incarnation, now_s)
         if agent_id in self._members:
-            self.holds.resend_count(self._members[agent_id].rack)
+            rack = self._members[agent_id].rack
+            self.effects += self.holds.count_for_new_stream(agent_id, rack)
             self._enable_dispatch(welcome, now_s)
 
     def on_agent_disconnected(self, agent_id: str, now_s: float) -> None:
@@ -286,7 +287,6 @@
         This also revokes the unstarted dispatches of stalled agents and answers the
         failing jobs that are ready.
         """
-        self.holds.now_s = now_s
         self._lease_expiry.fail_jobs(now_s)
         for job_id in self._deadlines.pop_due(now_s):
             self.jobs.abort(job_id, DEADLINE_EXCEEDED, now_s)
@@ -308,7 +308,7 @@
             self._message_handler.mark_all_lost(agent_id, now_s)
         self._retry_queue.requeue_due(now_s, self.jobs.is_running)
         self._hedger.hedge_due(now_s, self._dispatcher.dispatch_elsewhere)
-        self.effects += self.holds.changed_counts(self._connected, self._members)
+        self.effects += self.holds.changed_counts(self._connected, self._members, now_s)
         self._revoke_stalled(now_s)
         self._update_confinement(now_s)
         self.jobs.complete_ready_failures(now_s)
--- a/src/verbenaplank/entry/holds.py
+++ b/src/verbenaplank/entry/holds.py
@@ -10,6 +10,7 @@
 
 from verbenaplank.entry import decision_log
 from verbenaplank.entry.effects import SendToAgent
+from verbenaplank.entry.holding_queue import Evaluation
 from verbenaplank.entry.holding_queue import HeldTask
 from verbenaplank.entry.holding_queue import level_of
 from verbenaplank.placement.local_choice import MAX_TASKS_AHEAD
@@ -87,8 +88,6 @@
     ----------
     counts
         Counts for metrics.
-    now_s
-        Monotonic time of the last event, by which the end of a job is logged.
     on_end
         Called with what ended a hold, and its duration in seconds.
     """
@@ -101,7 +100,6 @@
         self._queue = queue
         self._fleet = fleet
         self._random = random
-        self.now_s = 0.0
         self._rank = 0.0
         self._sent: dict[str, int] = {}
         self._sent_before: dict[str, tuple[int, float]] = {}
@@ -115,13 +113,13 @@
         return self._queue.held_for(rack)
 
     def changed_counts(
-        self, connected: Iterable[str], members: Mapping[str, Member]
+        self, connected: Iterable[str], members: Mapping[str, Member], now_s: float
     ) -> list[SendToAgent]:
         """Return messages to the agents of racks whose number of held tasks changed."""
         counts = dict(self._queue.held_by_rack)
         changed = {rack for rack, _ in counts.items() ^ self._sent.items()}
         for rack in changed:
-            self._sent_before[rack] = (self._sent.get(rack, 0), self.now_s)
+            self._sent_before[rack] = (self._sent.get(rack, 0), now_s)
         self._sent = counts
         if not changed:
             return []
@@ -131,9 +129,14 @@
             if agent_id in members and members[agent_id].rack in changed
         ]
 
-    def resend_count(self, rack: str) -> None:
-        """Send the number for a rack again, as a stream to it has opened."""
-        self._sent.pop(rack, None)
+    def count_for_new_stream(self, agent_id: str, rack: str) -> list[SendToAgent]:
+        """Return the message to an agent of a rack whose stream has opened, if any.
+
+        It has the number that the other agents of the rack were sent last, and is left
+        out if that is 0, which an agent assumes for a new stream.
+        """
+        sent = self._sent.get(rack, 0)
+        return [SendToAgent(agent_id, HeldCount(sent))] if sent else []
 
     def decide(self, task: TaskRequest, now_s: float) -> Decision:
         """Return whether to place or hold a task that is in the queue."""
@@ -170,7 +173,13 @@
         )
 
     def decide_again(
-        self, rack: str, level: Level, now_s: float, *, changed: bool
+        self,
+        rack: str,
+        level: Level,
+        now_s: float,
+        *,
+        changed: bool,
+        is_enabled: Callable[[str], bool],
     ) -> Iterator[tuple[HeldTask, Decision]]:
         """Yield the tasks held for a rack that are held no longer, and the decisions.
 
@@ -180,25 +189,32 @@
 
         If the load of the rack has ``changed``, the tasks whose hold has not ended are
         evaluated too, except those that need at least as much as one that stays held.
+        A task whose server is not enabled returns to the queue.
         """
+        begun = self._queue.begin_or_continue(rack, level, changed=changed)
+        last = begun.after
         decisions = 0
         ahead = 0
         no_capacity: defaultdict[str, UnplaceableNeeds] = defaultdict(UnplaceableNeeds)
         for held in self._queue.held_for(rack):
-            task = held.task
+            task, order = held.task, held.order()
             is_due = held.hold.until_s <= now_s
             known = no_capacity[task.preferred_rack]
             if level_of(task) != level or not (
-                is_due or (changed and not known.covers(task))
+                is_due or (begun.changed and not known.covers(task))
             ):
                 ahead += 1
                 continue
-            if decisions >= MAX_DECISIONS_PER_RACK:
+            if begun.after is not None and order <= begun.after:
+                ahead += 1
                 self._queue.require_decision(held)
-                if changed:
-                    self._queue.mark_changed(rack)
+                continue
+            if decisions >= MAX_DECISIONS_PER_RACK:
+                left = attrs.evolve(begun, after=last)
+                self._queue.leave_unfinished(rack, level, left)
                 return
             decisions += 1
+            last = order
             decision = self._decide_again(held, rack, ahead, now_s)
             if isinstance(decision, Hold):
                 ahead += 1
@@ -208,8 +224,12 @@
                 if not self._fleet.avoids_servers(task):
                     known.add(task)
                 continue
+            if decision is not None and not is_enabled(decision.member_id):
+                decision = None
             self._end(held, decision, now_s)
             yield held, decision
+        if begun.restarts:
+            self._queue.leave_unfinished(rack, level, Evaluation(changed=True))
 
     def count_placed(self, task: TaskRequest, place: Place) -> None:
         """Count a placement of a task that may be held."""
@@ -220,9 +240,9 @@
         else:
             self.counts.placed_remotely += 1
 
-    def drop(self, held: HeldTask) -> None:
+    def drop(self, held: HeldTask, now_s: float) -> None:
         """Log the end of a hold whose job has ended."""
-        self._log_end(held, JOB_ENDED, self.now_s)
+        self._log_end(held, JOB_ENDED, now_s)
 
     def _decide_again(
         self, held: HeldTask, rack: str, ahead: int, now_s: float
--- a/tests/entry/test_rack_replays.py
+++ b/tests/entry/test_rack_replays.py
@@ -3,16 +3,25 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 
 import pytest
 
 from entry.rack_world import RackWorld
 from entry.rack_world import Server
+from verbenaplank.entry.holding_queue import held_key
+from verbenaplank.entry.holds import MAX_DECISIONS_PER_RACK
+from verbenaplank.entry.holds import RETURNED
 from verbenaplank.observability.entry_metrics import register_hold_metrics
 from verbenaplank.observability.metrics import Metrics
 from verbenaplank.placement.task import Resources
 from verbenaplank.protocol import work
 
+if TYPE_CHECKING:
+    from verbenaplank.placement.local_choice import HoldClaim
+    from verbenaplank.placement.locality import Decision
+    from verbenaplank.placement.task import TaskRequest
+
 RUN_S = 0.12
 CORES = 32.0
 PER_SERVER = 12
@@ -210,6 +219,41 @@
     assert calls <= 8
 
 
+def test_evaluation_of_many_held_tasks_ends_and_leaves_none_out() -> None:
+    """Guards against flushes without end that evaluate only the first held tasks.
+
+    With a confined workload, a task that stays held does not stand for equal ones.
+    """
+    made = world(racks=3, per_rack=8)
+    engine = made.engines[0]
+    fill(made, "rack-a", 8 * PER_SERVER, RUN_S)
+    made.run_until(RUN_S - 0.03)
+    for number in range(6):
+        made.submit(0, f"job-{number}", "rack-a")
+    held = {item.key for item in engine.holds.held_for("rack-a")}
+    assert len(held) > MAX_DECISIONS_PER_RACK
+    engine._fleet.confine("s", {"other": 0.01}, made.now_s)
+    evaluated: list[tuple[str, int, int]] = []
+    decide = engine._fleet.choose_or_hold
+
+    def record(task: TaskRequest, now_s: float, claim: HoldClaim) -> Decision:
+        evaluated.append(held_key(task))
+        return decide(task, now_s, claim)
+
+    engine._fleet.choose_or_hold = record  # type: ignore[method-assign]
+    message = work.FromAgent(load=made.servers["a0"].load())
+    for _ in range(2):
+        engine.on_agent_message("a0", message, made.now_s)
+        engine.flush(made.now_s)
+    flushes = 0
+    while engine.next_hold_due_s() <= made.now_s and flushes < 100:
+        engine.flush(made.now_s)
+        flushes += 1
+    assert flushes <= 4
+    assert set(evaluated) == held
+    assert len(evaluated) == 2 * len(held)
+
+
 def test_agent_whose_stream_opens_is_told_how_many_tasks_are_held() -> None:
     """Its reports leave out the tasks held here, so other entries hold too many."""
     made = world()
@@ -230,6 +274,64 @@
     assert server.held == {0: 8}
 
 
+def test_agents_of_a_rack_learn_that_nothing_is_held_after_one_has_connected() -> None:
+    """Guards against a number of held tasks that stays after the last hold has ended.
+
+    Other entries would leave capacity to tasks that do not exist.
+    """
+    made = world()
+    fill(made, "rack-a", 2 * PER_SERVER, RUN_S)
+    made.run_until(RUN_S - 0.06)
+    made.submit(0, "job", "rack-a")
+    engine = made.engines[0]
+    engine.tick(made.now_s)
+    made.flush(0)
+    engine.on_agent_disconnected("a1", made.now_s)
+    welcome = work.AgentWelcome(agent_id="a1", incarnation="1", slots=1_000)
+    engine.on_agent_connected(welcome, made.now_s)
+    engine.cancel("job", made.now_s)
+    engine.tick(made.now_s)
+    made.flush(0)
+    assert made.servers["a0"].held == {0: 0}
+    assert made.servers["a1"].held == {0: 0}
+
+
+def test_hold_of_a_job_that_is_cancelled_between_ticks_has_its_duration(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against negative hold times, which were counted up to the last tick."""
+    caplog.set_level("INFO")
+    made = world()
+    fill(made, "rack-a", 2 * PER_SERVER, RUN_S)
+    made.run_until(0.07)
+    made.submit(0, "job", "rack-a")
+    assert made.engines[0].holds.count() == 8
+    made.engines[0].cancel("job", made.now_s + 0.002)
+    lines = [record for record in caplog.records if record.message == "task held"]
+    assert {line.held_ms for line in lines} == {2.0}  # type: ignore[attr-defined]
+
+
+def test_held_task_whose_server_is_not_enabled_is_not_counted_as_placed(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against holds that are logged as ended by a server that gets no task."""
+    caplog.set_level("INFO")
+    made = world()
+    fill(made, "rack-a", 2 * PER_SERVER, RUN_S)
+    made.run_until(RUN_S - 0.03)
+    made.submit(0, "job", "rack-a")
+    engine = made.engines[0]
+    assert engine.holds.count() == 8
+    for name in made.servers:
+        engine._dispatcher.disable_agent(name)
+    made.run_until(RUN_S + 0.05)
+    lines = [record for record in caplog.records if record.message == "task held"]
+    assert len(lines) == 8
+    assert {line.ended_by for line in lines} == {RETURNED}  # type: ignore[attr-defined]
+    assert engine.holds.counts.given_up == 0
+    assert engine.queued_tasks == 8
+
+
 def test_holds_are_counted_logged_and_exported(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
