Count a request that a full entry refuses

A request beyond the maximum that an entry holds was missing from jobs_refused_total. It counts as queue_full.

The new test fails before the change; tests/entry/test_pipeline.py and test_admission_control.py pass with it.

--- a/src/verbenaplank/entry/admission_control.py
+++ b/src/verbenaplank/entry/admission_control.py
@@ -144,14 +144,16 @@
         )
         return _rejection(submission, refusal)
 
-    def with_retry_after(
+    def refuse(
         self, rejection: Rejection, submission: Submission, now_s: float
     ) -> Rejection:
-        """Return a rejection that says when its caller should try again.
+        """Count a rejection, and return it with the time of the caller's next try.
 
         The time follows from the tasks that are queued now.
         """
         priority = _priority(submission)
+        if rejection.cause is not None:
+            self._counts.record_refused(submission.service, priority, rejection.cause)
         wait_s = self._queue_wait_s(submission.urgent, now_s)
         told_s = retry_after_s(wait_s, priority, submission.job_id)
         return attrs.evolve(rejection, retry_after_s=told_s)
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -31,6 +31,7 @@
 from verbenaplank.identifiers.job_id import job_timestamp_ms
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
+from verbenaplank.overload.refusal import RefusalCause
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.fleet_query import FleetQuery
 from verbenaplank.settings.entry import EntryLimits
@@ -54,6 +55,7 @@
 TOO_MANY_REQUESTS = Rejection(
     kind=FailureKind.OVERLOADED,
     detail="the entry holds the maximum number of requests",
+    cause=RefusalCause.QUEUE_FULL,
 )
 NO_QUORUM = Rejection(
     kind=FailureKind.NO_QUORUM,
@@ -257,9 +259,7 @@
     ) -> Rejection | None:
         deps = self._deps
         if deps.registry.is_full:
-            return admission.with_retry_after(
-                TOO_MANY_REQUESTS, submission, deps.clock()
-            )
+            return admission.refuse(TOO_MANY_REQUESTS, submission, deps.clock())
         return admission.admit(submission, deps.readiness(), deps.clock())
 
     async def _response_of(self, record: RequestRecord) -> HttpResponse:
--- a/src/verbenaplank/overload/refusal.py
+++ b/src/verbenaplank/overload/refusal.py
@@ -18,7 +18,7 @@
     ``NO_CAPACITY``: the servers are full, and the queue is too long.
     ``CAPACITY_ELSEWHERE``: the queue is too long, and enough capacity is idle, but what
     each server has left is too small for a task, or the server is too slow.
-    ``QUEUE_FULL``: the entry holds as many tasks as it may.
+    ``QUEUE_FULL``: the entry holds as many tasks or requests as it may.
     ``QUOTA``: the team has used up its quota.
     ``HOPELESS``: the job was admitted and left the queue when its expected start was
     too late.
--- a/tests/entry/test_pipeline.py
+++ b/tests/entry/test_pipeline.py
@@ -7,7 +7,9 @@
 import pytest
 
 from entry.fake_cluster import job
+from entry.messages import SERVICE
 from verbenaplank.entry.peer_client import OWNER_LOST
+from verbenaplank.entry.registry import RequestRegistry
 from verbenaplank.settings.common import Listen
 
 if TYPE_CHECKING:
@@ -348,3 +350,22 @@
     cluster.membership.configuration = known
     assert (await caller.post("/v1/jobs", json=job())).status_code == 200
     assert len(agent.starts) == 3
+
+
+async def test_request_beyond_the_maximum_is_counted_as_refused(
+    cluster: FakeCluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against refusals of a full entry that no metric shows."""
+    monkeypatch.setattr(RequestRegistry, "is_full", True)
+    await cluster.agent()
+    entry = await cluster.entry()
+    caller = await cluster.caller(entry)
+
+    response = await caller.post("/v1/jobs", json=job())
+
+    assert failure_of(response) == ("overloaded", "not_run")
+    (refused,) = entry.job_counts.refused()
+    assert refused == (
+        {"route": SERVICE, "priority": "0", "cause": "queue_full"},
+        1,
+    )
