--- a/src/verbenaplank/placement/service_capacity.py
+++ b/src/verbenaplank/placement/service_capacity.py
@@ -71,18 +71,6 @@
             for server in self.connected_for(service, workload)
         )
 
-    def has_free_server(self, service: str, workload: str, needs: Resources) -> bool:
-        """Return whether a server of a service has room for one more such task.
-
-        The tasks of other entries count as in the last load report.
-        """
-        return any(
-            server.accepts_tasks
-            and len(server.outstanding) + server.other_entries_tasks < server.slots
-            and server.has_free_resources(needs)
-            for server in self.connected_for(service, workload)
-        )
-
     def announced_cores_of(self, service: str) -> float:
         """Return the cores of all backend servers that announce a service.
 
