Keep answers in order and idle connections limited after faulty requests

A malformed pipelined request was answered with status 400 before the request in progress, whose answer the client took it for. The connection is closed without an answer then. Data without a new request, such as the rest of a refused body, stopped the idle timer, which was not set again.

Both new tests failed before; tests/http pass.

--- a/src/verbenaplank/http/connection.py
+++ b/src/verbenaplank/http/connection.py
@@ -144,8 +144,10 @@
             logger.warning("Unsupported upgrade request.")
         except httptools.HttpParserError:
             logger.warning("Invalid HTTP request received.")
-            self._write(MALFORMED, keep_alive=False, has_body=True)
-            self._transport.close()
+            self._refuse_malformed()
+        is_receiving = not (self._incoming.is_complete or self._incoming.is_too_large)
+        if not (is_receiving or self._unanswered or self._transport.is_closing()):
+            self._start_idle_timer()
 
     def on_message_begin(self) -> None:
         """Begin a request."""
@@ -239,8 +241,18 @@
         if self._unanswered:
             self._begin(self._unanswered[0])
         else:
-            loop, delay_s = asyncio.get_running_loop(), self._settings.keep_alive_s
-            self._idle_timer = loop.call_later(delay_s, self._transport.close)
+            self._start_idle_timer()
+
+    def _refuse_malformed(self) -> None:
+        """Close the connection, with an answer if no earlier request waits for one.
+
+        A client takes the next answer for that of its first unanswered request.
+        """
+        incoming = None if self._incoming.is_complete else self._incoming
+        earlier = [item for item in self._unanswered if item is not incoming]
+        if not earlier:
+            self._write(MALFORMED, keep_alive=False, has_body=True)
+        self._transport.close()
 
     def _write(self, response: Response, *, keep_alive: bool, has_body: bool) -> None:
         """Write an answer in one piece."""
@@ -263,6 +275,12 @@
         else:
             self._transport.resume_reading()
 
+    def _start_idle_timer(self) -> None:
+        """Close the connection after some time without data."""
+        self._stop_idle_timer()
+        loop, delay_s = asyncio.get_running_loop(), self._settings.keep_alive_s
+        self._idle_timer = loop.call_later(delay_s, self._transport.close)
+
     def _stop_idle_timer(self) -> None:
         if self._idle_timer is not None:
             self._idle_timer.cancel()
--- a/tests/http/test_handler_server.py
+++ b/tests/http/test_handler_server.py
@@ -171,6 +171,31 @@
         writer.close()
 
 
+async def test_malformed_request_is_not_answered_before_earlier_ones() -> None:
+    """Guards against a status 400 that the client takes for an earlier request."""
+    desk = Desk()
+    desk.may_answer.clear()
+    async with serving(desk) as server:
+        reader, writer = await connect(server)
+        writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        assert await desk.begun.get() == "/a"
+        writer.write(b"nonsense\r\n\r\n")
+        assert await reader.read() == b""
+        writer.close()
+
+
+async def test_connection_that_stalls_in_a_refused_body_is_closed() -> None:
+    """Guards against connections that stay open after a part of a refused body."""
+    async with serving(Desk(), keep_alive_s=0.2) as server:
+        reader, writer = await connect(server)
+        writer.write(b"PUT /a HTTP/1.1\r\nContent-Length: 250\r\n\r\n" + b"x" * 150)
+        assert (await answer(reader))[0] == 413
+        writer.write(b"x" * 50)
+        async with asyncio.timeout(5):
+            assert await reader.read() == b""
+        writer.close()
+
+
 async def test_stop_answers_requests_in_progress_and_closes_idle_connections() -> None:
     """Guards against a stop that interrupts a request."""
     desk = Desk()
