Read gauges and labelled metrics in the event loop before they are rendered

The platform's metrics are rendered in a thread, which iterated collections of the event loop while they changed. The gauges and the labelled metrics are read beforehand; counters and histograms are read in the thread as before.

The new test fails if the thread reads them itself.

--- a/src/verbenaplank/observability/metrics.py
+++ b/src/verbenaplank/observability/metrics.py
@@ -56,9 +56,28 @@
         self._labelled_gauges: list[LabelledMetric] = []
         self._histograms: list[Histogram] = []
         self._exporter: MetricsExporter | None = None
+        self._gauge_values: dict[str, float] = {}
+        self._labelled_values: dict[str, list[tuple[Mapping[str, str], float]]] = {}
 
     def render(self) -> tuple[bytes, str]:
         """Return the metrics as text, and the media type of the text."""
+        self.take_snapshot()
+        return self.render_snapshot()
+
+    def take_snapshot(self) -> None:
+        """Read the gauges and the labelled metrics, in the event loop.
+
+        They iterate collections that the event loop changes, so a thread that renders
+        them must not read them.
+        """
+        self._gauge_values = {gauge.name: gauge.read() for gauge in self._gauges}
+        labelled = self._labelled_counters + self._labelled_gauges
+        self._labelled_values = {
+            metric.name: list(metric.read()) for metric in labelled
+        }
+
+    def render_snapshot(self) -> tuple[bytes, str]:
+        """Return the metrics of the last snapshot as text; a thread may call it."""
         return self._open_exporter().render()
 
     def close(self) -> None:
@@ -122,16 +141,24 @@
         for counter in self._counters:
             exporter.add_counter(counter)
         for gauge in self._gauges:
-            exporter.add_gauge(gauge)
+            exporter.add_gauge(self._gauge_of_snapshot(gauge))
         for labelled in self._labelled_counters:
-            exporter.add_labelled_counter(labelled)
+            exporter.add_labelled_counter(self._labelled_of_snapshot(labelled))
         for labelled in self._labelled_gauges:
-            exporter.add_labelled_gauge(labelled)
+            exporter.add_labelled_gauge(self._labelled_of_snapshot(labelled))
         for histogram in self._histograms:
             histogram.export_to(exporter.add_histogram(histogram))
         self._exporter = exporter
         return exporter
 
+    def _gauge_of_snapshot(self, gauge: ReadMetric) -> ReadMetric:
+        return attrs.evolve(gauge, read=lambda: self._gauge_values.get(gauge.name, 0.0))
+
+    def _labelled_of_snapshot(self, metric: LabelledMetric) -> LabelledMetric:
+        return attrs.evolve(
+            metric, read=lambda: self._labelled_values.get(metric.name, ())
+        )
+
 
 @attrs.define
 class Histogram:
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -1,8 +1,15 @@
 from __future__ import annotations
 
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
 from verbenaplank.observability import metrics as metrics_module
 from verbenaplank.observability.metrics import Metrics
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 
 def test_values_recorded_before_the_first_export_are_exported() -> None:
     """The exporter is loaded late; durations of the first requests must not be lost."""
@@ -25,6 +32,34 @@
     assert "queued 3.0" in first
 
 
+def test_rendering_reads_no_collection_that_the_event_loop_changes() -> None:
+    """Guards against a thread that iterates a collection while it changes size."""
+    metrics = Metrics("entry-1", "Kochi")
+    waiting = {"a": 1.0}
+    threads: set[int] = set()
+
+    def read() -> Iterator[tuple[dict[str, str], float]]:
+        threads.add(threading.get_ident())
+        for route, count in waiting.items():
+            yield {"route": route}, count
+
+    def total() -> float:
+        threads.add(threading.get_ident())
+        return sum(waiting.values())
+
+    metrics.add_labelled_gauge("waiting", "number", read)
+    metrics.add_labelled_counter("refused", "number", read)
+    metrics.add_gauge("total", "number", total)
+    metrics.take_snapshot()
+    with ThreadPoolExecutor(1) as executor:
+        text = executor.submit(metrics.render_snapshot).result()[0].decode()
+    metrics.close()
+    assert threads == {threading.get_ident()}
+    assert 'waiting{route="a"} 1.0' in text
+    assert 'refused_total{route="a"} 1.0' in text
+    assert "total 1.0" in text
+
+
 def test_many_early_values_start_the_export() -> None:
     """Nobody asks for the metrics; the values kept for them must stay bounded."""
     metrics = Metrics("entry-1", "Kochi")
