--- a/src/verbenaplank/bench/locality_comparison.py
+++ b/src/verbenaplank/bench/locality_comparison.py
@@ -14,7 +14,7 @@
 from verbenaplank.bench.locality_simulation import DRAIN_S
 from verbenaplank.bench.locality_simulation import WARM_UP_S
 from verbenaplank.bench.locality_simulation import LocalitySimulation
-from verbenaplank.bench.locality_simulation import worth
+from verbenaplank.bench.locality_simulation import score
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,8 +29,8 @@
 
     Attributes
     ----------
-    worth, short_worth
-        Mean worth of all jobs and of the short jobs, which name racks.
+    score, short_score
+        Mean score of all jobs and of the short jobs, which name racks.
     short_median_ms, short_p95_ms
         Percentiles of the response times of the short jobs, in milliseconds.
     local_share
@@ -46,8 +46,8 @@
     load: float
     skew: float
     rule: Rule
-    worth: float
-    short_worth: float
+    score: float
+    short_score: float
     short_median_ms: float
     short_p95_ms: float
     local_share: float
@@ -79,7 +79,7 @@
     simulation = LocalitySimulation(scenario, rule, jobs)
     result = simulation.run(scenario.length_s + DRAIN_S)
     counted = [job for job in jobs if job.arrival_s >= WARM_UP_S]
-    values = [worth(job, result.latencies_s.get(job.job_id)) for job in counted]
+    values = [score(job, result.latencies_s.get(job.job_id)) for job in counted]
     short_values = [
         value for job, value in zip(counted, values, strict=True) if job.rack
     ]
@@ -95,8 +95,8 @@
         load=scenario.load,
         skew=scenario.skew,
         rule=rule,
-        worth=sum(values) / max(1, len(values)),
-        short_worth=sum(short_values) / max(1, len(short_values)),
+        score=sum(values) / max(1, len(values)),
+        short_score=sum(short_values) / max(1, len(short_values)),
         short_median_ms=percentile(latencies_ms, 0.5),
         short_p95_ms=percentile(latencies_ms, 0.95),
         local_share=counts["placed_locally"] / placed,
--- a/src/verbenaplank/bench/locality_simulation.py
+++ b/src/verbenaplank/bench/locality_simulation.py
@@ -260,8 +260,8 @@
         )
 
 
-def worth(job: LocalityJob, latency_s: float | None) -> float:
-    """Return what a response is worth: 1 by its goal, a fifth by three times that."""
+def score(job: LocalityJob, latency_s: float | None) -> float:
+    """Return the score of a response: 1 by its goal, a fifth by three times that."""
     goal_s = load.STRETCH * job.estimate_s + load.TARGET_LATENCY_MS / 1_000.0
     if latency_s is None or latency_s > USELESS_AFTER_FACTOR * goal_s:
         return 0.0
--- a/src/verbenaplank/placement/task.py
+++ b/src/verbenaplank/placement/task.py
@@ -49,7 +49,7 @@
     remote_factor
         How many times longer the task runs on any other rack.
     weighs_waits
-        Whether its wait is weighed against what its answer is worth.
+        Whether its job is admitted, ordered and removed by its expected end.
     latest_start_s
         Monotonic time after which the task is not held.
     ends_wide_job
--- a/tests/bench/test_locality.py
+++ b/tests/bench/test_locality.py
@@ -20,7 +20,7 @@
 def test_all_jobs_are_answered_in_a_calm_load(rule: Rule) -> None:
     """A rule loses held tasks, or the model loses their results."""
     calm = attrs.evolve(LIGHT, load=0.1, skew=0.0)
-    assert run_rule(calm, rule).worth > 0.6
+    assert run_rule(calm, rule).score > 0.6
 
 
 def test_only_rules_that_wait_hold_tasks() -> None:
