--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,54 +1,47 @@
-"""An edge process ends by SIGKILL while executors leave orders unanswered."""
+"""Status reports of another writer, whose address cannot be read."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 from pathlib import Path
 
 import standins as s
 
 FOLDER = Path(__file__).resolve().parent
-SHARE = 0.5
-WORK_MS = 6_000
-TASKS = 40
-JOBS = 2
+CALM_S = 8.0
+JOBS = 12
 
 
 async def case(record: s.Record) -> list[str]:
-    """Kill the edge that runs jobs, which their clients then send to another one."""
-    fleet, executors = await s.start_fleet(record, edges=2, sides=6, cores=5)
+    """Send each agent one such report, then hand jobs in while executors report."""
+    fleet, executors = await s.start_fleet(record, edges=1, sides=2, cores=5)
     try:
-        first, second = fleet.edges
+        edge = fleet.edges[0]
         client = s.Client(fleet)
-        luck = random.Random(5)
-        began_s = [float("inf")]
-
-        def hold_order(path: str, body: dict[str, s.Any]) -> float | None:
-            del body
-            is_order = path in ("/v1/run-start", "/v1/run-stop")
-            if not is_order or record.now() < began_s[0] or luck.random() >= SHARE:
-                return None
-            return luck.uniform(2.0, 12.0)
-
-        for executor in executors:
-            executor.hold_order = hold_order
-        body = s.job(TASKS, WORK_MS, 1_000)
-        jobs = [
-            asyncio.create_task(
-                client.post_until_answered([first, second], s.new_id(), body)
-            )
-            for _ in range(JOBS)
-        ]
-        await asyncio.sleep(2.0)
         if s.TROUBLE:
-            began_s[0] = record.now()
-            first.kill()
-        await asyncio.gather(*jobs)
-        return s.overlaps(executors, record.now())
+            for executor in executors:
+                await send_foreign_report(executor)
+        await asyncio.sleep(CALM_S)
+        for _ in range(JOBS):
+            await client.post(edge, s.new_id(), s.job(2, 120, 6_200))
+            await asyncio.sleep(0.5)
+        statuses = [status for one in client.statuses.values() for status in one]
+        if 200 in statuses:
+            return []
+        return [f"of {len(statuses)} jobs none is served: {statuses}"]
     finally:
         fleet.stop()
 
 
+async def send_foreign_report(executor: s.Executor) -> None:
+    """Send a report that names no executor: its service and address are unknown."""
+    host, _ = executor.side.address(s.APP)
+    body = executor.report(
+        service="xq55", address=f"{host}:808080", sequence=1, born=executor.born - 1
+    )
+    status = await executor.send_report(body, "i-0f0f0f0f")
+    executor.record.add(f"foreign report to {executor.side.name}: {status}")
+
+
 if __name__ == "__main__":
     s.play(FOLDER, case)
--- a/review/standins.py
+++ b/review/standins.py
@@ -253,6 +253,7 @@
 
     A task takes the milliseconds that its ``spec`` holds.  ``hold_order`` may return
     the seconds after which an order is carried out; such an order gets no answer.
+    ``first_report_s`` is the time from its start to its first status report.
     """
 
     def __init__(self, fleet: Fleet, side: Machine, number: int, cpu: int) -> None:
@@ -268,6 +269,7 @@
         self.late: set[asyncio.Task[None]] = set()
         self.up = False
         self.beating: asyncio.Task[None] | None = None
+        self.first_report_s = 0.0
         self._forget()
 
     def _forget(self) -> None:
@@ -332,7 +334,7 @@
         return (await call(self.side.address(CONTROL), "PUT", path, data, 1.0))[0]
 
     async def _live(self) -> None:
-        beat_s = time.monotonic()
+        beat_s = time.monotonic() + self.first_report_s
         while True:
             self._advance()
             if time.monotonic() >= beat_s:
