--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Executors crash while tasks run, and start again under their ids."""
+"""Executors crash in turn while tasks run, and start again under their ids."""
 
 from __future__ import annotations
 
@@ -8,26 +8,37 @@
 import standins as s
 
 FOLDER = Path(__file__).resolve().parent
+EXECUTORS = 7
+"""One of them is less than 0.15 of the service."""
+
+EXECUTORS_FIRST_S = 1.0
 DOWN_S = 2.0
-FIRST_REPORT_S = 0.5
+GAP_S = 0.8
+FIRST_REPORT_S = 0.3
 CALM_S = 6.0
-JOBS = 20
+JOBS = 12
 
 
 async def case(record: s.Record) -> list[str]:
-    """Crash both executors of a service, and hand jobs in once they are back."""
-    fleet, executors = await s.start_fleet(record, edges=1, sides=2, cores=5)
+    """Crash one executor after the other, and hand jobs in once all are back."""
+    fleet, executors = await s.start_fleet(
+        record,
+        edges=1,
+        sides=EXECUTORS,
+        cores=5,
+        cpu=8_000,
+        executors_first_s=EXECUTORS_FIRST_S,
+    )
     try:
         edge = fleet.edges[0]
         client = s.Client(fleet)
-        running = [
-            asyncio.create_task(client.post(edge, s.new_id(), s.job(6, 3_000, 1_000)))
-            for _ in range(2)
-        ]
-        await asyncio.sleep(0.5)
-        if s.TROUBLE:
-            await asyncio.gather(*map(crash_and_return, executors))
-        await asyncio.gather(*running)
+        body = s.job(EXECUTORS, 60_000, 6_200)
+        long_job = asyncio.create_task(client.post(edge, s.new_id(), body, 90.0))
+        await asyncio.sleep(1.0)
+        for executor in executors:
+            await crash_and_return(executor)
+        record.add("client: leaves its long job")
+        long_job.cancel()
         await asyncio.sleep(CALM_S)
         for _ in range(JOBS):
             await client.post(edge, s.new_id(), s.job(2, 120, 1_000), 5.0)
@@ -42,10 +53,13 @@
 
 async def crash_and_return(executor: s.Executor) -> None:
     """End an executor, and start it again under the id that it had."""
-    await executor.crash()
+    if s.TROUBLE:
+        await executor.crash()
     await asyncio.sleep(DOWN_S)
-    executor.first_report_s = FIRST_REPORT_S
-    await executor.start()
+    if s.TROUBLE:
+        executor.first_report_s = FIRST_REPORT_S
+        await executor.start()
+    await asyncio.sleep(GAP_S)
 
 
 if __name__ == "__main__":
