Detach an entry also when its stream is cancelled twice

The second cancellation ended the wait for the sender in the clean-up, so the detach after it was skipped.

What callers saw: queued dispatches of a lost entry kept their places at the agent until the entry's lease expired. Besides, the agent kept the outbox of each lost entry for good, with every load report that was put into it.

Change: detach before the first wait of the clean-up.

test_entry_whose_connection_is_lost_is_detached failed before (TimeoutError after 10 s) and passes now.

--- a/src/verbenaplank/agent/work_service.py
+++ b/src/verbenaplank/agent/work_service.py
@@ -236,9 +236,10 @@
                 async for message in self._stream:
                     self._handle(message)
         finally:
+            # Before the first await, which a second cancellation may end.
+            self._runner.detach(self.key, self._outbox)
             sender.cancel()
             await asyncio.gather(sender, return_exceptions=True)
-            self._runner.detach(self.key, self._outbox)
 
     def _handle(self, message: ToAgent) -> None:
         gate, clock = self._runner.gate, self._runner.clock
--- a/tests/agent/test_work_service.py
+++ b/tests/agent/test_work_service.py
@@ -10,6 +10,7 @@
 import pytest
 from agent_helpers import HELLO
 from agent_helpers import LEASE
+from agent_helpers import RECEIVE_TIMEOUT_S
 from agent_helpers import agent_site
 from agent_helpers import dispatch
 from agent_helpers import receive
@@ -222,3 +223,19 @@
             longest_s = SHORT_LEASE.idle_timeout_s
             assert all(least_s <= gap_s <= longest_s for gap_s in gaps_s)
         reports.cancel()
+
+
+async def test_entry_whose_connection_is_lost_is_detached() -> None:
+    """The connection that closes cancels the stream twice, which skipped the detach.
+
+    Queued dispatches of the lost entry then kept their places until the lease
+    expired, and replies to it piled up.
+    """
+    async with agent_site(slots=1) as site:
+        async with site.entry() as stream:
+            batch = (dispatch(0, LONG_MS), dispatch(1))
+            await stream.send_message(ToAgent(dispatches=batch))
+            await site.started.wait()
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            while site.runner.load().queued:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
