Log at the agent when entries come and go, with the lease that is left

The logs of the agent say when a run is stopped because the lease of its entry expired, but not when the entry was lost, how long its lease lasted then, or when its stream was opened. So they can't tell these hypotheses apart:

1. the lease of a new stream is longer than the one in use; 2. the agent notices the lost entry late; 3. the last renewal counts from its receipt instead of the clock reading that it answers; 4. the stop is requested in time and carried out late.

"entry connected" and "entry disconnected" carry lease_left_ms and the number of runs: 1 shows as about 1,700 ms left 0.3 s after the connect, 2 as a late line, 3 as more than 800 ms only after a delayed renewal; 4 shows between "run stop requested" and "run ended", which were logged before.

test_streams_of_entries_are_logged_with_the_lease_that_is_left passes.

--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -12,6 +12,7 @@
 from verbenaplank.history.event import EventKind
 
 if TYPE_CHECKING:
+    from verbenaplank.agent.effects import EntryKey
     from verbenaplank.agent.lease_protocol import RunId
     from verbenaplank.agent.report import BackendServerReport
     from verbenaplank.history.event import Event
@@ -44,6 +45,23 @@
     logger.info(MESSAGES[event.kind], extra=extra)
 
 
+def log_entry_connected(entry: EntryKey, lease_left_s: float) -> None:
+    """Log that an entry opened a stream, and how long its lease still lasts."""
+    logger.info("entry connected", extra=_entry_fields(entry, lease_left_s))
+
+
+def log_entry_disconnected(entry: EntryKey, lease_left_s: float, runs: int) -> None:
+    """Log that the stream of an entry closed; its runs go on for the rest of the lease.
+
+    Parameters
+    ----------
+    runs
+        Number of runs of the entry.
+    """
+    extra = _entry_fields(entry, lease_left_s) | {"runs": runs}
+    logger.info("entry disconnected", extra=extra)
+
+
 def log_stop_requested(task_id: str, cause: str) -> None:
     """Log that the agent asks the backend server to stop a run, and why."""
     job_id, index, attempt = task_id.rsplit("/", 2)
@@ -123,3 +141,11 @@
         "evacuated": evacuated,
     }
     logger.info("evacuations in force", extra=extra)
+
+
+def _entry_fields(entry: EntryKey, lease_left_s: float) -> dict[str, object]:
+    return {
+        "entry": entry.entry_id,
+        "entry_incarnation": entry.incarnation,
+        "lease_left_ms": round(lease_left_s * 1_000),
+    }
--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -111,6 +111,15 @@
         keys.update(owner.key for owner in self._occupancy.owners())
         return keys
 
+    def lease_left_s(self, key: EntryKey, now_s: float) -> float:
+        """Return how long the lease of an entry still lasts; 0 if it has expired."""
+        return max(0.0, self._entries[key].lease_until_s - now_s)
+
+    def runs_of(self, key: EntryKey) -> int:
+        """Return the number of running tasks of an entry."""
+        running = self._occupancy.all_running()
+        return sum(run.entry.key == key for _, run in running)
+
     def on_hello(self, key: EntryKey, now_s: float) -> None:
         """Mark an entry as connected and grant it an initial lease."""
         self._entries.connect(key, now_s)
--- a/src/verbenaplank/agent/runner.py
+++ b/src/verbenaplank/agent/runner.py
@@ -102,7 +102,9 @@
     def attach(self, key: EntryKey, outbox: ReplyOutbox) -> None:
         """Mark an entry as connected and send its replies to an outbox from now on."""
         self._outboxes[key] = outbox
-        self.gate.on_hello(key, self.clock())
+        now_s = self.clock()
+        self.gate.on_hello(key, now_s)
+        decision_log.log_entry_connected(key, self.gate.lease_left_s(key, now_s))
 
     def detach(self, key: EntryKey, outbox: ReplyOutbox) -> None:
         """Remove an outbox and refuse the queued dispatches of its entry.
@@ -112,7 +114,10 @@
         if self._outboxes.get(key) is not outbox:
             return
         del self._outboxes[key]
-        self.apply_effects(self.gate.on_disconnect(key, self.clock()))
+        now_s = self.clock()
+        lease_left_s = self.gate.lease_left_s(key, now_s)
+        decision_log.log_entry_disconnected(key, lease_left_s, self.gate.runs_of(key))
+        self.apply_effects(self.gate.on_disconnect(key, now_s))
 
     def drain(self) -> None:
         """Refuse all dispatches that have not started, and send the load to entries."""
--- a/tests/agent/test_work_service.py
+++ b/tests/agent/test_work_service.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from contextlib import AsyncExitStack
 from itertools import pairwise
 from typing import TYPE_CHECKING
@@ -16,6 +17,7 @@
 from agent_helpers import receive
 from grpclib.exceptions import GRPCError
 
+from verbenaplank.agent import decision_log
 from verbenaplank.agent.effects import EntryKey
 from verbenaplank.agent.work_service import IDLE_REPORT_PERIOD_S
 from verbenaplank.agent.work_service import MAX_ENVELOPE_OUTPUT_BYTES
@@ -239,3 +241,23 @@
         async with asyncio.timeout(RECEIVE_TIMEOUT_S):
             while site.runner.load().queued:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
+
+
+async def test_streams_of_entries_are_logged_with_the_lease_that_is_left(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against runs of a lost entry whose log lines cannot tell their lease."""
+    caplog.set_level(logging.INFO, decision_log.__name__)
+    async with agent_site() as site:
+        async with site.entry() as stream:
+            await stream.send_message(ToAgent(dispatches=(dispatch(0, LONG_MS),)))
+            await site.started.wait()
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            while "entry disconnected" not in caplog.messages:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    lines = {record.msg: vars(record) for record in caplog.records}
+    assert lines["entry connected"]["entry"] == HELLO.entry_id
+    lost = lines["entry disconnected"]
+    assert lost["runs"] == 1
+    assert LEASE.lease_ms - 10_000.0 < lost["lease_left_ms"] <= LEASE.lease_ms
