--- a/src/verbenaplank/agent/entries.py
+++ b/src/verbenaplank/agent/entries.py
@@ -9,9 +9,6 @@
 from verbenaplank.agent.deduplication import ClosedDispatches
 from verbenaplank.agent.effects import EntryKey
 
-INITIAL_LEASE_S = 2.0
-"""Lease that an entry gets when it opens a stream, until it renews the lease."""
-
 ENTRY_RETENTION_S = 86_400.0
 """How long a disconnected entry is retained after its lease has expired."""
 
@@ -26,7 +23,8 @@
         Number that identifies the entry in place of ``key``, to save memory in
         tables with many rows.
     lease_until_s
-        Monotonic time at which the lease of the entry expires.
+        Monotonic time at which the lease of the entry expires.  Only a renewal grants a
+        lease; a stream that opens grants none, because its entry may have ended.
     connected
         Whether the entry has an open stream.
     closed
@@ -39,12 +37,15 @@
     connected: bool = True
     closed: ClosedDispatches = attrs.field(factory=ClosedDispatches)
 
+    def has_lease(self, now_s: float) -> bool:
+        """Return whether the lease of the entry has not expired."""
+        return now_s < self.lease_until_s
+
 
 class Entries:
     """Maps keys to entries; retains disconnected ones for ``ENTRY_RETENTION_S``."""
 
-    def __init__(self, initial_lease_s: float = INITIAL_LEASE_S) -> None:
-        self._initial_lease_s = initial_lease_s
+    def __init__(self) -> None:
         self._entries: dict[EntryKey, Entry] = {}
         self._numbers = itertools.count(1)
 
@@ -52,12 +53,11 @@
         return self._entries[key]
 
     def connect(self, key: EntryKey, now_s: float) -> None:
-        """Mark an entry as connected, adding it if needed, and renew its lease."""
+        """Mark an entry as connected, adding it without a lease if it is new."""
         entry = self._entries.get(key)
         if entry is None:
             entry = self._entries[key] = Entry(key, next(self._numbers), now_s)
         entry.connected = True
-        self.renew(key, self._initial_lease_s, now_s)
 
     def renew(self, key: EntryKey, lease_s: float, since_s: float) -> None:
         """Extend the lease of an entry to ``since_s + lease_s``; never shorten it."""
--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -121,7 +121,7 @@
         return sum(run.entry.key == key for _, run in running)
 
     def on_hello(self, key: EntryKey, now_s: float) -> None:
-        """Mark an entry as connected and grant it an initial lease."""
+        """Mark an entry as connected; it gets a lease with its first renewal."""
         self._entries.connect(key, now_s)
 
     def on_renewal(
@@ -290,14 +290,14 @@
         self._started.expire(now_s)
         self._results.expire(now_s)
         effects = self._refuse_queued(
-            lambda queued: queued.entry.lease_until_s < now_s,
+            lambda queued: not queued.entry.has_lease(now_s),
             RefusalReason.LEASE_EXPIRED,
         )
         effects += self._refuse_queued(
             lambda queued: queued.is_late(now_s), RefusalReason.BUDGET_SPENT
         )
         for task_id, running in self._occupancy.all_running():
-            if running.entry.lease_until_s < now_s:
+            if not running.entry.has_lease(now_s):
                 effects += _stop_once(
                     task_id, running, "the lease of its entry expired"
                 )
@@ -315,7 +315,7 @@
             return RefusalReason.WRONG_INCARNATION
         if queued.dispatch.service not in self._services:
             return RefusalReason.UNKNOWN_SERVICE
-        if not queued.entry.connected or queued.entry.lease_until_s < now_s:
+        if not queued.entry.connected or not queued.entry.has_lease(now_s):
             return RefusalReason.LEASE_EXPIRED
         if queued.is_late(now_s):
             return RefusalReason.BUDGET_SPENT
--- a/src/verbenaplank/entry/agent_connection.py
+++ b/src/verbenaplank/entry/agent_connection.py
@@ -187,23 +187,24 @@
             ) as channel:
                 async with WORK.open(channel) as stream:
                     async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                        welcome = await self._handshake(stream)
+                        first = await self._handshake(stream)
+                    welcome = first.welcome if first is not None else None
                     if welcome is None or welcome.agent_id != self._member.member_id:
                         return False
-                    await self._serve(stream, welcome)
+                    await self._serve(stream, welcome, _clock_s(first))
                     return True
         except RPC_ERRORS:
             return False
 
-    async def _handshake(
-        self, stream: Stream[ToAgent, FromAgent]
-    ) -> AgentWelcome | None:
+    async def _handshake(self, stream: Stream[ToAgent, FromAgent]) -> FromAgent | None:
         await stream.send_message(ToAgent(hello=self._hello))
-        message = await stream.recv_message()
-        return message.welcome if message is not None else None
+        return await stream.recv_message()
 
     async def _serve(
-        self, stream: Stream[ToAgent, FromAgent], welcome: AgentWelcome
+        self,
+        stream: Stream[ToAgent, FromAgent],
+        welcome: AgentWelcome,
+        agent_clock_s: float | None,
     ) -> None:
         outbox: Outbox[OutboxItem] = Outbox()
         self._outbox = outbox
@@ -212,8 +213,10 @@
         self._results_received = 0
         self._renewals = _new_schedule(self._lease)
         self._last_message_s = asyncio.get_running_loop().time()
-        self._agent_clock_s = None
+        self._agent_clock_s = agent_clock_s
         self._listener.on_agent_connected(welcome)
+        if self._listener.has_open_dispatches(welcome.agent_id):
+            outbox.put(self._renewal())
         decision_log.agent_connected(welcome.agent_id, welcome.incarnation)
         stream_tasks: set[asyncio.Task[Any]] = {
             asyncio.create_task(self._receive(stream)),
@@ -288,6 +291,13 @@
                 await stream.send_message(message)
 
 
+def _clock_s(message: FromAgent | None) -> float | None:
+    """Return the reading of the agent's clock in a message, if it has one."""
+    if message is None or message.load is None:
+        return None
+    return message.load.clock_s
+
+
 def _new_schedule(lease: TaskLease) -> RenewalSchedule:
     return RenewalSchedule(
         period_s=lease.renewal_period_s,
--- a/tests/agent/test_gate.py
+++ b/tests/agent/test_gate.py
@@ -8,7 +8,6 @@
 from verbenaplank.agent.effects import Reply
 from verbenaplank.agent.effects import StartRun
 from verbenaplank.agent.effects import StopRun
-from verbenaplank.agent.entries import INITIAL_LEASE_S
 from verbenaplank.agent.gate import Gate
 from verbenaplank.agent.gate_limits import GateLimits
 from verbenaplank.protocol.work import Dispatch
@@ -25,6 +24,7 @@
 OTHER = EntryKey("e2", "1")
 LIMITS = GateLimits(slots=1, max_queued_tasks=2, retention_s=300.0)
 BUDGET_S = 1.0
+LEASE_S = 2.0
 
 
 def _dispatch(number: int, index: int = 0, *, urgent: bool = False) -> Dispatch:
@@ -57,8 +57,9 @@
 
 def _gate(slots: int = 1) -> Gate:
     gate = Gate("a1", frozenset({"draw"}), attrs.evolve(LIMITS, slots=slots))
-    gate.on_hello(ENTRY, 0.0)
-    gate.on_hello(OTHER, 0.0)
+    for entry in (ENTRY, OTHER):
+        gate.on_hello(entry, 0.0)
+        gate.on_renewal(entry, LEASE_S, 0.0)
     return gate
 
 
@@ -146,7 +147,7 @@
     long_budget = attrs.evolve(_dispatch(1), start_budget_ms=1e9)
     gate.on_dispatch(ENTRY, long_budget, 0.0)
 
-    late_s = INITIAL_LEASE_S + 0.1
+    late_s = LEASE_S + 0.1
     assert _reasons(gate.assign_slots(late_s)) == [RefusalReason.LEASE_EXPIRED]
     assert _reasons(gate.on_dispatch(ENTRY, _dispatch(2, 1), late_s)) == [
         RefusalReason.LEASE_EXPIRED
@@ -261,8 +262,8 @@
     gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
     _start(gate)
 
-    assert gate.expire(INITIAL_LEASE_S + 0.1) == [StopRun("job/0/1")]
-    assert gate.expire(INITIAL_LEASE_S + 0.2) == []
+    assert gate.expire(LEASE_S + 0.1) == [StopRun("job/0/1")]
+    assert gate.expire(LEASE_S + 0.2) == []
 
 
 def test_drain_refuses_queued_and_later_dispatches() -> None:
@@ -338,7 +339,7 @@
     long_budget, short_budget = _reserve(gate)
 
     after_budget = gate.confirm_start(short_budget, BUDGET_S + 0.1)
-    after_lease = gate.confirm_start(long_budget, INITIAL_LEASE_S + 0.1)
+    after_lease = gate.confirm_start(long_budget, LEASE_S + 0.1)
     assert _reasons([*after_budget.effects]) == [RefusalReason.BUDGET_SPENT]
     assert _reasons([*after_lease.effects]) == [RefusalReason.LEASE_EXPIRED]
 
@@ -354,3 +355,27 @@
     ]
     gate.on_dispatch(ENTRY, _dispatch(2), 0.0)
     assert _start(gate) == [2]
+
+
+def test_new_stream_does_not_extend_the_lease_that_the_entry_renews() -> None:
+    """Tasks ran twice: a stream granted 2 s, of which an entry killed then made use.
+
+    Its caller sends the job again after 1.3 s, to an entry that starts it anew.
+    """
+    gate = Gate("a1", frozenset({"draw"}), LIMITS)
+    gate.on_hello(ENTRY, 0.0)
+    gate.on_renewal(ENTRY, 0.8, 0.1, heard_clock_s=0.0)
+    gate.on_dispatch(ENTRY, _dispatch(1), 0.1)
+    assert _start(gate) == [1]
+    gate.on_hello(ENTRY, 0.7)
+
+    assert gate.expire(0.9) == [StopRun("job/0/1")]
+
+
+def test_dispatch_of_an_entry_that_never_renewed_its_lease_is_refused() -> None:
+    """A stream alone says nothing of whether the entry still wants its tasks run."""
+    gate = Gate("a1", frozenset({"draw"}), LIMITS)
+    gate.on_hello(ENTRY, 0.0)
+
+    refused = gate.on_dispatch(ENTRY, _dispatch(1), 0.0)
+    assert _reasons(refused) == [RefusalReason.LEASE_EXPIRED]
--- a/tests/agent/test_gate_capacity.py
+++ b/tests/agent/test_gate_capacity.py
@@ -41,6 +41,7 @@
 def sized_gate() -> Gate:
     gate = Gate("a1", frozenset({"draw"}), LIMITS)
     gate.on_hello(ENTRY, 0.0)
+    gate.on_renewal(ENTRY, 2.0, 0.0)
     return gate
 
 
@@ -150,6 +151,7 @@
     limits = attrs.evolve(LIMITS, max_queued_tasks=8)
     gate = Gate("a1", frozenset({"draw"}), limits)
     gate.on_hello(ENTRY, 0.0)
+    gate.on_renewal(ENTRY, 2.0, 0.0)
     assert start(gate, 1, Resources(cores=4.0))
     gate.on_dispatch(ENTRY, dispatch(2, Resources(cores=3.0)), 0.0)
     gate.on_dispatch(ENTRY, dispatch(3, Resources(cores=1.0)), 0.0)
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -163,6 +163,7 @@
         self.slots = slots
         self.automatic = True
         self.ignores_dispatches = False
+        self.welcome_load: work.LoadReport | None = None
         self.received: list[work.ToAgent] = []
         self.starts: list[work.Dispatch] = []
         self.streams: dict[tuple[str, int], Stream[work.ToAgent, work.FromAgent]] = {}
@@ -185,7 +186,8 @@
         welcome = work.AgentWelcome(
             agent_id=self.agent_id, incarnation=self.incarnation, slots=self.slots
         )
-        await stream.send_message(work.FromAgent(welcome=welcome))
+        first = work.FromAgent(welcome=welcome, load=self.welcome_load)
+        await stream.send_message(first)
         self.open_streams.append(stream)
         try:
             async for message in stream:
--- a/tests/entry/test_agent_connection.py
+++ b/tests/entry/test_agent_connection.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from entry.fake_cluster import job
+from entry.fakes import FakeAgent
 from entry.fakes import echo
 from verbenaplank.entry.agent_connection import MAX_PAYLOAD_BYTES_PER_MESSAGE
 from verbenaplank.entry.agent_connection import pack_messages
@@ -60,6 +61,48 @@
     assert len(agent.starts) == 2
 
 
+async def test_first_renewal_counts_from_the_clock_reading_of_the_welcome(
+    cluster: FakeCluster,
+) -> None:
+    """A dispatch that a frozen agent reads late started under a new lease.
+
+    The first renewal carried no clock reading, so it counted from its receipt.
+    """
+    agent = FakeAgent("agent-1")
+    agent.welcome_load = work.LoadReport(running=0, queued=0, clock_s=12.5)
+    async with agent.serve():
+        cluster.membership.join(agent.member())
+        entry = await cluster.entry(order_by_goal=True)
+        async with asyncio.timeout(10):
+            while not agent.open_streams:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+            while not agent.received:
+                entry.agent_connections.send("agent-1", dispatch(1, 1))
+                await asyncio.sleep(0.01)
+
+    renewal = agent.received[0].renewal
+    assert renewal is not None
+    assert renewal.heard_clock_s == 12.5
+
+
+async def test_reopened_stream_renews_the_lease_of_running_tasks_at_once(
+    cluster: FakeCluster,
+) -> None:
+    """A stream grants no lease of its own, and the former one is about to expire."""
+    agent = await cluster.agent()
+    agent.automatic = False
+    caller = await cluster.caller(await cluster.entry())
+    posted = asyncio.create_task(caller.post("/v1/jobs", json=job(count=2)))
+    await agent.wait_started(2)
+
+    await agent.break_streams()
+    await agent.wait_revoked(2)
+    first = next(message for message in agent.received if message.revokes)
+    assert first.renewal is not None
+    await agent.send(work.FromAgent(results=tuple(map(echo, agent.starts))))
+    assert (await posted).status_code == 200
+
+
 async def test_dispatch_lost_with_its_stream_is_revoked_and_resent(
     cluster: FakeCluster,
 ) -> None:
