Log the fencing token with which an agent takes a backend server over

The entry's line "run did not succeed" names the cause "fenced" for each start, which rules out a clock estimated wrong ("late"), used run numbers ("outdated") and a full or ill executor ("no_room", "unhealthy"). No line says which token the agent uses, or whether the executor accepted it, so these are left:

1. the token is too low from the first call on; 2. another agent, or a late order, fences this agent off afterwards; 3. the agent goes on with the token of the former life.

"fencing token sent" gives the token, the executor's clock and whether it was refused: 1 shows as refused at the take-over, 2 as accepted there, 3 as no new line after "serving backend server" of the second life.

--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -80,6 +80,24 @@
     logger.warning("start request got no usable reply", extra=extra)
 
 
+def log_take_over(fence: int, clock_ms: int, *, refused: bool) -> None:
+    """Log that the agent sends its fencing token to the backend server.
+
+    Parameters
+    ----------
+    fence
+        The fencing token.
+    clock_ms
+        The backend server's clock in its reply.
+    refused
+        Whether the backend server has seen a higher token.
+    """
+    extra = {"fence": fence, "clock_ms": clock_ms, "refused": refused}
+    logger.log(
+        logging.WARNING if refused else logging.INFO, "fencing token sent", extra=extra
+    )
+
+
 def log_unknown_run(run: RunId) -> None:
     """Log that the backend server lists a run that this agent did not start."""
     extra = {"task": run.task, "run": run.number}
--- a/src/verbenaplank/agent/take_over.py
+++ b/src/verbenaplank/agent/take_over.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from verbenaplank.agent import decision_log
 from verbenaplank.agent.call_timeouts import RETRY_S
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import PollRequest
@@ -48,6 +49,7 @@
             acknowledged=runs.acknowledged_sequence,
         )
         reply = await client.poll(request, TAKE_OVER_TIMEOUT_S)
+        decision_log.log_take_over(lease.fence, reply.clock_ms, refused=reply.fenced)
         runs.record_ends(reply)
         if not reply.active:
             lease.record_poll_reply(reply.clock_ms)
