--- a/src/verbenaplank/agent/backend_lease.py
+++ b/src/verbenaplank/agent/backend_lease.py
@@ -64,8 +64,13 @@
     @property
     def has_expired(self) -> bool:
         """Return whether the lease has certainly expired and all runs have ended."""
-        held_s = self._clock() - self._extended_s
-        return held_s >= self._lease_s * 1.02 + EXPIRY_MARGIN_S
+        return self.left_s <= 0.0
+
+    @property
+    def left_s(self) -> float:
+        """Return the time until all runs have certainly ended, in seconds."""
+        expires_s = self._extended_s + self._lease_s * 1.02 + EXPIRY_MARGIN_S
+        return max(0.0, expires_s - self._clock())
 
     @property
     def longest_expiry_s(self) -> float:
@@ -92,6 +97,14 @@
         self._extended_s = extended_s
         self.is_down = True
 
+    def record_fenced_off(self) -> None:
+        """Record a refused fencing token, from which on new runs are refused.
+
+        The request with the higher token may have extended the lease until now.
+        """
+        self._extended_s = self._clock()
+        self.is_down = True
+
     def update_clock(self, clock_ms: int) -> None:
         """Record a reading of the backend server's clock, in milliseconds."""
         self._backend_clock.update(clock_ms)
--- a/src/verbenaplank/agent/lease_protocol.py
+++ b/src/verbenaplank/agent/lease_protocol.py
@@ -21,7 +21,11 @@
 
 
 class BackendRestartedError(Exception):
-    """The called incarnation of the backend server has ended or is taken over."""
+    """The called incarnation of the backend server has ended."""
+
+
+class FencedOffError(Exception):
+    """A call was refused, because a higher fencing token has been used."""
 
 
 class StartStatus(StrEnum):
@@ -153,8 +157,11 @@
     ----------
     clock_ms
         Reading of the backend server's clock, in milliseconds.
+    started_ms
+        Time of day at which this incarnation started, by its own clock, in
+        milliseconds since 1970; 0 if unknown.
     fenced
-        Whether another agent has set a higher fencing token; nothing is listed then.
+        Whether a higher fencing token has been used; nothing is listed then.
     active
         Runs that have started and not ended.
     ended
@@ -162,6 +169,7 @@
     """
 
     clock_ms: int
+    started_ms: int = 0
     fenced: bool = False
     active: tuple[RunProgress, ...] = ()
     ended: tuple[RunEnd, ...] = ()
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -25,9 +25,11 @@
 from verbenaplank.agent.backend_lease import BackendLease
 from verbenaplank.agent.call_timeouts import RETRY_S
 from verbenaplank.agent.call_timeouts import call_timeout_s
+from verbenaplank.agent.fencing import FencingTokens
 from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import EndKind
+from verbenaplank.agent.lease_protocol import FencedOffError
 from verbenaplank.agent.lease_protocol import NotSentError
 from verbenaplank.agent.lease_protocol import PollRequest
 from verbenaplank.agent.lease_protocol import RunId
@@ -78,11 +80,18 @@
     clock
         Monotonic clock of this process.
     on_lost
-        Called when the backend server has restarted, or when another agent has
-        taken it over.
+        Called when the backend server has restarted, or when a higher fencing token
+        has been used there and the runs of this agent have ended.
     crash_watch
         Told when the backend server goes silent, answers again or has restarted;
         ``None`` if nobody needs to know of its crash.
+    tokens
+        Issues the fencing token; by default, none were issued before.
+
+    Attributes
+    ----------
+    is_taken_over
+        Whether a higher fencing token has been used on the backend server.
     """
 
     can_stop = True
@@ -94,10 +103,12 @@
         clock: MonotonicClock,
         on_lost: Callable[[], None],
         crash_watch: CrashWatch | None = None,
+        tokens: FencingTokens | None = None,
     ) -> None:
         self._client = client
         self._crash_watch = crash_watch
-        self._taken_over = False
+        self._tokens = tokens or FencingTokens()
+        self.is_taken_over = False
         self._clock = clock
         self._lease = BackendLease(lease_s, clock)
         self._on_lost = on_lost
@@ -122,7 +133,9 @@
         BackendRestartedError
             If the backend server has restarted.
         """
-        await take_over(self._client, self._lease, self._runs, self._clock)
+        await take_over(
+            self._client, self._lease, self._runs, self._tokens, self._clock
+        )
         self._spawn(self._poll_forever())
         return self
 
@@ -190,6 +203,8 @@
                 return report_for_end(run.end.result(), START_UNANSWERED)
             finally:
                 self._runs.remove(task_id, run)
+            if reply.status is StartStatus.FENCED:
+                self._on_fenced_off()
             if reply.status is not StartStatus.OUTDATED:
                 break
             attempt = number + OUTDATED_STEP
@@ -261,6 +276,10 @@
             except BackendRestartedError:
                 self._handle_lost()
                 return
+            except FencedOffError:
+                self._on_fenced_off()
+                await self._end_runs_after_lease()
+                return
             except CallFailedError as error:
                 self._on_poll_failed(error)
                 if self._lease.failed_polls > 1:
@@ -286,9 +305,7 @@
             self._lease.record_not_sent(extended_s)
             raise
         if reply.fenced:
-            logger.error("backend server taken over by another agent")
-            self._taken_over = True
-            raise BackendRestartedError
+            raise FencedOffError
         if self._lease.failed_polls:
             decision_log.log_poll_recovered(self._lease.silent_s)
         self._lease.record_poll_reply(reply.clock_ms)
@@ -361,11 +378,28 @@
         planned
             Whether the incarnation had announced its end.
         """
-        if self._crash_watch is not None and not self._taken_over:
+        if self._crash_watch is not None and not self.is_taken_over:
             self._crash_watch.on_replaced(self._runs, planned=planned)
 
+    def _on_fenced_off(self) -> None:
+        """Refuse new runs, and let the next poll find out whether to give up."""
+        if not self._lease.is_down:
+            logger.error("backend server refuses the fencing token")
+        self._lease.record_fenced_off()
+        self._wake.set()
+
+    async def _end_runs_after_lease(self) -> None:
+        """End all runs once their lease has expired, and give the backend server up.
+
+        They may go on until then, as their end is no longer listed to this agent.
+        """
+        self.is_taken_over = True
+        await asyncio.sleep(self._lease.left_s)
+        self._runs.end_all(EndKind.LEASE_EXPIRED)
+        self._on_lost()
+
     def _handle_lost(self) -> None:
-        """End all runs, because the backend server has restarted or is taken over."""
+        """End all runs, because the backend server has restarted."""
         self._lease.is_down = True
         if self._crash_watch is not None:
             self._crash_watch.on_silent(self._runs, refused=False)
--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -16,6 +16,7 @@
 from verbenaplank.agent.crash_watch import CrashWatch
 from verbenaplank.agent.crash_watch import WatchedServer
 from verbenaplank.agent.decision_log import log_event
+from verbenaplank.agent.fencing import FencingTokens
 from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.leased_backend import LeasedBackend
@@ -71,6 +72,7 @@
         self._state_changed = asyncio.Event()
         self._ended_incarnations: set[tuple[str, str]] = set()
         self._leaving_incarnations: set[tuple[str, str]] = set()
+        self._tokens = FencingTokens()
         self._crashes = CrashFeed(clock)
         self._cold = ColdCountdown(clock)
         self._agent: AgentInstance | None = None
@@ -176,6 +178,7 @@
                 self._clock,
                 ended.set,
                 CrashWatch(server, self._clock, self._record_crash),
+                self._tokens,
             )
             await stack.enter_async_context(backend)
             self._crashes.set_served(server)
@@ -197,6 +200,10 @@
                 extra={"backend_server": report.server_id, "life": report.incarnation},
             )
             await self._wait_until_ended(report, agent, ended)
+            if backend.is_taken_over:
+                self._forget(report)
+            elif ended.is_set():
+                self._mark_ended(report)
             backend.record_replaced(
                 planned=_incarnation_key(report) in self._leaving_incarnations
             )
@@ -223,7 +230,6 @@
                 for waiter in waiters:
                     waiter.cancel()
             self._state_changed.clear()
-        self._mark_ended(report)
 
     def _watched_server(self, report: BackendServerReport) -> WatchedServer:
         return WatchedServer(
@@ -241,16 +247,18 @@
 
     def _mark_ended(self, report: BackendServerReport) -> None:
         self._ended_incarnations.add(_incarnation_key(report))
-        if self._latest_report is not None and _is_same_incarnation(
-            self._latest_report, report
-        ):
-            self._latest_report = None
-        self._state_changed.set()
+        self._forget(report)
         logger.info(
             "backend server incarnation ended",
             extra={"backend_server": report.server_id, "life": report.incarnation},
         )
 
+    def _forget(self, report: BackendServerReport) -> None:
+        """Serve an incarnation no longer, unless it reports again."""
+        if _is_same_incarnation(self._latest_report, report):
+            self._latest_report = None
+        self._state_changed.set()
+
 
 def _incarnation_key(report: BackendServerReport) -> tuple[str, str]:
     return report.server_id, report.incarnation
--- a/tests/agent/fake_worker.py
+++ b/tests/agent/fake_worker.py
@@ -24,6 +24,7 @@
     """Backend server with a lease, whose clock and faults the test controls."""
 
     def __init__(self) -> None:
+        self.started_ms = 0
         self.clock_ms = 5_000
         self.fence = 0
         self.lease_until_ms = 0
@@ -84,7 +85,9 @@
             await asyncio.sleep(timeout_s)
             raise CallFailedError("poll")
         if request.fence < self.fence:
-            return PollReply(clock_ms=self.clock_ms, fenced=True)
+            return PollReply(
+                clock_ms=self.clock_ms, started_ms=self.started_ms, fenced=True
+            )
         self.fence = request.fence
         self.acknowledged = max(self.acknowledged, request.acknowledged)
         if request.deadline_ms is not None:
@@ -100,6 +103,7 @@
         self._check()
         return PollReply(
             clock_ms=self.clock_ms,
+            started_ms=self.started_ms,
             active=tuple(
                 RunProgress(run=run, percent=percent)
                 for run, percent in self.active.items()
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -13,6 +13,7 @@
 from verbenaplank.agent.backend import BackendServerDownError
 from verbenaplank.agent.backend_lease import EXPIRY_MARGIN_S
 from verbenaplank.agent.call_timeouts import CALL_TIMEOUTS_S
+from verbenaplank.agent.fencing import FencingTokens
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import EndKind
 from verbenaplank.agent.lease_protocol import RunId
@@ -36,9 +37,13 @@
 
 
 def make_backend(
-    server: FakeBackendServer, on_lost: Callable[[], None] = lambda: None
+    server: FakeBackendServer,
+    on_lost: Callable[[], None] = lambda: None,
+    tokens: FencingTokens | None = None,
 ) -> LeasedBackend:
-    return LeasedBackend(server, LEASE_S, monotonic_s, on_lost)
+    return LeasedBackend(
+        server, LEASE_S, monotonic_s, on_lost, tokens=tokens or FencingTokens()
+    )
 
 
 def start_run(backend: LeasedBackend, attempt: int = 1) -> asyncio.Task[RunReport]:
@@ -77,6 +82,84 @@
         assert server.fence == server.clock_ms
 
 
+async def test_refused_fencing_token_is_raised_until_it_is_accepted() -> None:
+    """Every start was refused for good if the first token was too low.
+
+    The highest token may stem from a former life of the backend server, whose clock
+    had run for longer.
+    """
+    server = FakeBackendServer()
+    server.fence = 5_000_000_000_000
+    async with make_backend(server) as backend:
+        run = start_run(backend)
+        server.end(await wait_until_started(server), EndKind.DONE)
+        assert (await run).outcome is TaskOutcome.SUCCEEDED
+
+
+async def test_late_start_of_a_former_life_is_refused_in_the_next_one() -> None:
+    """An order was carried out in the next life, and fenced the agent off there.
+
+    Its token, the clock of the former life, was above that of the later take-over.
+    """
+    tokens = FencingTokens()
+    former = FakeBackendServer()
+    former.starts_to_lose = 1
+    async with make_backend(former, tokens=tokens) as backend:
+        run = start_run(backend)
+        await wait_until_started(former)
+        former.restarted = True
+        former.state_changed.set()
+        await run
+    server = FakeBackendServer()
+    server.clock_ms = 100
+    async with make_backend(server, tokens=tokens):
+        late = former.lost_starts[0]
+        assert server.execute_start(late) is StartStatus.FENCED
+
+
+async def test_agent_and_server_that_both_restart_use_a_higher_fencing_token() -> None:
+    """A token of the former agent must stay too low, though this one knows none."""
+    former = FakeBackendServer()
+    former.started_ms = 1_000_000
+    async with make_backend(former):
+        pass
+    server = FakeBackendServer()
+    server.started_ms = 1_010_000
+    server.clock_ms = 100
+    async with make_backend(server):
+        assert server.fence > former.fence
+
+
+async def test_runs_of_a_fenced_off_agent_are_reported_only_after_the_lease() -> None:
+    """They were reported at once and started again elsewhere while they still ran."""
+    server = FakeBackendServer()
+    lost = asyncio.Event()
+    async with make_backend(server, lost.set) as backend:
+        run = start_run(backend)
+        await wait_until_started(server)
+        fenced_s = monotonic_s()
+        server.fence *= 2
+        server.state_changed.set()
+        assert (await run).outcome is TaskOutcome.CONNECTION_LOST
+        assert monotonic_s() - fenced_s >= LEASE_S
+        assert lost.is_set()
+        assert backend.is_taken_over
+
+
+async def test_refused_start_of_a_fenced_off_agent_ends_its_service() -> None:
+    """The agent went on to send starts, each of which was refused, until it ended."""
+    server = FakeBackendServer()
+    lost = asyncio.Event()
+    async with make_backend(server, lost.set) as backend:
+        server.fence *= 2
+        report = await start_run(backend)
+        assert (report.outcome, report.error) == (TaskOutcome.NOT_STARTED, "fenced")
+        with pytest.raises(BackendServerDownError):
+            await backend.connect()
+        async with asyncio.timeout(10):
+            await lost.wait()
+
+
 async def test_runs_of_an_earlier_agent_end_before_the_first_start() -> None:
     """Runs that the agent does not know of would use resources that it assigns."""
     server = FakeBackendServer()
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 from contextlib import asynccontextmanager
 from contextlib import contextmanager
@@ -217,6 +218,35 @@
         await wait_until(site.servers[0], lambda: bool(site.servers[0].active))
 
 
+async def test_fenced_off_agent_takes_over_again_after_the_next_report(
+    unused_tcp_port: int,
+) -> None:
+    """A late order with a higher token made the agent ignore this life for good.
+
+    The report shows that the backend server still counts on this agent.  Without one,
+    two agents would take the backend server from each other by turns.
+    """
+    async with supervised(unused_tcp_port) as site:
+        async with site.entry() as stream:
+            welcome = await receive_welcome(stream)
+            site.servers[0].fence *= 2
+            refused = dispatch(1, 1.0, welcome.incarnation)
+            await stream.send_message(ToAgent(dispatches=(refused,)))
+            (result,) = await receive_until(stream, "results")
+            assert getattr(result, "error") == "fenced"  # noqa: B009
+        sequences = itertools.count(2)
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            while len(site.servers) == 1:
+                report = attrs.evolve(REPORT, sequence=next(sequences))
+                site.supervisor.on_report(report)
+                await asyncio.sleep(0.05)
+        async with site.entry() as stream:
+            welcome = await receive_welcome(stream)
+            started = dispatch(2, 1.0, welcome.incarnation)
+            await stream.send_message(ToAgent(dispatches=(started,)))
+            await wait_until(site.servers[1], lambda: bool(site.servers[1].active))
+
+
 async def receive_cold(
     stream: Stream[ToAgent, FromAgent], *, cold: bool
 ) -> tuple[float, float]:
--- a/tests/verbena_platform/standin_executor.py
+++ b/tests/verbena_platform/standin_executor.py
@@ -41,6 +41,14 @@
         self.ends: list[list[Any]] = []
         self.began_s = time.monotonic()
 
+    def restart(self) -> None:
+        """Begin another life under the same id, in which the clock starts anew."""
+        self.born += 100
+        self.began_s = time.monotonic()
+        self.sequence = self.fence = 0
+        self.active.clear()
+        self.ends.clear()
+
     def server(self) -> HttpServer:
         handler = asgi_application(self._handle, lambda: MAX_BODY_BYTES)
         return HttpServer(handler, self.address, 1.0)
--- a/tests/verbena_platform/test_whole_path.py
+++ b/tests/verbena_platform/test_whole_path.py
@@ -106,6 +106,26 @@
     assert len(executor.starts) > count
 
 
+async def test_executor_that_saw_the_fence_of_its_former_life_gets_starts_again(
+    platform: Platform,
+) -> None:
+    """Executors that crashed were lost: a poll of the former life came first.
+
+    It brought the fencing token of that life, and the agent's next one was lower, as
+    it was the executor's clock, which had started anew.
+    """
+    await platform.put(document())
+    await platform.post_until("/draw/", succeeded)
+    executor = platform.executor
+    former_fence = executor.fence
+    executor.restart()
+    executor.fence = former_fence
+    count = len(executor.starts)
+    await executor.report(Address(AGENT_HOST, platform.port + 10))
+    await platform.post_until("/draw/", succeeded)
+    assert len(executor.starts) > count
+
+
 async def test_job_is_stopped_when_its_caller_disconnects(platform: Platform) -> None:
     await platform.put(document())
     await platform.post_until("/draw/", succeeded)
