Log tasks that end by an unexpected error, and new reporters to an agent

The agent logs nothing after "agent accepts dispatches", so its logs can't tell apart:

1. the task that serves backend servers has ended by an error; 2. the agent keeps connecting to the address of the foreign report; 3. it ignores the later true reports; 4. it has lost control.

2 would show as "cannot serve backend server" each 0.2 s, which is absent, and 4 as lines of membership. For 1 there is "task ended by an unexpected error" with the traceback: asyncio logs it only once the task is garbage collected, and the supervisor keeps it. For 3 there is "backend server incarnation reported", which shows whose reports are taken.

--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -132,6 +132,17 @@
     )
 
 
+def log_new_incarnation(report: BackendServerReport) -> None:
+    """Log a status report of another incarnation than the one before."""
+    extra = {
+        "backend_server": report.server_id,
+        "life": report.incarnation,
+        "service": report.service,
+        "address": report.address,
+    }
+    logger.info("backend server incarnation reported", extra=extra)
+
+
 def log_resized(worker: Resources) -> None:
     """Log that the resources of the worker have changed."""
     extra = {
--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -21,6 +21,7 @@
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.leased_backend import LeasedBackend
 from verbenaplank.clock.sources import monotonic_s
+from verbenaplank.concurrency.unexpected_end import log_unexpected_end
 from verbenaplank.rpc.address import parse_address
 from verbenaplank.settings.agent import BackendServerSettings
 
@@ -81,6 +82,7 @@
 
     async def __aenter__(self) -> Self:
         self._serve_task = asyncio.create_task(self._serve_forever())
+        self._serve_task.add_done_callback(log_unexpected_end)
         return self
 
     async def __aexit__(
@@ -106,6 +108,7 @@
             return
         self._latest_report = report
         if not _is_same_incarnation(latest, report):
+            decision_log.log_new_incarnation(report)
             self._cold = ColdCountdown(self._clock)
         self._record_cold(report)
         if report.draining:
