--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -169,6 +169,13 @@
                 self._state_changed.set()
             except BackendRestartedError:
                 self._mark_ended(report)
+            except Exception:
+                # Without this task, the agent would stay up and serve nothing.
+                logger.exception(
+                    "backend server cannot be served because of a fault",
+                    extra={"backend_server": report.server_id},
+                )
+                self._forget(report)
 
     async def _serve(self, report: BackendServerReport) -> None:
         """Serve one incarnation of the backend server until it ends."""
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -16,6 +16,7 @@
 from fake_worker import wait_until
 
 from verbenaplank.agent import decision_log
+from verbenaplank.agent.lease_protocol import EndKind
 from verbenaplank.agent.named_task import NamedTask
 from verbenaplank.agent.named_task import encode_task
 from verbenaplank.agent.report import BackendServerReport
@@ -27,6 +28,7 @@
 from verbenaplank.protocol.work import FromAgent
 from verbenaplank.protocol.work import LeaseRenewal
 from verbenaplank.protocol.work import RefusalReason
+from verbenaplank.protocol.work import TaskOutcome
 from verbenaplank.protocol.work import ToAgent
 from verbenaplank.rpc.address import Address
 from verbenaplank.rpc.endpoint import open_channel
@@ -42,6 +44,7 @@
     from grpclib.client import Stream
 
 LEASE_S = 0.3
+IMPOSSIBLE_ADDRESS = "127.0.0.1:808080"
 REPORT = BackendServerReport(
     server_id="server",
     incarnation="1",
@@ -68,11 +71,15 @@
 
 @attrs.define
 class Supervised:
-    """A supervisor, the backend server that its latest client talks to, and a port."""
+    """A supervisor, the backend servers that its clients talk to, and a port.
+
+    ``tried_in_vain`` is set when it tries to connect to ``IMPOSSIBLE_ADDRESS``.
+    """
 
     supervisor: AgentSupervisor
     servers: list[FakeBackendServer]
     port: int
+    tried_in_vain: asyncio.Event
 
     @asynccontextmanager
     async def entry(self) -> AsyncIterator[Stream[ToAgent, FromAgent]]:
@@ -95,8 +102,12 @@
     port: int, size: Resources = REPORT.size
 ) -> AsyncIterator[Supervised]:
     servers: list[FakeBackendServer] = []
+    tried_in_vain = asyncio.Event()
 
     def connect(report: BackendServerReport) -> FakeBackendServer:
+        if report.address == IMPOSSIBLE_ADDRESS:
+            tried_in_vain.set()
+            raise OverflowError("port must be 0-65535")
         servers.append(FakeBackendServer())
         return servers[-1]
 
@@ -107,7 +118,7 @@
         ) as supervisor,
     ):
         supervisor.on_report(attrs.evolve(REPORT, size=size))
-        yield Supervised(supervisor, servers, port)
+        yield Supervised(supervisor, servers, port, tried_in_vain)
 
 
 def dispatch(number: int, cores: float, incarnation: str) -> Dispatch:
@@ -163,6 +174,15 @@
                 return items
 
 
+async def receive_results_of(
+    stream: Stream[ToAgent, FromAgent], server: FakeBackendServer
+) -> tuple[object, ...]:
+    """End the run that a backend server starts next, and receive its result."""
+    await wait_until(server, lambda: bool(server.active))
+    server.end(next(iter(server.active)), EndKind.DONE)
+    return await receive_until(stream, "results")
+
+
 async def test_capacity_that_shrinks_while_the_server_runs_is_used(
     unused_tcp_port: int,
 ) -> None:
@@ -218,6 +238,31 @@
         await wait_until(site.servers[0], lambda: bool(site.servers[0].active))
 
 
+async def test_report_that_cannot_be_served_does_not_end_the_service(
+    unused_tcp_port: int,
+) -> None:
+    """One report ended the only task that serves backend servers, without a line."""
+    async with (
+        asyncio.timeout(3 * RECEIVE_TIMEOUT_S),
+        supervised(unused_tcp_port) as site,
+    ):
+        foreign = attrs.evolve(
+            REPORT, server_id="other", address=IMPOSSIBLE_ADDRESS, service="none"
+        )
+        async with site.entry() as stream:
+            await receive_welcome(stream)
+        site.supervisor.on_report(foreign)
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            await site.tried_in_vain.wait()
+        site.supervisor.on_report(attrs.evolve(REPORT, sequence=2))
+        async with site.entry() as stream:
+            welcome = await receive_welcome(stream)
+            started = dispatch(1, 1.0, welcome.incarnation)
+            await stream.send_message(ToAgent(dispatches=(started,)))
+            (result,) = await receive_results_of(stream, site.servers[-1])
+            assert getattr(result, "outcome") is TaskOutcome.SUCCEEDED  # noqa: B009
+
+
 async def test_fenced_off_agent_takes_over_again_after_the_next_report(
     unused_tcp_port: int,
 ) -> None:
--- a/tests/verbena_platform/test_formats.py
+++ b/tests/verbena_platform/test_formats.py
@@ -193,6 +193,8 @@
         report(state="resting"),
         report(sequence="4"),
         report(address="nowhere"),
+        report(address="10.0.0.9:808080"),
+        report(address="a..b:80"),
         report(capacity=None),
         report(**{"cold-remaining-ms": "soon"}),
     ],
@@ -202,6 +204,15 @@
         decode_report("i-1", body)
 
 
+@pytest.mark.parametrize("server_id", ["", "i 1", "i-\u00f6", "i\r\nX: y", "i" * 300])
+def test_report_under_an_id_that_no_header_can_carry_is_rejected(
+    server_id: str,
+) -> None:
+    """Each call to the backend server names its id in a header."""
+    with pytest.raises(InvalidReportError):
+        decode_report(server_id, report())
+
+
 def test_settings_are_built_for_each_role() -> None:
     core = control_settings(decode_node_settings(node()))
     assert core.instance_id == "10.1.0.17:7720"
