--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -134,13 +134,13 @@
 
 def log_new_incarnation(report: BackendServerReport) -> None:
     """Log a status report of another incarnation than the one before."""
-    extra = {
-        "backend_server": report.server_id,
-        "life": report.incarnation,
-        "service": report.service,
-        "address": report.address,
-    }
-    logger.info("backend server incarnation reported", extra=extra)
+    logger.info("backend server incarnation reported", extra=_report_fields(report))
+
+
+def log_challenger(report: BackendServerReport, *, answers: bool) -> None:
+    """Log whether another incarnation than the served one answers, and replaces it."""
+    extra = _report_fields(report) | {"answers": answers}
+    logger.info("another backend server incarnation reported", extra=extra)
 
 
 def log_resized(worker: Resources) -> None:
@@ -178,3 +178,12 @@
         "entry_incarnation": entry.incarnation,
         "lease_left_ms": round(lease_left_s * 1_000),
     }
+
+
+def _report_fields(report: BackendServerReport) -> dict[str, object]:
+    return {
+        "backend_server": report.server_id,
+        "life": report.incarnation,
+        "service": report.service,
+        "address": report.address,
+    }
--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -17,9 +17,13 @@
 from verbenaplank.agent.crash_watch import WatchedServer
 from verbenaplank.agent.decision_log import log_event
 from verbenaplank.agent.fencing import FencingTokens
+from verbenaplank.agent.incarnations import Incarnations
+from verbenaplank.agent.incarnations import ReportKind
+from verbenaplank.agent.incarnations import is_same_incarnation
 from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.leased_backend import LeasedBackend
+from verbenaplank.agent.take_over import is_answering
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.concurrency.unexpected_end import log_unexpected_end
 from verbenaplank.rpc.address import parse_address
@@ -69,10 +73,8 @@
         self._lease_s = lease_s
         self._connect = connect
         self._clock = clock
-        self._latest_report: BackendServerReport | None = None
+        self._incarnations = Incarnations()
         self._state_changed = asyncio.Event()
-        self._ended_incarnations: set[tuple[str, str]] = set()
-        self._leaving_incarnations: set[tuple[str, str]] = set()
         self._tokens = FencingTokens()
         self._crashes = CrashFeed(clock)
         self._cold = ColdCountdown(clock)
@@ -100,36 +102,25 @@
 
         A report is ignored if it is out of order or if its incarnation has ended.
         """
-        latest = self._latest_report
-        if _incarnation_key(report) in self._ended_incarnations:
+        kind = self._incarnations.add(report)
+        if kind is ReportKind.IGNORED:
             return
-        is_late = latest is not None and report.sequence <= latest.sequence
-        if is_late and _is_same_incarnation(latest, report):
+        if kind is ReportKind.CHALLENGE:
+            self._state_changed.set()
             return
-        self._latest_report = report
-        if not _is_same_incarnation(latest, report):
-            decision_log.log_new_incarnation(report)
-            self._cold = ColdCountdown(self._clock)
+        if kind is ReportKind.FIRST:
+            self._adopt(report)
         self._record_cold(report)
-        if report.draining:
-            self._leaving_incarnations.add(_incarnation_key(report))
-        if (
-            self._agent is not None
-            and report.draining
-            and _is_same_incarnation(latest, report)
-        ):
+        if self._agent is not None and report.draining:
             self._agent.set_draining(on=True)
-        if latest is None or attrs.evolve(latest, sequence=report.sequence) != report:
+        if kind is not ReportKind.REPEATED:
             self._state_changed.set()
 
     def on_shutdown(self, server_id: str) -> None:
         """Stop serving a backend server that has announced its shutdown."""
-        if (
-            self._latest_report is not None
-            and self._latest_report.server_id == server_id
-        ):
-            self._leaving_incarnations.add(_incarnation_key(self._latest_report))
-            self._mark_ended(self._latest_report)
+        ending = self._incarnations.announce_end(server_id)
+        if ending is not None:
+            self._mark_ended(ending)
 
     def set_control_instances(self, control: tuple[ControlPeer, ...]) -> None:
         """Replace the control instances that the agent connects to."""
@@ -143,6 +134,10 @@
         if self._agent is not None:
             await self._agent.drain()
 
+    def _adopt(self, report: BackendServerReport) -> None:
+        decision_log.log_new_incarnation(report)
+        self._cold = ColdCountdown(self._clock)
+
     def _record_cold(self, report: BackendServerReport) -> None:
         if not self._cold.record(report.cold_remaining_ms):
             return
@@ -154,7 +149,7 @@
         while True:
             await self._state_changed.wait()
             self._state_changed.clear()
-            report = self._latest_report
+            report = self._incarnations.current
             if report is None or self._stopping:
                 continue
             try:
@@ -166,6 +161,7 @@
                     extra={"backend_server": report.server_id},
                 )
                 await asyncio.sleep(RETRY_S)
+                self._incarnations.try_next()
                 self._state_changed.set()
             except BackendRestartedError:
                 self._mark_ended(report)
@@ -191,6 +187,8 @@
                 self._tokens,
             )
             await stack.enter_async_context(backend)
+            self._incarnations.record_served(report)
+            stack.callback(self._incarnations.record_unserved)
             self._crashes.set_served(server)
             settings = _settings_from_report(self._settings, report)
             agent = AgentInstance(
@@ -214,9 +212,7 @@
                 self._forget(report)
             elif ended.is_set():
                 self._mark_ended(report)
-            backend.record_replaced(
-                planned=_incarnation_key(report) in self._leaving_incarnations
-            )
+            backend.record_replaced(planned=self._incarnations.is_leaving(report))
             if not self._stopping:
                 await agent.leave()
         self._state_changed.set()
@@ -225,8 +221,9 @@
         self, report: BackendServerReport, agent: AgentInstance, ended: asyncio.Event
     ) -> None:
         while not ended.is_set():
-            latest = self._latest_report
-            if latest is None or not _is_same_incarnation(latest, report):
+            await self._try_challenger()
+            latest = self._incarnations.current
+            if latest is None or not is_same_incarnation(latest, report):
                 return
             agent.set_draining(on=latest.draining)
             agent.set_worker(latest.size)
@@ -241,6 +238,29 @@
                     waiter.cancel()
             self._state_changed.clear()
 
+    async def _try_challenger(self) -> None:
+        """Let the challenger replace the served incarnation if it answers."""
+        challenger = self._incarnations.take_challenger()
+        if challenger is None:
+            return
+        answers = await self._is_answering(challenger)
+        decision_log.log_challenger(challenger, answers=answers)
+        if answers:
+            self._adopt(challenger)
+            self._record_cold(challenger)
+            self._incarnations.replace_current(challenger)
+
+    async def _is_answering(self, report: BackendServerReport) -> bool:
+        try:
+            return await is_answering(self._connect(report))
+        except Exception:
+            # Whatever is wrong with the report, the served incarnation stays in use.
+            logger.exception(
+                "backend server cannot be called because of a fault",
+                extra={"backend_server": report.server_id},
+            )
+            return False
+
     def _watched_server(self, report: BackendServerReport) -> WatchedServer:
         return WatchedServer(
             agent_id=self._settings.instance_id,
@@ -256,30 +276,18 @@
         self._agent = None
 
     def _mark_ended(self, report: BackendServerReport) -> None:
-        self._ended_incarnations.add(_incarnation_key(report))
-        self._forget(report)
+        self._incarnations.end(report)
+        self._state_changed.set()
         logger.info(
             "backend server incarnation ended",
             extra={"backend_server": report.server_id, "life": report.incarnation},
         )
 
     def _forget(self, report: BackendServerReport) -> None:
-        """Serve an incarnation no longer, unless it reports again."""
-        if _is_same_incarnation(self._latest_report, report):
-            self._latest_report = None
+        self._incarnations.forget(report)
         self._state_changed.set()
 
 
-def _incarnation_key(report: BackendServerReport) -> tuple[str, str]:
-    return report.server_id, report.incarnation
-
-
-def _is_same_incarnation(
-    one: BackendServerReport | None, other: BackendServerReport
-) -> bool:
-    return one is not None and _incarnation_key(one) == _incarnation_key(other)
-
-
 def _settings_from_report(
     settings: AgentSettings, report: BackendServerReport
 ) -> AgentSettings:
--- a/src/verbenaplank/agent/take_over.py
+++ b/src/verbenaplank/agent/take_over.py
@@ -6,9 +6,12 @@
 from typing import TYPE_CHECKING
 
 from verbenaplank.agent import decision_log
+from verbenaplank.agent.call_timeouts import CALL_TIMEOUTS_S
 from verbenaplank.agent.call_timeouts import RETRY_S
 from verbenaplank.agent.fencing import TokensExhaustedError
+from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
+from verbenaplank.agent.lease_protocol import NotSentError
 from verbenaplank.agent.lease_protocol import PollRequest
 
 if TYPE_CHECKING:
@@ -66,6 +69,29 @@
     raise CallFailedError("runs of an earlier agent do not end")
 
 
+async def is_answering(client: LeasedBackendClient) -> bool:
+    """Return whether an incarnation of a backend server answers a call.
+
+    Nothing changes there, since the call carries no fencing token and no lease.  The
+    client is closed afterwards.
+    """
+    request = PollRequest(fence=0, deadline_ms=None, acknowledged=0)
+    try:
+        for timeout_s in CALL_TIMEOUTS_S:
+            try:
+                await client.poll(request, timeout_s)
+            except NotSentError:
+                return False
+            except CallFailedError:
+                continue
+            return True
+    except BackendRestartedError:
+        return False
+    finally:
+        client.close()
+    return False
+
+
 async def _poll(
     client: LeasedBackendClient, lease: BackendLease, runs: ActiveRuns
 ) -> PollReply:
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -6,8 +6,10 @@
 from contextlib import asynccontextmanager
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
+from typing import Any
 
 import attrs
+import pytest
 from agent_helpers import HELLO
 from agent_helpers import RECEIVE_TIMEOUT_S
 from agent_helpers import receive
@@ -45,6 +47,8 @@
 
 LEASE_S = 0.3
 IMPOSSIBLE_ADDRESS = "127.0.0.1:808080"
+SILENT_ADDRESS = "127.0.0.1:2"
+RESTARTED_ADDRESS = "127.0.0.1:3"
 REPORT = BackendServerReport(
     server_id="server",
     incarnation="1",
@@ -73,13 +77,19 @@
 class Supervised:
     """A supervisor, the backend servers that its clients talk to, and a port.
 
-    ``tried_in_vain`` is set when it tries to connect to ``IMPOSSIBLE_ADDRESS``.
+    ``connects`` holds the report of each client, also of those that failed.
     """
 
     supervisor: AgentSupervisor
     servers: list[FakeBackendServer]
     port: int
-    tried_in_vain: asyncio.Event
+    connects: list[BackendServerReport]
+
+    async def wait_connected(self, report: BackendServerReport) -> None:
+        """Wait until the supervisor has tried to connect to a reporter."""
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            while report not in self.connects:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
 
     @asynccontextmanager
     async def entry(self) -> AsyncIterator[Stream[ToAgent, FromAgent]]:
@@ -102,13 +112,15 @@
     port: int, size: Resources = REPORT.size
 ) -> AsyncIterator[Supervised]:
     servers: list[FakeBackendServer] = []
-    tried_in_vain = asyncio.Event()
+    connects: list[BackendServerReport] = []
 
     def connect(report: BackendServerReport) -> FakeBackendServer:
+        connects.append(report)
         if report.address == IMPOSSIBLE_ADDRESS:
-            tried_in_vain.set()
             raise OverflowError("port must be 0-65535")
         servers.append(FakeBackendServer())
+        servers[-1].silent = report.address == SILENT_ADDRESS
+        servers[-1].restarted = report.address == RESTARTED_ADDRESS
         return servers[-1]
 
     async with (
@@ -118,7 +130,7 @@
         ) as supervisor,
     ):
         supervisor.on_report(attrs.evolve(REPORT, size=size))
-        yield Supervised(supervisor, servers, port, tried_in_vain)
+        yield Supervised(supervisor, servers, port, connects)
 
 
 def dispatch(number: int, cores: float, incarnation: str) -> Dispatch:
@@ -252,8 +264,7 @@
         async with site.entry() as stream:
             await receive_welcome(stream)
         site.supervisor.on_report(foreign)
-        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
-            await site.tried_in_vain.wait()
+        await site.wait_connected(foreign)
         site.supervisor.on_report(attrs.evolve(REPORT, sequence=2))
         async with site.entry() as stream:
             welcome = await receive_welcome(stream)
@@ -263,6 +274,31 @@
             assert getattr(result, "outcome") is TaskOutcome.SUCCEEDED  # noqa: B009
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"server_id": "other", "service": "none", "address": SILENT_ADDRESS},
+        {"server_id": "other", "service": "none", "address": IMPOSSIBLE_ADDRESS},
+        {"incarnation": "0", "sequence": 9, "address": RESTARTED_ADDRESS},
+    ],
+    ids=["foreign", "impossible", "earlier life"],
+)
+async def test_report_of_a_server_that_does_not_answer_interrupts_no_run(
+    unused_tcp_port: int, changes: dict[str, Any]
+) -> None:
+    """A foreign report, or a late one of an earlier life, ended all runs."""
+    async with supervised(unused_tcp_port) as site, site.entry() as stream:
+        welcome = await receive_welcome(stream)
+        started = dispatch(1, 1.0, welcome.incarnation)
+        await stream.send_message(ToAgent(dispatches=(started,)))
+        await wait_until(site.servers[0], lambda: bool(site.servers[0].active))
+        other = attrs.evolve(REPORT, **changes)
+        site.supervisor.on_report(other)
+        await site.wait_connected(other)
+        (result,) = await receive_results_of(stream, site.servers[0])
+        assert getattr(result, "outcome") is TaskOutcome.SUCCEEDED  # noqa: B009
+
+
 async def test_fenced_off_agent_takes_over_again_after_the_next_report(
     unused_tcp_port: int,
 ) -> None:
--- a/tests/verbena_platform/standin_executor.py
+++ b/tests/verbena_platform/standin_executor.py
@@ -53,7 +53,10 @@
         handler = asgi_application(self._handle, lambda: MAX_BODY_BYTES)
         return HttpServer(handler, self.address, 1.0)
 
-    async def report(self, agent: Address, state: str = "ready") -> None:
+    async def report(
+        self, agent: Address, state: str = "ready", server_id: str = "", **changes: Any
+    ) -> None:
+        """Send a status report, or one of another writer if it has changes."""
         self.sequence += 1
         body = {
             "service": self.service,
@@ -63,8 +66,9 @@
             "born": self.born,
             "capacity": {"cpu": 4_000, "mem-mb": 4_096, "gpu": 0},
             "labels": ["a", "r1-1"],
+            **changes,
         }
-        url = f"http://{agent}/v1/instances/{self.server_id}"
+        url = f"http://{agent}/v1/instances/{server_id or self.server_id}"
         async with httpx.AsyncClient(trust_env=False) as client:
             (await client.put(url, json=body)).raise_for_status()
 
--- a/tests/verbena_platform/test_whole_path.py
+++ b/tests/verbena_platform/test_whole_path.py
@@ -24,6 +24,9 @@
     from collections.abc import AsyncIterator
     from pathlib import Path
 
+OTHER_REPORT_S = 1.0
+"""Time in which an agent that follows another report has left its executor."""
+
 
 @pytest.fixture
 async def platform(tmp_path: Path) -> AsyncIterator[Platform]:
@@ -126,6 +129,22 @@
     assert len(executor.starts) > count
 
 
+@pytest.mark.parametrize("port", [808080, 1])
+async def test_executor_stays_in_use_after_a_report_of_another_writer(
+    platform: Platform, port: int
+) -> None:
+    """One such report ended the agent's only task that serves executors."""
+    await platform.put(document())
+    await platform.post_until("/draw/", succeeded)
+    agent = Address(AGENT_HOST, platform.port + 10)
+    address = f"{AGENT_HOST}:{port}"
+    await platform.executor.report(agent, server_id="i-9", address=address, service="x")
+    await asyncio.sleep(OTHER_REPORT_S)
+    count = len(platform.executor.starts)
+    assert succeeded(await platform.call("POST", "/draw/00000000000000ee", JOB))
+    assert len(platform.executor.starts) > count
+
+
 async def test_job_is_stopped_when_its_caller_disconnects(platform: Platform) -> None:
     await platform.put(document())
     await platform.post_until("/draw/", succeeded)
