Say not_run of a caller's id only if the registrars vouch for it

What callers saw: a job was sent to several entries, of which one had run it and was killed; a later refusal, 503 not_ready, said not_run.

Cause: a submission with an id is refused at admission before its claim. The entry asked its live peers, but not the registrars who had granted the id, and the refusal spoke of its own dispatches. The same holds for a claim without a majority, and for validation, whose rules may have changed since.

Ruled out: an entry that forgets its own dispatches (test_engine_stateful).

Change: registrars answer lookups, which change nothing. A refusal of an id that the caller chose is not_run only if a majority has not granted it, or if the id is malformed; else may_have_run. Idempotent requests with an id are not claimed, so nobody can vouch for them. At most 256 lookups are in progress at an entry, for 0.5 s at most.

--- a/src/verbenaplank/claims/client.py
+++ b/src/verbenaplank/claims/client.py
@@ -15,6 +15,8 @@
 from verbenaplank.claims.connection import RegistrarConnection
 from verbenaplank.claims.decision import ClaimDecision
 from verbenaplank.claims.decision import ClaimState
+from verbenaplank.claims.lookup import LookupState
+from verbenaplank.protocol.claims import Lookup
 
 if TYPE_CHECKING:
     import random
@@ -23,11 +25,16 @@
 
     from verbenaplank.clock.sources import MonotonicClock
     from verbenaplank.protocol.claims import ClaimReply
+    from verbenaplank.protocol.claims import LookupReply
     from verbenaplank.protocol.membership import Registrar
     from verbenaplank.protocol.membership import RegistrarGroup
     from verbenaplank.settings.common import TlsSettings
 
 
+MAX_LOOKUPS = 256
+"""Limit of lookups in progress, so that refusals under overload stay cheap."""
+
+
 class ClaimInProgressError(RuntimeError):
     """The client is already claiming the same identifier."""
 
@@ -40,6 +47,14 @@
     changed: asyncio.Event
 
 
+@attrs.frozen
+class _RunningLookup:
+    """A lookup in progress; the event is set by replies and broken streams."""
+
+    state: LookupState
+    changed: asyncio.Event
+
+
 class ClaimClient:
     """Claims identifiers over one long-lived stream to each registrar.
 
@@ -73,6 +88,8 @@
         self._connections_by_id: dict[str, RegistrarConnection] = {}
         self._running: dict[str, _RunningClaim] = {}
         self._attempt_numbers = itertools.count(1)
+        self._lookups: dict[int, _RunningLookup] = {}
+        self._lookup_numbers = itertools.count(1)
         self._closing: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Self:
@@ -143,6 +160,34 @@
         finally:
             del self._running[job_id]
 
+    async def is_unused(self, job_id: str, timeout_s: float) -> bool:
+        """Return whether no entry has ever owned an identifier, as far as is known.
+
+        It is not known if a majority of the registrars does not answer in time, or if
+        ``MAX_LOOKUPS`` others are in progress.
+        """
+        if self._group is None or len(self._lookups) >= MAX_LOOKUPS:
+            return False
+        connected = {
+            name: connection
+            for name, connection in self._connections_by_id.items()
+            if connection.connected
+        }
+        lookup = Lookup(
+            job_id=job_id, number=next(self._lookup_numbers), epoch=self._group.epoch
+        )
+        state = LookupState(self._connections_by_id.keys(), connected.keys())
+        running = self._lookups[lookup.number] = _RunningLookup(state, asyncio.Event())
+        for connection in connected.values():
+            connection.send_lookup(lookup)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await _wait_for_lookup(running)
+        except TimeoutError:
+            return False
+        finally:
+            del self._lookups[lookup.number]
+
     async def _attempt_until_decided(
         self, running: _RunningClaim, deadline_s: float
     ) -> ClaimDecision:
@@ -194,14 +239,28 @@
             running.attempts.on_reply(registrar_id, reply)
             running.changed.set()
 
+    def _on_lookup_reply(self, registrar_id: str, reply: LookupReply) -> None:
+        running = self._lookups.get(reply.number)
+        if running is not None:
+            running.state.on_reply(registrar_id, reply.verdict)
+            running.changed.set()
+
     def _on_unreachable(self, registrar_id: str) -> None:
+        for lookup in self._lookups.values():
+            lookup.state.on_unreachable(registrar_id)
+            lookup.changed.set()
         for running in self._running.values():
             running.attempts.on_unreachable(registrar_id)
             running.changed.set()
 
     def _open_connection(self, registrar: Registrar) -> RegistrarConnection:
         connection = RegistrarConnection(
-            registrar, self._tls, self._random, self._on_reply, self._on_unreachable
+            registrar,
+            self._tls,
+            self._random,
+            self._on_reply,
+            self._on_unreachable,
+            self._on_lookup_reply,
         )
         connection.open()
         return connection
@@ -219,5 +278,12 @@
     return outcome
 
 
+async def _wait_for_lookup(running: _RunningLookup) -> bool:
+    while (outcome := running.state.outcome()) is None:
+        running.changed.clear()
+        await running.changed.wait()
+    return outcome
+
+
 def _is_owned(outcome: ClaimDecision | Retry) -> bool:
     return isinstance(outcome, ClaimDecision) and outcome.state is ClaimState.OWNED_HERE
--- a/src/verbenaplank/claims/connection.py
+++ b/src/verbenaplank/claims/connection.py
@@ -9,6 +9,7 @@
 
 from verbenaplank.protocol.claims import Claim
 from verbenaplank.protocol.claims import ClaimRelease
+from verbenaplank.protocol.claims import Lookup
 from verbenaplank.protocol.claims import ToRegistrar
 from verbenaplank.rpc.address import parse_address
 from verbenaplank.rpc.endpoint import open_channel
@@ -24,6 +25,7 @@
 
     from verbenaplank.protocol.claims import ClaimReply
     from verbenaplank.protocol.claims import FromRegistrar
+    from verbenaplank.protocol.claims import LookupReply
     from verbenaplank.protocol.membership import Registrar
     from verbenaplank.settings.common import TlsSettings
 
@@ -31,6 +33,8 @@
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 1.0
 
+OutboxItem = Claim | ClaimRelease | Lookup
+
 
 class RegistrarConnection:
     """Sends claims and releases to one registrar, and receives its replies.
@@ -47,6 +51,8 @@
     on_unreachable
         Called with the registrar's identifier when a stream breaks or cannot be
         opened.
+    on_lookup_reply
+        Called with the registrar's identifier and a reply to a lookup.
 
     Attributes
     ----------
@@ -61,6 +67,7 @@
         random: random.Random,
         on_reply: Callable[[str, ClaimReply], None],
         on_unreachable: Callable[[str], None],
+        on_lookup_reply: Callable[[str, LookupReply], None],
     ) -> None:
         self.connected = False
         self._registrar = registrar
@@ -68,7 +75,8 @@
         self._random = random
         self._on_reply = on_reply
         self._on_unreachable = on_unreachable
-        self._outbox: Outbox[Claim | ClaimRelease] = Outbox()
+        self._on_lookup_reply = on_lookup_reply
+        self._outbox: Outbox[OutboxItem] = Outbox()
         self._unhandled_releases: deque[ClaimRelease] = deque()
         self._running: asyncio.Task[None] | None = None
 
@@ -91,6 +99,10 @@
         self._unhandled_releases.append(release)
         self._outbox.put(release)
 
+    def send_lookup(self, lookup: Lookup) -> None:
+        """Send a lookup on the open stream; it is not repeated if the stream breaks."""
+        self._outbox.put(lookup)
+
     async def _run(self) -> None:
         delay_s = RECONNECT_MIN_S
         while True:
@@ -131,13 +143,18 @@
             handled = message.releases_handled
             for reply in message.replies:
                 self._on_reply(self._registrar.instance_id, reply)
+            for lookup_reply in message.lookup_replies:
+                self._on_lookup_reply(self._registrar.instance_id, lookup_reply)
 
 
 async def _send_outbox(
-    stream: Stream[ToRegistrar, FromRegistrar], outbox: Outbox[Claim | ClaimRelease]
+    stream: Stream[ToRegistrar, FromRegistrar], outbox: Outbox[OutboxItem]
 ) -> None:
     while True:
         items = await outbox.take_batch()
         claims = tuple(item for item in items if isinstance(item, Claim))
         releases = tuple(item for item in items if isinstance(item, ClaimRelease))
-        await stream.send_message(ToRegistrar(claims=claims, releases=releases))
+        lookups = tuple(item for item in items if isinstance(item, Lookup))
+        await stream.send_message(
+            ToRegistrar(claims=claims, releases=releases, lookups=lookups)
+        )
--- a/src/verbenaplank/claims/registrar.py
+++ b/src/verbenaplank/claims/registrar.py
@@ -26,6 +26,9 @@
 from verbenaplank.identifiers.job_id import job_timestamp_ms
 from verbenaplank.protocol.claims import ClaimReply
 from verbenaplank.protocol.claims import ClaimVerdict
+from verbenaplank.protocol.claims import Lookup
+from verbenaplank.protocol.claims import LookupReply
+from verbenaplank.protocol.claims import LookupVerdict
 
 if TYPE_CHECKING:
     from verbenaplank.protocol.claims import Claim
@@ -201,6 +204,23 @@
         claimant = Claimant(release.entry_id, release.entry_incarnation)
         record.release_attempts(claimant, release.attempt)
 
+    def look_up(self, lookup: Lookup, now_ms: int) -> LookupReply:
+        """Answer whether an identifier is granted at the wall-clock time ``now_ms``."""
+        self._expire(now_ms)
+        return LookupReply(
+            number=lookup.number, verdict=self._lookup_verdict(lookup, now_ms)
+        )
+
+    def _lookup_verdict(self, lookup: Lookup, now_ms: int) -> LookupVerdict:
+        if lookup.epoch != self._epoch or not self._open:
+            return LookupVerdict.WRONG_EPOCH
+        record = self._records.get(lookup.job_id)
+        if record is not None and record.grant is not None:
+            return LookupVerdict.GRANTED
+        if self._check_timestamp(_timestamp_ms(lookup.job_id), now_ms):
+            return LookupVerdict.UNKNOWN
+        return LookupVerdict.NOT_GRANTED
+
     def _check_timestamp(self, timestamp_ms: int, now_ms: int) -> bool | None:
         """Return ``None`` if the identifier may be granted now.
 
--- a/src/verbenaplank/claims/service.py
+++ b/src/verbenaplank/claims/service.py
@@ -27,8 +27,15 @@
                 registrar.release(release, now_ms)
             releases_handled += len(message.releases)
             replies = tuple(registrar.claim(claim, now_ms) for claim in message.claims)
+            lookup_replies = tuple(
+                registrar.look_up(lookup, now_ms) for lookup in message.lookups
+            )
             await stream.send_message(
-                FromRegistrar(replies=replies, releases_handled=releases_handled)
+                FromRegistrar(
+                    replies=replies,
+                    releases_handled=releases_handled,
+                    lookup_replies=lookup_replies,
+                )
             )
 
     return CLAIM.create_service(answer)
--- a/src/verbenaplank/entry/interfaces.py
+++ b/src/verbenaplank/entry/interfaces.py
@@ -81,6 +81,9 @@
     ) -> ClaimDecision:
         """Claim a job id for this entry; waits at most ``timeout_s`` seconds."""
 
+    async def is_unused(self, job_id: str, timeout_s: float) -> bool:
+        """Return whether a job id has certainly never been owned by an entry."""
+
 
 class MembershipFactory(Protocol):
     """Creates a context manager that holds an entry's membership."""
--- a/src/verbenaplank/entry/pipeline.py
+++ b/src/verbenaplank/entry/pipeline.py
@@ -28,7 +28,9 @@
 from verbenaplank.entry.validation import validate
 from verbenaplank.entry.where import answer
 from verbenaplank.entry.where import known_answer
+from verbenaplank.identifiers.job_id import InvalidJobIdError
 from verbenaplank.identifiers.job_id import job_timestamp_ms
+from verbenaplank.identifiers.job_id import parse_job_id
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
 from verbenaplank.overload.refusal import RefusalCause
@@ -45,6 +47,7 @@
 LOGGER = logging.getLogger(__name__)
 
 CLAIM_TIMEOUT_S = 2.0
+LOOKUP_TIMEOUT_S = 0.5
 UNQUEUED_RETRY_AFTER_S = 1.0
 """Retry-After where the cause is a control instance or a registrar and not a queue."""
 
@@ -156,7 +159,8 @@
             )
         validated = validate(parsed, self._validation_context(token))
         if validated.is_error():
-            return self.rejection_response(validated.error, parsed.job_id)
+            claimed = not parsed.idempotent
+            return await self._reject(validated.error, parsed.job_id, claimed=claimed)
         submission = validated.ok
         record = self._deps.registry.find(submission.job_id)
         while record is not None:
@@ -169,7 +173,7 @@
             record = self._deps.registry.find(submission.job_id)
         rejection = self._admit(submission, self._deps.admission)
         if rejection is not None:
-            return await self._reject_unless_known(submission, rejection)
+            return await self._reject_unless_known(submission, rejection, parsed.job_id)
         return await self._response_of(self._start(submission))
 
     def where(self, body: bytes, token: str) -> HttpResponse:
@@ -311,15 +315,17 @@
             return self.rejection_response(ID_REUSED, submission.job_id)
         record.claim_finished.set()
         rejection = ID_MAY_BE_USED if decision.may_have_run else NO_QUORUM
-        return await self._reject_unless_known(submission, rejection)
+        return await self._reject_unless_known(submission, rejection, submission.job_id)
 
     async def _reject_unless_known(
-        self, submission: Submission, rejection: Rejection
+        self, submission: Submission, rejection: Rejection, given_id: str
     ) -> HttpResponse:
         """Attach to another entry that knows the request; reject it if there is none.
 
-        A resubmission must not be rejected as not run, because the first submission
-        may have run.
+        Parameters
+        ----------
+        given_id
+            The id that the caller chose; empty if this entry chose it.
         """
         if submission.claimed:
             known = await self._deps.peers.attach_to_any(
@@ -327,7 +333,29 @@
             )
             if known is not None:
                 return known
-        return self.rejection_response(rejection, submission.job_id)
+        return await self._reject(rejection, given_id, claimed=submission.claimed)
+
+    async def _reject(
+        self, rejection: Rejection, given_id: str, *, claimed: bool
+    ) -> HttpResponse:
+        """Return the response for a request that is refused before it is run here.
+
+        An earlier submission of an id may have run, at an entry that has ended or
+        forgotten it.  Only the registrars know that an id was never used, and only of
+        requests whose ids are claimed.
+        """
+        if given_id:
+            knows_id = await self._is_unused(given_id, claimed=claimed)
+            rejection = attrs.evolve(rejection, knows_id=knows_id)
+        return self.rejection_response(rejection, given_id)
+
+    async def _is_unused(self, given_id: str, *, claimed: bool) -> bool:
+        try:
+            job_id = parse_job_id(given_id)
+        except InvalidJobIdError:
+            return True
+        claims = self._deps.claims
+        return claimed and await claims.is_unused(job_id, LOOKUP_TIMEOUT_S)
 
     async def _claim(self, submission: Submission) -> ClaimDecision:
         left_s = submission.deadline_s - self._deps.clock()
--- a/src/verbenaplank/protocol/claims.py
+++ b/src/verbenaplank/protocol/claims.py
@@ -61,12 +61,53 @@
     attempt: int
 
 
+class LookupVerdict(StrEnum):
+    """A registrar's answer to a lookup.
+
+    ``NOT_GRANTED``: it has granted the identifier to nobody who still holds it.
+    ``GRANTED``: a claimant holds the identifier.
+    ``UNKNOWN``: it may have granted the identifier earlier and no longer knows it.
+    ``WRONG_EPOCH``: the lookup's epoch differs from the registrar's.
+    """
+
+    NOT_GRANTED = "not_granted"
+    GRANTED = "granted"
+    UNKNOWN = "unknown"
+    WRONG_EPOCH = "wrong_epoch"
+
+
+@attrs.frozen(kw_only=True)
+class Lookup:
+    """Question whether a job identifier is granted; it changes nothing.
+
+    Attributes
+    ----------
+    number
+        Sequence number of the lookup among those of the asking entry.
+    epoch
+        Epoch of the registrar group that the entry knows.
+    """
+
+    job_id: str
+    number: int
+    epoch: int
+
+
+@attrs.frozen(kw_only=True)
+class LookupReply:
+    """Reply to the lookup with the same number."""
+
+    number: int
+    verdict: LookupVerdict
+
+
 @attrs.frozen(kw_only=True)
 class ToRegistrar:
     """Envelope from an entry to a registrar."""
 
     claims: tuple[Claim, ...] = ()
     releases: tuple[ClaimRelease, ...] = ()
+    lookups: tuple[Lookup, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -106,3 +147,4 @@
 
     replies: tuple[ClaimReply, ...] = ()
     releases_handled: int = 0
+    lookup_replies: tuple[LookupReply, ...] = ()
--- a/tests/claims/claims_model.py
+++ b/tests/claims/claims_model.py
@@ -19,6 +19,8 @@
 from verbenaplank.protocol.claims import Claim
 from verbenaplank.protocol.claims import ClaimRelease
 from verbenaplank.protocol.claims import ClaimReply
+from verbenaplank.protocol.claims import Lookup
+from verbenaplank.protocol.claims import LookupReply
 from verbenaplank.protocol.membership import Registrar as RegistrarAddress
 from verbenaplank.protocol.membership import RegistrarGroup
 
@@ -179,6 +181,11 @@
             node.registrar.raise_ceiling(node.ceiling_ms)
         self._open((*remaining, added), latest_ms, new_members=(added,))
 
+    def look_up(self, name: str, lookup: Lookup) -> LookupReply:
+        """Return a node's answer to a lookup that reaches it now."""
+        node = self.nodes[name]
+        return node.registrar.look_up(lookup, self._node_time_ms(node))
+
     def react(self, process: ClaimantProcess) -> None:
         """Let a claimant act on the replies that it has received."""
         if process.decision is not None or process.waits_to_retry:
--- a/tests/claims/test_claim_client.py
+++ b/tests/claims/test_claim_client.py
@@ -132,3 +132,35 @@
     assert decision.state is ClaimState.UNAVAILABLE
     assert not decision.may_have_run
     assert later.state is ClaimState.UNAVAILABLE
+
+
+async def test_registrars_tell_whether_an_identifier_is_unused() -> None:
+    """A lookup changes nothing: the identifier is granted to the next claimant."""
+    job_id, other_id = new_job_id(), new_job_id()
+    async with _registrar_cluster(running=2, unreachable=1) as cluster:
+        owner = await cluster.client("e1")
+        asker = await cluster.client("e2")
+        await owner.claim(job_id, b"d", TIMEOUT_S)
+        await asker.claim(other_id, b"d", TIMEOUT_S)
+        assert not await asker.is_unused(job_id, TIMEOUT_S)
+        fresh_id = new_job_id()
+        assert await asker.is_unused(fresh_id, TIMEOUT_S)
+        later = await owner.claim(fresh_id, b"d", TIMEOUT_S)
+
+    assert later.state is ClaimState.OWNED_HERE
+
+
+async def test_identifier_is_not_called_unused_without_a_majority() -> None:
+    async with _registrar_cluster(running=1, unreachable=2) as cluster:
+        client = await cluster.client("e1")
+        assert not await client.is_unused(new_job_id(), SHORT_TIMEOUT_S)
+
+
+async def test_restarted_registrars_do_not_call_a_former_identifier_unused() -> None:
+    """They may have granted it before they lost their memory."""
+    job_id = new_job_id()
+    async with _registrar_cluster(running=3) as cluster:
+        for registrar in cluster.registrars[:2]:
+            registrar._abstain_until_ms = wall_clock_ms() + 1_000
+        client = await cluster.client("e1")
+        assert not await client.is_unused(job_id, TIMEOUT_S)
--- a/tests/claims/test_claims_stateful.py
+++ b/tests/claims/test_claims_stateful.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import attrs
 from claims_model import ClaimantProcess
 from claims_model import ClaimsModel
 from claims_model import job_id_at
@@ -19,6 +20,9 @@
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
 
+from verbenaplank.claims.lookup import LookupState
+from verbenaplank.protocol.claims import Lookup
+
 NAMES = ("r0", "r1", "r2")
 POSITIONS = st.integers(0, 1_000)
 AGES_MS = st.integers(-500, 900)
@@ -37,6 +41,9 @@
         self.model = ClaimsModel(NAMES, has_disk=has_disk, seed=1)
         self.job_id = job_id_at(self.model.now_ms + age_ms, 1)
         self.added = 0
+        self.lookup = Lookup(job_id=self.job_id, number=0, epoch=0)
+        self.lookup_state: LookupState | None = None
+        self.was_owned = False
 
     @precondition(lambda self: len(self.model.claimants) < MAX_CLAIMANTS)
     @rule()
@@ -96,6 +103,26 @@
         self.added += 1
         self.model.replace(self._name(member), f"n{self.added}", clock_offset_ms)
 
+    @rule()
+    def start_lookup(self) -> None:
+        names = [each.instance_id for each in self.model.group.registrars]
+        self.lookup = attrs.evolve(self.lookup, epoch=self.model.epoch)
+        self.lookup_state = LookupState(names, names)
+        self.was_owned = bool(self.model.winners.get(self.job_id))
+
+    @precondition(lambda self: self.lookup_state is not None)
+    @rule(members=st.permutations((0, 1, 2)))
+    def answer_lookup(self, members: list[int]) -> None:
+        assert self.lookup_state is not None
+        for name in map(self._name, members[:2]):
+            reply = self.model.look_up(name, self.lookup)
+            self.lookup_state.on_reply(name, reply.verdict)
+
+    @invariant()
+    def no_owned_identifier_is_said_to_be_unused(self) -> None:
+        if self.lookup_state is not None and self.was_owned:
+            assert self.lookup_state.outcome() is not True
+
     @invariant()
     def at_most_one_owner(self) -> None:
         winners = self.model.winners.get(self.job_id, set())
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -132,6 +132,10 @@
     def set_registrars(self, group: RegistrarGroup) -> None:
         return
 
+    async def is_unused(self, job_id: str, timeout_s: float) -> bool:
+        known = job_id in self.registrars.owners or self.registrars.history_lost
+        return self.registrars.available and not known
+
     async def claim(
         self, job_id: str, digest: bytes, timeout_s: float
     ) -> ClaimDecision:
