--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -23,6 +23,8 @@
 from verbenaplank.entry.peer_service import PeerService
 from verbenaplank.entry.renewal import LONG_LEASE
 from verbenaplank.entry.renewal import SHORT_LEASE
+from verbenaplank.entry.routed_cancels import CancelState
+from verbenaplank.entry.routed_cancels import RoutedCancels
 from verbenaplank.entry.service_loads import EntryView
 from verbenaplank.entry.state_logging import log_state_changes_forever
 from verbenaplank.entry.subset_connector import SubsetConnector
@@ -177,7 +179,10 @@
         self.pipeline: Pipeline | None = None
         self._stop_time_s = math.inf
         self._http_server: HttpServer | None = None
-        self._peer_service = PeerService(self._components.registry, self._runner.cancel)
+        self._routed_cancels = RoutedCancels(self._other_entries, settings.tls)
+        self._peer_service = PeerService(
+            self._components.registry, self._runner.cancel, self.routed.cancel
+        )
 
     @property
     def evacuations(self) -> EvacuationList:
@@ -233,6 +238,17 @@
         if isinstance(self._membership, MembershipClient):
             self._membership.set_control_instances(control)
 
+    async def cancel_routed_job(self, route_name: str, key: str) -> CancelState:
+        """Cancel a routed job at this entry, or at the one that runs it."""
+        if self.routed.cancel(route_name, key):
+            return CancelState.CANCELLED
+        return await self._routed_cancels.cancel(route_name, key)
+
+    def _other_entries(self) -> list[Member]:
+        own_id = self._settings.instance_id
+        entries = self._membership.entries.values()
+        return [member for member in entries if member.member_id != own_id]
+
     @property
     def is_draining(self) -> bool:
         """Whether this entry has begun to drain, so callers should use another one."""
@@ -294,6 +310,7 @@
         self.agent_connections = connections
         await stack.enter_async_context(connections)
         self._runner.set_sender(connections.send)
+        await stack.enter_async_context(self._routed_cancels)
         claims = await stack.enter_async_context(self._open_claims(self._member()))
         connector = SubsetConnector(
             entry_id=settings.instance_id,
--- a/src/verbenaplank/entry/decision_log.py
+++ b/src/verbenaplank/entry/decision_log.py
@@ -21,6 +21,7 @@
     from verbenaplank.placement.task import TaskRequest
     from verbenaplank.protocol.crash import CrashReport
     from verbenaplank.protocol.membership import EvacuationList
+    from verbenaplank.protocol.peer import RoutedJobName
     from verbenaplank.protocol.work import DispatchRefusal
     from verbenaplank.protocol.work import TaskResult
 
@@ -57,6 +58,26 @@
     logger.info("request joined running job", extra=extra)
 
 
+def cancel_sent(job: RoutedJobName, state: str, entries: int, unanswered: int) -> None:
+    """Log that a cancel was sent to the other entries, and what became of it.
+
+    Parameters
+    ----------
+    entries
+        Number of the other entries.
+    unanswered
+        Number of those that did not answer.
+    """
+    extra = {
+        "job_id": job.key,
+        "route": job.route,
+        "outcome": state,
+        "entries": entries,
+        "unanswered": unanswered,
+    }
+    logger.info("cancel sent to other entries", extra=extra)
+
+
 def tasks_placed(job_id: str, placements: Sequence[Placement]) -> None:
     """Log where tasks of a job were sent in one iteration of the event loop.
 
--- a/src/verbenaplank/entry/peer_service.py
+++ b/src/verbenaplank/entry/peer_service.py
@@ -8,8 +8,10 @@
 from verbenaplank.protocol.peer import AttachReply
 from verbenaplank.protocol.peer import AttachState
 from verbenaplank.protocol.peer import CancelReply
+from verbenaplank.protocol.peer import RoutedCancelReply
 from verbenaplank.rpc.services import ATTACH
 from verbenaplank.rpc.services import CANCEL
+from verbenaplank.rpc.services import CANCEL_ROUTED
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,6 +20,7 @@
     from verbenaplank.entry.response import HttpResponse
     from verbenaplank.protocol.peer import AttachRequest
     from verbenaplank.protocol.peer import CancelRequest
+    from verbenaplank.protocol.peer import RoutedCancelRequest
     from verbenaplank.rpc.method import Service
 
 MAX_PART_BYTES = 1024 * 1024
@@ -34,20 +37,30 @@
         The requests that this entry knows.
     cancel
         Cancels a job by its id; returns whether it was in progress.
+    cancel_routed
+        Cancels a routed job by its route and key; returns whether it was in progress.
     """
 
     def __init__(
-        self, registry: RequestRegistry, cancel: Callable[[str], bool]
+        self,
+        registry: RequestRegistry,
+        cancel: Callable[[str], bool],
+        cancel_routed: Callable[[str, str], bool],
     ) -> None:
         self._registry = registry
         self._cancel = cancel
+        self._cancel_routed = cancel_routed
         self._attach_calls = 0
         self._idle = asyncio.Event()
         self._idle.set()
 
     def services(self) -> list[Service]:
         """Return the service handlers for a gRPC server."""
-        return [ATTACH.create_service(self.attach), CANCEL.create_service(self.cancel)]
+        return [
+            ATTACH.create_service(self.attach),
+            CANCEL.create_service(self.cancel),
+            CANCEL_ROUTED.create_service(self.cancel_routed),
+        ]
 
     async def join(self) -> None:
         """Wait until no attach call is in progress."""
@@ -57,6 +70,13 @@
         """Handle a cancel call of another entry."""
         return CancelReply(cancelled=self._cancel(request.job_id))
 
+    async def cancel_routed(self, request: RoutedCancelRequest) -> RoutedCancelReply:
+        """Handle a cancel call of another entry for routed jobs."""
+        cancelled = tuple(
+            self._cancel_routed(job.route, job.key) for job in request.jobs
+        )
+        return RoutedCancelReply(cancelled=cancelled)
+
     async def attach(self, request: AttachRequest) -> AttachReply:
         """Handle an attach call; wait up to ``wait_ms``, at most ``MAX_WAIT_MS``."""
         self._attach_calls += 1
--- a/src/verbenaplank/entry/routed_jobs.py
+++ b/src/verbenaplank/entry/routed_jobs.py
@@ -183,9 +183,9 @@
         """Return whether a job is in progress at this entry."""
         return (route.name, key) in self._running
 
-    def cancel(self, route: Route, key: str) -> bool:
+    def cancel(self, route_name: str, key: str) -> bool:
         """Cancel a job and return whether it was in progress at this entry."""
-        running = self._running.get((route.name, key))
+        running = self._running.get((route_name, key))
         if running is None:
             return False
         return self._runner.cancel(running.submission.job_id)
--- a/src/verbenaplank/protocol/peer.py
+++ b/src/verbenaplank/protocol/peer.py
@@ -1,4 +1,4 @@
-"""Messages between entries, to wait for the answer to a job or to cancel the job."""
+"""Messages between entries, to wait for the answer to a job or to cancel jobs."""
 
 from __future__ import annotations
 
@@ -80,3 +80,31 @@
     """
 
     cancelled: bool
+
+
+@attrs.frozen(kw_only=True)
+class RoutedJobName:
+    """A routed job, by its route and the key that its caller chose."""
+
+    route: str
+    key: str
+
+
+@attrs.frozen(kw_only=True)
+class RoutedCancelRequest:
+    """Request to cancel those of some routed jobs that the called entry runs."""
+
+    jobs: tuple[RoutedJobName, ...]
+
+
+@attrs.frozen(kw_only=True)
+class RoutedCancelReply:
+    """Reply to :class:`RoutedCancelRequest`.
+
+    Attributes
+    ----------
+    cancelled
+        For each job of the request, whether the entry ran it and stops it.
+    """
+
+    cancelled: tuple[bool, ...]
--- a/src/verbenaplank/rpc/services.py
+++ b/src/verbenaplank/rpc/services.py
@@ -10,6 +10,8 @@
 from verbenaplank.protocol.peer import AttachRequest
 from verbenaplank.protocol.peer import CancelReply
 from verbenaplank.protocol.peer import CancelRequest
+from verbenaplank.protocol.peer import RoutedCancelReply
+from verbenaplank.protocol.peer import RoutedCancelRequest
 from verbenaplank.protocol.work import FromAgent
 from verbenaplank.protocol.work import ToAgent
 from verbenaplank.rpc.method import StreamMethod
@@ -20,3 +22,6 @@
 JOIN = StreamMethod("/verbenaplank.Membership/Join", ToControl, FromControl)
 ATTACH = UnaryMethod("/verbenaplank.Entry/Attach", AttachRequest, AttachReply)
 CANCEL = UnaryMethod("/verbenaplank.Entry/Cancel", CancelRequest, CancelReply)
+CANCEL_ROUTED = UnaryMethod(
+    "/verbenaplank.Entry/CancelRouted", RoutedCancelRequest, RoutedCancelReply
+)
--- a/tests/entry/test_peer_service.py
+++ b/tests/entry/test_peer_service.py
@@ -21,7 +21,7 @@
     known = registry()
     record = known.add(submission(), expires_s=100.0)
     known.mark_owned(record)
-    service = PeerService(known, lambda job_id: False)
+    service = PeerService(known, lambda job_id: False, lambda route, key: False)
     request = AttachRequest(job_id="job", digest=b"digest", wait_ms=10_000.0)
 
     attached = asyncio.create_task(service.attach(request))
@@ -39,7 +39,7 @@
     """An entry that attaches must tell unknown from pending and answered jobs."""
     known = registry()
     record = known.add(submission(), expires_s=100.0)
-    service = PeerService(known, lambda job_id: False)
+    service = PeerService(known, lambda job_id: False, lambda route, key: False)
 
     async def ask(job_id: str, digest: bytes = b"") -> AttachState:
         request = AttachRequest(job_id=job_id, digest=digest, wait_ms=1.0)
@@ -58,7 +58,7 @@
     """A peer attaches during the claim, which another entry then wins."""
     known = registry()
     record = known.add(submission(), expires_s=100.0)
-    service = PeerService(known, lambda job_id: False)
+    service = PeerService(known, lambda job_id: False, lambda route, key: False)
     request = AttachRequest(job_id="job", wait_ms=10_000.0)
 
     attached = asyncio.create_task(service.attach(request))
--- a/tests/verbena_platform/test_whole_path.py
+++ b/tests/verbena_platform/test_whole_path.py
@@ -13,11 +13,13 @@
 from whole_path import CONTROL_HOSTS
 from whole_path import ENTRY_HOST
 from whole_path import JOB
+from whole_path import SECOND_ENTRY_HOST
 from whole_path import Platform
 from whole_path import choose_first_port
 from whole_path import document
 from whole_path import succeeded
 
+from verbena_platform.entry import entry_program
 from verbenaplank.rpc.address import Address
 
 if TYPE_CHECKING:
@@ -157,3 +159,24 @@
         while platform.executor.active:  # noqa: ASYNC110
             await asyncio.sleep(0.01)
     await asyncio.gather(waiting, return_exceptions=True)
+
+
+async def test_cancel_at_another_entry_stops_the_job(platform: Platform) -> None:
+    """It was answered 410, and the tasks of the job ran on for seconds."""
+    second = platform.node(SECOND_ENTRY_HOST)
+    async with entry_program(second):
+        await platform.put(document())
+        await platform.post_until("/draw/", succeeded)
+        platform.executor.task_s = 30.0
+        path = "/draw/00000000000000dd"
+        waiting = asyncio.create_task(platform.call("POST", path, JOB))
+        async with asyncio.timeout(10):
+            while not platform.executor.active:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            cancelled = await platform.call("DELETE", path, host=SECOND_ENTRY_HOST)
+            assert cancelled.status_code == 200
+            while platform.executor.active:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            await waiting
+        gone = await platform.call("DELETE", path, host=SECOND_ENTRY_HOST)
+        assert gone.status_code == 410
--- a/tests/verbena_platform/whole_path.py
+++ b/tests/verbena_platform/whole_path.py
@@ -30,6 +30,7 @@
 CONTROL_HOSTS = (f"{SUBNET}.1", f"{SUBNET}.2", f"{SUBNET}.3")
 AGENT_HOST = f"{SUBNET}.4"
 ENTRY_HOST = f"{SUBNET}.5"
+SECOND_ENTRY_HOST = f"{SUBNET}.6"
 HOST = "desk.example"
 JOB = {
     "spec": "text",
@@ -101,8 +102,8 @@
         await enter(entry_program(self.node(ENTRY_HOST)))
         await self.executor.report(Address(AGENT_HOST, self.port + 10))
 
-    def url(self, path: str) -> str:
-        return f"http://{ENTRY_HOST}:{self.port + 11}{path}"
+    def url(self, path: str, host: str = ENTRY_HOST) -> str:
+        return f"http://{host}:{self.port + 11}{path}"
 
     def control_url(self, number: int) -> str:
         return f"http://{CONTROL_HOSTS[number]}:{self.port + 10}/v1/config"
@@ -118,11 +119,15 @@
                     await asyncio.sleep(0.05)
 
     async def call(
-        self, method: str, path: str, body: dict[str, Any] | None = None
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        host: str = ENTRY_HOST,
     ) -> httpx.Response:
         headers = {"Host": HOST, "Verbenaplank-Deadline-Ms": "5000"}
         async with httpx.AsyncClient(trust_env=False, timeout=10) as client:
-            url = self.url(path)
+            url = self.url(path, host)
             return await client.request(method, url, headers=headers, json=body)
 
     async def post_until(
