Stop the runs of a killed entry in time when stops get no answer

What callers saw: with half of the orders unanswered, tasks of a killed entry ran on beside their next runs.

Cause: the lease of the entry ends 0.8 s after its loss, the agent looked at leases each 0.25 s only, and stop requests without an answer were repeated after 0.11, 0.17 and then 0.25 s. Meanwhile the polls extend the lease that all runs on the backend server share. Callers are back after 1.3 s.

--- a/src/verbenaplank/agent/active_runs.py
+++ b/src/verbenaplank/agent/active_runs.py
@@ -32,6 +32,7 @@
         self.has_unacknowledged_ends = False
         self._runs: dict[RunId, ActiveRun] = {}
         self._runs_by_task_id: dict[str, ActiveRun] = {}
+        self._latest_by_name: dict[str, ActiveRun] = {}
 
     def __len__(self) -> int:
         return len(self._runs)
@@ -45,16 +46,26 @@
     def add(self, task_id: str, run: ActiveRun) -> None:
         """Add a run that is about to start."""
         self._runs[run.run_id] = self._runs_by_task_id[task_id] = run
+        self._latest_by_name[run.run_id.task] = run
 
     def remove(self, task_id: str, run: ActiveRun) -> None:
         """Remove a run that has ended or has not started."""
         self._runs.pop(run.run_id, None)
         self._runs_by_task_id.pop(task_id, None)
+        if self._latest_by_name.get(run.run_id.task) is run:
+            del self._latest_by_name[run.run_id.task]
 
     def find(self, task_id: str) -> ActiveRun | None:
         """Return the run of a task, or ``None`` if it has none."""
         return self._runs_by_task_id.get(task_id)
 
+    def latest_of(self, name: str) -> ActiveRun | None:
+        """Return the latest run of the task of a name, also if another entry sent it.
+
+        Return ``None`` if it has no run.
+        """
+        return self._latest_by_name.get(name)
+
     @property
     def any_stopping(self) -> bool:
         """Whether the agent is stopping a run."""
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -25,6 +25,8 @@
 from verbenaplank.agent.backend_lease import BackendLease
 from verbenaplank.agent.call_timeouts import RETRY_S
 from verbenaplank.agent.call_timeouts import call_timeout_s
+from verbenaplank.agent.call_timeouts import stop_pause_s
+from verbenaplank.agent.call_timeouts import stop_timeout_s
 from verbenaplank.agent.fencing import FencingTokens
 from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
@@ -177,7 +179,8 @@
         """Run a task at most once and return when it can no longer run.
 
         A run that exceeds ``timeout_s`` is stopped.  A start that was refused as
-        outdated has had no effect and is tried again with a higher run number.
+        outdated has had no effect and is tried again with a higher run number.  While
+        the task still runs here for another entry, the start waits for that end.
         """
         try:
             task = decode_task(payload)
@@ -190,8 +193,13 @@
             run_id = RunId(task=task.name, number=number)
             end: asyncio.Future[EndKind] = asyncio.get_running_loop().create_future()
             run = ActiveRun(run_id, end, task.workload)
+            earlier = self._runs.latest_of(task.name)
             self._runs.add(task_id, run)
             try:
+                if earlier is not None:
+                    await _wait_for_either_end(earlier, run)
+                if run.stop_requested:
+                    return report_for_end(await run.end)
                 reply = await self._starts.send(run, task.content)
                 if reply.status is StartStatus.STARTED:
                     self._on_started(run)
@@ -247,13 +255,13 @@
         for repetition in itertools.count():
             if run.end.done():
                 return
-            timeout_s = call_timeout_s(repetition)
+            timeout_s = stop_timeout_s(repetition)
             try:
                 await self._client.stop(run.run_id, self._lease.fence, timeout_s)
             except CallFailedError:
                 self._wake.set()
                 with suppress(TimeoutError):
-                    async with asyncio.timeout(RETRY_S):
+                    async with asyncio.timeout(stop_pause_s(repetition)):
                         await asyncio.shield(run.end)
             except BackendRestartedError:
                 self._handle_lost()
@@ -410,3 +418,8 @@
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+async def _wait_for_either_end(one: ActiveRun, other: ActiveRun) -> None:
+    """Wait until the end of one of two runs is known."""
+    await asyncio.wait([one.end, other.end], return_when=asyncio.FIRST_COMPLETED)
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -331,6 +331,79 @@
             assert server.started[name] == (0 if not_started else 1)
 
 
+class LossyStopsServer(FakeBackendServer):
+    """Leaves the first stop requests unanswered and does not carry them out."""
+
+    def __init__(self, stops_to_lose: int) -> None:
+        super().__init__()
+        self.stops_to_lose = stops_to_lose
+        self.most_active = 0
+
+    def execute_start(self, request: StartRequest) -> StartStatus:
+        status = super().execute_start(request)
+        self.most_active = max(self.most_active, len(self.active))
+        return status
+
+    async def stop(self, run: RunId, fence: int, timeout_s: float) -> None:
+        if self.stops_to_lose:
+            self.stops_to_lose -= 1
+            await asyncio.sleep(timeout_s)
+            raise CallFailedError("stop")
+        await super().stop(run, fence, timeout_s)
+
+
+async def test_run_ends_before_its_caller_returns_though_stops_are_lost() -> None:
+    """Tasks of a killed entry ran on beside their next runs.
+
+    Its callers return 1.3 s after their loss, and its lease takes 0.8 s of them.  With
+    half of the requests unanswered, six in a row are lost in 1 of 64 cases.
+    """
+    server = LossyStopsServer(6)
+    async with make_backend(server) as backend:
+        run = start_run(backend)
+        await wait_until_started(server)
+        stopped_s = monotonic_s()
+        await backend.stop("job/0/1")
+        assert (await run).outcome is TaskOutcome.STOPPED
+        assert monotonic_s() - stopped_s < 0.5
+
+
+async def test_task_that_still_runs_here_starts_again_only_after_its_run() -> None:
+    """Its former entry was killed, and the stop of its run was not carried out yet."""
+    server = LossyStopsServer(5)
+    async with make_backend(server) as backend:
+        run = start_run(backend)
+        first = await wait_until_started(server)
+        stop = asyncio.create_task(backend.stop("job/0/1"))
+        again = asyncio.create_task(
+            backend.run(backend, "job-2/0/1", "draw", PAYLOAD, 30.0)
+        )
+        await wait_until(server, lambda: first not in server.active)
+        await wait_until(server, lambda: bool(server.active))
+        assert server.most_active == 1
+        server.end(next(iter(server.active)), EndKind.DONE)
+        assert (await again).outcome is TaskOutcome.SUCCEEDED
+        await stop
+        await run
+
+
+async def test_run_that_waits_for_the_end_of_another_can_be_stopped() -> None:
+    """Its entry may be lost meanwhile; the run must not start for nobody."""
+    server = LossyStopsServer(0)
+    async with make_backend(server) as backend:
+        run = start_run(backend)
+        first = await wait_until_started(server)
+        again = asyncio.create_task(
+            backend.run(backend, "job-2/0/1", "draw", PAYLOAD, 30.0)
+        )
+        await asyncio.sleep(0)
+        await backend.stop("job-2/0/1")
+        assert (await again).outcome is TaskOutcome.NOT_STARTED
+        server.end(first, EndKind.DONE)
+        assert (await run).outcome is TaskOutcome.SUCCEEDED
+        assert server.most_active == 1
+
+
 async def test_later_run_of_a_task_has_a_higher_number() -> None:
     """A backend server refuses a run whose number is not above the earlier ones."""
     server = FakeBackendServer()
