Refuse a routing document that the log cannot hold, and name the limit

Cause: a command over the limit of the log was rejected like one that found no leader in time.

Change: CommandTooLargeError, answered 413 with the size and the limit.

test_document_too_large_for_the_log_is_refused_with_the_limit got 503 before.

--- a/src/verbenaplank/consensus/errors.py
+++ b/src/verbenaplank/consensus/errors.py
@@ -7,6 +7,10 @@
     """The proposed command was not accepted and never will be."""
 
 
+class CommandTooLargeError(ProposalRejectedError):
+    """The command is larger than the log accepts, so that a retry is of no use."""
+
+
 class OutcomeUnknownError(Exception):
     """It is unknown whether the proposed command was or will be accepted.
 
--- a/src/verbenaplank/consensus/local_client.py
+++ b/src/verbenaplank/consensus/local_client.py
@@ -7,6 +7,7 @@
 
 from verbenaplank.consensus.effects import ProposalAppended
 from verbenaplank.consensus.effects import ReadAnswered
+from verbenaplank.consensus.errors import CommandTooLargeError
 from verbenaplank.consensus.errors import NoQuorumError
 from verbenaplank.consensus.errors import OutcomeUnknownError
 from verbenaplank.consensus.errors import ProposalRejectedError
@@ -72,14 +73,15 @@
 
         Raises
         ------
+        CommandTooLargeError
+            If the command is larger than ``MAX_COMMAND_BYTES``.
         ProposalRejectedError
-            If the command is too large, or no leader accepted it in time; it never
-            will be accepted.
+            If no leader accepted the command in time; it never will be accepted.
         OutcomeUnknownError
             If the command may have been accepted.
         """
         if len(command) > MAX_COMMAND_BYTES:
-            raise ProposalRejectedError(
+            raise CommandTooLargeError(
                 f"the command of {len(command)} bytes is over the limit of "
                 f"{MAX_COMMAND_BYTES} bytes"
             )
--- a/src/verbenaplank/control/routing.py
+++ b/src/verbenaplank/control/routing.py
@@ -43,6 +43,8 @@
 
         Raises
         ------
+        CommandTooLargeError
+            If the document is larger than the replicated log accepts.
         ProposalRejectedError
             If the replacement is certain to have no effect.
         OutcomeUnknownError
--- a/tests/verbena_platform/test_whole_path.py
+++ b/tests/verbena_platform/test_whole_path.py
@@ -20,6 +20,7 @@
 from whole_path import succeeded
 
 from verbena_platform.entry import entry_program
+from verbenaplank.consensus.local_client import MAX_COMMAND_BYTES
 from verbenaplank.rpc.address import Address
 
 if TYPE_CHECKING:
@@ -77,6 +78,22 @@
             assert answer.json() == document(7)
 
 
+async def test_document_too_large_for_the_log_is_refused_with_the_limit(
+    platform: Platform,
+) -> None:
+    """It was answered 503 for good, which asks the operator to send it again."""
+    large = document()
+    large["routes"] = [
+        large["routes"][0] | {"name": f"r{number}", "path-prefix": f"/{number:0100}/"}
+        for number in range(4_000)
+    ]
+    async with httpx.AsyncClient(trust_env=False, timeout=10) as client:
+        refused = await client.put(platform.control_url(0), json=large)
+    assert refused.status_code == 413
+    assert str(MAX_COMMAND_BYTES) in refused.json()["findings"][0]["message"]
+    assert await platform.put(document()) == 200
+
+
 async def test_route_missing_from_a_newer_document_is_no_longer_found(
     platform: Platform,
 ) -> None:
