--- a/tests/verbena_platform/test_malformed_input.py
+++ b/tests/verbena_platform/test_malformed_input.py
@@ -7,16 +7,19 @@
 
 import msgspec
 import pytest
+from hypothesis import example
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 
 from verbena_platform import callers
+from verbena_platform import executor
 from verbena_platform.jobs import InvalidJobError
 from verbena_platform.jobs import UnsupportedJobError
 from verbena_platform.jobs import decode_job
 from verbena_platform.reports import InvalidReportError
 from verbena_platform.reports import decode_report
+from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.http.asgi import Request
 from verbenaplank.routing.table import Route
 
@@ -40,6 +43,7 @@
     st.sampled_from(["service", "address", "state", "sequence", "capacity", "slots"]),
     VALUE,
 )
+ROW = st.lists(VALUE | st.sampled_from(["a", "done", 1]), max_size=6)
 fuzzed = settings(max_examples=300, derandomize=True, deadline=None)
 
 
@@ -98,6 +102,26 @@
     msgspec.msgpack.encode((decoded.size.cores, decoded.size.memory_mb, decoded.slots))
 
 
+@fuzzed
+@given(st.lists(ROW, max_size=3), st.lists(ROW, max_size=3))
+@example([[["a"], 1, "", 50]], [])
+@example([["a", {}, "", 50]], [])
+@example([["a", 1, "", math.inf]], [])
+@example([], [[1, "a", 1, ["done"], ""]])
+def test_lists_of_runs_are_usable_or_the_call_has_failed(
+    active: list[list[Any]], finished: list[list[Any]]
+) -> None:
+    """A list in place of a name ended the task that polls, and the lease with it."""
+    wire = executor._WireReply(active=active, finished=finished)
+    try:
+        reply = executor._poll_reply(wire, 1)
+    except CallFailedError:
+        return
+    runs = {run for run, _ in reply.active} | {end.run for end in reply.ended}
+    assert all(isinstance(run.task, str) for run in runs)
+    assert all(isinstance(end.sequence, int) for end in reply.ended)
+
+
 @pytest.mark.parametrize("text", ["nan", "NaN", "abc", "-nan"])
 def test_deadline_that_is_no_number_is_rejected(text: str) -> None:
     """A deadline of NaN would stay first in the queue of timers for ever."""
