Start long-running tasks again after an unexpected error

Change: the loops of the entry, the agent, the members, the claims and control run under create_restarting_task or run_with_restarts, which log the error with its traceback and start the work again after a second. The tasks of the replicated log end the process, as before.

--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -21,6 +21,7 @@
 from verbenaplank.agent.runner import TaskRunner
 from verbenaplank.agent.work_service import WorkStreams
 from verbenaplank.clock.sources import monotonic_s
+from verbenaplank.concurrency.restarting import create_restarting_task
 from verbenaplank.history.event import Event
 from verbenaplank.history.event import EventHook
 from verbenaplank.history.event import EventKind
@@ -172,9 +173,9 @@
             )
             self._membership = await resources.enter_async_context(membership)
             if self._sends_load_reports:
-                changes = asyncio.create_task(self._streams.report_changes())
+                changes = create_restarting_task(self._streams.report_changes)
                 resources.callback(changes.cancel)
-                reports = asyncio.create_task(self._streams.report_periodically())
+                reports = create_restarting_task(self._streams.report_periodically)
                 resources.callback(reports.cancel)
             self._resources = resources.pop_all()
         return self
--- a/src/verbenaplank/agent/health_check.py
+++ b/src/verbenaplank/agent/health_check.py
@@ -7,6 +7,7 @@
 
 from verbenaplank.agent.backend import BackendServerDownError
 from verbenaplank.concurrency.cancellation import cancel_and_wait
+from verbenaplank.concurrency.restarting import create_restarting_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,7 +41,7 @@
         """Probe once, so that the initial state is known, and start probing."""
         if not await self._can_connect():
             self.report_down()
-        self._probe_task = asyncio.create_task(self._probe_forever())
+        self._probe_task = create_restarting_task(self._probe_forever)
         return self
 
     async def __aexit__(
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -41,6 +41,7 @@
 from verbenaplank.agent.run_numbers import RunNumbers
 from verbenaplank.agent.start_sender import StartSender
 from verbenaplank.agent.take_over import take_over
+from verbenaplank.concurrency.restarting import run_with_restarts
 from verbenaplank.protocol.work import TaskOutcome
 
 if TYPE_CHECKING:
@@ -138,7 +139,7 @@
         await take_over(
             self._client, self._lease, self._runs, self._tokens, self._clock
         )
-        self._spawn(self._poll_forever())
+        self._spawn(run_with_restarts(self._poll_forever))
         return self
 
     async def __aexit__(
--- a/src/verbenaplank/agent/runner.py
+++ b/src/verbenaplank/agent/runner.py
@@ -13,6 +13,7 @@
 from verbenaplank.agent.effects import ReplyItem
 from verbenaplank.agent.effects import StartRun
 from verbenaplank.agent.effects import StopRun
+from verbenaplank.concurrency.restarting import run_with_restarts
 from verbenaplank.history.event import Event
 from verbenaplank.history.event import EventHook
 from verbenaplank.history.event import EventKind
@@ -86,7 +87,7 @@
         self._load_changed = asyncio.Event()
 
     async def __aenter__(self) -> Self:
-        self._spawn(self._expire_periodically())
+        self._spawn(run_with_restarts(self._expire_periodically))
         return self
 
     async def __aexit__(
--- a/src/verbenaplank/claims/ceiling.py
+++ b/src/verbenaplank/claims/ceiling.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from verbenaplank.concurrency.cancellation import cancel_and_wait
+from verbenaplank.concurrency.restarting import create_restarting_task
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -52,7 +53,7 @@
 
     async def __aenter__(self) -> Self:
         await self.raise_if_due()
-        self._running = asyncio.create_task(self._raise_periodically())
+        self._running = create_restarting_task(self._raise_periodically)
         return self
 
     async def __aexit__(
--- a/src/verbenaplank/claims/connection.py
+++ b/src/verbenaplank/claims/connection.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
+from verbenaplank.concurrency.restarting import create_restarting_task
 from verbenaplank.protocol.claims import Claim
 from verbenaplank.protocol.claims import ClaimRelease
 from verbenaplank.protocol.claims import Lookup
@@ -82,7 +83,7 @@
 
     def open(self) -> None:
         """Start connecting in the background; the event loop must be running."""
-        self._running = asyncio.create_task(self._run())
+        self._running = create_restarting_task(self._run)
 
     async def close(self) -> None:
         """Close the stream and stop connecting."""
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -14,6 +14,7 @@
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.clock.sources import wall_clock_ms
 from verbenaplank.concurrency.cancellation import cancel_and_wait
+from verbenaplank.concurrency.restarting import run_with_restarts
 from verbenaplank.consensus.node import ConsensusNode
 from verbenaplank.control.administration import Administration
 from verbenaplank.control.bootstrap import bootstrap
@@ -155,9 +156,13 @@
             ]
             listening = serve(services, self._settings.rpc.address, self._settings.tls)
             self.rpc_address = await stack.enter_async_context(listening)
-            await stack.enter_async_context(_running_task(self._forwarder.run()))
-            await stack.enter_async_context(_running_task(self._registrar_runner.run()))
-            await stack.enter_async_context(_running_task(self._run_periodic_checks()))
+            for work in (
+                self._forwarder.run,
+                self._registrar_runner.run,
+                self._run_periodic_checks,
+            ):
+                running = _running_task(run_with_restarts(work))
+                await stack.enter_async_context(running)
             await stack.enter_async_context(_running_task(self._bootstrap(document)))
             if self._own_interface:
                 await self._serve_operators(stack)
--- a/src/verbenaplank/entry/agent_connections.py
+++ b/src/verbenaplank/entry/agent_connections.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Self
 
+from verbenaplank.concurrency.restarting import create_restarting_task
 from verbenaplank.entry.agent_connection import AgentConnection
 from verbenaplank.entry.renewal import LONG_LEASE
 
@@ -88,7 +89,7 @@
         self._keep_alive_task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
-        self._keep_alive_task = asyncio.create_task(self._keep_alive_forever())
+        self._keep_alive_task = create_restarting_task(self._keep_alive_forever)
         return self
 
     async def __aexit__(
@@ -125,7 +126,7 @@
             self._lease,
         )
         self._connections[member.member_id] = connection
-        task = asyncio.get_running_loop().create_task(connection.run())
+        task = create_restarting_task(connection.run)
         self._tasks[member.member_id] = task
         task.add_done_callback(lambda _: self._remove(member.member_id, connection))
 
--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -14,6 +14,7 @@
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.clock.sources import non_decreasing
 from verbenaplank.clock.sources import wall_clock_ms
+from verbenaplank.concurrency.restarting import create_restarting_task
 from verbenaplank.entry.agent_connections import AgentConnections
 from verbenaplank.entry.agent_connections import EngineListener
 from verbenaplank.entry.client_factories import claims_factory
@@ -343,7 +344,7 @@
             self._expire_forever,
             self._log_state_changes_forever,
         ):
-            task = asyncio.create_task(run())
+            task = create_restarting_task(run)
             stack.callback(task.cancel)
 
     async def _serve_callers(
--- a/src/verbenaplank/membership/client.py
+++ b/src/verbenaplank/membership/client.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from verbenaplank.concurrency.cancellation import cancel_and_wait
+from verbenaplank.concurrency.restarting import create_restarting_task
 from verbenaplank.concurrency.running_timeout import running_timeout
 from verbenaplank.membership.client_state import ClientState
 from verbenaplank.membership.client_state import MembershipEvent
@@ -97,7 +98,7 @@
 
     async def __aenter__(self) -> MembershipClient:
         """Start connecting; :meth:`wait_ready` waits for the first state."""
-        self._task = asyncio.create_task(self._run())
+        self._task = create_restarting_task(self._run)
         return self
 
     async def __aexit__(self, *_: object) -> None:
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -23,12 +23,15 @@
 from verbenaplank.agent.named_task import NamedTask
 from verbenaplank.agent.named_task import encode_task
 from verbenaplank.clock.sources import monotonic_s
+from verbenaplank.concurrency import restarting
 from verbenaplank.protocol.work import TaskOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from verbenaplank.agent.backend import RunReport
+    from verbenaplank.agent.lease_protocol import PollReply
+    from verbenaplank.agent.lease_protocol import PollRequest
     from verbenaplank.agent.lease_protocol import StartReply
     from verbenaplank.agent.lease_protocol import StartRequest
 
@@ -237,6 +240,27 @@
         assert waited_s < 2 * POLL_WAIT_MS / 1_000 + CALL_TIMEOUTS_S[1]
 
 
+async def test_poll_that_fails_unexpectedly_is_repeated(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The task that polls ended, so that no end was seen and no lease renewed."""
+    monkeypatch.setattr(restarting, "RESTART_PAUSE_S", 0.0)
+    server = FakeBackendServer()
+    async with make_backend(server) as backend:
+        run = start_run(backend)
+        run_id = await wait_until_started(server)
+        poll = server.poll
+
+        async def fail_once(request: PollRequest, timeout_s: float) -> PollReply:
+            monkeypatch.setattr(server, "poll", poll)
+            raise TypeError("unhashable type: 'list'")
+
+        monkeypatch.setattr(server, "poll", fail_once)
+        server.end(run_id, EndKind.DONE)
+        async with asyncio.timeout(10):
+            assert (await run).outcome is TaskOutcome.SUCCEEDED
+
+
 async def test_run_that_the_agent_did_not_start_is_stopped() -> None:
     """A start is carried out after the backend server restarted under its old id.
 
