--- a/src/verbenaplank/agent/active_runs.py
+++ b/src/verbenaplank/agent/active_runs.py
@@ -23,12 +23,15 @@
     ----------
     acknowledged_sequence
         Highest sequence number of the ends that were listed.
+    polls_sent
+        Number of polls that were sent.
     has_unacknowledged_ends
         Whether ends were listed since the last request that acknowledges them.
     """
 
     def __init__(self) -> None:
         self.acknowledged_sequence = 0
+        self.polls_sent = 0
         self.has_unacknowledged_ends = False
         self._runs: dict[RunId, ActiveRun] = {}
         self._runs_by_task_id: dict[str, ActiveRun] = {}
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -8,9 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import logging
-from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -25,8 +23,6 @@
 from verbenaplank.agent.backend_lease import BackendLease
 from verbenaplank.agent.call_timeouts import RETRY_S
 from verbenaplank.agent.call_timeouts import call_timeout_s
-from verbenaplank.agent.call_timeouts import stop_pause_s
-from verbenaplank.agent.call_timeouts import stop_timeout_s
 from verbenaplank.agent.fencing import FencingTokens
 from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
@@ -39,6 +35,7 @@
 from verbenaplank.agent.lease_protocol import StartStatus
 from verbenaplank.agent.named_task import decode_task
 from verbenaplank.agent.run_numbers import RunNumbers
+from verbenaplank.agent.run_stopper import RunStopper
 from verbenaplank.agent.start_sender import StartSender
 from verbenaplank.agent.take_over import take_over
 from verbenaplank.concurrency.restarting import run_with_restarts
@@ -117,12 +114,13 @@
         self._on_lost = on_lost
         self._run_numbers = RunNumbers()
         self._runs = ActiveRuns()
-        self._unknown_runs: set[RunId] = set()
-        self._polls_sent = 0
         self._wake = asyncio.Event()
         self._starts = StartSender(
             client, self._lease, self._wake.set, self._handle_lost
         )
+        self._stopper = RunStopper(
+            client, self._lease, self._runs, self._wake.set, self._handle_lost
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Self:
@@ -208,7 +206,7 @@
             except NotSentError as error:
                 return RunReport(TaskOutcome.NOT_STARTED, error=str(error))
             except CallFailedError:
-                await self._stop_and_wait(run)
+                await self._stopper.stop(run)
                 return report_for_end(run.end.result(), START_UNANSWERED)
             finally:
                 self._runs.remove(task_id, run)
@@ -223,10 +221,10 @@
         """Stop a run and wait for its end, which :meth:`run` reports."""
         run = self._runs.find(task_id)
         if run is not None:
-            await self._stop_and_wait(run)
+            await self._stopper.stop(run)
 
     def _on_started(self, run: ActiveRun) -> None:
-        run.visible_after_poll = self._polls_sent
+        run.visible_after_poll = self._runs.polls_sent
         run.started_s = run.progressed_s = self._clock()
         run.start_acknowledged = True
         self._wake.set()
@@ -240,36 +238,7 @@
             timer.cancel()
 
     def _stop_soon(self, run: ActiveRun) -> None:
-        self._spawn(self._stop_and_wait(run))
-
-    async def _stop_and_wait(self, run: ActiveRun) -> None:
-        """Stop a run and wait until it has ended.
-
-        The backend server never starts a run that it was asked to stop, even if the
-        start request arrives later.  So the run has ended once the reply to a later
-        poll does not list it as active.
-        """
-        if run.stop_requested:
-            await asyncio.wait([run.end])
-            return
-        run.stop_requested = True
-        for repetition in itertools.count():
-            if run.end.done():
-                return
-            timeout_s = stop_timeout_s(repetition)
-            try:
-                await self._client.stop(run.run_id, self._lease.fence, timeout_s)
-            except CallFailedError:
-                self._wake.set()
-                with suppress(TimeoutError):
-                    async with asyncio.timeout(stop_pause_s(repetition)):
-                        await asyncio.shield(run.end)
-            except BackendRestartedError:
-                self._handle_lost()
-            else:
-                run.visible_after_poll = self._polls_sent
-                self._wake.set()
-                await asyncio.wait([run.end])
+        self._spawn(self._stopper.stop(run))
 
     async def _poll_forever(self) -> None:
         while True:
@@ -295,8 +264,8 @@
                     await asyncio.sleep(RETRY_S)
 
     async def _poll_once(self) -> None:
-        self._polls_sent += 1
-        poll_number = self._polls_sent
+        self._runs.polls_sent += 1
+        poll_number = self._runs.polls_sent
         self._runs.has_unacknowledged_ends = False
         extended_s = self._lease.extended_s
         is_responsive = self._lease.is_responsive
@@ -326,34 +295,11 @@
 
     def _process_reply(self, reply: PollReply, poll_number: int) -> None:
         self._runs.record_ends(reply)
-        self._stop_unknown_runs(reply)
+        for run_id in self._stopper.take_unknown_runs(reply):
+            self._spawn(self._stopper.stop_unknown_run(run_id))
         self._stop_stalled_runs(reply)
         self._runs.record_unlisted(reply, poll_number)
 
-    def _stop_unknown_runs(self, reply: PollReply) -> None:
-        """Stop active runs that this agent has not started or has reported as ended.
-
-        Such a run comes from a start request that was carried out after the backend
-        server had restarted, and its task may run elsewhere.
-        """
-        for progress in reply.active:
-            run_id = progress.run
-            if run_id not in self._runs and run_id not in self._unknown_runs:
-                self._unknown_runs.add(run_id)
-                decision_log.log_unknown_run(run_id)
-                self._spawn(self._stop_unknown_run(run_id))
-
-    async def _stop_unknown_run(self, run_id: RunId) -> None:
-        """Send one stop request; the run is listed again if it was lost."""
-        try:
-            await self._client.stop(run_id, self._lease.fence, call_timeout_s(0))
-        except CallFailedError:
-            self._wake.set()
-        except BackendRestartedError:
-            self._handle_lost()
-        finally:
-            self._unknown_runs.discard(run_id)
-
     def _stop_stalled_runs(self, reply: PollReply) -> None:
         for run in self._runs.update_progress(reply, self._clock()):
             logger.warning(
@@ -361,7 +307,7 @@
                 extra={"task": run.run_id.task, "percent": run.percent},
             )
             run.stalled = True
-            self._spawn(self._stop_and_wait(run))
+            self._spawn(self._stopper.stop(run))
 
     def _on_poll_failed(self, error: CallFailedError) -> None:
         """Record a failed poll, and end all runs once their lease has expired.
