Ignore a report that moves the served backend server to another place

A report of another writer under the id and the start of the served backend server replaced its address and service, which the agent would use at its next take-over. An incarnation stays where it is, so such a report is ignored while it is served.

test_report_that_moves_the_served_incarnation_is_ignored failed before (CHANGED).

--- a/src/verbenaplank/agent/incarnations.py
+++ b/src/verbenaplank/agent/incarnations.py
@@ -58,7 +58,7 @@
 
     def add(self, report: BackendServerReport) -> ReportKind:
         """Process a status report."""
-        if _key(report) in self._ended:
+        if _key(report) in self._ended or self._is_moved(report):
             return ReportKind.IGNORED
         if report.draining:
             _remember(self._leaving, _key(report))
@@ -127,6 +127,16 @@
         """Return whether the incarnation of a report has announced its end."""
         return _key(report) in self._leaving
 
+    def _is_moved(self, report: BackendServerReport) -> bool:
+        """Return whether a report names another place of the served incarnation.
+
+        Such a report comes from another writer: an incarnation stays where it is.
+        """
+        current = self.current
+        if not self._is_served or not is_same_incarnation(current, report):
+            return False
+        return _place(report) != _place(current)
+
     def _update(self, report: BackendServerReport) -> ReportKind:
         current = self.current
         if current is None or report.sequence <= current.sequence:
@@ -147,6 +157,10 @@
     return report.server_id, report.incarnation
 
 
+def _place(report: BackendServerReport | None) -> tuple[str, str] | None:
+    return None if report is None else (report.service, report.address)
+
+
 def _remember(keys: OrderedDict[IncarnationKey, None], key: IncarnationKey) -> None:
     keys[key] = None
     if len(keys) > MAX_REMEMBERED:
--- a/tests/agent/test_incarnations.py
+++ b/tests/agent/test_incarnations.py
@@ -51,6 +51,20 @@
         assert incarnations.take_challenger() is None
 
 
+def test_report_that_moves_the_served_incarnation_is_ignored() -> None:
+    """Another writer named the id and the start of the served backend server."""
+    incarnations = serving()
+    for moved in ({"address": "127.0.0.1:2"}, {"service": "none"}):
+        report = attrs.evolve(OWN, sequence=9, draining=True, **moved)
+        assert incarnations.add(report) is ReportKind.IGNORED
+    assert incarnations.current == OWN
+    assert not incarnations.is_leaving(OWN)
+
+    incarnations.record_unserved()
+    moved_report = attrs.evolve(OWN, sequence=9, address="127.0.0.1:2")
+    assert incarnations.add(moved_report) is ReportKind.CHANGED
+
+
 def test_newest_report_is_tried_first_while_none_is_served() -> None:
     incarnations = Incarnations()
     incarnations.add(OWN)
