Count the cold time of an incarnation whenever it becomes the current one

Found by reading: a backend server whose first report came while the former one was still served became current without its cold time if the former one ended before it had been called; and a report that came while the service of an ended one was being closed was left until the next one. A run that waited for the end of another one of its task was started after the backend server had restarted.

Tests: test_report_during_the_end_of_service_is_not_lost failed before; test_cold_time_of_a_server_that_replaces_another_one_is_counted and test_run_that_waits_is_not_started_after_the_server_has_restarted pass; the latter two were not run on the code before.

--- a/src/verbenaplank/agent/incarnations.py
+++ b/src/verbenaplank/agent/incarnations.py
@@ -79,6 +79,8 @@
     def record_unserved(self) -> None:
         """Record that no incarnation is served now."""
         self._is_served = False
+        if self.current is None:
+            self.current, self.challenger = self.challenger, None
 
     def take_challenger(self) -> BackendServerReport | None:
         """Remove and return the challenger.
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -62,6 +62,7 @@
 """Added to a run number that was refused as outdated, to get the next one to try."""
 
 START_UNANSWERED = "the start request got no usable reply"
+NOT_SENT = "stopped or lost while another run of the task was ending"
 
 logger = logging.getLogger(__name__)
 
@@ -197,8 +198,9 @@
             try:
                 if earlier is not None:
                     await _wait_for_either_end(earlier, run)
-                if run.stop_requested:
-                    return report_for_end(await run.end)
+                if run.stop_requested or run.end.done():
+                    await asyncio.wait([run.end])
+                    return RunReport(TaskOutcome.NOT_STARTED, error=NOT_SENT)
                 reply = await self._starts.send(run, task.content)
                 if reply.status is StartStatus.STARTED:
                     self._on_started(run)
--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -74,6 +74,7 @@
         self._connect = connect
         self._clock = clock
         self._incarnations = Incarnations()
+        self._adopted: BackendServerReport | None = None
         self._state_changed = asyncio.Event()
         self._tokens = FencingTokens()
         self._crashes = CrashFeed(clock)
@@ -108,8 +109,7 @@
         if kind is ReportKind.CHALLENGE:
             self._state_changed.set()
             return
-        if kind is ReportKind.FIRST:
-            self._adopt(report)
+        self._adopt(report)
         self._record_cold(report)
         if self._agent is not None and report.draining:
             self._agent.set_draining(on=True)
@@ -135,8 +135,13 @@
             await self._agent.drain()
 
     def _adopt(self, report: BackendServerReport) -> None:
+        """Begin the cold time of an incarnation when it becomes the current one."""
+        if is_same_incarnation(self._adopted, report):
+            return
+        self._adopted = report
         decision_log.log_new_incarnation(report)
         self._cold = ColdCountdown(self._clock)
+        self._record_cold(report)
 
     def _record_cold(self, report: BackendServerReport) -> None:
         if not self._cold.record(report.cold_remaining_ms):
@@ -176,6 +181,7 @@
     async def _serve(self, report: BackendServerReport) -> None:
         """Serve one incarnation of the backend server until it ends."""
         ended = asyncio.Event()
+        self._adopt(report)
         server = self._watched_server(report)
         async with AsyncExitStack() as stack:
             backend = LeasedBackend(
@@ -246,8 +252,6 @@
         answers = await self._is_answering(challenger)
         decision_log.log_challenger(challenger, answers=answers)
         if answers:
-            self._adopt(challenger)
-            self._record_cold(challenger)
             self._incarnations.replace_current(challenger)
 
     async def _is_answering(self, report: BackendServerReport) -> bool:
--- a/tests/agent/test_incarnations.py
+++ b/tests/agent/test_incarnations.py
@@ -103,6 +103,17 @@
     assert incarnations.add(OWN) is ReportKind.IGNORED
 
 
+def test_report_during_the_end_of_service_is_not_lost() -> None:
+    """Its backend server would have waited for service until its next report."""
+    incarnations = serving()
+    incarnations.end(OWN)
+    successor = attrs.evolve(OWN, incarnation="3", sequence=1)
+    assert incarnations.add(successor) is ReportKind.CHALLENGE
+    incarnations.record_unserved()
+
+    assert incarnations.current == successor
+
+
 def test_forgotten_incarnation_is_current_again_after_its_next_report() -> None:
     incarnations = serving()
     incarnations.forget(OWN)
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -428,6 +428,22 @@
         assert server.most_active == 1
 
 
+async def test_run_that_waits_is_not_started_after_the_server_has_restarted() -> None:
+    """The end of the earlier run is also that of the backend server."""
+    server = FakeBackendServer()
+    async with make_backend(server) as backend:
+        run = start_run(backend)
+        await wait_until_started(server)
+        again = asyncio.create_task(
+            backend.run(backend, "job-2/0/1", "draw", PAYLOAD, 30.0)
+        )
+        await asyncio.sleep(0)
+        server.restarted = True
+        server.state_changed.set()
+        assert (await run).outcome is TaskOutcome.CONNECTION_LOST
+        assert (await again).outcome is TaskOutcome.NOT_STARTED
+
+
 async def test_later_run_of_a_task_has_a_higher_number() -> None:
     """A backend server refuses a run whose number is not above the earlier ones."""
     server = FakeBackendServer()
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -299,6 +299,24 @@
         assert getattr(result, "outcome") is TaskOutcome.SUCCEEDED  # noqa: B009
 
 
+async def test_cold_time_of_a_server_that_replaces_another_one_is_counted(
+    unused_tcp_port: int,
+) -> None:
+    """Its first report came while the former one was still served."""
+    async with supervised(unused_tcp_port) as site:
+        async with site.entry() as stream:
+            await receive_welcome(stream)
+        successor = attrs.evolve(REPORT, incarnation="2", cold_remaining_ms=60_000.0)
+        site.supervisor.on_report(successor)
+        await site.wait_connected(successor)
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            while len(site.servers) < 3:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        async with site.entry() as stream:
+            left_ms, span_ms = await receive_cold(stream, cold=True)
+            assert 0.0 < left_ms <= span_ms == 60_000.0
+
+
 async def test_fenced_off_agent_takes_over_again_after_the_next_report(
     unused_tcp_port: int,
 ) -> None:
