Add tests with crowds of clients that keep no limit

Each test starts a program as a process, with the memory and descriptors of a small machine, lets a crowd send and stay connected, and then checks that the process runs, that its peak memory and open descriptors are below the machine's limits, that connections beyond a limit were closed, and that one ordinary request is answered.

Crowds and bounds are fixed here, before the product changes. The tests run after all others, one at a time.

--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,17 @@
 PYTHON ?= python3.11
 BIN := $(VENV)/bin
 KNOWN_RED := $(shell sed -n 's/^- test: //p' KNOWN-RED.txt 2>/dev/null)
+UNRULY := tests/unruly_clients
 STAMP := $(VENV)/.installed
 
 .PHONY: test check demo clean
 
-# Open findings run apart, so that only they cannot fail the whole.
+# Open findings run apart, so that only they cannot fail the whole.  Crowds of clients
+# run one at a time and after all else, as other load would hide their effect.
 test: check
 	$(if $(KNOWN_RED),-$(BIN)/python -m pytest $(KNOWN_RED))
-	$(BIN)/python -m pytest -n 4 $(addprefix --deselect ,$(KNOWN_RED))
+	$(BIN)/python -m pytest -n 4 --ignore $(UNRULY) $(addprefix --deselect ,$(KNOWN_RED))
+	$(BIN)/python -m pytest -p no:xdist $(addprefix --deselect ,$(KNOWN_RED)) $(UNRULY)
 
 check: $(STAMP)
 	$(BIN)/ruff format --check .
--- /dev/null
+++ b/tests/unruly_clients/checks.py
@@ -0,0 +1,32 @@
+"""What must hold of a program while a crowd is connected to it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from unruly_clients.programs import MAX_DESCRIPTORS
+
+if TYPE_CHECKING:
+    from unruly_clients.sites import Port
+
+SPARE_DESCRIPTORS = 16
+"""Descriptors that a program may use more than before the crowd came."""
+
+CLOSE_LIMIT_S = 30.0
+POLL_S = 0.1
+
+
+def check_limits(port: Port) -> None:
+    """Check that the program runs within its machine's memory and descriptors."""
+    assert port.program.is_running
+    assert port.program.peak_memory_mb < port.memory_mb
+    assert port.program.open_descriptors < MAX_DESCRIPTORS
+
+
+async def wait_until_closed(port: Port, descriptors_before: int) -> None:
+    """Wait until the program has closed the connections of the crowd."""
+    limit = descriptors_before + SPARE_DESCRIPTORS
+    async with asyncio.timeout(CLOSE_LIMIT_S):
+        while port.program.open_descriptors > limit:  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
