Split the parser and the received request out of the HTTP connection

The connection did three jobs in 300 lines. The messages of handlers, the request that is being received, and the parser are now modules of their own.

--- a/src/verbenaplank/http/asgi.py
+++ b/src/verbenaplank/http/asgi.py
@@ -3,41 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Any
 
-import attrs
+from verbenaplank.http.messages import Handler
+from verbenaplank.http.messages import Request
+from verbenaplank.http.messages import Response
+from verbenaplank.http.messages import call_handler
 
 Application = Callable[[Any, Any, Any], Awaitable[None]]
 
-logger = logging.getLogger(__name__)
-
-
-@attrs.frozen(kw_only=True)
-class Request:
-    """An HTTP request with its whole body; header names are in lower case."""
-
-    method: str
-    path: str
-    headers: Mapping[str, str]
-    body: bytes
-
-
-@attrs.frozen(kw_only=True)
-class Response:
-    """An HTTP response with its whole body."""
-
-    status: int
-    body: bytes = b""
-    headers: Mapping[str, str] = attrs.field(factory=dict)
-
-
-Handler = Callable[[Request], Awaitable[Response]]
-
 
 def asgi_application(
     handler: Handler, max_body_bytes: Callable[[], int]
@@ -74,15 +51,6 @@
     return serve
 
 
-async def call_handler(handler: Handler, request: Request) -> Response:
-    """Return the handler's response, or one with status 502 if it raises."""
-    try:
-        return await handler(request)
-    except Exception:
-        logger.exception("request handler failed", extra={"path": request.path})
-        return Response(status=HTTPStatus.BAD_GATEWAY)
-
-
 async def _answer_or_disconnect(
     handler: Handler, request: Request, receive: Any
 ) -> Response | None:
--- a/src/verbenaplank/http/connection.py
+++ b/src/verbenaplank/http/connection.py
@@ -10,19 +10,22 @@
 import functools
 import logging
 import time
-import urllib.parse
 from collections import deque
 from collections.abc import Callable
 from email.utils import formatdate
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 import attrs
-import httptools
 
-from verbenaplank.http.asgi import Handler
-from verbenaplank.http.asgi import Request
-from verbenaplank.http.asgi import Response
-from verbenaplank.http.asgi import call_handler
+from verbenaplank.http.messages import Handler
+from verbenaplank.http.messages import Response
+from verbenaplank.http.messages import call_handler
+from verbenaplank.http.request_parser import MalformedRequestError
+from verbenaplank.http.request_parser import RequestParser
+
+if TYPE_CHECKING:
+    from verbenaplank.http.incoming import IncomingRequest
 
 MAX_UNANSWERED = 8
 """Unanswered requests of a connection beyond which nothing more is read.
@@ -67,24 +70,6 @@
     on_close: Callable[[HttpConnection], None]
 
 
-@attrs.define(eq=False)
-class _Incoming:
-    """A request that is being received or waits for its answer."""
-
-    method: str = ""
-    path: str = ""
-    url: bytes = b""
-    headers: dict[str, str] = attrs.field(factory=dict)
-    body: bytes = b""
-    keep_alive: bool = True
-    is_complete: bool = False
-    is_too_large: bool = False
-
-    def needs_continue(self) -> bool:
-        """Return whether the client waits for permission to send the body."""
-        return self.headers.get("expect", "").lower() == "100-continue"
-
-
 class HttpConnection(asyncio.Protocol):
     """One connection of a client.
 
@@ -94,10 +79,11 @@
 
     def __init__(self, settings: ConnectionSettings) -> None:
         self._settings = settings
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(
+            self._on_head, self._continue, settings.max_body_bytes
+        )
         self._transport: asyncio.Transport
-        self._incoming = _Incoming()
-        self._unanswered: deque[_Incoming] = deque()
+        self._unanswered: deque[IncomingRequest] = deque()
         self._handling: asyncio.Task[None] | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._write_paused = False
@@ -136,69 +122,32 @@
         self._update_reading()
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data, which calls the methods ``on_...``."""
+        """Parse received data."""
         self._stop_idle_timer()
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            logger.warning("Unsupported upgrade request.")
-        except httptools.HttpParserError:
+            self._parser.feed(data)
+        except MalformedRequestError:
             logger.warning("Invalid HTTP request received.")
             self._refuse_malformed()
-        is_receiving = not (self._incoming.is_complete or self._incoming.is_too_large)
+        incoming = self._parser.incoming
+        is_receiving = not (incoming.is_complete or incoming.is_too_large)
         if not (is_receiving or self._unanswered or self._transport.is_closing()):
             self._start_idle_timer()
 
-    def on_message_begin(self) -> None:
-        """Begin a request."""
-        self._incoming = _Incoming()
-
-    def on_url(self, url: bytes) -> None:
-        """Add a part of the request's target."""
-        self._incoming.url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header field."""
-        text = value.rstrip(b" \t").decode("latin-1")
-        self._incoming.headers[name.decode("latin-1").lower()] = text
-
-    def on_headers_complete(self) -> None:
+    def _on_head(self, incoming: IncomingRequest) -> None:
         """Queue the request behind those that are not answered yet."""
-        incoming, parser = self._incoming, self._parser
-        path = httptools.parse_url(incoming.url).path.decode("ascii")
-        incoming.path = urllib.parse.unquote(path) if "%" in path else path
-        incoming.method = parser.get_method().decode("ascii")
-        is_current = parser.get_http_version() != "1.0"
-        incoming.keep_alive = is_current and parser.should_keep_alive()
         self._unanswered.append(incoming)
         self._update_reading()
         if len(self._unanswered) == 1:
             self._begin(incoming)
 
-    def on_body(self, body: bytes) -> None:
-        """Add a part of the body, unless the body is too large."""
-        incoming = self._incoming
-        if incoming.is_too_large:
-            return
-        incoming.body += body
-        if len(incoming.body) > self._settings.max_body_bytes():
-            incoming.is_too_large = True
-            incoming.body = b""
-            self._continue(incoming)
-
-    def on_message_complete(self) -> None:
-        """Handle the request if it is the next one to answer."""
-        self._incoming.is_complete = True
-        if not self._incoming.is_too_large:
-            self._continue(self._incoming)
-
-    def _begin(self, incoming: _Incoming) -> None:
+    def _begin(self, incoming: IncomingRequest) -> None:
         if incoming.needs_continue():
             self._transport.write(CONTINUE)
         if incoming.is_complete or incoming.is_too_large:
             self._continue(incoming)
 
-    def _continue(self, incoming: _Incoming) -> None:
+    def _continue(self, incoming: IncomingRequest) -> None:
         """Answer a request that was received or refused, once it is the next one."""
         if self._unanswered[0] is not incoming or self._transport.is_closing():
             return
@@ -208,15 +157,9 @@
         handling = asyncio.get_running_loop().create_task(self._handle(incoming))
         self._handling = handling
 
-    async def _handle(self, incoming: _Incoming) -> None:
-        request = Request(
-            method=incoming.method,
-            path=incoming.path,
-            headers=incoming.headers,
-            body=incoming.body,
-        )
+    async def _handle(self, incoming: IncomingRequest) -> None:
         try:
-            response = await call_handler(self._settings.handler, request)
+            response = await call_handler(self._settings.handler, incoming.to_request())
         except asyncio.CancelledError:
             if not self._transport.is_closing():
                 incoming.keep_alive = False
@@ -224,7 +167,7 @@
             raise
         self._answer(incoming, response)
 
-    def _answer(self, incoming: _Incoming, response: Response) -> None:
+    def _answer(self, incoming: IncomingRequest, response: Response) -> None:
         self._handling = None
         if self._transport.is_closing():
             return
@@ -248,7 +191,8 @@
 
         A client takes the next answer for that of its first unanswered request.
         """
-        incoming = None if self._incoming.is_complete else self._incoming
+        newest = self._parser.incoming
+        incoming = None if newest.is_complete else newest
         earlier = [item for item in self._unanswered if item is not incoming]
         if not earlier:
             self._write(MALFORMED, keep_alive=False, has_body=True)
--- a/src/verbenaplank/http/handler_server.py
+++ b/src/verbenaplank/http/handler_server.py
@@ -18,7 +18,7 @@
     from collections.abc import Callable
     from types import TracebackType
 
-    from verbenaplank.http.asgi import Handler
+    from verbenaplank.http.messages import Handler
 
 logger = logging.getLogger(__name__)
 
--- a/tests/http/test_handler_server.py
+++ b/tests/http/test_handler_server.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from verbenaplank.http.asgi import Request
-from verbenaplank.http.asgi import Response
 from verbenaplank.http.connection import MAX_UNANSWERED
 from verbenaplank.http.handler_server import HandlerServer
+from verbenaplank.http.messages import Request
+from verbenaplank.http.messages import Response
 from verbenaplank.rpc.address import Address
 
 if TYPE_CHECKING:
--- a/tests/verbena_platform/restarting_executor.py
+++ b/tests/verbena_platform/restarting_executor.py
@@ -10,10 +10,10 @@
 import msgspec
 from standin_executor import StandInExecutor
 
-from verbenaplank.http.asgi import Response
+from verbenaplank.http.messages import Response
 
 if TYPE_CHECKING:
-    from verbenaplank.http.asgi import Request
+    from verbenaplank.http.messages import Request
     from verbenaplank.rpc.address import Address
 
 MAX_LATE_S = 1.5
--- a/tests/verbena_platform/standin_executor.py
+++ b/tests/verbena_platform/standin_executor.py
@@ -10,9 +10,9 @@
 import httpx
 import msgspec
 
-from verbenaplank.http.asgi import Request
-from verbenaplank.http.asgi import Response
 from verbenaplank.http.asgi import asgi_application
+from verbenaplank.http.messages import Request
+from verbenaplank.http.messages import Response
 from verbenaplank.http.server import HttpServer
 
 if TYPE_CHECKING:
--- a/tests/verbena_platform/test_malformed_input.py
+++ b/tests/verbena_platform/test_malformed_input.py
@@ -20,7 +20,7 @@
 from verbena_platform.reports import InvalidReportError
 from verbena_platform.reports import decode_report
 from verbenaplank.agent.lease_protocol import CallFailedError
-from verbenaplank.http.asgi import Request
+from verbenaplank.http.messages import Request
 from verbenaplank.routing.table import Route
 
 ROUTE = Route(
