Refuse heads over the limit, and heads, trailers and empty lines without an end

Seen: clients whose head never ended took an entry's memory without bound, and clients that sent empty lines before a request stayed connected and kept it busy for good. Cause: the parser has no limit of its own, and max-header-bytes of the routing document was read but not used. Change: what arrives in a row and belongs to no body is counted in pieces of 4 KiB; over the limit the client gets status 431 and the connection is closed. A complete head is measured exactly.

--- a/src/verbenaplank/http/connection.py
+++ b/src/verbenaplank/http/connection.py
@@ -18,9 +18,11 @@
 
 import attrs
 
+from verbenaplank.http.limits import ReadLimits
 from verbenaplank.http.messages import Handler
 from verbenaplank.http.messages import Response
 from verbenaplank.http.messages import call_handler
+from verbenaplank.http.request_parser import HeadTooLargeError
 from verbenaplank.http.request_parser import MalformedRequestError
 from verbenaplank.http.request_parser import RequestParser
 
@@ -37,6 +39,11 @@
 MALFORMED = Response(
     status=HTTPStatus.BAD_REQUEST, body=b"Invalid HTTP request received.", headers=TEXT
 )
+HEAD_TOO_LARGE = Response(
+    status=HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    body=b"The head of the request is too large.",
+    headers=TEXT,
+)
 STOPPED = Response(
     status=HTTPStatus.INTERNAL_SERVER_ERROR, body=b"Internal Server Error", headers=TEXT
 )
@@ -55,9 +62,9 @@
 
     Attributes
     ----------
-    max_body_bytes
-        Returns the size of the largest permitted body, in bytes; a request with a
-        larger one gets status 413.
+    read_limits
+        Returns the limits of requests; one with a larger head gets status 431, one
+        with a larger body status 413.
     keep_alive_s
         How long a connection without requests stays open, in seconds.
     on_close
@@ -65,7 +72,7 @@
     """
 
     handler: Handler
-    max_body_bytes: Callable[[], int]
+    read_limits: ReadLimits
     keep_alive_s: float
     on_close: Callable[[HttpConnection], None]
 
@@ -80,7 +87,7 @@
     def __init__(self, settings: ConnectionSettings) -> None:
         self._settings = settings
         self._parser = RequestParser(
-            self._on_head, self._continue, settings.max_body_bytes
+            self._on_head, self._continue, settings.read_limits
         )
         self._transport: asyncio.Transport
         self._unanswered: deque[IncomingRequest] = deque()
@@ -125,15 +132,24 @@
         """Parse received data."""
         self._stop_idle_timer()
         try:
-            self._parser.feed(data)
+            self._parse(data)
         except MalformedRequestError:
             logger.warning("Invalid HTTP request received.")
-            self._refuse_malformed()
+            self._refuse(MALFORMED)
+        except HeadTooLargeError:
+            logger.warning("head of a request refused as too large")
+            self._refuse(HEAD_TOO_LARGE)
         incoming = self._parser.incoming
         is_receiving = not (incoming.is_complete or incoming.is_too_large)
         if not (is_receiving or self._unanswered or self._transport.is_closing()):
             self._start_idle_timer()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse received data up to its end, or until the connection is closed."""
+        rest = memoryview(data)
+        while rest and not self._transport.is_closing():
+            rest = rest[self._parser.feed(rest) :]
+
     def _on_head(self, incoming: IncomingRequest) -> None:
         """Queue the request behind those that are not answered yet."""
         self._unanswered.append(incoming)
@@ -186,7 +202,7 @@
         else:
             self._start_idle_timer()
 
-    def _refuse_malformed(self) -> None:
+    def _refuse(self, refusal: Response) -> None:
         """Close the connection, with an answer if no earlier request waits for one.
 
         A client takes the next answer for that of its first unanswered request.
@@ -195,7 +211,7 @@
         incoming = None if newest.is_complete else newest
         earlier = [item for item in self._unanswered if item is not incoming]
         if not earlier:
-            self._write(MALFORMED, keep_alive=False, has_body=True)
+            self._write(refusal, keep_alive=False, has_body=True)
         self._transport.close()
 
     def _write(self, response: Response, *, keep_alive: bool, has_body: bool) -> None:
--- a/src/verbenaplank/http/handler_server.py
+++ b/src/verbenaplank/http/handler_server.py
@@ -15,9 +15,9 @@
 from verbenaplank.rpc.address import Address
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from types import TracebackType
 
+    from verbenaplank.http.limits import ReadLimits
     from verbenaplank.http.messages import Handler
 
 logger = logging.getLogger(__name__)
@@ -32,9 +32,9 @@
 
     Parameters
     ----------
-    max_body_bytes
-        Returns the size of the largest permitted body, in bytes; a request with a
-        larger one gets status 413.
+    read_limits
+        Returns the limits of requests; one with a larger head gets status 431, one
+        with a larger body status 413.
     stop_timeout_s
         Longest wait for the requests in progress, in seconds; at least 1.
     keep_alive_s
@@ -50,7 +50,7 @@
     def __init__(
         self,
         handler: Handler,
-        max_body_bytes: Callable[[], int],
+        read_limits: ReadLimits,
         address: Address,
         stop_timeout_s: float,
         keep_alive_s: float = KEEP_ALIVE_S,
@@ -61,7 +61,7 @@
         self._all_closed = asyncio.Event()
         self._settings = ConnectionSettings(
             handler=handler,
-            max_body_bytes=max_body_bytes,
+            read_limits=read_limits,
             keep_alive_s=keep_alive_s,
             on_close=self._remove,
         )
--- a/src/verbenaplank/http/incoming.py
+++ b/src/verbenaplank/http/incoming.py
@@ -18,6 +18,8 @@
         The request's target, as it was sent.
     keep_alive
         Whether the client may send further requests on the connection.
+    head_bytes
+        Size of the received head, in bytes, without optional whitespace.
     has_head
         Whether the head was received.
     is_complete
@@ -33,6 +35,7 @@
     headers: HeaderFields = attrs.field(factory=HeaderFields)
     body: bytearray = attrs.field(factory=bytearray)
     keep_alive: bool = True
+    head_bytes: int = 0
     has_head: bool = False
     is_complete: bool = False
     is_too_large: bool = False
--- a/src/verbenaplank/http/request_parser.py
+++ b/src/verbenaplank/http/request_parser.py
@@ -13,13 +13,30 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from verbenaplank.http.limits import ReadLimits
+
 logger = logging.getLogger(__name__)
 
 
+FEED_BYTES = 4 * 1024
+"""Size of the pieces that are parsed at once.
+
+A head that ends in the same piece as the request before it may exceed its limit by as
+much.
+"""
+
+REQUEST_LINE_OVERHEAD_BYTES = len(b"  HTTP/1.1\r\n\r\n")
+FIELD_OVERHEAD_BYTES = len(b":\r\n")
+
+
 class MalformedRequestError(Exception):
     """The client sent something other than an HTTP request."""
 
 
+class HeadTooLargeError(Exception):
+    """The client sent a longer head, or more between bodies, than the limit permits."""
+
+
 class RequestParser:
     """Parses received bytes and reports each request's head and end.
 
@@ -30,8 +47,8 @@
     on_end
         Called with a request that was received as a whole, or as soon as its body is
         known to be too large.
-    max_body_bytes
-        Returns the size of the largest permitted body, in bytes.
+    read_limits
+        Returns the limits, which are read when a request begins.
 
     Attributes
     ----------
@@ -43,49 +60,88 @@
         self,
         on_head: Callable[[IncomingRequest], None],
         on_end: Callable[[IncomingRequest], None],
-        max_body_bytes: Callable[[], int],
+        read_limits: ReadLimits,
     ) -> None:
         self._on_head = on_head
         self._on_end = on_end
-        self._max_body_bytes = max_body_bytes
+        self._read_limits = read_limits
+        self._limits = read_limits()
         self._parser = httptools.HttpRequestParser(self)
+        self._head_bytes = 0
+        self._has_progressed = False
         self.incoming = IncomingRequest()
 
-    def feed(self, data: bytes) -> None:
-        """Parse received bytes.
+    def feed(self, data: memoryview) -> int:
+        """Parse some of the received bytes.
+
+        Returns
+        -------
+        int
+            How many bytes were parsed.
 
         Raises
         ------
+        HeadTooLargeError
+            If more bytes than the limit of a head were received in a row that belong
+            to no body, or a head is over the limit.
         MalformedRequestError
             If they are not a part of an HTTP request.
         """
+        piece = data[:FEED_BYTES]
+        self._has_progressed = False
+        self._parse(piece)
+        self._head_bytes += len(piece)
+        if self._has_progressed:
+            self._head_bytes = 0
+        if self._head_bytes > self._limits.max_head_bytes:
+            raise HeadTooLargeError
+        return len(piece)
+
+    def _parse(self, piece: memoryview) -> None:
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except httptools.HttpParserUpgrade:
             logger.warning("Unsupported upgrade request.")
         except httptools.HttpParserError as error:
+            if isinstance(error.__context__, HeadTooLargeError):
+                raise error.__context__ from error
             raise MalformedRequestError(str(error)) from error
 
     def on_message_begin(self) -> None:
         """Begin a request."""
+        self._limits = self._read_limits()
         self.incoming = IncomingRequest()
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the request's target."""
+        self.incoming.head_bytes += len(url)
         self.incoming.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header field."""
-        self.incoming.headers.add(name, value)
+        """Add a header field, but none of a trailer."""
+        incoming = self.incoming
+        if incoming.has_head:
+            return
+        incoming.head_bytes += len(name) + len(value) + FIELD_OVERHEAD_BYTES
+        incoming.headers.add(name, value)
 
     def on_headers_complete(self) -> None:
-        """Report the head of a request."""
+        """Report the head of a request.
+
+        Raises
+        ------
+        HeadTooLargeError
+            If the head is over the limit.
+        """
         incoming, parser = self.incoming, self._parser
+        incoming.method = parser.get_method().decode("ascii")
+        incoming.head_bytes += len(incoming.method) + REQUEST_LINE_OVERHEAD_BYTES
+        if incoming.head_bytes > self._limits.max_head_bytes:
+            raise HeadTooLargeError
         target = httptools.parse_url(bytes(incoming.target))
         path = target.path.decode("ascii")
         incoming.path = urllib.parse.unquote(path) if "%" in path else path
         incoming.query = target.query or b""
-        incoming.method = parser.get_method().decode("ascii")
         is_current = parser.get_http_version() != "1.0"
         incoming.keep_alive = is_current and parser.should_keep_alive()
         incoming.has_head = True
@@ -93,17 +149,19 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body, unless the body is too large."""
+        self._has_progressed = True
         incoming = self.incoming
         if incoming.is_too_large:
             return
         incoming.body += body
-        if len(incoming.body) > self._max_body_bytes():
+        if len(incoming.body) > self._limits.max_body_bytes:
             incoming.is_too_large = True
             incoming.body.clear()
             self._on_end(incoming)
 
     def on_message_complete(self) -> None:
         """Report the end of a request."""
+        self._has_progressed = True
         self.incoming.is_complete = True
         if not self.incoming.is_too_large:
             self._on_end(self.incoming)
--- a/tests/http/test_handler_server.py
+++ b/tests/http/test_handler_server.py
@@ -9,6 +9,7 @@
 
 from verbenaplank.http.connection import MAX_UNANSWERED
 from verbenaplank.http.handler_server import HandlerServer
+from verbenaplank.http.limits import HttpLimits
 from verbenaplank.http.messages import Request
 from verbenaplank.http.messages import Response
 from verbenaplank.rpc.address import Address
@@ -18,7 +19,8 @@
     from asyncio import StreamWriter
     from collections.abc import AsyncIterator
 
-MAX_BODY_BYTES = 100
+MAX_HEAD_BYTES = 16 * 1024
+LIMITS = HttpLimits(max_body_bytes=100, max_head_bytes=MAX_HEAD_BYTES)
 
 
 class Desk:
@@ -48,7 +50,7 @@
 @asynccontextmanager
 async def serving(desk: Desk, **changes: Any) -> AsyncIterator[HandlerServer]:
     server = HandlerServer(
-        desk.handle, lambda: MAX_BODY_BYTES, Address("127.0.0.1", 0), 1.0, **changes
+        desk.handle, lambda: LIMITS, Address("127.0.0.1", 0), 1.0, **changes
     )
     async with asyncio.timeout(20), server:
         yield server
@@ -242,3 +244,55 @@
         with pytest.raises(TimeoutError):
             await asyncio.wait_for(writer.drain(), 1.0)
         writer.transport.abort()
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"GET /a HTTP/1.1\r\na: ",
+        b"GET /",
+        b"PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        b"PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\nc: ",
+    ],
+)
+async def test_head_without_end_is_refused_at_its_limit(start: bytes) -> None:
+    """Guards against memory that grows with what no request has a use for."""
+    async with serving(Desk()) as server:
+        reader, writer = await connect(server)
+        writer.write(start + b"x" * (MAX_HEAD_BYTES + 4_096))
+        status, headers, _ = await answer(reader)
+        assert (status, headers["connection"]) == (431, "close")
+        writer.transport.abort()
+
+
+async def test_empty_lines_before_a_request_are_refused_at_the_limit() -> None:
+    async with serving(Desk()) as server:
+        reader, writer = await connect(server)
+        writer.write(b"\r\n" * 10 + b"GET /a HTTP/1.1\r\n\r\n")
+        assert (await answer(reader))[0] == 200
+        writer.write(b"\r\n" * MAX_HEAD_BYTES)
+        assert (await answer(reader))[0] == 431
+        writer.transport.abort()
+
+
+@pytest.mark.parametrize(("excess_bytes", "expected"), [(0, 200), (1, 431)])
+async def test_head_is_served_up_to_its_limit(excess_bytes: int, expected: int) -> None:
+    async with serving(Desk()) as server:
+        reader, writer = await connect(server)
+        start, end = b"GET /a HTTP/1.1\r\na:", b"\r\n\r\n"
+        padding = MAX_HEAD_BYTES + excess_bytes - len(start) - len(end)
+        writer.write(start + b"x" * padding + end)
+        assert (await answer(reader))[0] == expected
+        writer.transport.abort()
+
+
+async def test_body_in_many_chunks_is_no_head() -> None:
+    """Guards against a limit that an ordinary chunked body meets."""
+    async with serving(Desk()) as server:
+        reader, writer = await connect(server)
+        extension = b";" + b"x" * 1_000
+        chunks = (b"1" + extension + b"\r\nb\r\n") * 100
+        head = b"PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head + chunks + b"0\r\n\r\n")
+        assert (await answer(reader))[0] == 200
+        writer.transport.abort()
