Limit the connections of clients, and the memory that their requests hold

Seen: 120 clients with bodies of legal size, most of which stopped one byte before the end, took an entry above the memory of its machine; 700 that only opened a connection used up its descriptors, and an ordinary request was not answered. Cause: a server held whatever was sent for as long as clients stayed, and accepted up to 2048 connections at once. Bodies that were handled stayed with the connection until its next request, and those of closed connections until the garbage collector ran. Change: a server counts its connections and the bytes that they hold. Over the limit it sheds the connection that has waited longest for its client: status 503 with Retry-After if a request was begun, which is then never handled. No running handler is broken off.

--- a/src/verbenaplank/http/connection.py
+++ b/src/verbenaplank/http/connection.py
@@ -7,24 +7,27 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
-from email.utils import formatdate
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import attrs
 
+from verbenaplank.http.client_connections import Activity
+from verbenaplank.http.client_connections import ClientConnections
 from verbenaplank.http.limits import ReadLimits
 from verbenaplank.http.messages import Handler
 from verbenaplank.http.messages import Response
 from verbenaplank.http.messages import call_handler
+from verbenaplank.http.refusals import Refusal
+from verbenaplank.http.refusals import RefusalResponse
 from verbenaplank.http.request_parser import HeadTooLargeError
 from verbenaplank.http.request_parser import MalformedRequestError
 from verbenaplank.http.request_parser import RequestParser
+from verbenaplank.http.response_writer import asks_to_close
+from verbenaplank.http.response_writer import encode_response
 
 if TYPE_CHECKING:
     from verbenaplank.http.incoming import IncomingRequest
@@ -35,24 +38,12 @@
 While nothing is read, a client that disconnects is not noticed.
 """
 
-TEXT = {"content-type": "text/plain; charset=utf-8", "connection": "close"}
-MALFORMED = Response(
-    status=HTTPStatus.BAD_REQUEST, body=b"Invalid HTTP request received.", headers=TEXT
-)
-HEAD_TOO_LARGE = Response(
-    status=HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-    body=b"The head of the request is too large.",
-    headers=TEXT,
-)
 STOPPED = Response(
-    status=HTTPStatus.INTERNAL_SERVER_ERROR, body=b"Internal Server Error", headers=TEXT
+    status=HTTPStatus.INTERNAL_SERVER_ERROR,
+    body=b"Internal Server Error",
+    headers={"content-type": "text/plain; charset=utf-8", "connection": "close"},
 )
-TOO_LARGE = Response(status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-STATUS_LINES = {
-    int(status): f"HTTP/1.1 {int(status)} {status.phrase}\r\n" for status in HTTPStatus
-}
-
 logger = logging.getLogger(__name__)
 
 
@@ -67,6 +58,10 @@
         with a larger body status 413.
     keep_alive_s
         How long a connection without requests stays open, in seconds.
+    clients
+        Keeps count of the connections and sheds some of them if there are too many.
+    refusal_response
+        Returns the response of a refusal.
     on_close
         Called when a connection is closed.
     """
@@ -74,6 +69,8 @@
     handler: Handler
     read_limits: ReadLimits
     keep_alive_s: float
+    clients: ClientConnections
+    refusal_response: RefusalResponse
     on_close: Callable[[HttpConnection], None]
 
 
@@ -95,6 +92,7 @@
         self._idle_timer: asyncio.TimerHandle | None = None
         self._write_paused = False
         self._stopping = False
+        self._ignores_input = False
 
     def stop(self) -> None:
         """Close the connection after the answers to the requests received so far."""
@@ -111,11 +109,17 @@
         """Handle a connection that was accepted."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if not self._settings.clients.add(self):
+            response = self._refusal(Refusal.OVERLOADED)
+            self._write(response, keep_alive=False, has_body=True)
+            transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle a connection that was closed by either side."""
         self._stop_idle_timer()
         self.cancel()
+        self._forget_input()
+        self._settings.clients.remove(self)
         self._settings.on_close(self)
 
     def pause_writing(self) -> None:
@@ -130,19 +134,21 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
+        if self._ignores_input:
+            return
         self._stop_idle_timer()
         try:
             self._parse(data)
         except MalformedRequestError:
             logger.warning("Invalid HTTP request received.")
-            self._refuse(MALFORMED)
+            self._refuse(Refusal.MALFORMED)
         except HeadTooLargeError:
             logger.warning("head of a request refused as too large")
-            self._refuse(HEAD_TOO_LARGE)
-        incoming = self._parser.incoming
-        is_receiving = not (incoming.is_complete or incoming.is_too_large)
-        if not (is_receiving or self._unanswered or self._transport.is_closing()):
+            self._refuse(Refusal.HEAD_TOO_LARGE)
+        is_open = not self._transport.is_closing()
+        if is_open and not self._has_unhandled_request():
             self._start_idle_timer()
+        self._report()
 
     def _parse(self, data: bytes) -> None:
         """Parse received data up to its end, or until the connection is closed."""
@@ -168,14 +174,16 @@
         if self._unanswered[0] is not incoming or self._transport.is_closing():
             return
         if incoming.is_too_large:
-            self._answer(incoming, TOO_LARGE)
+            self._answer(incoming, self._refusal(Refusal.BODY_TOO_LARGE))
             return
         handling = asyncio.get_running_loop().create_task(self._handle(incoming))
         self._handling = handling
 
     async def _handle(self, incoming: IncomingRequest) -> None:
         try:
-            response = await call_handler(self._settings.handler, incoming.to_request())
+            response = await call_handler(
+                self._settings.handler, incoming.take_request()
+            )
         except asyncio.CancelledError:
             if not self._transport.is_closing():
                 incoming.keep_alive = False
@@ -188,7 +196,7 @@
         if self._transport.is_closing():
             return
         is_last = self._stopping and len(self._unanswered) == 1
-        closes = is_last or _asks_to_close(response)
+        closes = is_last or asks_to_close(response)
         keep_alive = incoming.keep_alive and not closes
         has_body = incoming.method != "HEAD"
         self._write(response, keep_alive=keep_alive, has_body=has_body)
@@ -201,8 +209,9 @@
             self._begin(self._unanswered[0])
         else:
             self._start_idle_timer()
+        self._report()
 
-    def _refuse(self, refusal: Response) -> None:
+    def _refuse(self, refusal: Refusal) -> None:
         """Close the connection, with an answer if no earlier request waits for one.
 
         A client takes the next answer for that of its first unanswered request.
@@ -211,26 +220,76 @@
         incoming = None if newest.is_complete else newest
         earlier = [item for item in self._unanswered if item is not incoming]
         if not earlier:
-            self._write(refusal, keep_alive=False, has_body=True)
+            self._write(self._refusal(refusal), keep_alive=False, has_body=True)
         self._transport.close()
 
+    def _refusal(self, refusal: Refusal) -> Response:
+        return self._settings.refusal_response(refusal)
+
+    def shed(self) -> None:
+        """Refuse the input that is not handled, and close unless a handler runs."""
+        if self._handling is not None:
+            self._drop_waiting_input()
+            return
+        if self._transport.is_closing():
+            return
+        if self._has_unhandled_request():
+            response = self._refusal(Refusal.OVERLOADED)
+            self._write(response, keep_alive=False, has_body=True)
+        self._forget_input()
+        self._close_at_once()
+
+    def _forget_input(self) -> None:
+        """Free what was received, without waiting for the garbage collector."""
+        for incoming in (*self._unanswered, self._parser.incoming):
+            incoming.release()
+        self._unanswered.clear()
+
+    def _drop_waiting_input(self) -> None:
+        """Keep only the request that is handled; its answer is the last one."""
+        handled = self._unanswered.popleft()
+        handled.keep_alive = False
+        self._forget_input()
+        self._unanswered.append(handled)
+        self._ignores_input = True
+        self._update_reading()
+
+    def _has_unhandled_request(self) -> bool:
+        """Return whether a request is being received that has no answer yet."""
+        return bool(self._unanswered) or self._parser.is_receiving_unrefused
+
+    def _close_at_once(self) -> None:
+        """Close the connection, without waiting for a client that does not read."""
+        if self._transport.get_write_buffer_size():
+            self._transport.abort()
+        else:
+            self._transport.close()
+
+    def _report(self) -> None:
+        """Report what the connection does and holds."""
+        if not self._transport.is_closing():
+            self._settings.clients.update(self, self._activity(), self._held_bytes())
+
+    def _activity(self) -> Activity:
+        is_receiving = self._parser.is_receiving and not self._ignores_input
+        if self._handling is not None:
+            has_input = len(self._unanswered) > 1 or is_receiving
+            return Activity.HANDLING_WITH_INPUT if has_input else Activity.HANDLING
+        if self._unanswered or is_receiving:
+            return Activity.RECEIVING
+        return Activity.IDLE
+
+    def _held_bytes(self) -> int:
+        waiting = sum(incoming.size_bytes for incoming in self._unanswered)
+        return waiting + self._parser.unfinished_bytes
+
     def _write(self, response: Response, *, keep_alive: bool, has_body: bool) -> None:
-        """Write an answer in one piece."""
-        lines = [
-            STATUS_LINES[response.status],
-            f"date: {_date(int(time.time()))}\r\ncontent-length: {len(response.body)}",
-        ]
-        lines += [
-            f"\r\n{key.lower()}: {text}" for key, text in response.headers.items()
-        ]
-        if not keep_alive and not _asks_to_close(response):
-            lines.append("\r\nconnection: close")
-        lines.append("\r\n\r\n")
-        head = "".join(lines).encode("latin-1")
-        self._transport.write(head + response.body if has_body else head)
+        data = encode_response(response, keep_alive=keep_alive, has_body=has_body)
+        self._transport.write(data)
 
     def _update_reading(self) -> None:
-        if self._write_paused or len(self._unanswered) > MAX_UNANSWERED:
+        has_enough = len(self._unanswered) > MAX_UNANSWERED or self._ignores_input
+        if self._write_paused or has_enough:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
@@ -245,16 +304,3 @@
         if self._idle_timer is not None:
             self._idle_timer.cancel()
             self._idle_timer = None
-
-
-def _asks_to_close(response: Response) -> bool:
-    return any(
-        name.lower() == "connection" and "close" in value.lower()
-        for name, value in response.headers.items()
-    )
-
-
-@functools.lru_cache(maxsize=1)
-def _date(second: int) -> str:
-    """Return the text of a date header, which changes once a second."""
-    return formatdate(second, usegmt=True)
--- a/src/verbenaplank/http/handler_server.py
+++ b/src/verbenaplank/http/handler_server.py
@@ -7,12 +7,17 @@
 from typing import TYPE_CHECKING
 from typing import Self
 
+from verbenaplank.http.client_connections import ClientConnections
 from verbenaplank.http.connection import ConnectionSettings
 from verbenaplank.http.connection import HttpConnection
+from verbenaplank.http.refusals import RefusalResponse
+from verbenaplank.http.refusals import text_refusal
+from verbenaplank.http.server import ACCEPTED_TOGETHER
 from verbenaplank.http.server import BACKLOG
 from verbenaplank.http.server import KEEP_ALIVE_S
 from verbenaplank.http.server import open_listener
 from verbenaplank.rpc.address import Address
+from verbenaplank.settings.clients import ClientSettings
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -39,6 +44,10 @@
         Longest wait for the requests in progress, in seconds; at least 1.
     keep_alive_s
         How long a connection without requests stays open, in seconds.
+    clients
+        Limits the connections and their memory; by default, those of this server.
+    refusal_response
+        Returns the response of a refusal for which no handler is asked.
 
     Attributes
     ----------
@@ -54,7 +63,12 @@
         address: Address,
         stop_timeout_s: float,
         keep_alive_s: float = KEEP_ALIVE_S,
+        *,
+        clients: ClientConnections | None = None,
+        refusal_response: RefusalResponse = text_refusal,
     ) -> None:
+        if clients is None:
+            clients = ClientConnections(ClientSettings())
         self.address = address
         self._stop_timeout_s = max(1.0, stop_timeout_s)
         self._connections: set[HttpConnection] = set()
@@ -63,6 +77,8 @@
             handler=handler,
             read_limits=read_limits,
             keep_alive_s=keep_alive_s,
+            clients=clients,
+            refusal_response=refusal_response,
             on_close=self._remove,
         )
         self._server: asyncio.Server | None = None
@@ -72,8 +88,9 @@
         self.address = Address(self.address.host, listener.getsockname()[1])
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._new_connection, sock=listener, backlog=BACKLOG
+            self._new_connection, sock=listener, backlog=ACCEPTED_TOGETHER
         )
+        listener.listen(BACKLOG)
         return self
 
     async def __aexit__(
--- a/src/verbenaplank/http/incoming.py
+++ b/src/verbenaplank/http/incoming.py
@@ -39,17 +39,33 @@
     has_head: bool = False
     is_complete: bool = False
     is_too_large: bool = False
+    _released_bytes: int = attrs.field(default=0, init=False)
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the number of bytes that are kept of the request."""
+        parts = len(self.target) + self.headers.size_bytes + len(self.body)
+        return max(parts, self._released_bytes)
 
     def needs_continue(self) -> bool:
         """Return whether the client waits for permission to send the body."""
         return self.headers.get("expect", "").lower() == "100-continue"
 
-    def to_request(self) -> Request:
-        """Return the request, once it is complete."""
-        return Request(
+    def release(self) -> None:
+        """Forget what was received; ``size_bytes`` stays as it was."""
+        self._released_bytes = self.size_bytes
+        self.target.clear()
+        self.headers = HeaderFields()
+        self.body.clear()
+
+    def take_request(self) -> Request:
+        """Return the complete request, whose parts are then kept nowhere else."""
+        request = Request(
             method=self.method,
             path=self.path,
             query=self.query,
             headers=self.headers,
             body=bytes(self.body),
         )
+        self.release()
+        return request
--- a/src/verbenaplank/http/request_parser.py
+++ b/src/verbenaplank/http/request_parser.py
@@ -69,8 +69,24 @@
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
         self._has_progressed = False
+        self._in_request = False
         self.incoming = IncomingRequest()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request, or of the lines before it, was received."""
+        return self._in_request or self._head_bytes > 0
+
+    @property
+    def is_receiving_unrefused(self) -> bool:
+        """Whether a part of a request was received that is not refused already."""
+        return self.is_receiving and not self.incoming.is_too_large
+
+    @property
+    def unfinished_bytes(self) -> int:
+        """Number of bytes of the head that is being received."""
+        return self._head_bytes
+
     def feed(self, data: memoryview) -> int:
         """Parse some of the received bytes.
 
@@ -110,6 +126,7 @@
     def on_message_begin(self) -> None:
         """Begin a request."""
         self._limits = self._read_limits()
+        self._in_request = True
         self.incoming = IncomingRequest()
 
     def on_url(self, url: bytes) -> None:
@@ -162,6 +179,7 @@
     def on_message_complete(self) -> None:
         """Report the end of a request."""
         self._has_progressed = True
+        self._in_request = False
         self.incoming.is_complete = True
         if not self.incoming.is_too_large:
             self._on_end(self.incoming)
--- a/src/verbenaplank/http/server.py
+++ b/src/verbenaplank/http/server.py
@@ -17,6 +17,14 @@
     from verbenaplank.http.asgi import Application
 
 BACKLOG = 2048
+"""Connections that wait to be accepted."""
+
+ACCEPTED_TOGETHER = 16
+"""Connections that are accepted before older ones can be closed for them.
+
+asyncio accepts as many at once as the backlog that it is given.
+"""
+
 KEEP_ALIVE_S = 75
 
 
--- a/tests/http/test_handler_server.py
+++ b/tests/http/test_handler_server.py
@@ -7,12 +7,14 @@
 
 import pytest
 
+from verbenaplank.http.client_connections import ClientConnections
 from verbenaplank.http.connection import MAX_UNANSWERED
 from verbenaplank.http.handler_server import HandlerServer
 from verbenaplank.http.limits import HttpLimits
 from verbenaplank.http.messages import Request
 from verbenaplank.http.messages import Response
 from verbenaplank.rpc.address import Address
+from verbenaplank.settings.clients import ClientSettings
 
 if TYPE_CHECKING:
     from asyncio import StreamReader
@@ -296,3 +298,68 @@
         writer.write(head + chunks + b"0\r\n\r\n")
         assert (await answer(reader))[0] == 200
         writer.transport.abort()
+
+
+def _few_clients(max_connections: int, max_bytes: int = 1_000_000) -> ClientConnections:
+    return ClientConnections(
+        ClientSettings(max_connections=max_connections, max_memory_mb=max_bytes / 1e6)
+    )
+
+
+async def test_unfinished_request_is_refused_when_the_memory_is_used_up() -> None:
+    """Guards against clients that stop before the end and keep their memory."""
+    async with serving(Desk(), clients=_few_clients(9, max_bytes=250)) as server:
+        stalled = [await connect(server) for _ in range(3)]
+        head = b"PUT /a HTTP/1.1\r\nContent-Length: 100\r\n\r\n"
+        for _, writer in stalled:
+            writer.write(head + b"x" * 90)
+        status, headers, _ = await answer(stalled[0][0])
+        assert (status, headers["retry-after"]) == (503, "1")
+        assert await stalled[0][0].read() == b""
+        stalled[2][1].write(b"x" * 10)
+        assert (await answer(stalled[2][0]))[0] == 200
+        for _, writer in stalled:
+            writer.transport.abort()
+
+
+async def test_input_behind_a_handled_request_is_dropped_but_not_its_answer() -> None:
+    desk = Desk()
+    desk.may_answer.clear()
+    async with serving(desk, clients=_few_clients(9, max_bytes=100)) as server:
+        reader, writer = await connect(server)
+        writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        assert await desk.begun.get() == "/a"
+        writer.write(b"PUT /b HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + b"x" * 99)
+        await asyncio.sleep(0.05)
+        desk.may_answer.set()
+        status, headers, _ = await answer(reader)
+        assert (status, headers["connection"]) == (200, "close")
+        assert await reader.read() == b""
+        writer.close()
+
+
+async def test_idle_connection_makes_room_for_a_new_one() -> None:
+    """Guards against clients that hold every connection open."""
+    async with serving(Desk(), clients=_few_clients(2)) as server:
+        idle = [await connect(server) for _ in range(3)]
+        assert await idle[0][0].read() == b""
+        reader, writer = await connect(server)
+        writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        assert (await answer(reader))[0] == 200
+        for _, each in (*idle, (reader, writer)):
+            each.transport.abort()
+
+
+async def test_connection_is_refused_while_all_others_are_handled() -> None:
+    desk = Desk()
+    desk.may_answer.clear()
+    async with serving(desk, clients=_few_clients(1)) as server:
+        first_reader, first_writer = await connect(server)
+        first_writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        await desk.begun.get()
+        reader, writer = await connect(server)
+        assert (await answer(reader))[0] == 503
+        desk.may_answer.set()
+        assert (await answer(first_reader))[0] == 200
+        for each in (first_writer, writer):
+            each.close()
--- a/tests/unruly_clients/checks.py
+++ b/tests/unruly_clients/checks.py
@@ -20,7 +20,8 @@
 def check_limits(port: Port) -> None:
     """Check that the program runs within its machine's memory and descriptors."""
     assert port.program.is_running
-    assert port.program.peak_memory_mb < port.memory_mb
+    peak_memory_mb = port.program.peak_memory_mb
+    assert peak_memory_mb < port.memory_mb, f"peak memory {peak_memory_mb:.1f} MB"
     assert port.program.open_descriptors < MAX_DESCRIPTORS
 
 
