End requests that stop before their end, and hold back unread answers

Seen: an entry's metrics port was over its memory with clients that send many requests in a row and read no answer; a client that stopped within a request stayed connected for good, where the routing document names a timeout for heads and for pauses. Cause: all that was received at once was parsed, into a request object for each few bytes, and answered into the write buffer; header-timeout-ms and idle-timeout-ms were read but not used; a closed connection waited for its client to read without a limit. Change: nothing is parsed or handled while answers are unread or eight requests wait; a head has header-timeout-ms as a whole, a body idle-timeout-ms between two pieces, and the client then gets status 408; unread answers are given up after the keep-alive time. A body that is announced as too large is refused before it comes.

--- a/src/verbenaplank/http/connection.py
+++ b/src/verbenaplank/http/connection.py
@@ -17,6 +17,7 @@
 
 from verbenaplank.http.client_connections import Activity
 from verbenaplank.http.client_connections import ClientConnections
+from verbenaplank.http.connection_timer import ConnectionTimer
 from verbenaplank.http.limits import ReadLimits
 from verbenaplank.http.messages import Handler
 from verbenaplank.http.messages import Response
@@ -43,6 +44,9 @@
     body=b"Internal Server Error",
     headers={"content-type": "text/plain; charset=utf-8", "connection": "close"},
 )
+CLOSE_TIMEOUT_S = 10.0
+"""How long a closed connection waits for its client to read the last answer."""
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 logger = logging.getLogger(__name__)
 
@@ -89,7 +93,8 @@
         self._transport: asyncio.Transport
         self._unanswered: deque[IncomingRequest] = deque()
         self._handling: asyncio.Task[None] | None = None
-        self._idle_timer: asyncio.TimerHandle | None = None
+        self._timer = ConnectionTimer()
+        self._unparsed = bytearray()
         self._write_paused = False
         self._stopping = False
         self._ignores_input = False
@@ -98,7 +103,7 @@
         """Close the connection after the answers to the requests received so far."""
         self._stopping = True
         if not self._unanswered:
-            self._transport.close()
+            self._close()
 
     def cancel(self) -> None:
         """Cancel the handler of the request in progress."""
@@ -113,58 +118,66 @@
             response = self._refusal(Refusal.OVERLOADED)
             self._write(response, keep_alive=False, has_body=True)
             transport.close()
+        self._update()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle a connection that was closed by either side."""
-        self._stop_idle_timer()
+        self._timer.stop()
         self.cancel()
         self._forget_input()
         self._settings.clients.remove(self)
         self._settings.on_close(self)
 
     def pause_writing(self) -> None:
-        """Read nothing more until the client has received earlier answers."""
+        """Do nothing more until the client has received earlier answers."""
         self._write_paused = True
-        self._update_reading()
+        self._update()
 
     def resume_writing(self) -> None:
-        """Read again after the client has received earlier answers."""
+        """Go on after the client has received earlier answers."""
         self._write_paused = False
-        self._update_reading()
+        if self._unanswered and self._handling is None:
+            self._begin(self._unanswered[0])
+        self._parse_more()
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data."""
+        """Parse received data, unless earlier requests have to be answered first."""
         if self._ignores_input:
             return
-        self._stop_idle_timer()
+        if self._unparsed:
+            self._unparsed += data
+            data = b""
+        self._parse_more(data)
+
+    def _parse_more(self, data: bytes = b"") -> None:
+        """Parse data, or what was not parsed before."""
         try:
-            self._parse(data)
+            self._parse(data or self._unparsed)
         except MalformedRequestError:
             logger.warning("Invalid HTTP request received.")
             self._refuse(Refusal.MALFORMED)
         except HeadTooLargeError:
             logger.warning("head of a request refused as too large")
             self._refuse(Refusal.HEAD_TOO_LARGE)
-        is_open = not self._transport.is_closing()
-        if is_open and not self._has_unhandled_request():
-            self._start_idle_timer()
-        self._report()
+        self._update()
 
-    def _parse(self, data: bytes) -> None:
-        """Parse received data up to its end, or until the connection is closed."""
+    def _parse(self, data: bytes | bytearray) -> None:
+        """Parse received data until enough requests wait for their answers."""
+        self._unparsed = bytearray()
         rest = memoryview(data)
-        while rest and not self._transport.is_closing():
+        while rest and not (self._has_enough() or self._transport.is_closing()):
             rest = rest[self._parser.feed(rest) :]
+        if rest and not self._transport.is_closing():
+            self._unparsed += rest
 
     def _on_head(self, incoming: IncomingRequest) -> None:
         """Queue the request behind those that are not answered yet."""
         self._unanswered.append(incoming)
-        self._update_reading()
         if len(self._unanswered) == 1:
             self._begin(incoming)
 
     def _begin(self, incoming: IncomingRequest) -> None:
-        if incoming.needs_continue():
+        if incoming.needs_continue() and not incoming.is_too_large:
             self._transport.write(CONTINUE)
         if incoming.is_complete or incoming.is_too_large:
             self._continue(incoming)
@@ -202,14 +215,13 @@
         self._write(response, keep_alive=keep_alive, has_body=has_body)
         self._unanswered.popleft()
         if not keep_alive:
-            self._transport.close()
+            self._close()
             return
-        self._update_reading()
-        if self._unanswered:
+        if self._unanswered and not self._write_paused:
             self._begin(self._unanswered[0])
-        else:
-            self._start_idle_timer()
-        self._report()
+        if self._unparsed:
+            asyncio.get_running_loop().call_soon(self._parse_more)
+        self._update()
 
     def _refuse(self, refusal: Refusal) -> None:
         """Close the connection, with an answer if no earlier request waits for one.
@@ -221,7 +233,7 @@
         earlier = [item for item in self._unanswered if item is not incoming]
         if not earlier:
             self._write(self._refusal(refusal), keep_alive=False, has_body=True)
-        self._transport.close()
+        self._close()
 
     def _refusal(self, refusal: Refusal) -> Response:
         return self._settings.refusal_response(refusal)
@@ -244,6 +256,7 @@
         for incoming in (*self._unanswered, self._parser.incoming):
             incoming.release()
         self._unanswered.clear()
+        self._unparsed.clear()
 
     def _drop_waiting_input(self) -> None:
         """Keep only the request that is handled; its answer is the last one."""
@@ -252,7 +265,7 @@
         self._forget_input()
         self._unanswered.append(handled)
         self._ignores_input = True
-        self._update_reading()
+        self._update()
 
     def _has_unhandled_request(self) -> bool:
         """Return whether a request is being received that has no answer yet."""
@@ -265,42 +278,62 @@
         else:
             self._transport.close()
 
-    def _report(self) -> None:
-        """Report what the connection does and holds."""
-        if not self._transport.is_closing():
-            self._settings.clients.update(self, self._activity(), self._held_bytes())
+    def _update(self) -> None:
+        """Adapt reading and the timeout to what the connection does, and report it."""
+        if self._transport.is_closing():
+            self._timer.start_once(CLOSE_TIMEOUT_S, self._transport.abort)
+            return
+        activity = self._activity()
+        self._update_reading()
+        self._update_timer(activity)
+        self._settings.clients.update(self, activity, self._held_bytes())
 
     def _activity(self) -> Activity:
         is_receiving = self._parser.is_receiving and not self._ignores_input
         if self._handling is not None:
-            has_input = len(self._unanswered) > 1 or is_receiving
+            has_input = len(self._unanswered) > 1 or is_receiving or self._unparsed
             return Activity.HANDLING_WITH_INPUT if has_input else Activity.HANDLING
-        if self._unanswered or is_receiving:
+        if self._unanswered or is_receiving or self._write_paused:
             return Activity.RECEIVING
         return Activity.IDLE
 
     def _held_bytes(self) -> int:
         waiting = sum(incoming.size_bytes for incoming in self._unanswered)
-        return waiting + self._parser.unfinished_bytes
+        unread = self._transport.get_write_buffer_size()
+        unfinished = self._parser.unfinished_bytes + len(self._unparsed)
+        return waiting + unfinished + unread
 
     def _write(self, response: Response, *, keep_alive: bool, has_body: bool) -> None:
         data = encode_response(response, keep_alive=keep_alive, has_body=has_body)
         self._transport.write(data)
 
+    def _has_enough(self) -> bool:
+        """Return whether nothing more is parsed before further answers are sent."""
+        return self._write_paused or len(self._unanswered) > MAX_UNANSWERED
+
     def _update_reading(self) -> None:
-        has_enough = len(self._unanswered) > MAX_UNANSWERED or self._ignores_input
-        if self._write_paused or has_enough:
+        if self._has_enough() or self._ignores_input:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
 
-    def _start_idle_timer(self) -> None:
-        """Close the connection after some time without data."""
-        self._stop_idle_timer()
-        loop, delay_s = asyncio.get_running_loop(), self._settings.keep_alive_s
-        self._idle_timer = loop.call_later(delay_s, self._transport.close)
+    def _update_timer(self, activity: Activity) -> None:
+        if activity in (Activity.HANDLING, Activity.HANDLING_WITH_INPUT):
+            self._timer.stop()
+        elif self._write_paused:
+            self._timer.start_once(self._settings.keep_alive_s, self._transport.abort)
+        elif not self._has_unhandled_request():
+            self._timer.start(self._settings.keep_alive_s, self._close)
+        elif self._parser.is_receiving_head:
+            self._timer.start_once(self._parser.limits.head_timeout_s, self._time_out)
+        else:
+            self._timer.start(self._parser.limits.body_timeout_s, self._time_out)
+
+    def _close(self) -> None:
+        self._transport.close()
+        self._update()
 
-    def _stop_idle_timer(self) -> None:
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
-            self._idle_timer = None
+    def _time_out(self) -> None:
+        logger.info("request refused that did not arrive in time")
+        self._refuse(Refusal.TOO_SLOW)
+        self._update()
--- a/src/verbenaplank/http/request_parser.py
+++ b/src/verbenaplank/http/request_parser.py
@@ -54,6 +54,8 @@
     ----------
     incoming
         The request that is being received, or the last one.
+    limits
+        The limits of that request.
     """
 
     def __init__(
@@ -65,7 +67,7 @@
         self._on_head = on_head
         self._on_end = on_end
         self._read_limits = read_limits
-        self._limits = read_limits()
+        self.limits = read_limits()
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
         self._has_progressed = False
@@ -82,6 +84,11 @@
         """Whether a part of a request was received that is not refused already."""
         return self.is_receiving and not self.incoming.is_too_large
 
+    @property
+    def is_receiving_head(self) -> bool:
+        """Whether a part of a head, or of the lines before it, was received."""
+        return self.is_receiving and not (self._in_request and self.incoming.has_head)
+
     @property
     def unfinished_bytes(self) -> int:
         """Number of bytes of the head that is being received."""
@@ -109,7 +116,7 @@
         self._head_bytes += len(piece)
         if self._has_progressed:
             self._head_bytes = 0
-        if self._head_bytes > self._limits.max_head_bytes:
+        if self._head_bytes > self.limits.max_head_bytes:
             raise HeadTooLargeError
         return len(piece)
 
@@ -125,7 +132,7 @@
 
     def on_message_begin(self) -> None:
         """Begin a request."""
-        self._limits = self._read_limits()
+        self.limits = self._read_limits()
         self._in_request = True
         self.incoming = IncomingRequest()
 
@@ -143,7 +150,7 @@
         incoming.headers.add(name, value)
 
     def on_headers_complete(self) -> None:
-        """Report the head of a request.
+        """Report the head of a request, and whether it announces too large a body.
 
         Raises
         ------
@@ -153,7 +160,7 @@
         incoming, parser = self.incoming, self._parser
         incoming.method = parser.get_method().decode("ascii")
         incoming.head_bytes += len(incoming.method) + REQUEST_LINE_OVERHEAD_BYTES
-        if incoming.head_bytes > self._limits.max_head_bytes:
+        if incoming.head_bytes > self.limits.max_head_bytes:
             raise HeadTooLargeError
         target = httptools.parse_url(bytes(incoming.target))
         path = target.path.decode("ascii")
@@ -162,6 +169,9 @@
         is_current = parser.get_http_version() != "1.0"
         incoming.keep_alive = is_current and parser.should_keep_alive()
         incoming.has_head = True
+        length = incoming.headers.get("content-length", "")
+        if length.isdecimal() and int(length) > self.limits.max_body_bytes:
+            incoming.is_too_large = True
         self._on_head(incoming)
 
     def on_body(self, body: bytes) -> None:
@@ -171,7 +181,7 @@
         if incoming.is_too_large:
             return
         incoming.body += body
-        if len(incoming.body) > self._limits.max_body_bytes:
+        if len(incoming.body) > self.limits.max_body_bytes:
             incoming.is_too_large = True
             incoming.body.clear()
             self._on_end(incoming)
--- a/tests/http/test_handler_server.py
+++ b/tests/http/test_handler_server.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import attrs
 import pytest
 
 from verbenaplank.http.client_connections import ClientConnections
@@ -50,9 +51,11 @@
 
 
 @asynccontextmanager
-async def serving(desk: Desk, **changes: Any) -> AsyncIterator[HandlerServer]:
+async def serving(
+    desk: Desk, limits: HttpLimits = LIMITS, **changes: Any
+) -> AsyncIterator[HandlerServer]:
     server = HandlerServer(
-        desk.handle, lambda: LIMITS, Address("127.0.0.1", 0), 1.0, **changes
+        desk.handle, lambda: limits, Address("127.0.0.1", 0), 1.0, **changes
     )
     async with asyncio.timeout(20), server:
         yield server
@@ -363,3 +366,68 @@
         assert (await answer(first_reader))[0] == 200
         for each in (first_writer, writer):
             each.close()
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"GET /a HTTP/1.1\r\nKey: v",
+        b"\r\n",
+        b"PUT /a HTTP/1.1\r\nContent-Length: 2\r\n\r\na",
+    ],
+)
+async def test_request_that_stops_before_its_end_is_refused_after_a_time(
+    start: bytes,
+) -> None:
+    """Guards against connections that stay open for good."""
+    limits = attrs.evolve(LIMITS, head_timeout_s=0.1, body_timeout_s=0.1)
+    async with serving(Desk(), limits) as server:
+        reader, writer = await connect(server)
+        writer.write(start)
+        status, headers, _ = await answer(reader)
+        assert (status, headers["connection"]) == (408, "close")
+        assert await reader.read() == b""
+        writer.close()
+
+
+async def test_head_has_its_time_as_a_whole_and_a_body_between_its_pieces() -> None:
+    limits = attrs.evolve(LIMITS, head_timeout_s=0.3, body_timeout_s=5.0)
+    async with serving(Desk(), limits) as server:
+        reader, writer = await connect(server)
+        writer.write(b"PUT /a HTTP/1.1\r\nContent-Length: 2\r\n\r\na")
+        await asyncio.sleep(0.5)
+        writer.write(b"b")
+        assert (await answer(reader))[0] == 200
+        answering = asyncio.create_task(answer(reader))
+        while not answering.done():
+            writer.write(b"\r\n")
+            await asyncio.sleep(0.05)
+        assert answering.result()[0] == 408
+        writer.transport.abort()
+
+
+async def test_announced_body_over_the_limit_is_refused_before_it_comes() -> None:
+    """Guards against a body that the client sends only to have it refused."""
+    async with serving(Desk()) as server:
+        reader, writer = await connect(server)
+        writer.write(
+            b"PUT /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 101\r\n\r\n"
+        )
+        assert (await answer(reader))[0] == 413
+        writer.close()
+
+
+async def test_client_that_reads_no_answers_is_disconnected_after_a_time() -> None:
+    """Guards against answers that stay in memory for good."""
+    async with serving(Desk(), keep_alive_s=0.2) as server:
+        _, writer = await connect(server)
+        request = b"GET /" + b"x" * 8_000 + b" HTTP/1.1\r\n\r\n"
+        with pytest.raises(ConnectionError):
+            await _write_forever(writer, request)
+        writer.transport.abort()
+
+
+async def _write_forever(writer: StreamWriter, data: bytes) -> None:
+    while True:
+        writer.write(data)
+        await writer.drain()
