--- a/src/verbenaplank/http/handler_server.py
+++ b/src/verbenaplank/http/handler_server.py
@@ -10,12 +10,12 @@
 from verbenaplank.http.client_connections import ClientConnections
 from verbenaplank.http.connection import ConnectionSettings
 from verbenaplank.http.connection import HttpConnection
+from verbenaplank.http.listener import ACCEPTED_TOGETHER
+from verbenaplank.http.listener import BACKLOG
+from verbenaplank.http.listener import KEEP_ALIVE_S
+from verbenaplank.http.listener import open_listener
 from verbenaplank.http.refusals import RefusalResponse
 from verbenaplank.http.refusals import text_refusal
-from verbenaplank.http.server import ACCEPTED_TOGETHER
-from verbenaplank.http.server import BACKLOG
-from verbenaplank.http.server import KEEP_ALIVE_S
-from verbenaplank.http.server import open_listener
 from verbenaplank.rpc.address import Address
 from verbenaplank.settings.clients import ClientSettings
 
--- a/src/verbenaplank/http/request_parser.py
+++ b/src/verbenaplank/http/request_parser.py
@@ -82,12 +82,12 @@
     @property
     def is_receiving_unrefused(self) -> bool:
         """Whether a part of a request was received that is not refused already."""
-        return self.is_receiving and not self.incoming.is_too_large
+        return self._in_request and not self.incoming.is_too_large
 
     @property
     def is_receiving_head(self) -> bool:
-        """Whether a part of a head, or of the lines before it, was received."""
-        return self.is_receiving and not (self._in_request and self.incoming.has_head)
+        """Whether a part of a head was received."""
+        return self._in_request and not self.incoming.has_head
 
     @property
     def unfinished_bytes(self) -> int:
