--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -29,7 +29,6 @@
 from verbenaplank.control.replication import SharedReadBarrier
 from verbenaplank.control.routing import RoutingAdministration
 from verbenaplank.control.state_machine import ControlStateMachine
-from verbenaplank.http.server import HttpServer
 from verbenaplank.observability.metrics import Metrics
 from verbenaplank.rpc.endpoint import serve
 from verbenaplank.settings.peers import peer_addresses
@@ -171,6 +170,7 @@
 
     async def _serve_operators(self, stack: AsyncExitStack) -> None:
         from verbenaplank.control.http import http_application
+        from verbenaplank.http.server import HttpServer
 
         http = http_application(
             self._administration, self.evacuations, self.is_ready, self._metrics.render
