Serve the product's own interface with the limited connections

Cause: as for the ports of the platform; uvicorn's connections have no such limits. Change: uvicorn still starts and stops the server, with the product's connections in place of its own; an adapter asks the application. A refusal is a problem document; as the request was not read, it doesn't claim not_run, but for a body over the limit. On the platform, status 503 is not sent for a job that an earlier request may be running. The limits are in the new section [clients] of the settings of every program.

--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -29,6 +29,8 @@
 from verbenaplank.control.replication import SharedReadBarrier
 from verbenaplank.control.routing import RoutingAdministration
 from verbenaplank.control.state_machine import ControlStateMachine
+from verbenaplank.http.client_connections import ClientConnections
+from verbenaplank.http.limits import HttpLimits
 from verbenaplank.observability.metrics import Metrics
 from verbenaplank.rpc.endpoint import serve
 from verbenaplank.settings.peers import peer_addresses
@@ -169,13 +171,23 @@
         return self
 
     async def _serve_operators(self, stack: AsyncExitStack) -> None:
+        from verbenaplank.control.http import MAX_BODY_BYTES
         from verbenaplank.control.http import http_application
+        from verbenaplank.control.http import refusal_response
         from verbenaplank.http.server import HttpServer
 
         http = http_application(
             self._administration, self.evacuations, self.is_ready, self._metrics.render
         )
-        server = HttpServer(http, self._settings.http.address, HTTP_STOP_TIMEOUT_S)
+        limits = HttpLimits(max_body_bytes=MAX_BODY_BYTES)
+        server = HttpServer(
+            http,
+            self._settings.http.address,
+            HTTP_STOP_TIMEOUT_S,
+            read_limits=lambda: limits,
+            clients=ClientConnections(self._settings.clients),
+            refusal_response=refusal_response,
+        )
         await stack.enter_async_context(server)
         self.http_address = server.address
 
--- a/src/verbenaplank/control/http.py
+++ b/src/verbenaplank/control/http.py
@@ -35,14 +35,18 @@
 from verbenaplank.control.evacuation_routes import evacuation_routes
 from verbenaplank.control.problem import ProblemError
 from verbenaplank.control.problem import problem_error
+from verbenaplank.http import messages
 from verbenaplank.membership.commands import OrderDrain
 from verbenaplank.membership.commands import SetRegistrars
+from verbenaplank.outcome.failure import RunState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from verbenaplank.control.administration import Administration
     from verbenaplank.control.evacuation import EvacuationAdministration
+    from verbenaplank.http.incoming import IncomingRequest
+    from verbenaplank.http.refusals import Refusal
     from verbenaplank.observability.rendering import RenderMetrics
 
 AnyRequest = Request[Any, Any, Any]
@@ -216,6 +220,23 @@
     )
 
 
+def refusal_response(
+    refusal: Refusal, incoming: IncomingRequest | None
+) -> messages.Response:
+    """Return the response of a request that was refused without being read.
+
+    Its command may be that of an earlier request, whose outcome is not known here.
+    """
+    del incoming
+    error = problem_error(refusal.status, refusal.detail, run=RunState.MAY_HAVE_RUN)
+    headers = {"content-type": PROBLEM_MEDIA_TYPE}
+    if refusal.retry_after_s is not None:
+        headers["retry-after"] = str(refusal.retry_after_s)
+    return messages.Response(
+        status=refusal.status, body=msgspec.json.encode(error.problem), headers=headers
+    )
+
+
 def _http_error_response(request: AnyRequest, error: HTTPException) -> Response[bytes]:
     return _problem_response(
         request, problem_error(HTTPStatus(error.status_code), error.detail)
--- a/src/verbenaplank/entry/caller_interface.py
+++ b/src/verbenaplank/entry/caller_interface.py
@@ -6,9 +6,12 @@
 
 from verbenaplank.entry.http import HttpDependencies
 from verbenaplank.entry.http import http_application
+from verbenaplank.entry.http import refusal_responses
 from verbenaplank.entry.peer_client import PeerClient
 from verbenaplank.entry.pipeline import Pipeline
 from verbenaplank.entry.pipeline import PipelineDependencies
+from verbenaplank.http.client_connections import ClientConnections
+from verbenaplank.http.limits import HttpLimits
 from verbenaplank.http.server import HttpServer
 
 if TYPE_CHECKING:
@@ -77,4 +80,12 @@
             max_body_bytes=limits.max_body_bytes,
         )
     )
-    return HttpServer(application, address, limits.drain_timeout_s)
+    http_limits = HttpLimits(max_body_bytes=limits.max_body_bytes)
+    return HttpServer(
+        application,
+        address,
+        limits.drain_timeout_s,
+        read_limits=lambda: http_limits,
+        clients=ClientConnections(settings.clients),
+        refusal_response=refusal_responses(pipeline, limits.max_body_bytes),
+    )
--- a/src/verbenaplank/entry/http.py
+++ b/src/verbenaplank/entry/http.py
@@ -20,6 +20,9 @@
 from litestar.openapi import OpenAPIConfig
 
 from verbenaplank.entry.pipeline import Pipeline
+from verbenaplank.http import messages
+from verbenaplank.http.refusals import Refusal
+from verbenaplank.http.refusals import RefusalResponse
 from verbenaplank.identifiers.job_id import InvalidJobIdError
 from verbenaplank.identifiers.job_id import parse_job_id
 from verbenaplank.observability.rendering import RenderMetrics
@@ -31,6 +34,7 @@
     from litestar.params import FromPath
 
     from verbenaplank.entry.response import HttpResponse
+    from verbenaplank.http.incoming import IncomingRequest
 
 BEARER_PREFIX = "bearer "
 UTF_8_SUFFIX = "; charset=utf-8"
@@ -139,17 +143,56 @@
     return handle_http_exception
 
 
+def refusal_responses(pipeline: Pipeline, max_body_bytes: int) -> RefusalResponse:
+    """Return the function that builds the responses of refused requests.
+
+    A refused request was not read, so that its id may be that of an earlier one.
+    """
+
+    def respond(
+        refusal: Refusal, incoming: IncomingRequest | None
+    ) -> messages.Response:
+        del incoming
+        response = pipeline.rejection_response(
+            _refusal_rejection(refusal, max_body_bytes), status=refusal.status
+        )
+        headers = {"content-type": response.media_type}
+        if response.retry_after_s is not None:
+            headers["retry-after"] = str(math.ceil(response.retry_after_s))
+        return messages.Response(
+            status=response.status, body=response.body, headers=headers
+        )
+
+    return respond
+
+
+def _refusal_rejection(refusal: Refusal, max_body_bytes: int) -> Rejection:
+    if refusal is Refusal.BODY_TOO_LARGE:
+        return _too_large_rejection(max_body_bytes)
+    is_overload = refusal is Refusal.OVERLOADED
+    return Rejection(
+        kind=FailureKind.OVERLOADED if is_overload else FailureKind.INVALID,
+        detail=refusal.detail,
+        retry_after_s=refusal.retry_after_s,
+        knows_id=False,
+    )
+
+
 def _rejection(error: HTTPException, max_body_bytes: int) -> Rejection:
     if error.status_code == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
-        message = f"exceeds the limit of {max_body_bytes} bytes"
-        return Rejection(
-            kind=FailureKind.TOO_LARGE,
-            detail="the request body is too large",
-            findings=(Finding("body", message),),
-        )
+        return _too_large_rejection(max_body_bytes)
     return Rejection(kind=FailureKind.INVALID, detail=error.detail)
 
 
+def _too_large_rejection(max_body_bytes: int) -> Rejection:
+    message = f"exceeds the limit of {max_body_bytes} bytes"
+    return Rejection(
+        kind=FailureKind.TOO_LARGE,
+        detail="the request body is too large",
+        findings=(Finding("body", message),),
+    )
+
+
 def _invalid_id_rejection(error: InvalidJobIdError) -> Rejection:
     return Rejection(
         kind=FailureKind.INVALID,
--- a/src/verbenaplank/http/asgi.py
+++ b/src/verbenaplank/http/asgi.py
@@ -1,103 +1,115 @@
-"""Wraps HTTP handlers as ASGI applications, without a web framework."""
+"""Answers HTTP requests with an ASGI application."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from http import HTTPStatus
+from collections.abc import Iterator
 from typing import Any
 
+import attrs
+
 from verbenaplank.http.messages import Handler
 from verbenaplank.http.messages import Request
 from verbenaplank.http.messages import Response
-from verbenaplank.http.messages import call_handler
 
 Application = Callable[[Any, Any, Any], Awaitable[None]]
 
+PASSED_FIELDS = (
+    "accept",
+    "authorization",
+    "content-length",
+    "content-type",
+    "host",
+)
+"""Header fields that applications use.
+
+The others are left out: an application makes objects of each, which live as long as
+its request.
+"""
 
-def asgi_application(
-    handler: Handler, max_body_bytes: Callable[[], int]
-) -> Application:
-    """Return an ASGI application that answers requests with a handler.
 
-    The handler is cancelled if its client disconnects.  If it raises an
-    exception, the client gets status 502.
+def asgi_handler(application: Application, tasks: set[asyncio.Task[Any]]) -> Handler:
+    """Return a handler that answers requests with an application.
+
+    The application goes on if the client disconnects, as a job may have begun.
 
     Parameters
     ----------
-    max_body_bytes
-        Function that returns the size of the largest permitted body, in bytes; a
-        request with a larger one gets status 413.
+    tasks
+        Holds the tasks of the application until they end.
     """
 
-    async def serve(scope: Any, receive: Any, send: Any) -> None:
-        body = await _read_body(receive, max_body_bytes())
-        if body is None:
-            response = Response(status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-            await _send(send, response)
-            return
-        headers = {
-            name.decode("latin-1").lower(): value.decode("latin-1")
-            for name, value in scope["headers"]
-        }
-        request = Request(
-            method=scope["method"], path=scope["path"], headers=headers, body=body
-        )
-        answer = await _answer_or_disconnect(handler, request, receive)
-        if answer is not None:
-            await _send(send, answer)
-
-    return serve
-
-
-async def _answer_or_disconnect(
-    handler: Handler, request: Request, receive: Any
-) -> Response | None:
-    """Return the handler's response, or ``None`` if the client disconnected."""
-    handling = asyncio.ensure_future(call_handler(handler, request))
-    disconnection = asyncio.ensure_future(_wait_for_disconnect(receive))
-    try:
-        await asyncio.wait(
-            (handling, disconnection), return_when=asyncio.FIRST_COMPLETED
+    async def handle(request: Request) -> Response:
+        exchange = _Exchange(request)
+        task = asyncio.ensure_future(exchange.run(application))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        return await asyncio.shield(task)
+
+    return handle
+
+
+@attrs.define
+class _Exchange:
+    """One request to an application, and what it has answered so far."""
+
+    _request: Request
+    _is_body_taken: bool = False
+    _status: int = 500
+    _headers: dict[str, str] = attrs.field(factory=dict)
+    _body: bytearray = attrs.field(factory=bytearray)
+
+    async def run(self, application: Application) -> Response:
+        """Call the application and return its response."""
+        await application(_scope(self._request), self._receive, self._send)
+        return Response(
+            status=self._status, headers=self._headers, body=bytes(self._body)
         )
-        if not handling.done():
-            return None
-        return handling.result()
-    finally:
-        handling.cancel()
-        disconnection.cancel()
-        await asyncio.gather(handling, disconnection, return_exceptions=True)
-
-
-async def _wait_for_disconnect(receive: Any) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        continue
-
-
-async def _read_body(receive: Any, limit_bytes: int) -> bytes | None:
-    body = bytearray()
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return bytes(body)
-        body += message.get("body", b"")
-        if len(body) > limit_bytes:
-            return None
-        if not message.get("more_body", False):
-            return bytes(body)
-
-
-async def _send(send: Any, response: Response) -> None:
-    headers = [(b"content-length", str(len(response.body)).encode())]
-    headers += [
-        (name.lower().encode("latin-1"), value.encode("latin-1"))
-        for name, value in response.headers.items()
-    ]
-    start = {
-        "type": "http.response.start",
-        "status": int(response.status),
-        "headers": headers,
+
+    async def _receive(self) -> dict[str, Any]:
+        """Return the body, then wait for good: a disconnection is not reported."""
+        if self._is_body_taken:
+            await asyncio.Event().wait()
+        self._is_body_taken = True
+        return {"type": "http.request", "body": self._request.body, "more_body": False}
+
+    async def _send(self, message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            self._status = message["status"]
+            self._headers = dict(_response_headers(message))
+        elif message["type"] == "http.response.body":
+            self._body += message.get("body", b"")
+
+
+def _scope(request: Request) -> dict[str, Any]:
+    return {
+        "type": "http",
+        "asgi": {"version": "3.0", "spec_version": "2.3"},
+        "http_version": "1.1",
+        "method": request.method,
+        "scheme": "http",
+        "path": request.path,
+        "raw_path": request.path.encode(),
+        "query_string": request.query,
+        "root_path": "",
+        "headers": list(_request_headers(request)),
+        "client": None,
+        "server": None,
+        "state": {},
     }
-    await send(start)
-    await send({"type": "http.response.body", "body": response.body})
+
+
+def _request_headers(request: Request) -> Iterator[tuple[bytes, bytes]]:
+    for name in PASSED_FIELDS:
+        value = request.headers.get(name)
+        if value is not None:
+            yield name.encode(), value.encode("latin-1")
+
+
+def _response_headers(message: dict[str, Any]) -> Iterator[tuple[str, str]]:
+    """Return the header fields, but for the length, which the connection sets."""
+    for name, value in message["headers"]:
+        if name.lower() != b"content-length":
+            yield name.decode("latin-1"), value.decode("latin-1")
--- a/src/verbenaplank/http/connection.py
+++ b/src/verbenaplank/http/connection.py
@@ -105,6 +105,8 @@
         if not self._unanswered:
             self._close()
 
+    shutdown = stop
+
     def cancel(self) -> None:
         """Cancel the handler of the request in progress."""
         if self._handling is not None:
@@ -236,7 +238,9 @@
         self._close()
 
     def _refusal(self, refusal: Refusal) -> Response:
-        return self._settings.refusal_response(refusal)
+        """Return the response that refuses the first request without an answer."""
+        incoming = self._unanswered[0] if self._unanswered else None
+        return self._settings.refusal_response(refusal, incoming)
 
     def shed(self) -> None:
         """Refuse the input that is not handled, and close unless a handler runs."""
--- a/src/verbenaplank/http/refusals.py
+++ b/src/verbenaplank/http/refusals.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from http import HTTPStatus
 
+from verbenaplank.http.incoming import IncomingRequest
 from verbenaplank.http.messages import Response
 
 RETRY_AFTER_S = 1
@@ -40,11 +41,13 @@
         return RETRY_AFTER_S if self is Refusal.OVERLOADED else None
 
 
-RefusalResponse = Callable[[Refusal], Response]
+RefusalResponse = Callable[[Refusal, IncomingRequest | None], Response]
+"""Returns the response of a refusal, given the request if its head was received."""
 
 
-def text_refusal(refusal: Refusal) -> Response:
+def text_refusal(refusal: Refusal, incoming: IncomingRequest | None = None) -> Response:
     """Return a refusal as plain text."""
+    del incoming
     headers = dict(TEXT)
     if refusal.retry_after_s is not None:
         headers["retry-after"] = str(refusal.retry_after_s)
--- a/src/verbenaplank/http/server.py
+++ b/src/verbenaplank/http/server.py
@@ -1,13 +1,19 @@
-"""HTTP server that runs in the event loop of its program."""
+"""HTTP server of an ASGI application, which runs in the event loop of its program."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import Self
+from typing import cast
 
 import uvicorn
 
+from verbenaplank.http.asgi import asgi_handler
+from verbenaplank.http.connection import ConnectionSettings
+from verbenaplank.http.connection import HttpConnection
+from verbenaplank.http.listener import ACCEPTED_TOGETHER
 from verbenaplank.http.listener import BACKLOG
 from verbenaplank.http.listener import KEEP_ALIVE_S
 from verbenaplank.http.listener import open_listener
@@ -16,7 +22,12 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
+    from uvicorn.server import ServerState
+
     from verbenaplank.http.asgi import Application
+    from verbenaplank.http.client_connections import ClientConnections
+    from verbenaplank.http.limits import ReadLimits
+    from verbenaplank.http.refusals import RefusalResponse
 
 
 class HttpServer:
@@ -24,6 +35,17 @@
 
     On exit, the server stops accepting connections and waits for the requests in
     progress, at most for ``stop_timeout_s`` in whole seconds and at least for 1 s.
+    uvicorn starts and stops it; the connections are the product's own, as those of
+    uvicorn limit neither heads nor the requests that wait.
+
+    Parameters
+    ----------
+    read_limits
+        Returns the limits of requests.
+    clients
+        Limits the connections and their memory.
+    refusal_response
+        Returns the response of a refusal for which the application is not asked.
 
     Attributes
     ----------
@@ -33,20 +55,33 @@
     """
 
     def __init__(
-        self, application: Application, address: Address, stop_timeout_s: float
+        self,
+        application: Application,
+        address: Address,
+        stop_timeout_s: float,
+        *,
+        read_limits: ReadLimits,
+        clients: ClientConnections,
+        refusal_response: RefusalResponse,
     ) -> None:
         config = uvicorn.Config(
             application,
+            http=cast("type[asyncio.Protocol]", self._new_connection),
             lifespan="off",
             log_config=None,
-            access_log=False,
-            server_header=False,
-            backlog=BACKLOG,
-            timeout_keep_alive=KEEP_ALIVE_S,
+            backlog=ACCEPTED_TOGETHER,
             timeout_graceful_shutdown=max(1, round(stop_timeout_s)),
         )
         self.address = address
         self._server = uvicorn.Server(config)
+        self._settings = ConnectionSettings(
+            handler=asgi_handler(application, self._server.server_state.tasks),
+            read_limits=read_limits,
+            keep_alive_s=KEEP_ALIVE_S,
+            clients=clients,
+            refusal_response=refusal_response,
+            on_close=self._remove,
+        )
         self._serving: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
@@ -60,6 +95,7 @@
                 await self._serving
                 raise OSError("the HTTP server did not start")
             await asyncio.sleep(0)
+        listener.listen(BACKLOG)
         return self
 
     async def __aexit__(
@@ -75,3 +111,14 @@
         self._server.should_exit = True
         if self._serving is not None:
             await self._serving
+
+    def _new_connection(
+        self, *, server_state: ServerState, **_: object
+    ) -> HttpConnection:
+        """Return a connection; uvicorn calls this for each client."""
+        connection = HttpConnection(self._settings)
+        cast("set[Any]", server_state.connections).add(connection)
+        return connection
+
+    def _remove(self, connection: HttpConnection) -> None:
+        cast("set[Any]", self._server.server_state.connections).discard(connection)
--- a/src/verbenaplank/settings/agent.py
+++ b/src/verbenaplank/settings/agent.py
@@ -5,6 +5,7 @@
 import attrs
 from attrs import validators
 
+from verbenaplank.settings.clients import ClientSettings
 from verbenaplank.settings.common import ControlPeer
 from verbenaplank.settings.common import Listen
 from verbenaplank.settings.common import LoggingSettings
@@ -78,5 +79,6 @@
     backend_server: BackendServerSettings
     worker: WorkerSettings = attrs.field(factory=WorkerSettings)
     limits: AgentLimits = attrs.field(factory=AgentLimits)
+    clients: ClientSettings = attrs.field(factory=ClientSettings)
     tls: TlsSettings | None = None
     logging: LoggingSettings = attrs.field(factory=LoggingSettings)
--- a/src/verbenaplank/settings/control.py
+++ b/src/verbenaplank/settings/control.py
@@ -5,6 +5,7 @@
 import attrs
 from attrs import validators
 
+from verbenaplank.settings.clients import ClientSettings
 from verbenaplank.settings.common import ControlPeer
 from verbenaplank.settings.common import Listen
 from verbenaplank.settings.common import LoggingSettings
@@ -119,5 +120,6 @@
     group: GroupSettings = attrs.field(factory=GroupSettings)
     membership: MembershipSettings = attrs.field(factory=MembershipSettings)
     claims: ClaimSettings = attrs.field(factory=ClaimSettings)
+    clients: ClientSettings = attrs.field(factory=ClientSettings)
     tls: TlsSettings | None = None
     logging: LoggingSettings = attrs.field(factory=LoggingSettings)
--- a/src/verbenaplank/settings/entry.py
+++ b/src/verbenaplank/settings/entry.py
@@ -5,6 +5,7 @@
 import attrs
 from attrs import validators
 
+from verbenaplank.settings.clients import ClientSettings
 from verbenaplank.settings.common import ControlPeer
 from verbenaplank.settings.common import Listen
 from verbenaplank.settings.common import LoggingSettings
@@ -78,5 +79,6 @@
     control: tuple[ControlPeer, ...] = attrs.field(validator=validators.min_len(1))
     limits: EntryLimits = attrs.field(factory=EntryLimits)
     placement: EntryPlacement = attrs.field(factory=EntryPlacement)
+    clients: ClientSettings = attrs.field(factory=ClientSettings)
     tls: TlsSettings | None = None
     logging: LoggingSettings = attrs.field(factory=LoggingSettings)
--- a/tests/verbena_platform/test_whole_path.py
+++ b/tests/verbena_platform/test_whole_path.py
@@ -24,6 +24,7 @@
 from verbenaplank.agent import decision_log
 from verbenaplank.consensus.local_client import MAX_COMMAND_BYTES
 from verbenaplank.rpc.address import Address
+from verbenaplank.settings.clients import ClientSettings
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -36,12 +37,16 @@
 """Log messages of an agent that has decided about a report of another writer."""
 
 
+MAX_CONNECTIONS = 20
+
+
 @pytest.fixture
 async def platform(tmp_path: Path) -> AsyncIterator[Platform]:
     port = choose_first_port()
     executor = StandInExecutor(Address(AGENT_HOST, port + 13), "s")
     async with AsyncExitStack() as stack:
-        site = Platform(stack, tmp_path, port, executor)
+        clients = ClientSettings(max_connections=MAX_CONNECTIONS)
+        site = Platform(stack, tmp_path, port, executor, clients)
         await site.start()
         yield site
 
@@ -205,3 +210,37 @@
             await waiting
         gone = await platform.call("DELETE", path, host=SECOND_ENTRY_HOST)
         assert gone.status_code == 410
+
+
+async def test_refusal_promises_nothing_of_a_job_that_runs(platform: Platform) -> None:
+    """Status 503 says that the job never runs, and an earlier request may run it."""
+    await platform.put(document())
+    await platform.post_until("/draw/", succeeded)
+    platform.executor.task_s = 30.0
+    path = "/draw/00000000000000dd"
+    running = asyncio.create_task(platform.call("POST", path, JOB))
+    async with asyncio.timeout(10):
+        while not platform.executor.active:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    other = "/draw/00000000000000ee"
+    statuses = [await _status_of_shed_request(platform, each) for each in (path, other)]
+    assert statuses == [504, 503]
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+
+
+async def _status_of_shed_request(platform: Platform, path: str) -> int:
+    """Stop within a request, until later ones have used up the connections."""
+    host, port = ENTRY_HOST, platform.port + 11
+    head = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 9\r\n\r\n"
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(head.encode())
+    others = []
+    async with asyncio.timeout(20):
+        answering = asyncio.create_task(reader.readline())
+        while not answering.done():
+            others.append((await asyncio.open_connection(host, port))[1])
+            await asyncio.sleep(0)
+    for each in (writer, *others):
+        each.transport.abort()
+    return int((await answering).split()[1])
--- a/tests/verbena_platform/whole_path.py
+++ b/tests/verbena_platform/whole_path.py
@@ -19,6 +19,7 @@
 from verbena_platform.entry import entry_program
 from verbena_platform.node_settings import NodeSettings
 from verbenaplank.rpc.address import Address
+from verbenaplank.settings.clients import ClientSettings
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -73,6 +74,7 @@
     folder: Path
     port: int
     executor: StandInExecutor
+    clients: ClientSettings = attrs.field(factory=ClientSettings)
 
     def node(self, host: str, **changes: Any) -> NodeSettings:
         node = NodeSettings(
@@ -90,6 +92,7 @@
             lease_s=1.0,
             grace_s=3.0,
             metrics_port=self.port + 14,
+            clients=self.clients,
         )
         return attrs.evolve(node, **changes)
 
