--- a/tests/verbena_platform/test_whole_path.py
+++ b/tests/verbena_platform/test_whole_path.py
@@ -13,6 +13,7 @@
 from whole_path import AGENT_HOST
 from whole_path import CONTROL_HOSTS
 from whole_path import ENTRY_HOST
+from whole_path import HOST
 from whole_path import JOB
 from whole_path import SECOND_ENTRY_HOST
 from whole_path import Platform
