--- a/src/verbenaplank/http/listener.py
+++ b/src/verbenaplank/connections/listener.py
@@ -1,4 +1,4 @@
-"""Listening sockets of HTTP servers."""
+"""Listening sockets of servers."""
 
 from __future__ import annotations
 
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -15,6 +15,7 @@
 from verbenaplank.clock.sources import wall_clock_ms
 from verbenaplank.concurrency.cancellation import cancel_and_wait
 from verbenaplank.concurrency.restarting import run_with_restarts
+from verbenaplank.connections.client_connections import ClientConnections
 from verbenaplank.consensus.node import ConsensusNode
 from verbenaplank.control.administration import Administration
 from verbenaplank.control.bootstrap import bootstrap
@@ -29,7 +30,6 @@
 from verbenaplank.control.replication import SharedReadBarrier
 from verbenaplank.control.routing import RoutingAdministration
 from verbenaplank.control.state_machine import ControlStateMachine
-from verbenaplank.http.client_connections import ClientConnections
 from verbenaplank.http.limits import HttpLimits
 from verbenaplank.observability.metrics import Metrics
 from verbenaplank.rpc.endpoint import serve
--- a/src/verbenaplank/entry/caller_interface.py
+++ b/src/verbenaplank/entry/caller_interface.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from verbenaplank.connections.client_connections import ClientConnections
 from verbenaplank.entry.http import HttpDependencies
 from verbenaplank.entry.http import http_application
 from verbenaplank.entry.http import refusal_responses
 from verbenaplank.entry.peer_client import PeerClient
 from verbenaplank.entry.pipeline import Pipeline
 from verbenaplank.entry.pipeline import PipelineDependencies
-from verbenaplank.http.client_connections import ClientConnections
 from verbenaplank.http.limits import HttpLimits
 from verbenaplank.http.server import HttpServer
 
--- a/src/verbenaplank/http/connection.py
+++ b/src/verbenaplank/http/connection.py
@@ -15,8 +15,8 @@
 
 import attrs
 
-from verbenaplank.http.client_connections import Activity
-from verbenaplank.http.client_connections import ClientConnections
+from verbenaplank.connections.client_connections import Activity
+from verbenaplank.connections.client_connections import ClientConnections
 from verbenaplank.http.connection_timer import ConnectionTimer
 from verbenaplank.http.limits import ReadLimits
 from verbenaplank.http.messages import Handler
--- a/src/verbenaplank/http/handler_server.py
+++ b/src/verbenaplank/http/handler_server.py
@@ -7,13 +7,13 @@
 from typing import TYPE_CHECKING
 from typing import Self
 
-from verbenaplank.http.client_connections import ClientConnections
+from verbenaplank.connections.client_connections import ClientConnections
+from verbenaplank.connections.listener import ACCEPTED_TOGETHER
+from verbenaplank.connections.listener import BACKLOG
+from verbenaplank.connections.listener import KEEP_ALIVE_S
+from verbenaplank.connections.listener import open_listener
 from verbenaplank.http.connection import ConnectionSettings
 from verbenaplank.http.connection import HttpConnection
-from verbenaplank.http.listener import ACCEPTED_TOGETHER
-from verbenaplank.http.listener import BACKLOG
-from verbenaplank.http.listener import KEEP_ALIVE_S
-from verbenaplank.http.listener import open_listener
 from verbenaplank.http.refusals import RefusalResponse
 from verbenaplank.http.refusals import text_refusal
 from verbenaplank.rpc.address import Address
--- a/src/verbenaplank/http/server.py
+++ b/src/verbenaplank/http/server.py
@@ -10,13 +10,13 @@
 
 import uvicorn
 
+from verbenaplank.connections.listener import ACCEPTED_TOGETHER
+from verbenaplank.connections.listener import BACKLOG
+from verbenaplank.connections.listener import KEEP_ALIVE_S
+from verbenaplank.connections.listener import open_listener
 from verbenaplank.http.asgi import asgi_handler
 from verbenaplank.http.connection import ConnectionSettings
 from verbenaplank.http.connection import HttpConnection
-from verbenaplank.http.listener import ACCEPTED_TOGETHER
-from verbenaplank.http.listener import BACKLOG
-from verbenaplank.http.listener import KEEP_ALIVE_S
-from verbenaplank.http.listener import open_listener
 from verbenaplank.rpc.address import Address
 
 if TYPE_CHECKING:
@@ -24,8 +24,8 @@
 
     from uvicorn.server import ServerState
 
+    from verbenaplank.connections.client_connections import ClientConnections
     from verbenaplank.http.asgi import Application
-    from verbenaplank.http.client_connections import ClientConnections
     from verbenaplank.http.limits import ReadLimits
     from verbenaplank.http.refusals import RefusalResponse
 
--- a/tests/http/test_client_connections.py
+++ b/tests/connections/test_client_connections.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from verbenaplank.http.client_connections import Activity
-from verbenaplank.http.client_connections import ClientConnections
+from verbenaplank.connections.client_connections import Activity
+from verbenaplank.connections.client_connections import ClientConnections
 from verbenaplank.settings.clients import ClientSettings
 
 MAX_BYTES = 1_000
--- a/tests/http/test_listener.py
+++ b/tests/connections/test_listener.py
@@ -4,7 +4,7 @@
 import socket
 from typing import TYPE_CHECKING
 
-from verbenaplank.http.listener import open_listener
+from verbenaplank.connections.listener import open_listener
 from verbenaplank.rpc.address import Address
 
 if TYPE_CHECKING:
--- a/tests/http/test_handler_server.py
+++ b/tests/http/test_handler_server.py
@@ -8,7 +8,7 @@
 import attrs
 import pytest
 
-from verbenaplank.http.client_connections import ClientConnections
+from verbenaplank.connections.client_connections import ClientConnections
 from verbenaplank.http.connection import MAX_UNANSWERED
 from verbenaplank.http.handler_server import HandlerServer
 from verbenaplank.http.limits import HttpLimits
