Limit the connections of RPC ports, and the memory of their unfinished messages

Seen: 40 clients that stop one byte before the end of a message of 4 MiB took a control instance, an agent and an entry to 206 to 209 MB, where the machine has 96 MB. Cause: each connection may fill a window of 8 MiB, and their number had no limit. Change: the RPC server counts its connections and the bytes that its streams have not read, with the limits of the HTTP server. Over the limit of connections, the one without a stream that has been silent longest is closed, and a new one if all have streams; over that of bytes, the one with the oldest unread input. Tests: those of agent.rpc were wrong, and are replaced: the agent listens for RPC only once its backend server has reported to it, so they connected to a closed port; they now run beside the other programs, and every test checks first that its port is open.

--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -249,6 +249,7 @@
             [self._streams.service()],
             self._settings.rpc.address,
             self._settings.tls,
+            self._settings.clients,
         )
         return await resources.enter_async_context(listening)
 
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -155,7 +155,12 @@
                 self._join_service.service(),
                 self._registrar_runner.service(),
             ]
-            listening = serve(services, self._settings.rpc.address, self._settings.tls)
+            listening = serve(
+                services,
+                self._settings.rpc.address,
+                self._settings.tls,
+                self._settings.clients,
+            )
             self.rpc_address = await stack.enter_async_context(listening)
             for work in (
                 self._forwarder.run,
--- a/src/verbenaplank/rpc/data_frames.py
+++ b/src/verbenaplank/rpc/data_frames.py
@@ -23,6 +23,7 @@
 
     from grpclib.config import Configuration
     from grpclib.protocol import AbstractHandler
+    from grpclib.protocol import Connection
     from grpclib.protocol import Stream
     from h2.config import H2Configuration
 
@@ -37,9 +38,19 @@
 class _StreamsProcessor(EventsProcessor):
     """Gives each stream a buffer that needs less processor time for each frame."""
 
+    def __init__(
+        self,
+        handler: AbstractHandler,
+        connection: Connection,
+        on_taken: Callable[[], None],
+    ) -> None:
+        super().__init__(handler, connection)
+        self._on_taken = on_taken
+
     def register(self, stream: Stream) -> Callable[[], None]:
         assert stream.id is not None
-        stream.buffer = StreamBuffer(partial(self.connection.ack, stream.id))
+        acknowledge = partial(self.connection.ack, stream.id)
+        stream.buffer = StreamBuffer(acknowledge, self._on_taken)
         return super().register(stream)
 
 
@@ -60,7 +71,7 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Handle an open connection."""
         super().connection_made(transport)
-        self.processor = _StreamsProcessor(self.handler, self.connection)
+        self.processor = _StreamsProcessor(self.handler, self.connection, self.report)
         self._h2 = self.connection._connection
 
     def data_received(self, data: bytes) -> None:
@@ -93,6 +104,9 @@
             super().data_received(received[others_from:position])
         self._partial_frame = received[position:]
 
+    def report(self) -> None:
+        """Do nothing; called when a reader has taken many bytes of a stream."""
+
     def _receive_data(self, frame: bytes) -> bool:
         """Pass a data frame to its stream, as h2 and grpclib do.
 
--- a/src/verbenaplank/rpc/endpoint.py
+++ b/src/verbenaplank/rpc/endpoint.py
@@ -2,21 +2,25 @@
 
 from __future__ import annotations
 
-import asyncio
 import ssl
 from contextlib import asynccontextmanager
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
-from typing import Any
 from weakref import WeakSet
 
 from grpclib.client import Channel
 from grpclib.config import Configuration
 from grpclib.server import Server
 
+from verbenaplank.connections.client_connections import ClientConnections
+from verbenaplank.connections.listener import ACCEPTED_TOGETHER
+from verbenaplank.connections.listener import BACKLOG
+from verbenaplank.connections.listener import open_listener
 from verbenaplank.rpc.address import Address
 from verbenaplank.rpc.codec import MessagePackCodec
 from verbenaplank.rpc.data_frames import DataFrameProtocol
+from verbenaplank.rpc.server_connection import ServerConnection
+from verbenaplank.settings.clients import ClientSettings
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -55,8 +59,9 @@
     which would notice only after their own timeouts if the process lives on.
     """
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
+    def __init__(self, services: Sequence[Service], clients: ClientConnections) -> None:
+        super().__init__(services, codec=MessagePackCodec(), config=CONFIGURATION)
+        self._clients = clients
         self._protocols: WeakSet[H2Protocol] = WeakSet()
 
     def close_connections(self) -> None:
@@ -67,7 +72,9 @@
 
     def _protocol_factory(self) -> H2Protocol:
         plain = super()._protocol_factory()
-        protocol = DataFrameProtocol(plain.handler, plain.config, plain.h2_config)
+        protocol = ServerConnection(
+            plain.handler, plain.config, plain.h2_config, self._clients
+        )
         self._protocols.add(protocol)
         return protocol
 
@@ -82,10 +89,18 @@
 
 @asynccontextmanager
 async def serve(
-    services: Sequence[Service], address: Address, tls: TlsSettings | None = None
+    services: Sequence[Service],
+    address: Address,
+    tls: TlsSettings | None = None,
+    clients: ClientSettings | None = None,
 ) -> AsyncIterator[Address]:
     """Run a gRPC server at an address until the context is left.
 
+    Parameters
+    ----------
+    clients
+        Limits of the connections and of their memory; ``None`` for the defaults.
+
     Yields
     ------
     Address
@@ -97,11 +112,13 @@
     OSError
         If the server cannot listen on the address.
     """
-    server = _ClosingServer(services, codec=MessagePackCodec(), config=CONFIGURATION)
+    server = _ClosingServer(services, ClientConnections(clients or ClientSettings()))
     context = _server_context(tls) if tls else None
-    await server.start(address.host, address.port, ssl=context)
+    listener = open_listener(address)
+    await server.start(sock=listener, ssl=context, backlog=ACCEPTED_TOGETHER)
+    listener.listen(BACKLOG)
     try:
-        yield Address(address.host, _port_of(server, address))
+        yield Address(address.host, listener.getsockname()[1])
     finally:
         server.close()
         await server.wait_closed()
@@ -128,15 +145,6 @@
         channel.close()
 
 
-def _port_of(server: Server, address: Address) -> int:
-    if address.port:
-        return address.port
-    listener = server._server
-    if not isinstance(listener, asyncio.Server):
-        raise TypeError(f"the gRPC server for {address} has no listening socket")
-    return int(listener.sockets[0].getsockname()[1])
-
-
 def _server_context(tls: TlsSettings) -> ssl.SSLContext:
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
     context.verify_mode = ssl.CERT_REQUIRED
--- a/src/verbenaplank/rpc/stream_buffer.py
+++ b/src/verbenaplank/rpc/stream_buffer.py
@@ -17,6 +17,10 @@
 """
 
 
+def ignore_taken() -> None:
+    """Do nothing; the default for ``on_taken``."""
+
+
 class StreamBuffer(Buffer):
     """Holds received bytes until the stream's reader takes them.
 
@@ -27,10 +31,17 @@
     ----------
     acknowledge
         Tells the sender that it may send so many more bytes.
+    on_taken
+        Called when the reader has taken many bytes at once.
     """
 
-    def __init__(self, acknowledge: Callable[[int], None]) -> None:
+    def __init__(
+        self,
+        acknowledge: Callable[[int], None],
+        on_taken: Callable[[], None] = ignore_taken,
+    ) -> None:
         super().__init__(acknowledge)
+        self._on_taken = on_taken
         self._acknowledge = acknowledge
         self._received = bytearray()
         self._taken_bytes = 0
@@ -66,11 +77,22 @@
         taken = bytes(self._received[:size])
         del self._received[:size]
         self._taken_bytes += size
+        if size >= ACKNOWLEDGED_TOGETHER_BYTES:
+            self._on_taken()
         if self._taken_bytes >= ACKNOWLEDGED_TOGETHER_BYTES:
             self._acknowledge(self._taken_bytes)
             self._taken_bytes = 0
         return taken
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the number of bytes that the reader has not taken."""
+        return len(self._received)
+
+    def discard(self) -> None:
+        """Forget what was received, as the stream has no reader any more."""
+        self._received.clear()
+
     def unacked_size(self) -> int:
         """Return the number of bytes that are not acknowledged, at the stream's end."""
         return self._taken_bytes + len(self._received)
--- a/tests/unruly_clients/sites.py
+++ b/tests/unruly_clients/sites.py
@@ -88,9 +88,10 @@
 @asynccontextmanager
 async def open_port(name: str, folder: Path) -> AsyncIterator[Port]:
     """Start the programs that a port needs; wait until it answers."""
-    site = _SITES[name.partition(".")[0]]
-    async with site(name, folder) as port:
+    async with _SITES[name](name, folder) as port:
         assert await port.answers(), "the program is not ready"
+        _, writer = await asyncio.open_connection(port.target.host, port.target.port)
+        writer.close()
         yield port
 
 
@@ -116,7 +117,8 @@
         )
         stack.callback(reporting.cancel)
         await _put_document(CONTROL_HOST, first + 10, 1)
-        entry = programs["entry"]
+        role = name.partition(".")[0]
+        host = {"agent": AGENT_HOST, "entry": ENTRY_HOST}[role]
         numbers = itertools.count(1)
 
         async def run_job() -> bool:
@@ -142,10 +144,11 @@
                 _getter(ENTRY_HOST, METRICS_PORT, "/metrics"),
             ),
             "entry.rpc": (first + RPC_OFFSETS["entry"], "", "", 0, run_job),
+            "agent.rpc": (first + RPC_OFFSETS["agent"], "", "", 0, run_job),
         }
         number, method, path, max_body_bytes, ask = ports[name]
         yield _port(
-            entry, ENTRY_HOST, number, method, path, max_body_bytes, MEMORY_MB, ask
+            programs[role], host, number, method, path, max_body_bytes, MEMORY_MB, ask
         )
 
 
@@ -192,13 +195,9 @@
             await executor.report(Address(AGENT_HOST, first + 10))
             return True
 
-        ports = {
-            "agent.reports": (first + 10, "PUT", "/v1/instances/i-{}", 4 * MIB),
-            "agent.rpc": (first + RPC_OFFSETS["agent"], "", "", 0),
-        }
-        number, method, path, max_body_bytes = ports[name]
+        path = "/v1/instances/i-{}"
         yield _port(
-            agent, AGENT_HOST, number, method, path, max_body_bytes, MEMORY_MB, report
+            agent, AGENT_HOST, first + 10, "PUT", path, 4 * MIB, MEMORY_MB, report
         )
 
 
@@ -245,10 +244,17 @@
 
 
 _SITES = {
-    "entry": _entry_site,
-    "control": _control_site,
-    "agent": _agent_site,
-    "standalone": _standalone_site,
+    "entry.callers": _entry_site,
+    "entry.readiness": _entry_site,
+    "entry.metrics": _entry_site,
+    "entry.rpc": _entry_site,
+    "agent.rpc": _entry_site,
+    "agent.reports": _agent_site,
+    "control.operators": _control_site,
+    "control.metrics": _control_site,
+    "control.rpc": _control_site,
+    "standalone.callers": _standalone_site,
+    "standalone.operators": _standalone_site,
 }
 
 
