--- a/tests/unruly_clients/requests.py
+++ b/tests/unruly_clients/requests.py
@@ -20,6 +20,9 @@
 COMPLETE_EVERY = 10
 """One of so many clients with a large body sends it to its end."""
 
+MAX_TASKS = 350
+MAX_SPEC_BYTES = 4_000
+
 NAME_DIGITS = "0123456789abcdefghijklmnopqrstuvwxyz"
 ODD_NAME_SIGNS = "!#$%&'*+-.^_`|~"
 ODD_VALUES = (
@@ -208,6 +211,34 @@
 )
 
 
+def large_spec(target: Target, number: int) -> Iterator[bytes]:
+    """Send a job whose tasks share a text that fills a body of legal size."""
+    spec_bytes = target.max_body_bytes - KIB
+    yield from _whole_job(target, number, MAX_TASKS, spec_bytes)
+
+
+def many_tasks(target: Target, number: int) -> Iterator[bytes]:
+    """Send a job of legal size with as many tasks, and as long a text, as permitted."""
+    yield from _whole_job(target, number, MAX_TASKS, MAX_SPEC_BYTES)
+
+
+JOB_KINDS = (
+    ClientKind(name="large_spec", pieces=large_spec, count=4),
+    ClientKind(name="many_tasks", pieces=many_tasks, count=150),
+)
+"""Kinds of clients whose whole requests take more memory than their bytes."""
+
+
+def _whole_job(
+    target: Target, number: int, tasks: int, spec_bytes: int
+) -> Iterator[bytes]:
+    step = f'{{"count":{tasks},"cpu":1,"mem-mb":1,"estimate-ms":1}}'
+    spec = "x" * spec_bytes
+    body = f'{{"best-effort":true,"steps":[{step}],"spec":"{spec}"}}'.encode()
+    head = target.start_of_head(number)
+    yield head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
 def filled_head(target: Target, body_bytes: int) -> bytes:
     """Return a head of the largest size with short lines, for a body of a size."""
     return _filled_head(target, 0, _short_lines(), body_bytes)
--- a/tests/unruly_clients/test_http_ports.py
+++ b/tests/unruly_clients/test_http_ports.py
@@ -13,6 +13,7 @@
 from unruly_clients.checks import wait_until_closed
 from unruly_clients.crowd import Crowd
 from unruly_clients.crowd import send_request_at_the_limits
+from unruly_clients.requests import JOB_KINDS
 from unruly_clients.requests import KINDS
 from unruly_clients.sites import open_port
 
@@ -45,6 +46,10 @@
     for kind in KINDS
     if port in PORTS_WITH_BODIES or kind.name in KINDS_WITHOUT_BODIES
 ]
+CASES += [
+    pytest.param("entry.callers", kind, id=f"entry.callers-{kind.name}")
+    for kind in JOB_KINDS
+]
 
 
 @pytest.mark.parametrize(("port_name", "kind"), CASES)
