--- a/tests/verbena_platform/test_formats.py
+++ b/tests/verbena_platform/test_formats.py
@@ -145,7 +145,10 @@
         decode_job(body, "0123456789abcdef", ROUTE, 2.0)
 
 
-@pytest.mark.parametrize("body", [b"{", job({"count": 0}), job(steps=3)])
+@pytest.mark.parametrize(
+    "body",
+    [b"{", job({"count": 0}), job(steps=3), job(spec="é" * 2_001)],
+)
 def test_malformed_job_is_rejected(body: bytes) -> None:
     with pytest.raises(InvalidJobError):
         decode_job(body, "0123456789abcdef", ROUTE, 2.0)
