Refuse routed jobs that would use up the memory of an entry

Seen: 150 requests of legal size, each a job of 350 tasks with a text of 3.9 KB, took an entry to 379 MB, where the machine has 96 MB. Cause: each task of a job keeps its own copy of the text and is copied once more into its start message; only the number of tasks that wait for a server was limited.

--- a/src/verbenaplank/entry/components.py
+++ b/src/verbenaplank/entry/components.py
@@ -134,6 +134,7 @@
             queue=self.goals,
             entry_name=entry_name,
             view=view,
+            max_memory_bytes=settings.clients.max_memory_bytes,
             remote_factor=settings.placement.remote_factor,
             counts=self.job_counts,
         )
--- a/src/verbenaplank/entry/routed_admission.py
+++ b/src/verbenaplank/entry/routed_admission.py
@@ -19,6 +19,7 @@
     from verbenaplank.entry.service_loads import EntryView
     from verbenaplank.entry.service_loads import ServiceLoads
     from verbenaplank.overload.expected_end import QueueAhead
+    from verbenaplank.overload.job_memory import JobMemory
     from verbenaplank.overload.loop_lag import LoopLag
     from verbenaplank.placement.fleet import Fleet
     from verbenaplank.placement.room import CapacityUse
@@ -42,6 +43,8 @@
         How far the entry's event loop is behind.
     view
         The state of the entry.
+    memory
+        The memory of the jobs in progress.
     """
 
     def __init__(
@@ -51,7 +54,9 @@
         loads: ServiceLoads,
         loop_lag: LoopLag,
         view: EntryView,
+        memory: JobMemory,
     ) -> None:
+        self._memory = memory
         self._loads = loads
         self._loop_lag = loop_lag
         self._view = view
@@ -86,7 +91,11 @@
             goal_in_s=job.goal_s,
             useless_in_s=job.useless_after_s,
         )
-        refusal = self._entry_refusal(job) or self._path.refusal(candidate, now_s)
+        refusal = (
+            self._entry_refusal(job)
+            or self._memory_refusal(job)
+            or self._path.refusal(candidate, now_s)
+        )
         if refusal is None:
             return None
         return _refused(refusal, job.route.priority, job.key)
@@ -105,6 +114,14 @@
             return None
         return Refusal(cause=RefusalCause.NOT_READY, detail=detail)
 
+    def _memory_refusal(self, job: RoutedJob) -> Refusal | None:
+        if self._memory.has_room(job.size_bytes):
+            return None
+        return Refusal(
+            cause=RefusalCause.QUEUE_FULL,
+            detail="the jobs in progress at the entry use up its memory",
+        )
+
     def _queue_ahead(
         self, candidate: Candidate, use: CapacityUse, now_s: float
     ) -> QueueAhead:
--- a/src/verbenaplank/entry/routed_job.py
+++ b/src/verbenaplank/entry/routed_job.py
@@ -9,6 +9,7 @@
 from verbenaplank.agent.named_task import NamedTask
 from verbenaplank.agent.named_task import encode_task
 from verbenaplank.entry.submission import Submission
+from verbenaplank.overload.job_memory import job_bytes
 from verbenaplank.overload.latest_start import latest_start_s
 from verbenaplank.overload.refusal import RefusalCause
 from verbenaplank.placement.task import Resources
@@ -119,6 +120,12 @@
         """Return whether the job weighs waits, once it has its remote factor."""
         return weighs_waits(self.route, self.remote_factor)
 
+    @property
+    def size_bytes(self) -> int:
+        """Return the memory that the job takes while it is in progress."""
+        content_bytes = sum(len(task.content) for task in self.tasks)
+        return job_bytes(len(self.tasks), content_bytes)
+
     @property
     def slack_s(self) -> float:
         """Return the time that the job can wait and still meet its goal."""
--- a/src/verbenaplank/entry/routed_jobs.py
+++ b/src/verbenaplank/entry/routed_jobs.py
@@ -28,6 +28,7 @@
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.failure import RunState
 from verbenaplank.overload.job_counts import JobCounts
+from verbenaplank.overload.job_memory import JobMemory
 from verbenaplank.overload.retry_after import retry_after_s
 from verbenaplank.routing.lookup import RouteLookup
 from verbenaplank.routing.table import RoutingTable
@@ -74,6 +75,8 @@
         The state of the entry.
     remote_factor
         How many times longer a task takes outside the rack that it prefers.
+    max_memory_bytes
+        Memory that the jobs in progress may take together.
     counts
         Counts what becomes of the jobs.
 
@@ -92,6 +95,7 @@
         queue: GoalQueue,
         entry_name: str,
         view: EntryView,
+        max_memory_bytes: int,
         remote_factor: float = 1.0,
         counts: JobCounts | None = None,
     ) -> None:
@@ -111,8 +115,13 @@
             view=view,
             startup_ends_s=self._startup_ends_s,
         )
+        self._memory = JobMemory(max_memory_bytes)
         self._admission = RoutedAdmission(
-            fleet=fleet, loads=loads, loop_lag=runner.loop_lag, view=view
+            fleet=fleet,
+            loads=loads,
+            loop_lag=runner.loop_lag,
+            view=view,
+            memory=self._memory,
         )
         engine = runner.engine
         engine.set_hopeless_finder(
@@ -252,7 +261,8 @@
             self._queue.record_arrival(first, len(job.tasks), self._clock())
         queued = len(self._queue)
         outcome = self._runner.start(submission)
-        running = _RunningJob(submission, outcome)
+        running = _RunningJob(submission, outcome, job.size_bytes)
+        self._memory.add(running.size_bytes)
         self._running[job_key] = running
         self._idle.clear()
         outcome.add_done_callback(
@@ -292,7 +302,7 @@
             )
 
     def _remove(self, job_key: tuple[str, str]) -> None:
-        del self._running[job_key]
+        self._memory.remove(self._running.pop(job_key).size_bytes)
         if not self._running:
             self._idle.set()
 
@@ -301,6 +311,7 @@
 class _RunningJob:
     submission: Submission
     outcome: asyncio.Future[JobOutcome]
+    size_bytes: int
     waiters: int = 0
 
 
--- a/tests/entry/load_replay.py
+++ b/tests/entry/load_replay.py
@@ -28,6 +28,7 @@
 from verbenaplank.entry.service_loads import EntryView
 from verbenaplank.entry.service_loads import ServiceLoads
 from verbenaplank.outcome.failure import RunState
+from verbenaplank.overload.job_memory import JobMemory
 from verbenaplank.overload.loop_lag import LoopLag
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
@@ -42,6 +43,8 @@
 SLOTS = 64
 SPREAD = 0.15
 
+MAX_JOB_BYTES = 32_000_000
+
 
 def route(name: str, priority: int) -> Route:
     return Route(
@@ -128,7 +131,11 @@
             startup_ends_s=0.0,
         )
         self.admission = RoutedAdmission(
-            fleet=self.fleet, loads=loads, loop_lag=LoopLag(), view=view
+            memory=JobMemory(MAX_JOB_BYTES),
+            fleet=self.fleet,
+            loads=loads,
+            loop_lag=LoopLag(),
+            view=view,
         )
         self.queue.has_started = self.engine.dispatch_table.may_have_started
         self.engine.set_hopeless_finder(
--- a/tests/entry/test_routed_admission.py
+++ b/tests/entry/test_routed_admission.py
@@ -13,6 +13,7 @@
 from verbenaplank.entry.routed_job import RoutedJobState
 from verbenaplank.entry.service_loads import EntryView
 from verbenaplank.entry.service_loads import ServiceLoads
+from verbenaplank.overload.job_memory import JobMemory
 from verbenaplank.overload.loop_lag import LoopLag
 from verbenaplank.placement.fleet import Fleet
 from verbenaplank.placement.policy import least_expected_completion
@@ -33,6 +34,8 @@
 )
 AGENTS = ("a", "b", "c", "d")
 
+MAX_JOB_BYTES = 32_000_000
+
 
 def job_of(route: Route) -> RoutedJob:
     return RoutedJob(
@@ -63,7 +66,13 @@
         view=view,
         startup_ends_s=0.0,
     )
-    admission = RoutedAdmission(fleet=fleet, loads=loads, loop_lag=LoopLag(), view=view)
+    admission = RoutedAdmission(
+        memory=JobMemory(MAX_JOB_BYTES),
+        fleet=fleet,
+        loads=loads,
+        loop_lag=LoopLag(),
+        view=view,
+    )
     fleet.confine(SERVICE, {ROUTE.name: 0.1}, NOW_S)
     assert admission.refusal(job_of(ROUTE)) is None
 
--- a/tests/entry/test_routed_jobs.py
+++ b/tests/entry/test_routed_jobs.py
@@ -11,17 +11,20 @@
 from verbenaplank.agent.named_task import decode_task
 from verbenaplank.entry.routed_job import RoutedJob
 from verbenaplank.entry.routed_job import RoutedJobState
+from verbenaplank.overload.refusal import RefusalCause
 from verbenaplank.placement.task import Resources
 from verbenaplank.protocol import work
 from verbenaplank.routing.table import Route
 from verbenaplank.routing.table import RoutedService
 from verbenaplank.routing.table import RoutingTable
+from verbenaplank.settings.clients import ClientSettings
 
 if TYPE_CHECKING:
     from entry.fake_cluster import FakeCluster
     from entry.fakes import FakeAgent
     from verbenaplank.entry.application import EntryInstance
 
+CLIENTS = ClientSettings()
 FAILED = work.TaskOutcome.FAILED
 ROUTE = Route(
     name="r",
@@ -80,6 +83,28 @@
     assert (await running).state is RoutedJobState.SUCCEEDED
 
 
+async def test_job_is_refused_while_those_in_progress_use_up_the_memory(
+    cluster: FakeCluster,
+) -> None:
+    """Guards against an entry that runs out of memory; the job must not have run."""
+    agent, entry = await served(cluster)
+    content = "x" * (CLIENTS.max_memory_bytes // 8)
+    job = routed_job(
+        tasks=tuple(NamedTask(name=f"t{i}", content=content) for i in "ab")
+    )
+    running = asyncio.create_task(entry.routed.run(job))
+    await agent.wait_started(2)
+    refused = await entry.routed.run(attrs.evolve(job, key="fedcba9876543210"))
+    assert refused.state is RoutedJobState.REFUSED
+    assert refused.cause is RefusalCause.QUEUE_FULL
+    await finish(agent, work.TaskOutcome.SUCCEEDED)
+    assert (await running).state is RoutedJobState.SUCCEEDED
+    again = asyncio.create_task(entry.routed.run(job))
+    await agent.wait_started(4)
+    await finish(agent, work.TaskOutcome.SUCCEEDED)
+    assert (await again).state is RoutedJobState.SUCCEEDED
+
+
 async def test_duplicate_routed_job_joins_the_running_one(cluster: FakeCluster) -> None:
     """A caller resends a job that is still running; its tasks must run only once."""
     agent, entry = await served(cluster)
