Answer deeply nested input as invalid

Seen: a body of legal size with 100000 nested lists was answered 502 by an entry, as by a handler with a fault, and ended an RPC call as an unknown error. Cause: the decoder raises RecursionError for it, which no caller of it expected. Change: all of them expect the same set of errors (protocol/decoding.py). Result: five tests failed before and pass.

--- a/src/verbenaplank/agent/backend.py
+++ b/src/verbenaplank/agent/backend.py
@@ -13,6 +13,7 @@
 from verbenaplank.agent.connection import BackendServerError
 from verbenaplank.agent.connection import Connection
 from verbenaplank.agent.connection import HttpResponse
+from verbenaplank.protocol.decoding import DECODE_ERRORS
 from verbenaplank.protocol.work import TaskOutcome
 
 if TYPE_CHECKING:
@@ -201,6 +202,6 @@
             return RunReport(TaskOutcome.FAILED, error=f"{response.status}: {text}")
         try:
             self._decoder.decode(response.body)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return RunReport(TaskOutcome.FAILED, error="the response is not JSON")
         return RunReport(TaskOutcome.SUCCEEDED, output=response.body)
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -11,8 +11,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from verbenaplank.agent import decision_log
 from verbenaplank.agent.active_run import ActiveRun
 from verbenaplank.agent.active_run import report_for_end
@@ -39,6 +37,7 @@
 from verbenaplank.agent.start_sender import StartSender
 from verbenaplank.agent.take_over import take_over
 from verbenaplank.concurrency.restarting import run_with_restarts
+from verbenaplank.protocol.decoding import DECODE_ERRORS
 from verbenaplank.protocol.work import TaskOutcome
 
 if TYPE_CHECKING:
@@ -184,7 +183,7 @@
         """
         try:
             task = decode_task(payload)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return RunReport(TaskOutcome.NOT_STARTED, error=str(error))
         attempt = int(task_id.rpartition("/")[2])
         reply = StartReply(status=StartStatus.OUTDATED)
--- a/src/verbenaplank/control/bodies.py
+++ b/src/verbenaplank/control/bodies.py
@@ -15,6 +15,7 @@
 from verbenaplank.control.problem import problem_error
 from verbenaplank.evacuation.commands import EvacuationVerdict
 from verbenaplank.outcome.finding import Finding
+from verbenaplank.protocol.decoding import DECODE_ERRORS
 from verbenaplank.protocol.membership import Member
 
 Body = TypeVar("Body")
@@ -195,7 +196,7 @@
     """
     try:
         body = msgspec.json.decode(data, type=body_type)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise _invalid_body(*_place_and_message(str(error))) from error
     command_id = getattr(body, "command_id", "")
     if not 0 < len(command_id) <= MAX_COMMAND_ID_CHARACTERS:
--- a/src/verbenaplank/entry/agent_message_handler.py
+++ b/src/verbenaplank/entry/agent_message_handler.py
@@ -12,6 +12,7 @@
 from verbenaplank.outcome.failure import FailureKind
 from verbenaplank.outcome.rejection import Rejection
 from verbenaplank.overload.refusal import RefusalCause
+from verbenaplank.protocol.decoding import DECODE_ERRORS
 from verbenaplank.protocol.work import RefusalReason
 from verbenaplank.protocol.work import RevocationState
 from verbenaplank.protocol.work import TaskOutcome
@@ -272,6 +273,6 @@
     try:
         text.decode("utf-8")
         _RAW.decode(text)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return False
     return True
--- a/src/verbenaplank/entry/decode.py
+++ b/src/verbenaplank/entry/decode.py
@@ -11,6 +11,7 @@
 from verbenaplank.entry.parsed_request import ParsedRequest
 from verbenaplank.outcome.finding import Finding
 from verbenaplank.placement.task import Resources
+from verbenaplank.protocol.decoding import DECODE_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -57,7 +58,7 @@
     """
     try:
         names = _BODY.decode(body).keys()
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return decode_job(body)
     if "tasks" not in names and names & _REQUEST_FIELDS - _JOB_FIELDS:
         return decode_request(body)
@@ -74,7 +75,7 @@
     try:
         body.decode("utf-8")
         fields = _BODY.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return ParsedRequest(single=single, findings=(Finding("body", str(error)),))
     return read(FieldReader(fields, findings), findings)
 
--- a/src/verbenaplank/entry/fields.py
+++ b/src/verbenaplank/entry/fields.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from verbenaplank.outcome.finding import Finding
+from verbenaplank.protocol.decoding import DECODE_ERRORS
 
 JsonObject = dict[str, msgspec.Raw]
 
@@ -102,7 +103,7 @@
             return []
         try:
             items = _OBJECTS.decode(value)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             items = self._decode_objects_one_by_one(name, value)
         place = self._place_of(name)
         return [
@@ -120,7 +121,7 @@
     ) -> list[JsonObject]:
         try:
             items = _ITEMS.decode(value)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             self._add_finding(name, str(error))
             return []
         return [
@@ -130,7 +131,7 @@
     def _decode_object(self, name: str, value: msgspec.Raw) -> JsonObject:
         try:
             return _OBJECT.decode(value)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             self._add_finding(name, str(error))
             # With a payload, the reader adds no second finding that it is missing.
             return {"payload": value}
@@ -145,7 +146,7 @@
             return None
         try:
             return decoder.decode(value)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             self._add_finding(name, str(error))
             return None
 
--- a/src/verbenaplank/rpc/codec.py
+++ b/src/verbenaplank/rpc/codec.py
@@ -9,6 +9,8 @@
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError
 
+from verbenaplank.protocol.decoding import DECODE_ERRORS
+
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 """Size limit of an encoded message that a process sends or accepts."""
 
@@ -47,7 +49,7 @@
         _check_size(len(data), message_type)
         try:
             return self._decoder_of(message_type).decode(data)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             detail = f"the message is not a {message_type.__name__}: {error}"
             raise GRPCError(Status.INVALID_ARGUMENT, detail) from error
 
--- a/tests/entry/test_http_input.py
+++ b/tests/entry/test_http_input.py
@@ -21,6 +21,9 @@
 
     import httpx
 
+DEEP = b"[" * 60_000
+"""Lists that no recursive decoder reads to their end."""
+
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
 UUID7_VERSION_BITS = 7 << 76 | 2 << 62
@@ -104,7 +107,8 @@
 
 
 @pytest.mark.parametrize(
-    "body", [b"", b"{", b"[]", b"\xff", b'{"id": "\xff"}', b'{"id": 1}}']
+    "body",
+    [b"", b"{", b"[]", b"\xff", b'{"id": "\xff"}', b'{"id": 1}}', b'{"a":' + DEEP],
 )
 @pytest.mark.parametrize("path", ["/v1/jobs", "/v1/requests"])
 async def test_malformed_json_is_rejected(
--- a/tests/rpc/test_codec.py
+++ b/tests/rpc/test_codec.py
@@ -57,3 +57,11 @@
 
     assert on_decode.value.status is Status.RESOURCE_EXHAUSTED
     assert on_encode.value.status is Status.RESOURCE_EXHAUSTED
+
+
+def test_deeply_nested_message_is_an_invalid_argument() -> None:
+    """It ended the call as an unknown error of the handler."""
+    nested = b"\x91" * 100_000
+    with pytest.raises(GRPCError) as raised:
+        MessagePackCodec().decode(b"\x81\xa1a" + nested, ToAgent)
+    assert raised.value.status is Status.INVALID_ARGUMENT
--- a/tests/verbena_platform/test_formats.py
+++ b/tests/verbena_platform/test_formats.py
@@ -63,6 +63,10 @@
     return msgspec.json.encode(fields | changes)
 
 
+DEEP = b'{"a":' + b"[" * 100_000
+"""Input that no recursive decoder reads to its end."""
+
+
 def job(step: dict[str, Any] | None = None, **changes: Any) -> bytes:
     first = {"count": 2, "cpu": 1_600, "mem-mb": 64, "estimate-ms": 120.0}
     fields: dict[str, Any] = {
@@ -147,7 +151,7 @@
 
 @pytest.mark.parametrize(
     "body",
-    [b"{", job({"count": 0}), job(steps=3), job(spec="é" * 2_001)],
+    [b"{", DEEP, job({"count": 0}), job(steps=3), job(spec="é" * 2_001)],
 )
 def test_malformed_job_is_rejected(body: bytes) -> None:
     with pytest.raises(InvalidJobError):
@@ -229,3 +233,11 @@
     edge = decode_node_settings(node("edge"))
     assert edge.ingress is not None
     assert entry_settings(edge).control == core.peers
+
+
+def test_deeply_nested_input_is_invalid_like_any_other() -> None:
+    """It was answered with status 502, as if the handler had a fault."""
+    with pytest.raises(InvalidDocumentError):
+        decode_document(DEEP)
+    with pytest.raises(InvalidReportError):
+        decode_report("i-1", DEEP)
