Add tests with bodies of legal size that are made of very many small values

Four such requests take an entry to 116 MB, a control instance to 192 MB and an agent to 205 MB, where the machine has 96 MB, and a standalone program to 320 MB (168 MB). The port of the standalone operators passes.

--- a/tests/unruly_clients/requests.py
+++ b/tests/unruly_clients/requests.py
@@ -37,6 +37,15 @@
 )
 
 
+@attrs.frozen
+class RepeatedValue:
+    """A JSON text that is made of one value, many times."""
+
+    start: bytes = b"["
+    item: bytes = b"[]"
+    end: bytes = b"]"
+
+
 @attrs.frozen(kw_only=True)
 class Target:
     """A port of a program, and a request that it takes.
@@ -47,6 +56,8 @@
         Path of the request; ``{}`` in it is replaced by the number of the client.
     max_body_bytes
         Size of the largest permitted body, in bytes.
+    small_values
+        A body that the program decodes value by value.
     """
 
     host: str
@@ -54,6 +65,7 @@
     method: str
     path: str
     max_body_bytes: int
+    small_values: RepeatedValue = RepeatedValue()
     virtual_host: str = "desk.example"
 
     def start_of_head(self, number: int) -> bytes:
@@ -222,6 +234,18 @@
     yield from _whole_job(target, number, MAX_TASKS, MAX_SPEC_BYTES)
 
 
+def small_values(target: Target, number: int) -> Iterator[bytes]:
+    """Send a whole body of legal size that is made of very many small values."""
+    body = target.small_values
+    count = (target.max_body_bytes - len(body.start) - len(body.end)) // (
+        len(body.item) + 1
+    )
+    text = body.start + b",".join([body.item] * count) + body.end
+    head = target.start_of_head(number)
+    yield head + b"Content-Length: %d\r\n\r\n" % len(text) + text
+
+
+SMALL_VALUES = ClientKind(name="small_values", pieces=small_values, count=4)
 JOB_KINDS = (
     ClientKind(name="large_spec", pieces=large_spec, count=4),
     ClientKind(name="many_tasks", pieces=many_tasks, count=150),
--- a/tests/unruly_clients/sites.py
+++ b/tests/unruly_clients/sites.py
@@ -20,6 +20,7 @@
 from unruly_clients.programs import start_platform_program
 from unruly_clients.programs import start_standalone
 from unruly_clients.requests import MIB
+from unruly_clients.requests import RepeatedValue
 from unruly_clients.requests import Target
 
 sys.path.append(str(Path(__file__).resolve().parents[1] / "verbena_platform"))
@@ -46,6 +47,28 @@
 STANDALONE_HOST = "127.0.0.1"
 PORT_SPAN = 14
 METRICS_PORT = 9464
+SMALL_VALUES = {
+    "/draw/{}": RepeatedValue(b'{"best-effort":true,"steps":[', b"{}", b"]}"),
+    "/v1/jobs": RepeatedValue(
+        b'{"service":"echo","team":"standalone","tasks":[', b"{}", b"]}"
+    ),
+    "/v1/config": RepeatedValue(
+        b'{"version":77,"services":[],"routes":[',
+        b'{"name":"","host":"a","path-prefix":"/","service":"s","timeout-ms":0}',
+        b"]}",
+    ),
+    "/v1/instances/i-{}": RepeatedValue(
+        b'{"service":"s","address":"127.0.0.1:1","state":"ready","sequence":1,'
+        b'"capacity":{"cpu":1,"mem-mb":1},"labels":[',
+        b'"a"',
+        b"]}",
+    ),
+    "/v1/configuration/sections/{}": RepeatedValue(
+        b'{"command_id":"a","expected_version":[', b"[]", b"]}"
+    ),
+}
+"""For each path, a body that its program decodes value by value."""
+
 RPC_OFFSETS = {"control": 0, "entry": 2, "agent": 4}
 ANSWER_LIMIT_S = 40.0
 REQUEST_LIMIT_S = 10.0
@@ -274,6 +297,7 @@
         method=method,
         path=path,
         max_body_bytes=max_body_bytes,
+        small_values=SMALL_VALUES.get(path, RepeatedValue()),
     )
     return Port(program=program, target=target, memory_mb=memory_mb, ask=ask)
 
--- a/tests/unruly_clients/test_http_ports.py
+++ b/tests/unruly_clients/test_http_ports.py
@@ -15,6 +15,7 @@
 from unruly_clients.crowd import send_request_at_the_limits
 from unruly_clients.requests import JOB_KINDS
 from unruly_clients.requests import KINDS
+from unruly_clients.requests import SMALL_VALUES
 from unruly_clients.sites import open_port
 
 if TYPE_CHECKING:
@@ -43,7 +44,7 @@
 CASES = [
     pytest.param(port, kind, id=f"{port}-{kind.name}")
     for port in PORTS_WITH_BODIES + PORTS_WITHOUT_BODIES
-    for kind in KINDS
+    for kind in (*KINDS, SMALL_VALUES)
     if port in PORTS_WITH_BODIES or kind.name in KINDS_WITHOUT_BODIES
 ]
 CASES += [
