Refuse bodies that decode to far more memory than their size

Seen: four requests of legal size made of very many small values took an entry to 116 MB, a control instance to 192 MB, an agent to 205 MB and a standalone program to 320 MB. Cause: a value of two bytes decodes to an object of 50 to 200, and only bytes had a limit.

--- a/src/verbenaplank/entry/fields.py
+++ b/src/verbenaplank/entry/fields.py
@@ -9,6 +9,9 @@
 from verbenaplank.outcome.finding import Finding
 from verbenaplank.protocol.decoding import DECODE_ERRORS
 
+MAX_ITEMS = 10_000
+"""Limit of the items of a list, each of which has a reader and its findings."""
+
 JsonObject = dict[str, msgspec.Raw]
 
 _OBJECT = msgspec.json.Decoder(JsonObject)
@@ -101,10 +104,7 @@
         if value is None:
             self._add_finding(name, "missing")
             return []
-        try:
-            items = _OBJECTS.decode(value)
-        except DECODE_ERRORS:
-            items = self._decode_objects_one_by_one(name, value)
+        items = self._decode_objects(name, value)
         place = self._place_of(name)
         return [
             FieldReader(fields, self._findings, f"{place}[{index}]")
@@ -116,17 +116,22 @@
         for name in self._fields.keys() - names:
             self._add_finding(name, "unknown field")
 
-    def _decode_objects_one_by_one(
-        self, name: str, value: msgspec.Raw
-    ) -> list[JsonObject]:
+    def _decode_objects(self, name: str, value: msgspec.Raw) -> list[JsonObject]:
         try:
             items = _ITEMS.decode(value)
         except DECODE_ERRORS as error:
             self._add_finding(name, str(error))
             return []
-        return [
-            self._decode_object(f"{name}[{i}]", item) for i, item in enumerate(items)
-        ]
+        if len(items) > MAX_ITEMS:
+            self._add_finding(name, f"must have at most {MAX_ITEMS} items")
+            return []
+        try:
+            return _OBJECTS.decode(value)
+        except DECODE_ERRORS:
+            return [
+                self._decode_object(f"{name}[{i}]", item)
+                for i, item in enumerate(items)
+            ]
 
     def _decode_object(self, name: str, value: msgspec.Raw) -> JsonObject:
         try:
--- a/tests/verbena_platform/test_formats.py
+++ b/tests/verbena_platform/test_formats.py
@@ -66,6 +66,9 @@
 DEEP = b'{"a":' + b"[" * 100_000
 """Input that no recursive decoder reads to its end."""
 
+DENSE = b'{"a":[' + b"0," * 200_000 + b"0]}"
+"""Input that takes many times its size when it is decoded."""
+
 
 def job(step: dict[str, Any] | None = None, **changes: Any) -> bytes:
     first = {"count": 2, "cpu": 1_600, "mem-mb": 64, "estimate-ms": 120.0}
@@ -151,7 +154,7 @@
 
 @pytest.mark.parametrize(
     "body",
-    [b"{", DEEP, job({"count": 0}), job(steps=3), job(spec="é" * 2_001)],
+    [b"{", DEEP, DENSE, job({"count": 0}), job(steps=3), job(spec="é" * 2_001)],
 )
 def test_malformed_job_is_rejected(body: bytes) -> None:
     with pytest.raises(InvalidJobError):
@@ -235,9 +238,10 @@
     assert entry_settings(edge).control == core.peers
 
 
-def test_deeply_nested_input_is_invalid_like_any_other() -> None:
-    """It was answered with status 502, as if the handler had a fault."""
+@pytest.mark.parametrize("body", [DEEP, DENSE])
+def test_deeply_nested_or_dense_input_is_invalid_like_any_other(body: bytes) -> None:
+    """The first was answered with status 502, as if the handler had a fault."""
     with pytest.raises(InvalidDocumentError):
-        decode_document(DEEP)
+        decode_document(body)
     with pytest.raises(InvalidReportError):
-        decode_report("i-1", DEEP)
+        decode_report("i-1", body)
