--- a/src/verbenaplank/connections/client_connections.py
+++ b/src/verbenaplank/connections/client_connections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+import time
 from enum import Enum
 from enum import auto
 from typing import TYPE_CHECKING
@@ -11,6 +13,12 @@
     from verbenaplank.settings.clients import ClientSettings
 
 
+LOG_PERIOD_S = 1.0
+"""Shortest time between two log lines on shed connections, which may be many."""
+
+logger = logging.getLogger(__name__)
+
+
 class Activity(Enum):
     """What a connection does, for the choice of the one to shed."""
 
@@ -40,6 +48,11 @@
     If there are too many connections or bytes, the connection that has waited longest
     for its client is shed: a client that stops before the end of its request is among
     the first, and one whose request arrives at once never waits.
+
+    Attributes
+    ----------
+    shed_count
+        How many connections were shed or refused so far.
     """
 
     def __init__(self, settings: ClientSettings) -> None:
@@ -48,6 +61,9 @@
         self._activities: dict[Sheddable, Activity] = {}
         self._held_bytes: dict[Sheddable, int] = {}
         self._total_bytes = 0
+        self.shed_count = 0
+        self._logged_count = 0
+        self._logged_s = -LOG_PERIOD_S
         self._by_activity: dict[Activity, dict[Sheddable, None]] = {
             activity: {} for activity in Activity
         }
@@ -64,6 +80,7 @@
         """Add an accepted connection; return whether there is room for it."""
         if len(self._activities) >= self._max_connections:
             victim = self._longest_waiting(Activity.RECEIVING, Activity.IDLE)
+            self._count_shed()
             if victim is None:
                 return False
             self.remove(victim)
@@ -97,12 +114,26 @@
 
     def _shed_input(self, victim: Sheddable) -> None:
         """Shed a connection, which stays known if a handler runs for it."""
+        self._count_shed()
         if self._activities[victim] is Activity.RECEIVING:
             self.remove(victim)
         else:
             self._set_activity(victim, Activity.HANDLING)
         victim.shed()
 
+    def _count_shed(self) -> None:
+        self.shed_count += 1
+        now_s = time.monotonic()
+        if now_s - self._logged_s < LOG_PERIOD_S:
+            return
+        extra = {
+            "count": self.shed_count - self._logged_count,
+            "connections": len(self._activities),
+            "held_bytes": self._total_bytes,
+        }
+        logger.warning("clients shed", extra=extra)
+        self._logged_s, self._logged_count = now_s, self.shed_count
+
     def _set_activity(self, connection: Sheddable, activity: Activity) -> None:
         previous = self._activities.get(connection)
         if previous is not None:
--- a/tests/connections/test_client_connections.py
+++ b/tests/connections/test_client_connections.py
@@ -1,11 +1,16 @@
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
 from verbenaplank.connections.client_connections import Activity
 from verbenaplank.connections.client_connections import ClientConnections
 from verbenaplank.settings.clients import ClientSettings
 
+if TYPE_CHECKING:
+    import pytest
+
 MAX_BYTES = 1_000
 
 
@@ -87,3 +92,13 @@
     clients.remove(connection)
     clients.update(connection, Activity.RECEIVING, 900)
     assert (len(clients), clients.held_bytes) == (0, 0)
+
+
+def test_shed_connections_are_counted_but_not_each_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against clients that fill the log."""
+    clients = _clients(max_connections=1)
+    _added(clients, 50)
+    assert clients.shed_count == 49
+    assert [record.message for record in caplog.records] == ["clients shed"]
