Take the received input out of the HTTP connection

Behaviour is unchanged: tests/http, tests/entry, tests/verbena_platform and the crowds on the callers' ports pass.

--- a/src/verbenaplank/http/connection.py
+++ b/src/verbenaplank/http/connection.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -17,6 +16,7 @@
 
 from verbenaplank.connections.client_connections import Activity
 from verbenaplank.connections.client_connections import ClientConnections
+from verbenaplank.http.connection_input import ConnectionInput
 from verbenaplank.http.connection_timer import ConnectionTimer
 from verbenaplank.http.limits import ReadLimits
 from verbenaplank.http.messages import Handler
@@ -26,19 +26,12 @@
 from verbenaplank.http.refusals import RefusalResponse
 from verbenaplank.http.request_parser import HeadTooLargeError
 from verbenaplank.http.request_parser import MalformedRequestError
-from verbenaplank.http.request_parser import RequestParser
 from verbenaplank.http.response_writer import asks_to_close
 from verbenaplank.http.response_writer import encode_response
 
 if TYPE_CHECKING:
     from verbenaplank.http.incoming import IncomingRequest
 
-MAX_UNANSWERED = 8
-"""Unanswered requests of a connection beyond which nothing more is read.
-
-While nothing is read, a client that disconnects is not noticed.
-"""
-
 STOPPED = Response(
     status=HTTPStatus.INTERNAL_SERVER_ERROR,
     body=b"Internal Server Error",
@@ -87,17 +80,13 @@
 
     def __init__(self, settings: ConnectionSettings) -> None:
         self._settings = settings
-        self._parser = RequestParser(
-            self._on_head, self._continue, settings.read_limits
-        )
+        self._input = ConnectionInput(self._begin, self._continue, settings.read_limits)
+        self._unanswered = self._input.unanswered
         self._transport: asyncio.Transport
-        self._unanswered: deque[IncomingRequest] = deque()
         self._handling: asyncio.Task[None] | None = None
         self._timer = ConnectionTimer()
-        self._unparsed = bytearray()
         self._write_paused = False
         self._stopping = False
-        self._ignores_input = False
 
     def stop(self) -> None:
         """Close the connection after the answers to the requests received so far."""
@@ -126,7 +115,7 @@
         """Handle a connection that was closed by either side."""
         self._timer.stop()
         self.cancel()
-        self._forget_input()
+        self._input.forget()
         self._settings.clients.remove(self)
         self._settings.on_close(self)
 
@@ -144,17 +133,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data, unless earlier requests have to be answered first."""
-        if self._ignores_input:
-            return
-        if self._unparsed:
-            self._unparsed += data
-            data = b""
         self._parse_more(data)
 
     def _parse_more(self, data: bytes = b"") -> None:
-        """Parse data, or what was not parsed before."""
         try:
-            self._parse(data or self._unparsed)
+            self._input.add(data, self._may_parse)
         except MalformedRequestError:
             logger.warning("Invalid HTTP request received.")
             self._refuse(Refusal.MALFORMED)
@@ -163,20 +146,8 @@
             self._refuse(Refusal.HEAD_TOO_LARGE)
         self._update()
 
-    def _parse(self, data: bytes | bytearray) -> None:
-        """Parse received data until enough requests wait for their answers."""
-        self._unparsed = bytearray()
-        rest = memoryview(data)
-        while rest and not (self._has_enough() or self._transport.is_closing()):
-            rest = rest[self._parser.feed(rest) :]
-        if rest and not self._transport.is_closing():
-            self._unparsed += rest
-
-    def _on_head(self, incoming: IncomingRequest) -> None:
-        """Queue the request behind those that are not answered yet."""
-        self._unanswered.append(incoming)
-        if len(self._unanswered) == 1:
-            self._begin(incoming)
+    def _may_parse(self) -> bool:
+        return not (self._write_paused or self._transport.is_closing())
 
     def _begin(self, incoming: IncomingRequest) -> None:
         if incoming.needs_continue() and not incoming.is_too_large:
@@ -186,7 +157,7 @@
 
     def _continue(self, incoming: IncomingRequest) -> None:
         """Answer a request that was received or refused, once it is the next one."""
-        if self._unanswered[0] is not incoming or self._transport.is_closing():
+        if self._transport.is_closing() or self._unanswered[0] is not incoming:
             return
         if incoming.is_too_large:
             self._answer(incoming, self._refusal(Refusal.BODY_TOO_LARGE))
@@ -221,7 +192,7 @@
             return
         if self._unanswered and not self._write_paused:
             self._begin(self._unanswered[0])
-        if self._unparsed:
+        if self._input.has_unparsed:
             asyncio.get_running_loop().call_soon(self._parse_more)
         self._update()
 
@@ -230,10 +201,7 @@
 
         A client takes the next answer for that of its first unanswered request.
         """
-        newest = self._parser.incoming
-        incoming = None if newest.is_complete else newest
-        earlier = [item for item in self._unanswered if item is not incoming]
-        if not earlier:
+        if not self._input.earlier_than_newest():
             self._write(self._refusal(refusal), keep_alive=False, has_body=True)
         self._close()
 
@@ -245,36 +213,17 @@
     def shed(self) -> None:
         """Refuse the input that is not handled, and close unless a handler runs."""
         if self._handling is not None:
-            self._drop_waiting_input()
+            self._input.keep_first()
+            self._update()
             return
         if self._transport.is_closing():
             return
-        if self._has_unhandled_request():
+        if self._input.has_unrefused_request:
             response = self._refusal(Refusal.OVERLOADED)
             self._write(response, keep_alive=False, has_body=True)
-        self._forget_input()
+        self._input.forget()
         self._close_at_once()
 
-    def _forget_input(self) -> None:
-        """Free what was received, without waiting for the garbage collector."""
-        for incoming in (*self._unanswered, self._parser.incoming):
-            incoming.release()
-        self._unanswered.clear()
-        self._unparsed.clear()
-
-    def _drop_waiting_input(self) -> None:
-        """Keep only the request that is handled; its answer is the last one."""
-        handled = self._unanswered.popleft()
-        handled.keep_alive = False
-        self._forget_input()
-        self._unanswered.append(handled)
-        self._ignores_input = True
-        self._update()
-
-    def _has_unhandled_request(self) -> bool:
-        """Return whether a request is being received that has no answer yet."""
-        return bool(self._unanswered) or self._parser.is_receiving_unrefused
-
     def _close_at_once(self) -> None:
         """Close the connection, without waiting for a client that does not read."""
         if self._transport.get_write_buffer_size():
@@ -293,45 +242,40 @@
         self._settings.clients.update(self, activity, self._held_bytes())
 
     def _activity(self) -> Activity:
-        is_receiving = self._parser.is_receiving and not self._ignores_input
+        is_receiving = self._input.is_receiving
         if self._handling is not None:
-            has_input = len(self._unanswered) > 1 or is_receiving or self._unparsed
+            has_others = len(self._unanswered) > 1 or self._input.has_unparsed
+            has_input = has_others or is_receiving
             return Activity.HANDLING_WITH_INPUT if has_input else Activity.HANDLING
         if self._unanswered or is_receiving or self._write_paused:
             return Activity.RECEIVING
         return Activity.IDLE
 
     def _held_bytes(self) -> int:
-        waiting = sum(incoming.size_bytes for incoming in self._unanswered)
-        unread = self._transport.get_write_buffer_size()
-        unfinished = self._parser.unfinished_bytes + len(self._unparsed)
-        return waiting + unfinished + unread
+        return self._input.held_bytes + self._transport.get_write_buffer_size()
 
     def _write(self, response: Response, *, keep_alive: bool, has_body: bool) -> None:
         data = encode_response(response, keep_alive=keep_alive, has_body=has_body)
         self._transport.write(data)
 
-    def _has_enough(self) -> bool:
-        """Return whether nothing more is parsed before further answers are sent."""
-        return self._write_paused or len(self._unanswered) > MAX_UNANSWERED
-
     def _update_reading(self) -> None:
-        if self._has_enough() or self._ignores_input:
+        if self._write_paused or self._input.has_enough:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
 
     def _update_timer(self, activity: Activity) -> None:
+        parser = self._input.parser
         if activity in (Activity.HANDLING, Activity.HANDLING_WITH_INPUT):
             self._timer.stop()
         elif self._write_paused:
             self._timer.start_once(self._settings.keep_alive_s, self._transport.abort)
-        elif not self._has_unhandled_request():
+        elif not self._input.has_unrefused_request:
             self._timer.start(self._settings.keep_alive_s, self._close)
-        elif self._parser.is_receiving_head:
-            self._timer.start_once(self._parser.limits.head_timeout_s, self._time_out)
+        elif parser.is_receiving_head:
+            self._timer.start_once(parser.limits.head_timeout_s, self._time_out)
         else:
-            self._timer.start(self._parser.limits.body_timeout_s, self._time_out)
+            self._timer.start(parser.limits.body_timeout_s, self._time_out)
 
     def _close(self) -> None:
         self._transport.close()
--- a/tests/http/test_handler_server.py
+++ b/tests/http/test_handler_server.py
@@ -9,7 +9,7 @@
 import pytest
 
 from verbenaplank.connections.client_connections import ClientConnections
-from verbenaplank.http.connection import MAX_UNANSWERED
+from verbenaplank.http.connection_input import MAX_UNANSWERED
 from verbenaplank.http.handler_server import HandlerServer
 from verbenaplank.http.limits import HttpLimits
 from verbenaplank.http.messages import Request
