--- a/tests/unruly_clients/checks.py
+++ b/tests/unruly_clients/checks.py
@@ -5,9 +5,14 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from unruly_clients.crowd import Crowd
 from unruly_clients.programs import MAX_DESCRIPTORS
+from unruly_clients.sites import open_port
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
+    from unruly_clients.requests import ClientKind
     from unruly_clients.sites import Port
 
 SPARE_DESCRIPTORS = 16
@@ -17,6 +22,18 @@
 POLL_S = 0.1
 
 
+async def check_crowd(port_name: str, kind: ClientKind, folder: Path) -> None:
+    """Let a crowd send and stay connected, and check the program meanwhile."""
+    async with open_port(port_name, folder) as port:
+        before = port.program.open_descriptors
+        async with Crowd(kind, port.target):
+            check_limits(port)
+            if kind.exceeds_limits:
+                await wait_until_closed(port, before)
+            assert await port.answers()
+            check_limits(port)
+
+
 def check_limits(port: Port) -> None:
     """Check that the program runs within its machine's memory and descriptors."""
     assert port.program.is_running
--- a/tests/unruly_clients/test_http_ports.py
+++ b/tests/unruly_clients/test_http_ports.py
@@ -9,9 +9,7 @@
 
 import pytest
 
-from unruly_clients.checks import check_limits
-from unruly_clients.checks import wait_until_closed
-from unruly_clients.crowd import Crowd
+from unruly_clients.checks import check_crowd
 from unruly_clients.crowd import send_request_at_the_limits
 from unruly_clients.requests import JOB_KINDS
 from unruly_clients.requests import KINDS
@@ -57,14 +55,7 @@
 async def test_program_survives_a_crowd(
     port_name: str, kind: ClientKind, tmp_path: Path
 ) -> None:
-    async with open_port(port_name, tmp_path) as port:
-        before = port.program.open_descriptors
-        async with Crowd(kind, port.target):
-            check_limits(port)
-            if kind.exceeds_limits:
-                await wait_until_closed(port, before)
-            assert await port.answers()
-            check_limits(port)
+    await check_crowd(port_name, kind, tmp_path)
 
 
 @pytest.mark.parametrize("port_name", PORTS_WITH_BODIES)
