--- a/src/verbenaplank/http/connection.py
+++ b/src/verbenaplank/http/connection.py
@@ -86,6 +86,7 @@
         self._handling: asyncio.Task[None] | None = None
         self._timer = ConnectionTimer()
         self._write_paused = False
+        self._reads = True
         self._stopping = False
 
     def stop(self) -> None:
@@ -259,10 +260,14 @@
         self._transport.write(data)
 
     def _update_reading(self) -> None:
-        if self._write_paused or self._input.has_enough:
-            self._transport.pause_reading()
-        else:
+        reads = not (self._write_paused or self._input.has_enough)
+        if reads is self._reads:
+            return
+        self._reads = reads
+        if reads:
             self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
 
     def _update_timer(self, activity: Activity) -> None:
         parser = self._input.parser
--- a/src/verbenaplank/http/connection_input.py
+++ b/src/verbenaplank/http/connection_input.py
@@ -78,8 +78,10 @@
     @property
     def held_bytes(self) -> int:
         """Number of bytes that are kept."""
-        waiting = sum(incoming.size_bytes for incoming in self.unanswered)
-        return waiting + self.parser.unfinished_bytes + len(self._unparsed)
+        size_bytes = self.parser.unfinished_bytes + len(self._unparsed)
+        for incoming in self.unanswered:
+            size_bytes += incoming.size_bytes
+        return size_bytes
 
     def add(self, data: bytes, may_parse: Callable[[], bool]) -> None:
         """Parse data after what was received before, as far as that is permitted.
--- a/src/verbenaplank/http/headers.py
+++ b/src/verbenaplank/http/headers.py
@@ -4,10 +4,13 @@
 
 from collections.abc import Iterator
 from collections.abc import Mapping
+from functools import lru_cache
 
 SEPARATOR = b":"
 END = b"\n"
 WHITESPACE = b" \t"
+MAX_KEYS = 64
+"""Number of names whose encoded form is kept; programs read fewer."""
 
 
 class HeaderFields(Mapping[str, str]):
@@ -38,15 +41,22 @@
         lines = bytes(self._text).split(END)[1:-1]
         return [_split(line) for line in lines]
 
-    def __getitem__(self, name: str) -> str:
-        key = END + name.lower().encode("latin-1") + SEPARATOR
+    def find(self, name: str) -> str | None:
+        """Return the last field of a name, or ``None`` if there is none."""
+        key = _key(name)
         begin = self._text.rfind(key)
         if begin < 0:
-            raise KeyError(name)
+            return None
         begin += len(key)
         end = self._text.index(END, begin)
         return self._text[begin:end].decode("latin-1")
 
+    def __getitem__(self, name: str) -> str:
+        value = self.find(name)
+        if value is None:
+            raise KeyError(name)
+        return value
+
     def __iter__(self) -> Iterator[str]:
         return iter({name.decode("latin-1") for name, _ in self.raw_items()})
 
@@ -54,6 +64,11 @@
         return sum(1 for _ in self)
 
 
+@lru_cache(maxsize=MAX_KEYS)
+def _key(name: str) -> bytes:
+    return END + name.lower().encode("latin-1") + SEPARATOR
+
+
 def _split(line: bytes) -> tuple[bytes, bytes]:
     name, _, value = line.partition(SEPARATOR)
     return name, value
--- a/src/verbenaplank/http/incoming.py
+++ b/src/verbenaplank/http/incoming.py
@@ -49,7 +49,8 @@
 
     def needs_continue(self) -> bool:
         """Return whether the client waits for permission to send the body."""
-        return self.headers.get("expect", "").lower() == "100-continue"
+        expectation = self.headers.find("expect")
+        return expectation is not None and expectation.lower() == "100-continue"
 
     def release(self) -> None:
         """Forget what was received; ``size_bytes`` stays as it was."""
--- a/src/verbenaplank/http/request_parser.py
+++ b/src/verbenaplank/http/request_parser.py
@@ -169,8 +169,8 @@
         is_current = parser.get_http_version() != "1.0"
         incoming.keep_alive = is_current and parser.should_keep_alive()
         incoming.has_head = True
-        length = incoming.headers.get("content-length", "")
-        if length.isdecimal() and int(length) > self.limits.max_body_bytes:
+        length = incoming.headers.find("content-length")
+        if length and length.isdecimal() and int(length) > self.limits.max_body_bytes:
             incoming.is_too_large = True
         self._on_head(incoming)
 
