--- a/src/verbenaplank/entry/application.py
+++ b/src/verbenaplank/entry/application.py
@@ -296,12 +296,8 @@
 
     async def _start(self, stack: AsyncExitStack) -> None:
         settings = self._settings
-        server = serve(
-            self._peer_service.services(),
-            self.rpc_address,
-            settings.tls,
-            settings.clients,
-        )
+        services = self._peer_service.services()
+        server = serve(services, self.rpc_address, settings.tls, settings.clients)
         self.rpc_address = await stack.enter_async_context(server)
         hello = EntryHello(
             entry_id=settings.instance_id,
--- a/tests/http/test_handler_server.py
+++ b/tests/http/test_handler_server.py
@@ -328,12 +328,14 @@
 async def test_input_behind_a_handled_request_is_dropped_but_not_its_answer() -> None:
     desk = Desk()
     desk.may_answer.clear()
-    async with serving(desk, clients=_few_clients(9, max_bytes=100)) as server:
+    clients = _few_clients(9, max_bytes=100)
+    async with serving(desk, clients=clients) as server:
         reader, writer = await connect(server)
         writer.write(b"GET /a HTTP/1.1\r\n\r\n")
         assert await desk.begun.get() == "/a"
         writer.write(b"PUT /b HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + b"x" * 99)
-        await asyncio.sleep(0.05)
+        while not clients.shed_count:  # noqa: ASYNC110
+            await asyncio.sleep(0)
         desk.may_answer.set()
         status, headers, _ = await answer(reader)
         assert (status, headers["connection"]) == (200, "close")
