--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import random
 import secrets
 import shlex
 import signal
@@ -36,6 +37,9 @@
 GRACE_S = 6.0
 HEARTBEAT_S = 1.5
 HOLD_MAX_MS = 1_000
+ORDERS = ("/v1/run-start", "/v1/run-stop")
+LATE_S = (2.0, 12.0)
+UNANSWERED_S = 20.0
 HELD = 0
 BROKEN = 1
 NOT_RUN = 2
@@ -151,6 +155,11 @@
     ----------
     starts
         Rows of time, task and run id of all starts.
+    spans
+        Begin and end of each run that has ended, by its task, on the monotonic clock.
+    late_share
+        Share of the orders to start and to stop that get no answer and are carried out
+        2 to 12 s later.
     """
 
     def __init__(self, host: str, port: int, cpu: int, record: Record) -> None:
@@ -160,6 +169,8 @@
         self.server_id = f"i-{secrets.token_hex(4)}"
         self.born = round(time.time() * 1_000)
         self.starts: list[tuple[float, str, int]] = []
+        self.spans: list[tuple[str, float, float]] = []
+        self.late_share = 0.0
         self.state = "ready"
         self._record = record
         self._began_s = time.monotonic()
@@ -171,6 +182,7 @@
         self._ends: list[list[Any]] = []
         self._ends_count = 0
         self._server: asyncio.Server | None = None
+        self._late: list[asyncio.Task[None]] = []
 
     @property
     def active(self) -> list[str]:
@@ -224,7 +236,13 @@
                 length = int(fields.get("content-length", "0").strip())
                 body = json.loads(await reader.readexactly(length) or b"{}")
                 wanted = fields.get("verbenaplank-expect-instance", "").strip()
-                status, reply = await self._handle(first.split()[1], body, wanted)
+                path = first.split()[1]
+                if path in ORDERS and random.random() < self.late_share:
+                    late = asyncio.create_task(self._carry_out_late(path, body, wanted))
+                    self._late.append(late)
+                    await asyncio.sleep(UNANSWERED_S)
+                    return
+                status, reply = await self._handle(path, body, wanted)
                 payload = _json(reply)
                 head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(payload)}\r\n\r\n"
                 writer.write(head.encode() + payload)
@@ -236,6 +254,12 @@
         finally:
             writer.close()
 
+    async def _carry_out_late(
+        self, path: str, body: dict[str, Any], wanted: str
+    ) -> None:
+        await asyncio.sleep(random.uniform(*LATE_S))
+        await self._handle(path, body, wanted)
+
     async def _handle(
         self, path: str, body: dict[str, Any], wanted: str
     ) -> tuple[int, dict[str, Any]]:
@@ -274,7 +298,7 @@
     def _stop(self, task: str, number: int) -> None:
         self._highest[task] = max(number, self._highest.get(task, 0))
         if (task, number) in self._active:
-            self._end((task, number), "stopped")
+            self._end((task, number), "stopped", time.monotonic())
 
     async def _hold(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         if "deadline-ms" in body:
@@ -304,13 +328,15 @@
         now_s = time.monotonic()
         for run, (_, ends_s) in list(self._active.items()):
             if now_s >= ends_s:
-                self._end(run, "done")
+                self._end(run, "done", ends_s)
         if self._active and self._clock_ms() > self._lease_ms:
+            lapsed_s = self._began_s + (self._lease_ms - 1_000) / 1_000
             for run in list(self._active):
-                self._end(run, "lapsed")
+                self._end(run, "lapsed", lapsed_s)
 
-    def _end(self, run: tuple[str, int], how: str) -> None:
-        del self._active[run]
+    def _end(self, run: tuple[str, int], how: str, ended_s: float) -> None:
+        began_s, _ = self._active.pop(run)
+        self.spans.append((run[0], began_s, ended_s))
         self._ends_count += 1
         self._ends.append([self._ends_count, *run, how, ""])
         self._record.line(f"executor {self.host}: {run[0]} run {run[1]} ends {how}")
