--- a/src/verbenaplank/agent/active_run.py
+++ b/src/verbenaplank/agent/active_run.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import attrs
 
 from verbenaplank.agent.backend import RunReport
+from verbenaplank.agent.lease_holder import LeaseHolder
+from verbenaplank.agent.lease_holder import UnlimitedLeaseHolder
 from verbenaplank.agent.lease_protocol import EndKind
 from verbenaplank.agent.lease_protocol import RunId
 from verbenaplank.protocol.work import TaskOutcome
@@ -21,6 +24,20 @@
 NULL_OUTPUT = b"null"
 """Output of a successful task, because a leased backend server returns no result."""
 
+OWNER_LOSS_MARGIN_S = 0.4
+"""How long a run may outlast the lease of its entry.
+
+The callers of a lost entry may be back 1.3 s after the loss.  The lease of the entry
+takes 0.8 s of that time; what is left allows for clocks that run 2% slow and for the
+time that the backend server takes to end runs.
+"""
+
+MAX_STOP_S = 1.5
+"""How long a run may outlast the request to stop it.
+
+A task must have ended 3 s after its job's cancel was acknowledged.
+"""
+
 OUTCOME_BY_END = {
     EndKind.DONE: TaskOutcome.SUCCEEDED,
     EndKind.FAILED: TaskOutcome.FAILED,
@@ -44,8 +61,11 @@
         to a later poll lists the run as active unless it has ended.
     start_acknowledged
         Whether the backend server acknowledged the start.
-    stop_requested
-        Whether the agent is stopping the run.
+    owner
+        The entry for which the task runs.
+    stop_requested_s
+        Monotonic time at which the agent began to stop the run; infinity if it has
+        not.
     stalled
         Whether the agent is stopping the run because it made no progress.
     workload
@@ -59,14 +79,29 @@
     run_id: RunId
     end: asyncio.Future[EndKind]
     workload: str = ""
+    owner: LeaseHolder = attrs.field(factory=UnlimitedLeaseHolder)
     visible_after_poll: int | None = None
     start_acknowledged: bool = False
-    stop_requested: bool = False
+    stop_requested_s: float = math.inf
     stalled: bool = False
     started_s: float = 0.0
     percent: int = 0
     progressed_s: float = 0.0
 
+    @property
+    def stop_requested(self) -> bool:
+        """Whether the agent is stopping the run."""
+        return self.stop_requested_s < math.inf
+
+    @property
+    def must_end_by_s(self) -> float:
+        """Return the monotonic time by which the run must have ended.
+
+        It moves on while the entry renews its lease.
+        """
+        owner_limit_s = self.owner.lease_until_s + OWNER_LOSS_MARGIN_S
+        return min(owner_limit_s, self.stop_requested_s + MAX_STOP_S)
+
     def update_progress(self, percent: int, now_s: float) -> bool:
         """Record the progress and return whether the run is stalled."""
         if percent != self.percent:
--- a/src/verbenaplank/agent/active_runs.py
+++ b/src/verbenaplank/agent/active_runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from verbenaplank.agent.active_run import infer_end
@@ -43,7 +44,7 @@
     def __iter__(self) -> Iterator[ActiveRun]:
         return iter(self._runs.values())
 
-    def __contains__(self, run_id: RunId) -> bool:
+    def __contains__(self, run_id: object) -> bool:
         return run_id in self._runs
 
     def add(self, task_id: str, run: ActiveRun) -> None:
@@ -74,6 +75,17 @@
         """Whether the agent is stopping a run."""
         return any(run.stop_requested for run in self._runs.values())
 
+    def must_end_by_s(self) -> float:
+        """Return the monotonic time by which the first run must have ended.
+
+        All runs share one lease, so it must not last longer, whether or not a stop
+        request is carried out.  Return infinity without a run.
+        """
+        limits_s = (
+            run.must_end_by_s for run in self._runs.values() if not run.end.done()
+        )
+        return min(limits_s, default=math.inf)
+
     def record_ends(self, reply: PollReply) -> None:
         """Record the ends that a reply lists."""
         for ended in reply.ended:
--- a/src/verbenaplank/agent/backend.py
+++ b/src/verbenaplank/agent/backend.py
@@ -20,6 +20,7 @@
     from types import TracebackType
     from typing import Self
 
+    from verbenaplank.agent.lease_holder import LeaseHolder
     from verbenaplank.settings.agent import BackendServerSettings
 
 CONNECT_TIMEOUT_S = 1.0
@@ -74,6 +75,7 @@
         service: str,
         payload: bytes,
         timeout_s: float,
+        owner: LeaseHolder | None = None,
     ) -> RunReport:
         """Run a task at most once and return how the run ended.
 
@@ -84,6 +86,9 @@
         ----------
         timeout_s
             Longest duration of the run, in seconds.
+        owner
+            The entry for which the task runs; ``None`` if the run need not end with
+            its lease.
         """
 
     async def stop(self, task_id: str) -> None:
@@ -151,6 +156,7 @@
         service: str,
         payload: bytes,
         timeout_s: float,
+        owner: LeaseHolder | None = None,
     ) -> RunReport:
         """Run a task at most once; the request is never sent a second time.
 
--- a/src/verbenaplank/agent/backend_lease.py
+++ b/src/verbenaplank/agent/backend_lease.py
@@ -2,22 +2,32 @@
 
 from __future__ import annotations
 
+import math
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from verbenaplank.agent.backend_clock import BackendClock
+from verbenaplank.agent.lease_protocol import NotSentError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
     from verbenaplank.clock.sources import MonotonicClock
 
 EXPIRY_MARGIN_S = 0.15
 """Added to 102% of a lease before its runs count as ended.  This allows for clocks that
 run 2% slow and for the time that the backend server takes to end stopped runs."""
 
+SLOWEST_CLOCK_FACTOR = 1.02
+SHORTEST_EXTENSION_S = 0.05
+"""A request that could extend the lease only for less does not extend it."""
+
 MS_PER_S = 1_000
 
 
 class BackendLease:
-    """When the lease was extended, and when the backend server last replied.
+    """When the lease ends at the latest, and when the backend server last replied.
 
     Parameters
     ----------
@@ -25,6 +35,9 @@
         Longest lease that the backend server grants, in seconds.
     clock
         Monotonic clock of this process.
+    limit_s
+        Returns the time on ``clock`` beyond which the lease must not last now; by
+        default, it may last for ``lease_s``.
 
     Attributes
     ----------
@@ -36,21 +49,23 @@
         Whether new runs are refused because the backend server does not answer.
     """
 
-    def __init__(self, lease_s: float, clock: MonotonicClock) -> None:
+    def __init__(
+        self,
+        lease_s: float,
+        clock: MonotonicClock,
+        limit_s: Callable[[], float] = lambda: math.inf,
+    ) -> None:
         self.fence = 0
         self.failed_polls = 0
         self.is_down = False
         self._lease_s = lease_s
         self._clock = clock
+        self._limit_s = limit_s
         self._backend_clock = BackendClock(clock)
-        self._extended_s = clock()
+        self._ended_by_s = clock() + self.longest_expiry_s
+        self._extensions_in_flight: list[float] = []
         self._last_reply_s = clock()
 
-    @property
-    def extended_s(self) -> float:
-        """Return when a request that extends the lease was last sent, in seconds."""
-        return self._extended_s
-
     @property
     def silent_s(self) -> float:
         """Return the time since the last reply to a poll, in seconds."""
@@ -69,32 +84,50 @@
     @property
     def left_s(self) -> float:
         """Return the time until all runs have certainly ended, in seconds."""
-        expires_s = self._extended_s + self._lease_s * 1.02 + EXPIRY_MARGIN_S
-        return max(0.0, expires_s - self._clock())
+        ended_by_s = max([self._ended_by_s, *self._extensions_in_flight])
+        return max(0.0, ended_by_s - self._clock())
 
     @property
     def longest_expiry_s(self) -> float:
-        """Return the time after which the lease of an earlier agent has expired."""
-        return self._lease_s + EXPIRY_MARGIN_S
-
-    def extend(self) -> int:
-        """Return the new end of the lease on the backend server's clock, in ms.
+        """Return the time after which a lease granted now has certainly expired."""
+        return self._lease_s * SLOWEST_CLOCK_FACTOR + EXPIRY_MARGIN_S
 
-        The lease counts as extended from now, since the request that carries this end
-        may take effect even if it is not answered.
-        """
-        self._extended_s = self._clock()
-        return self._backend_clock.now_ms() + round(self._lease_s * MS_PER_S)
+    @contextmanager
+    def extend(self) -> Iterator[int | None]:
+        """Extend the lease by a request that is sent inside the context.
 
-    def record_not_sent(self, extended_s: float) -> None:
-        """Undo an extension whose request was never sent.
+        The lease counts as extended even if the request is not answered, as it may
+        take effect.  Only :class:`NotSentError` undoes the extension.
 
-        Parameters
-        ----------
-        extended_s
-            The value of :attr:`extended_s` before that extension.
+        Yields
+        ------
+        int or None
+            New end of the lease on the backend server's clock, in milliseconds;
+            ``None`` if the limit of the lease does not allow an extension.
         """
-        self._extended_s = extended_s
+        now_s = self._clock()
+        span_s = min(self._lease_s, self._limit_s() - now_s)
+        if span_s < SHORTEST_EXTENSION_S:
+            yield None
+            return
+        ended_by_s = now_s + span_s * SLOWEST_CLOCK_FACTOR + EXPIRY_MARGIN_S
+        self._extensions_in_flight.append(ended_by_s)
+        try:
+            yield self._backend_clock.now_ms() + round(span_s * MS_PER_S)
+        except NotSentError:
+            self._extensions_in_flight.remove(ended_by_s)
+            raise
+        except BaseException:
+            self._settle(ended_by_s)
+            raise
+        self._settle(ended_by_s)
+
+    def _settle(self, ended_by_s: float) -> None:
+        self._extensions_in_flight.remove(ended_by_s)
+        self._ended_by_s = max(self._ended_by_s, ended_by_s)
+
+    def record_not_sent(self) -> None:
+        """Record that no connection could be opened; new runs are refused then."""
         self.is_down = True
 
     def record_fenced_off(self) -> None:
@@ -102,7 +135,7 @@
 
         The request with the higher token may have extended the lease until now.
         """
-        self._extended_s = self._clock()
+        self._ended_by_s = self._clock() + self.longest_expiry_s
         self.is_down = True
 
     def update_clock(self, clock_ms: int) -> None:
--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -12,6 +12,9 @@
 from verbenaplank.history.event import EventKind
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from verbenaplank.agent.active_run import ActiveRun
     from verbenaplank.agent.effects import EntryKey
     from verbenaplank.agent.lease_protocol import RunId
     from verbenaplank.agent.report import BackendServerReport
@@ -110,6 +113,13 @@
     logger.warning("lease not renewed", extra=extra)
 
 
+def log_lease_must_end(runs: Collection[ActiveRun]) -> None:
+    """Log that a poll does not extend the lease, as a run would go on for too long."""
+    stopping = sum(run.stop_requested for run in runs)
+    extra = {"runs": len(runs), "stopping": stopping}
+    logger.warning("lease of all runs must end", extra=extra)
+
+
 def log_poll_recovered(silent_s: float) -> None:
     """Log that a poll succeeded again, and the time since the reply before it."""
     extra = {"silent_ms": round(silent_s * 1_000)}
--- a/src/verbenaplank/agent/effects.py
+++ b/src/verbenaplank/agent/effects.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from verbenaplank.agent.lease_holder import LeaseHolder
 from verbenaplank.protocol.work import Dispatch
 from verbenaplank.protocol.work import DispatchRefusal
 from verbenaplank.protocol.work import Revocation
@@ -59,10 +60,17 @@
 
 @attrs.frozen
 class StartDecision:
-    """Whether a run may start now; if not, ``effects`` may hold a refusal."""
+    """Whether a run may start now; if not, ``effects`` may hold a refusal.
+
+    Attributes
+    ----------
+    owner
+        The entry whose lease the run depends on, if it may start.
+    """
 
     allowed: bool
     effects: tuple[Reply, ...] = ()
+    owner: LeaseHolder | None = None
 
 
 Effect = StartRun | StopRun | Reply
--- a/src/verbenaplank/agent/gate.py
+++ b/src/verbenaplank/agent/gate.py
@@ -249,7 +249,7 @@
         entry, dispatch = queued.entry, queued.dispatch
         self._started.add(start.task_id, entry.number, dispatch.dispatch_id, now_s)
         self._occupancy.start(queued)
-        return StartDecision(allowed=True)
+        return StartDecision(allowed=True, owner=entry)
 
     def on_connect_failed(self, start: StartRun) -> list[Reply]:
         """Release a reservation and refuse its dispatch, because connecting failed."""
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -11,6 +11,8 @@
 import logging
 from typing import TYPE_CHECKING
 
+import attrs
+
 from verbenaplank.agent import decision_log
 from verbenaplank.agent.active_run import ActiveRun
 from verbenaplank.agent.active_run import report_for_end
@@ -22,6 +24,7 @@
 from verbenaplank.agent.call_timeouts import RETRY_S
 from verbenaplank.agent.call_timeouts import call_timeout_s
 from verbenaplank.agent.fencing import FencingTokens
+from verbenaplank.agent.lease_holder import UnlimitedLeaseHolder
 from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import EndKind
@@ -48,6 +51,7 @@
     from typing import Self
 
     from verbenaplank.agent.crash_watch import CrashWatch
+    from verbenaplank.agent.lease_holder import LeaseHolder
     from verbenaplank.agent.lease_protocol import LeasedBackendClient
     from verbenaplank.agent.lease_protocol import PollReply
     from verbenaplank.clock.sources import MonotonicClock
@@ -110,16 +114,17 @@
         self._tokens = tokens or FencingTokens()
         self.is_taken_over = False
         self._clock = clock
-        self._lease = BackendLease(lease_s, clock)
+        self._runs = ActiveRuns()
+        self._lease = BackendLease(lease_s, clock, self._runs.must_end_by_s)
+        self._lease_must_end = False
         self._on_lost = on_lost
         self._run_numbers = RunNumbers()
-        self._runs = ActiveRuns()
         self._wake = asyncio.Event()
         self._starts = StartSender(
             client, self._lease, self._wake.set, self._handle_lost
         )
         self._stopper = RunStopper(
-            client, self._lease, self._runs, self._wake.set, self._handle_lost
+            client, self._lease, self._runs, clock, self._wake.set, self._handle_lost
         )
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -174,10 +179,13 @@
         service: str,
         payload: bytes,
         timeout_s: float,
+        owner: LeaseHolder | None = None,
     ) -> RunReport:
         """Run a task at most once and return when it can no longer run.
 
-        A run that exceeds ``timeout_s`` is stopped.  A start that was refused as
+        The lease at the backend server ends soon after that of the ``owner``, whether
+        or not a request to stop the run is carried out.  A run that exceeds
+        ``timeout_s`` is stopped.  A start that was refused as
         outdated has had no effect and is tried again with a higher run number.  While
         the task still runs here for another entry, the start waits for that end.
         """
@@ -191,7 +199,7 @@
             number = self._run_numbers.next(task.name, attempt)
             run_id = RunId(task=task.name, number=number)
             end: asyncio.Future[EndKind] = asyncio.get_running_loop().create_future()
-            run = ActiveRun(run_id, end, task.workload)
+            run = ActiveRun(run_id, end, task.workload, owner or UnlimitedLeaseHolder())
             earlier = self._runs.latest_of(task.name)
             self._runs.add(task_id, run)
             try:
@@ -268,20 +276,10 @@
         self._runs.polls_sent += 1
         poll_number = self._runs.polls_sent
         self._runs.has_unacknowledged_ends = False
-        extended_s = self._lease.extended_s
-        is_responsive = self._lease.is_responsive
-        may_wait = is_responsive and not self._runs.any_stopping
-        request = PollRequest(
-            fence=self._lease.fence,
-            deadline_ms=self._lease.extend() if is_responsive and self._runs else None,
-            acknowledged=self._runs.acknowledged_sequence,
-            wait_ms=POLL_WAIT_MS if may_wait and self._runs else 0,
-        )
-        timeout_s = call_timeout_s(self._lease.failed_polls) + request.wait_ms / 1_000
         try:
-            reply = await self._client.poll(request, timeout_s)
+            reply = await self._send_poll()
         except NotSentError:
-            self._lease.record_not_sent(extended_s)
+            self._lease.record_not_sent()
             raise
         if reply.fenced:
             raise FencedOffError
@@ -294,6 +292,25 @@
         if self._runs.any_stopping:
             await asyncio.sleep(RETRY_S / 5)
 
+    async def _send_poll(self) -> PollReply:
+        """Send a poll, which extends the lease unless a run is about to outlast it."""
+        may_wait = self._lease.is_responsive and not self._runs.any_stopping
+        request = PollRequest(
+            fence=self._lease.fence,
+            deadline_ms=None,
+            acknowledged=self._runs.acknowledged_sequence,
+            wait_ms=POLL_WAIT_MS if may_wait and self._runs else 0,
+        )
+        timeout_s = call_timeout_s(self._lease.failed_polls) + request.wait_ms / 1_000
+        if not (self._lease.is_responsive and self._runs):
+            return await self._client.poll(request, timeout_s)
+        with self._lease.extend() as deadline_ms:
+            if deadline_ms is None and not self._lease_must_end:
+                decision_log.log_lease_must_end(self._runs)
+            self._lease_must_end = deadline_ms is None
+            request = attrs.evolve(request, deadline_ms=deadline_ms)
+            return await self._client.poll(request, timeout_s)
+
     def _process_reply(self, reply: PollReply, poll_number: int) -> None:
         self._runs.record_ends(reply)
         for run_id in self._stopper.take_unknown_runs(reply):
--- a/src/verbenaplank/agent/run_stopper.py
+++ b/src/verbenaplank/agent/run_stopper.py
@@ -23,6 +23,7 @@
     from verbenaplank.agent.lease_protocol import LeasedBackendClient
     from verbenaplank.agent.lease_protocol import PollReply
     from verbenaplank.agent.lease_protocol import RunId
+    from verbenaplank.clock.sources import MonotonicClock
 
 
 class RunStopper:
@@ -41,12 +42,14 @@
         client: LeasedBackendClient,
         lease: BackendLease,
         runs: ActiveRuns,
+        clock: MonotonicClock,
         request_poll: Callable[[], None],
         on_lost: Callable[[], None],
     ) -> None:
         self._client = client
         self._lease = lease
         self._runs = runs
+        self._clock = clock
         self._request_poll = request_poll
         self._on_lost = on_lost
         self._unknown_runs: set[RunId] = set()
@@ -61,7 +64,7 @@
         if run.stop_requested:
             await asyncio.wait([run.end])
             return
-        run.stop_requested = True
+        run.stop_requested_s = self._clock()
         for repetition in itertools.count():
             if run.end.done():
                 return
--- a/src/verbenaplank/agent/runner.py
+++ b/src/verbenaplank/agent/runner.py
@@ -210,6 +210,7 @@
             dispatch.service,
             dispatch.payload,
             dispatch.run_budget_ms / MS_PER_S,
+            decision.owner,
         )
         report = self._adjust_outcome(start.task_id, report)
         now_s = self.clock()
--- a/src/verbenaplank/agent/start_sender.py
+++ b/src/verbenaplank/agent/start_sender.py
@@ -21,6 +21,13 @@
     from verbenaplank.agent.lease_protocol import LeasedBackendClient
 
 
+LEASE_ENDS = "the lease must end, because a run that is to end may still be active"
+
+
+class LeaseEndsError(NotSentError):
+    """A start was not sent, because the lease must not be extended for it."""
+
+
 class StartSender:
     """Sends start requests, which also extend the lease.
 
@@ -78,17 +85,21 @@
         self, run: ActiveRun, content: str, timeout_s: float
     ) -> StartReply:
         """Send one start request, which also extends the lease."""
-        extended_s = self._lease.extended_s
-        request = StartRequest(
-            run=run.run_id,
-            content=content,
-            deadline_ms=self._lease.extend(),
-            fence=self._lease.fence,
-        )
         try:
-            reply = await self._client.start(request, timeout_s)
+            with self._lease.extend() as deadline_ms:
+                if deadline_ms is None:
+                    raise LeaseEndsError(LEASE_ENDS)
+                request = StartRequest(
+                    run=run.run_id,
+                    content=content,
+                    deadline_ms=deadline_ms,
+                    fence=self._lease.fence,
+                )
+                reply = await self._client.start(request, timeout_s)
+        except LeaseEndsError:
+            raise
         except NotSentError:
-            self._lease.record_not_sent(extended_s)
+            self._lease.record_not_sent()
             self._on_not_sent()
             raise
         except BackendRestartedError:
--- a/tests/agent/fake_worker.py
+++ b/tests/agent/fake_worker.py
@@ -15,6 +15,7 @@
 from verbenaplank.agent.lease_protocol import StartReply
 from verbenaplank.agent.lease_protocol import StartRequest
 from verbenaplank.agent.lease_protocol import StartStatus
+from verbenaplank.clock.sources import monotonic_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -137,3 +138,69 @@
         while not condition():
             server.polled.clear()
             await server.polled.wait()
+
+
+class LeasingBackendServer(FakeBackendServer):
+    """Backend server whose clock runs and whose lease expires, as it does by contract.
+
+    Attributes
+    ----------
+    loses_stops
+        Whether requests to stop a run get no answer and are not carried out.
+    lease_granted_ms
+        Each new end of the lease, with the reading of the clock when it was granted.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loses_stops = False
+        self.lease_granted_ms: list[tuple[int, int]] = []
+        self._began_s = monotonic_s()
+
+    @property
+    def clock_ms(self) -> int:  # type: ignore[override]
+        return 5_000 + round((monotonic_s() - self._began_s) * 1_000)
+
+    @clock_ms.setter
+    def clock_ms(self, value: int) -> None:
+        """Ignore the value: this clock runs by itself."""
+
+    def execute_start(self, request: StartRequest) -> StartStatus:
+        self._expire_lease()
+        before_ms = self.lease_until_ms
+        status = super().execute_start(request)
+        self._note_grant(before_ms)
+        return status
+
+    async def stop(self, run: RunId, fence: int, timeout_s: float) -> None:
+        self._expire_lease()
+        if self.loses_stops:
+            await asyncio.sleep(timeout_s)
+            raise CallFailedError("stop")
+        await super().stop(run, fence, timeout_s)
+
+    async def poll(self, request: PollRequest, timeout_s: float) -> PollReply:
+        self._expire_lease()
+        for run, percent in self.active.items():
+            self.active[run] = min(99, percent + 1)
+        before_ms = self.lease_until_ms
+        polling = asyncio.create_task(super().poll(request, timeout_s))
+        await asyncio.sleep(0)
+        self._note_grant(before_ms)
+        reply = await polling
+        if not self._expire_lease():
+            return reply
+        return await super().poll(request, timeout_s)
+
+    def _note_grant(self, before_ms: int) -> None:
+        if self.lease_until_ms > before_ms:
+            self.lease_granted_ms.append((self.clock_ms, self.lease_until_ms))
+
+    def _expire_lease(self) -> bool:
+        """End all runs if the lease has expired; return whether any ended."""
+        if self.clock_ms <= self.lease_until_ms:
+            return False
+        expired = list(self.active)
+        for run in expired:
+            self.end(run, EndKind.LEASE_EXPIRED)
+        return bool(expired)
