--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -83,6 +83,12 @@
     logger.warning("start request got no usable reply", extra=extra)
 
 
+def log_stop_unanswered(run: RunId, cause: str) -> None:
+    """Log that the first request to stop a run got no usable reply."""
+    extra = {"task": run.task, "run": run.number, "cause": cause}
+    logger.warning("stop request got no usable reply", extra=extra)
+
+
 def log_take_over(fence: int, clock_ms: int, *, refused: bool) -> None:
     """Log that the agent sends its fencing token to the backend server.
 
--- a/src/verbenaplank/agent/lease_protocol.py
+++ b/src/verbenaplank/agent/lease_protocol.py
@@ -20,6 +20,13 @@
     """A call was not sent, because no connection could be opened."""
 
 
+class UnreachableError(NotSentError):
+    """A call was not sent, because opening a connection took too long.
+
+    Other than a refused connection, this does not show that the process has ended.
+    """
+
+
 class BackendRestartedError(Exception):
     """The called incarnation of the backend server has ended."""
 
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -34,6 +34,7 @@
 from verbenaplank.agent.lease_protocol import RunId
 from verbenaplank.agent.lease_protocol import StartReply
 from verbenaplank.agent.lease_protocol import StartStatus
+from verbenaplank.agent.lease_protocol import UnreachableError
 from verbenaplank.agent.named_task import decode_task
 from verbenaplank.agent.run_numbers import RunNumbers
 from verbenaplank.agent.run_stopper import RunStopper
@@ -334,7 +335,8 @@
         """
         self._lease.record_poll_failure()
         if self._crash_watch is not None:
-            refused = isinstance(error, NotSentError)
+            not_sent = isinstance(error, NotSentError)
+            refused = not_sent and not isinstance(error, UnreachableError)
             self._crash_watch.on_silent(self._runs, refused=refused)
         if self._lease.failed_polls == 1:
             silent_s = self._lease.silent_s
--- a/src/verbenaplank/agent/run_stopper.py
+++ b/src/verbenaplank/agent/run_stopper.py
@@ -71,7 +71,9 @@
             timeout_s = stop_timeout_s(repetition)
             try:
                 await self._client.stop(run.run_id, self._lease.fence, timeout_s)
-            except CallFailedError:
+            except CallFailedError as error:
+                if repetition == 0:
+                    decision_log.log_stop_unanswered(run.run_id, str(error))
                 self._request_poll()
                 with suppress(TimeoutError):
                     async with asyncio.timeout(stop_pause_s(repetition)):
--- /dev/null
+++ b/tests/verbena_platform/test_executor_client.py
@@ -0,0 +1,105 @@
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+import pytest
+
+from verbena_platform.executor import ExecutorClient
+from verbenaplank.agent.call_timeouts import CALL_TIMEOUTS_S
+from verbenaplank.agent.lease_protocol import CallFailedError
+from verbenaplank.agent.lease_protocol import NotSentError
+from verbenaplank.agent.lease_protocol import RunId
+from verbenaplank.agent.report import BackendServerReport
+from verbenaplank.http.handler_server import HandlerServer
+from verbenaplank.http.limits import HttpLimits
+from verbenaplank.http.messages import Request
+from verbenaplank.http.messages import Response
+from verbenaplank.placement.task import Resources
+from verbenaplank.rpc.address import Address
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+LIMITS = HttpLimits(max_body_bytes=1024 * 1024)
+BORN = 1_700
+
+
+def make_client(port: int) -> ExecutorClient:
+    report = BackendServerReport(
+        server_id="i-1",
+        incarnation=str(BORN),
+        service="draw",
+        address=f"127.0.0.1:{port}",
+        sequence=1,
+        slots=8,
+        draining=False,
+        size=Resources(cores=8.0, memory_mb=1_000),
+    )
+    return ExecutorClient(report)
+
+
+@attrs.define
+class LossyExecutor:
+    """Leaves the first orders unanswered, and answers all others at once."""
+
+    port: int
+    orders_to_lose: int = 0
+    orders: int = 0
+    born: int = BORN
+
+    @asynccontextmanager
+    async def serving(self) -> AsyncIterator[ExecutorClient]:
+        address = Address("127.0.0.1", self.port)
+        async with HandlerServer(self.handle, lambda: LIMITS, address, 0.1):
+            client = make_client(self.port)
+            yield client
+            client.close()
+
+    async def handle(self, request: Request) -> Response:
+        if request.path != "/v1/hold":
+            self.orders += 1
+            if self.orders <= self.orders_to_lose:
+                await asyncio.Event().wait()
+        body = {"clock-ms": 1_000, "born": self.born, "active": [], "finished": []}
+        return Response(status=200, body=msgspec.json.encode(body))
+
+
+async def stop(client: ExecutorClient, number: int) -> None:
+    await client.stop(RunId(f"task-{number}", 1), 1, CALL_TIMEOUTS_S[0])
+
+
+async def test_stops_do_not_wait_behind_those_without_an_answer(
+    unused_tcp_port: int,
+) -> None:
+    """They timed out behind unanswered ones, without having been sent.
+
+    So most of the attempts to stop the runs of a killed entry reached nobody.
+    """
+    executor = LossyExecutor(unused_tcp_port, orders_to_lose=8)
+    async with executor.serving() as client:
+        stops = [stop(client, number) for number in range(32)]
+        results = await asyncio.gather(*stops, return_exceptions=True)
+        assert executor.orders == 32
+        assert sum(isinstance(result, CallFailedError) for result in results) == 8
+
+
+async def test_calls_without_an_answer_have_a_limit(unused_tcp_port: int) -> None:
+    """An executor accepts few connections, and a call costs memory."""
+    executor = LossyExecutor(unused_tcp_port, orders_to_lose=100)
+    async with executor.serving() as client:
+        stops = [asyncio.create_task(stop(client, number)) for number in range(40)]
+        await asyncio.sleep(0.8 * CALL_TIMEOUTS_S[0])
+        assert executor.orders <= 16
+        await asyncio.gather(*stops, return_exceptions=True)
+        assert executor.orders == 40
+
+
+async def test_call_that_is_not_sent_is_told_apart(unused_tcp_port: int) -> None:
+    """The run of a start that was not sent has certainly not started."""
+    client = make_client(unused_tcp_port)
+    with pytest.raises(NotSentError):
+        await stop(client, 1)
