Send no call to a backend server that is back on a connection of its former life's time

Cause: a connection opened while the server was silent led to its next life, which carried out polls and starts whose end of the lease was reckoned by the former life's clock, 8 to 26 s ahead of its own. The header names an id that both lives have, and the reply tells the life only after the call. An executor that keeps such a lease runs on while it is cut off. Change: the first request on each connection is a poll that changes no lease and forgets no end; other calls follow only if the right life has answered it. A call that is given up resets its connection, so that bytes that a partition holds up are lost.

--- a/src/verbenaplank/agent/connection.py
+++ b/src/verbenaplank/agent/connection.py
@@ -8,6 +8,9 @@
 
 import asyncio
 import select
+import socket
+import struct
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import attrs
@@ -18,6 +21,7 @@
     from typing import Self
 
 MAX_BODY_BYTES = 1024 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 CLOSED = "the connection was closed before the response ended"
 
 
@@ -95,6 +99,18 @@
         if self._transport is not None:
             self._transport.close()
 
+    def reset(self) -> None:
+        """Close the connection, and drop what has not reached the other side yet.
+
+        A request that a partition holds up is not delivered after it any more.
+        """
+        if self._transport is None:
+            return
+        with suppress(OSError):
+            connection = self._transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._transport.abort()
+
     async def post(
         self, path: str, payload: bytes, headers: Mapping[str, str]
     ) -> HttpResponse:
--- a/src/verbenaplank/agent/connection_pool.py
+++ b/src/verbenaplank/agent/connection_pool.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
     from collections.abc import Mapping
 
     from verbenaplank.agent.connection import HttpResponse
@@ -26,8 +27,21 @@
 class ConnectionPool:
     """Carries out calls, each on a connection that no other call uses meanwhile.
 
+    A backend server may start again at its address and under its id.  A connection that
+    was opened meanwhile, or whose opening is answered late, leads to the next
+    incarnation, which would carry out what was meant for the one before.  So no call is
+    sent on a connection before its other side has told which incarnation it is.
+
     Parameters
     ----------
+    introduction
+        Returns path and body of the first request on each connection, which must have
+        no effect on another incarnation.
+    check
+        Raises :class:`BackendRestartedError` if the response to it comes from another
+        incarnation, and :class:`CallFailedError` if it does not tell.
+    headers
+        Header fields of all requests.
     calls
         Number of calls at a time; further ones wait for their turn.
     slow_calls
@@ -35,16 +49,25 @@
         no response for ``SLOW_CALL_S``.
     """
 
-    def __init__(self, address: Address, calls: int, slow_calls: int = 0) -> None:
+    def __init__(
+        self,
+        address: Address,
+        introduction: Callable[[], tuple[str, bytes]],
+        check: Callable[[HttpResponse], None],
+        headers: Mapping[str, str],
+        calls: int,
+        slow_calls: int = 0,
+    ) -> None:
         self._address = address
+        self._introduction = introduction
+        self._check = check
+        self._headers = headers
         self._turns = asyncio.Semaphore(calls)
         self._slow_calls_left = slow_calls
         self._idle: list[Connection] = []
         self._is_closed = False
 
-    async def post(
-        self, path: str, payload: bytes, headers: Mapping[str, str], timeout_s: float
-    ) -> HttpResponse:
+    async def post(self, path: str, payload: bytes, timeout_s: float) -> HttpResponse:
         """Send one POST request once its turn has come, and return the response.
 
         Parameters
@@ -55,6 +78,9 @@
 
         Raises
         ------
+        BackendRestartedError
+            If another incarnation answers on a new connection, before the request was
+            sent.
         NotSentError
             If the request was not sent.
         CallFailedError
@@ -65,13 +91,13 @@
             connection = await self._connect(deadline_s)
             try:
                 async with asyncio.timeout_at(deadline_s):
-                    response = await connection.post(path, payload, headers)
+                    response = await connection.post(path, payload, self._headers)
             except (OSError, BackendServerError) as error:
-                connection.close()
+                connection.reset()
                 message = f"request to {path} failed: {error!r}"
                 raise CallFailedError(message) from error
             except BaseException:
-                connection.close()
+                connection.reset()
                 raise
             if self._is_closed:
                 connection.close()
@@ -94,12 +120,26 @@
             connection.close()
         try:
             async with asyncio.timeout_at(deadline_s):
-                return await Connection.open(self._address.host, self._address.port)
+                return await self._open()
         except TimeoutError as error:
             raise UnreachableError("no connection was opened in time") from error
         except OSError as error:
             raise NotSentError(f"no connection was opened: {error!r}") from error
 
+    async def _open(self) -> Connection:
+        """Open a connection to the right incarnation."""
+        connection = await Connection.open(self._address.host, self._address.port)
+        path, payload = self._introduction()
+        try:
+            self._check(await connection.post(path, payload, self._headers))
+        except BackendServerError as error:
+            connection.reset()
+            raise UnreachableError(f"a new connection failed: {error!r}") from error
+        except BaseException:
+            connection.reset()
+            raise
+        return connection
+
     @asynccontextmanager
     async def _turn(self) -> AsyncIterator[None]:
         """Wait for a turn, and pass it on early if the call turns out to be slow."""
--- a/tests/verbena_platform/test_executor_client.py
+++ b/tests/verbena_platform/test_executor_client.py
@@ -10,9 +10,12 @@
 
 from verbena_platform.executor import ExecutorClient
 from verbenaplank.agent.call_timeouts import CALL_TIMEOUTS_S
+from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import NotSentError
+from verbenaplank.agent.lease_protocol import PollRequest
 from verbenaplank.agent.lease_protocol import RunId
+from verbenaplank.agent.lease_protocol import StartRequest
 from verbenaplank.agent.report import BackendServerReport
 from verbenaplank.http.handler_server import HandlerServer
 from verbenaplank.http.limits import HttpLimits
@@ -23,6 +26,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Coroutine
 
 LIMITS = HttpLimits(max_body_bytes=1024 * 1024)
 BORN = 1_700
@@ -49,6 +53,8 @@
     port: int
     orders_to_lose: int = 0
     orders: int = 0
+    polls: int = 0
+    lease_until_ms: int = 0
     born: int = BORN
 
     @asynccontextmanager
@@ -60,7 +66,11 @@
             client.close()
 
     async def handle(self, request: Request) -> Response:
-        if request.path != "/v1/hold":
+        call = msgspec.json.decode(request.body)
+        self.lease_until_ms = call.get("deadline-ms", self.lease_until_ms)
+        if request.path == "/v1/hold":
+            self.polls += 1
+        else:
             self.orders += 1
             if self.orders <= self.orders_to_lose:
                 await asyncio.Event().wait()
@@ -103,3 +113,38 @@
     client = make_client(unused_tcp_port)
     with pytest.raises(NotSentError):
         await stop(client, 1)
+
+
+@pytest.mark.parametrize("call", ["start", "poll"])
+async def test_call_on_a_new_connection_reaches_no_next_incarnation(
+    unused_tcp_port: int, call: str
+) -> None:
+    """A connection opened during a restart led to the next life of the executor.
+
+    It took over the end of the lease, which was a time on the clock of the former life
+    and far ahead of its own; some executors keep such a lease as it is given.
+    """
+    executor = LossyExecutor(unused_tcp_port, born=BORN + 1)
+    async with executor.serving() as client:
+        poll_request = PollRequest(fence=7, deadline_ms=9_000, acknowledged=0)
+        start_request = StartRequest(
+            run=RunId("task", 1), content="", deadline_ms=9_000, fence=7
+        )
+        sending: Coroutine[None, None, object] = (
+            client.poll(poll_request, CALL_TIMEOUTS_S[0])
+            if call == "poll"
+            else client.start(start_request, CALL_TIMEOUTS_S[0])
+        )
+        with pytest.raises(BackendRestartedError):
+            await sending
+        assert executor.orders == 0
+        assert executor.lease_until_ms == 0
+
+
+async def test_connection_is_introduced_once(unused_tcp_port: int) -> None:
+    """The introduction costs a call, so it must not come with each request."""
+    executor = LossyExecutor(unused_tcp_port)
+    async with executor.serving() as client:
+        for number in range(5):
+            await stop(client, number)
+        assert (executor.orders, executor.polls) == (5, 1)
