Start nothing while a lease for a former life of a backend server may last

Cause: a call that got no answer may be carried out by the next life. It brings an end of the lease by the former clock, far ahead of the new one, and a lease never gets shorter. If the server is cut off then, its runs last beyond the time after which the agent reports them. Change: the agent notes the last unanswered request that extends the lease. A next life under the same id gets no starts until its clock has passed that end, 60 s at most; the agent shows as draining (lease_in_doubt), with a log line. To make such requests rare, a poll either waits or extends the lease, and extends it only right after an answer.

--- a/src/verbenaplank/agent/application.py
+++ b/src/verbenaplank/agent/application.py
@@ -58,7 +58,8 @@
     ``NOT_JOINED`` lasts until the first state from a control instance, which tells
     whether the data centre is evacuated.  ``STOPPING`` is the shutdown of the agent,
     ``ORDERED`` a drain that an operator ordered, and ``EVACUATED`` the evacuation of
-    the agent's data centre.
+    the agent's data centre.  ``LEASE_IN_DOUBT`` lasts while the backend server may hold
+    a lease that was meant for its former life, so that runs might not end in time.
     """
 
     NOT_JOINED = "not_joined"
@@ -67,6 +68,7 @@
     BACKEND_SERVER_LEAVING = "backend_server_leaving"
     BACKEND_SERVER_DOWN = "backend_server_down"
     EVACUATED = "evacuated"
+    LEASE_IN_DOUBT = "lease_in_doubt"
 
 
 UNANNOUNCED_REASONS = frozenset({DrainReason.NOT_JOINED, DrainReason.EVACUATED})
@@ -203,6 +205,10 @@
         """Set whether dispatches are refused because the backend server will leave."""
         self._set_drain(DrainReason.BACKEND_SERVER_LEAVING, on=on)
 
+    def set_lease_in_doubt(self, *, on: bool) -> None:
+        """Set whether dispatches are refused because runs might not end in time."""
+        self._set_drain(DrainReason.LEASE_IN_DOUBT, on=on)
+
     def set_worker(self, worker: Resources) -> None:
         """Use and announce other resources of the worker, which may shrink and grow."""
         if worker == self._worker:
--- a/src/verbenaplank/agent/backend_lease.py
+++ b/src/verbenaplank/agent/backend_lease.py
@@ -6,6 +6,8 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+import attrs
+
 from verbenaplank.agent.backend_clock import BackendClock
 from verbenaplank.agent.lease_protocol import NotSentError
 
@@ -26,6 +28,25 @@
 MS_PER_S = 1_000
 
 
+@attrs.frozen
+class Extension:
+    """A request that extends the lease.
+
+    Attributes
+    ----------
+    sent_s
+        Monotonic time at which it was sent.
+    deadline_ms
+        New end of the lease on the backend server's clock, in milliseconds.
+    ended_by_s
+        Monotonic time by which that lease has certainly expired.
+    """
+
+    sent_s: float
+    deadline_ms: int
+    ended_by_s: float
+
+
 class BackendLease:
     """When the lease ends at the latest, and when the backend server last replied.
 
@@ -47,6 +68,8 @@
         Number of polls without a reply since the last one.
     is_down
         Whether new runs are refused because the backend server does not answer.
+    extended_s
+        Monotonic time at which the last answered extension was sent.
     """
 
     def __init__(
@@ -58,14 +81,37 @@
         self.fence = 0
         self.failed_polls = 0
         self.is_down = False
+        self.extended_s = -math.inf
         self._lease_s = lease_s
         self._clock = clock
         self._limit_s = limit_s
         self._backend_clock = BackendClock(clock)
         self._ended_by_s = clock() + self.longest_expiry_s
-        self._extensions_in_flight: list[float] = []
+        self._in_flight: list[Extension] = []
+        self._unanswered: Extension | None = None
         self._last_reply_s = clock()
 
+    @property
+    def answered_s(self) -> float:
+        """Return the monotonic time of the last reply to a poll, in seconds."""
+        return self._last_reply_s
+
+    @property
+    def unanswered(self) -> Extension | None:
+        """Return the last extension that was sent and has no answer, if there is one.
+
+        It may be carried out late, also by a later life of the backend server.
+        """
+        candidates = list(self._in_flight)
+        if self._unanswered is not None:
+            candidates.append(self._unanswered)
+        return max(candidates, key=lambda call: call.deadline_ms, default=None)
+
+    @property
+    def clock_ms(self) -> int:
+        """Return the backend server's clock now, in milliseconds."""
+        return self._backend_clock.now_ms()
+
     @property
     def silent_s(self) -> float:
         """Return the time since the last reply to a poll, in seconds."""
@@ -84,7 +130,8 @@
     @property
     def left_s(self) -> float:
         """Return the time until all runs have certainly ended, in seconds."""
-        ended_by_s = max([self._ended_by_s, *self._extensions_in_flight])
+        in_flight_s = (extension.ended_by_s for extension in self._in_flight)
+        ended_by_s = max(self._ended_by_s, max(in_flight_s, default=0.0))
         return max(0.0, ended_by_s - self._clock())
 
     @property
@@ -110,21 +157,27 @@
         if span_s < SHORTEST_EXTENSION_S:
             yield None
             return
-        ended_by_s = now_s + span_s * SLOWEST_CLOCK_FACTOR + EXPIRY_MARGIN_S
-        self._extensions_in_flight.append(ended_by_s)
+        extension = Extension(
+            sent_s=now_s,
+            deadline_ms=self._backend_clock.now_ms() + round(span_s * MS_PER_S),
+            ended_by_s=now_s + span_s * SLOWEST_CLOCK_FACTOR + EXPIRY_MARGIN_S,
+        )
+        self._in_flight.append(extension)
         try:
-            yield self._backend_clock.now_ms() + round(span_s * MS_PER_S)
+            yield extension.deadline_ms
         except NotSentError:
-            self._extensions_in_flight.remove(ended_by_s)
+            self._in_flight.remove(extension)
             raise
         except BaseException:
-            self._settle(ended_by_s)
+            self._settle(extension)
+            self._unanswered = extension
             raise
-        self._settle(ended_by_s)
+        self._settle(extension)
+        self.extended_s = max(self.extended_s, extension.sent_s)
 
-    def _settle(self, ended_by_s: float) -> None:
-        self._extensions_in_flight.remove(ended_by_s)
-        self._ended_by_s = max(self._ended_by_s, ended_by_s)
+    def _settle(self, extension: Extension) -> None:
+        self._in_flight.remove(extension)
+        self._ended_by_s = max(self._ended_by_s, extension.ended_by_s)
 
     def record_not_sent(self) -> None:
         """Record that no connection could be opened; new runs are refused then."""
--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -153,6 +153,12 @@
     logger.info("backend server incarnation reported", extra=_report_fields(report))
 
 
+def log_lease_in_doubt(report: BackendServerReport, in_doubt_s: float) -> None:
+    """Log that nothing starts while a lease for a former life may last."""
+    extra = _report_fields(report) | {"in_doubt_ms": round(in_doubt_s * 1_000)}
+    logger.warning("lease of a former life may last", extra=extra)
+
+
 def log_challenger(report: BackendServerReport, *, answers: bool) -> None:
     """Log whether another incarnation than the served one answers, and replaces it."""
     extra = _report_fields(report) | {"answers": answers}
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -279,6 +280,8 @@
         self._runs.has_unacknowledged_ends = False
         try:
             reply = await self._send_poll()
+        except UnreachableError:
+            raise
         except NotSentError:
             self._lease.record_not_sent()
             raise
@@ -290,21 +293,28 @@
         if self._crash_watch is not None:
             self._crash_watch.on_answer()
         self._process_reply(reply, poll_number)
-        if self._runs.any_stopping:
+        if self._runs.any_stopping or self._lease_must_end:
             await asyncio.sleep(RETRY_S / 5)
 
     async def _send_poll(self) -> PollReply:
-        """Send a poll, which extends the lease unless a run is about to outlast it."""
-        may_wait = self._lease.is_responsive and not self._runs.any_stopping
+        """Send a poll, which either waits for the next end or extends the lease.
+
+        A poll extends it only right after an answer, and does not wait.  So it hardly
+        ever stays unanswered, as one might that a later life carries out.
+        """
         request = PollRequest(
             fence=self._lease.fence,
             deadline_ms=None,
             acknowledged=self._runs.acknowledged_sequence,
-            wait_ms=POLL_WAIT_MS if may_wait and self._runs else 0,
         )
-        timeout_s = call_timeout_s(self._lease.failed_polls) + request.wait_ms / 1_000
-        if not (self._lease.is_responsive and self._runs):
+        timeout_s = call_timeout_s(self._lease.failed_polls)
+        if self._lease.failed_polls or not self._runs:
             return await self._client.poll(request, timeout_s)
+        wait_s = self._lease.extended_s + POLL_WAIT_MS / 1_000 - self._clock()
+        if wait_s > 0.0:
+            wait_ms = 0 if self._runs.any_stopping else math.ceil(wait_s * 1_000)
+            request = attrs.evolve(request, wait_ms=wait_ms)
+            return await self._client.poll(request, timeout_s + wait_s)
         with self._lease.extend() as deadline_ms:
             if deadline_ms is None and not self._lease_must_end:
                 decision_log.log_lease_must_end(self._runs)
@@ -345,6 +355,11 @@
             return
         self._runs.end_all(EndKind.LEASE_EXPIRED)
 
+    @property
+    def lease(self) -> BackendLease:
+        """Return the lease that all runs share."""
+        return self._lease
+
     def record_replaced(self, *, planned: bool) -> None:
         """Report a crash if runs were lost when another incarnation took over.
 
--- a/src/verbenaplank/agent/start_sender.py
+++ b/src/verbenaplank/agent/start_sender.py
@@ -12,6 +12,7 @@
 from verbenaplank.agent.lease_protocol import StartReply
 from verbenaplank.agent.lease_protocol import StartRequest
 from verbenaplank.agent.lease_protocol import StartStatus
+from verbenaplank.agent.lease_protocol import UnreachableError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,21 +65,27 @@
             If no usable reply came, so that the run may have started or may start
             later.
         """
-        for repetition, timeout_s in enumerate(CALL_TIMEOUTS_S):
+        was_sent = False
+        for timeout_s in CALL_TIMEOUTS_S:
             try:
                 reply = await self._send_once(run, content, timeout_s)
+            except UnreachableError:
+                continue
             except NotSentError:
-                if repetition == 0:
+                if not was_sent:
                     raise
                 break
             except CallFailedError as error:
+                was_sent = True
                 decision_log.log_start_unanswered(run.run_id, str(error))
                 if self._lease.is_down or run.end.done():
                     raise
             else:
-                if repetition == 0 or reply.status is StartStatus.STARTED:
+                if not was_sent or reply.status is StartStatus.STARTED:
                     return reply
                 break
+        if not was_sent:
+            raise NotSentError("no connection for the start request")
         raise CallFailedError("a start request got no reply")
 
     async def _send_once(
@@ -96,7 +103,7 @@
                     fence=self._lease.fence,
                 )
                 reply = await self._client.start(request, timeout_s)
-        except LeaseEndsError:
+        except (LeaseEndsError, UnreachableError):
             raise
         except NotSentError:
             self._lease.record_not_sent()
--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from contextlib import AsyncExitStack
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -17,6 +18,7 @@
 from verbenaplank.agent.crash_watch import WatchedServer
 from verbenaplank.agent.decision_log import log_event
 from verbenaplank.agent.fencing import FencingTokens
+from verbenaplank.agent.former_lives import FormerLives
 from verbenaplank.agent.incarnations import Incarnations
 from verbenaplank.agent.incarnations import ReportKind
 from verbenaplank.agent.incarnations import is_same_incarnation
@@ -77,6 +79,7 @@
         self._adopted: BackendServerReport | None = None
         self._state_changed = asyncio.Event()
         self._tokens = FencingTokens()
+        self._former_lives = FormerLives(clock)
         self._crashes = CrashFeed(clock)
         self._cold = ColdCountdown(clock)
         self._agent: AgentInstance | None = None
@@ -193,6 +196,7 @@
                 self._tokens,
             )
             await stack.enter_async_context(backend)
+            stack.callback(self._record_life_ended, report, backend)
             self._incarnations.record_served(report)
             stack.callback(self._incarnations.record_unserved)
             self._crashes.set_served(server)
@@ -206,6 +210,7 @@
                 worker=report.size,
                 cold=self._cold,
             )
+            self._hold_back(agent, report, backend, stack)
             await stack.enter_async_context(agent)
             self._agent = agent
             stack.callback(self._clear_agent)
@@ -223,6 +228,33 @@
                 await agent.leave()
         self._state_changed.set()
 
+    def _record_life_ended(
+        self, report: BackendServerReport, backend: LeasedBackend
+    ) -> None:
+        lease = backend.lease
+        self._former_lives.end_life(
+            report.server_id, lease.answered_s, lease.unanswered
+        )
+
+    def _hold_back(
+        self,
+        agent: AgentInstance,
+        report: BackendServerReport,
+        backend: LeasedBackend,
+        stack: AsyncExitStack,
+    ) -> None:
+        """Let the agent start nothing while a lease for a former life may last."""
+        in_doubt_s = self._former_lives.lease_in_doubt_s(
+            report.server_id, backend.lease.clock_ms
+        )
+        if in_doubt_s <= 0.0:
+            return
+        decision_log.log_lease_in_doubt(report, in_doubt_s)
+        agent.set_lease_in_doubt(on=True)
+        clear = partial(agent.set_lease_in_doubt, on=False)
+        timer = asyncio.get_running_loop().call_later(in_doubt_s, clear)
+        stack.callback(timer.cancel)
+
     async def _wait_until_ended(
         self, report: BackendServerReport, agent: AgentInstance, ended: asyncio.Event
     ) -> None:
