Report a run that the next life may begin only once that life runs nothing

Cause: a start that got no answer may be carried out by the next life. The agent reported its run as ended at the restart, or when the lease had expired in silence, and its entry started the task elsewhere while the new life ran it. It is reported once the next life has been fenced off and lists nothing, or once the present one answers and tells its end. A stop that meets a restart no longer repeats without a pause. Ruled out: starts with an answer; the life that answered them has ended with its runs.

--- a/src/verbenaplank/agent/active_run.py
+++ b/src/verbenaplank/agent/active_run.py
@@ -8,6 +8,7 @@
 import attrs
 
 from verbenaplank.agent.backend import RunReport
+from verbenaplank.agent.former_lives import LONGEST_DOUBT_S
 from verbenaplank.agent.lease_holder import LeaseHolder
 from verbenaplank.agent.lease_holder import UnlimitedLeaseHolder
 from verbenaplank.agent.lease_protocol import EndKind
@@ -63,6 +64,8 @@
         Whether the backend server acknowledged the start.
     owner
         The entry for which the task runs.
+    unanswered_start_s
+        Monotonic time at which the last start request without an answer was sent.
     stop_requested_s
         Monotonic time at which the agent began to stop the run; infinity if it has
         not.
@@ -82,6 +85,7 @@
     owner: LeaseHolder = attrs.field(factory=UnlimitedLeaseHolder)
     visible_after_poll: int | None = None
     start_acknowledged: bool = False
+    unanswered_start_s: float = -math.inf
     stop_requested_s: float = math.inf
     stalled: bool = False
     started_s: float = 0.0
@@ -102,6 +106,13 @@
         owner_limit_s = self.owner.lease_until_s + OWNER_LOSS_MARGIN_S
         return min(owner_limit_s, self.stop_requested_s + MAX_STOP_S)
 
+    def is_in_doubt(self, now_s: float) -> bool:
+        """Return whether a later life of the backend server may begin the run.
+
+        It may carry out a start request that got no answer in the present life.
+        """
+        return not self.end.done() and now_s - self.unanswered_start_s < LONGEST_DOUBT_S
+
     def update_progress(self, percent: int, now_s: float) -> bool:
         """Record the progress and return whether the run is stalled."""
         if percent != self.percent:
--- a/src/verbenaplank/agent/active_runs.py
+++ b/src/verbenaplank/agent/active_runs.py
@@ -122,6 +122,16 @@
                 stalled.append(run)
         return stalled
 
+    def any_in_doubt(self, now_s: float) -> bool:
+        """Return whether a later life of the backend server may begin a run."""
+        return any(run.is_in_doubt(now_s) for run in self._runs.values())
+
+    def end_certain(self, kind: EndKind, now_s: float) -> None:
+        """Record the same end for all runs that no later life may begin."""
+        for run in list(self._runs.values()):
+            if not run.is_in_doubt(now_s):
+                record_end(run, kind)
+
     def end_all(self, kind: EndKind) -> None:
         """Record the same end for all runs."""
         for run in list(self._runs.values()):
--- a/src/verbenaplank/agent/decision_log.py
+++ b/src/verbenaplank/agent/decision_log.py
@@ -159,6 +159,12 @@
     logger.warning("lease of a former life may last", extra=extra)
 
 
+def log_runs_in_doubt(report: BackendServerReport) -> None:
+    """Log that runs are not reported yet, because the next life may have begun them."""
+    extra = _report_fields(report)
+    logger.warning("runs of a former life are in doubt", extra=extra)
+
+
 def log_challenger(report: BackendServerReport, *, answers: bool) -> None:
     """Log whether another incarnation than the served one answers, and replaces it."""
     extra = _report_fields(report) | {"answers": answers}
--- a/src/verbenaplank/agent/incarnations.py
+++ b/src/verbenaplank/agent/incarnations.py
@@ -102,6 +102,15 @@
         if self.challenger is not None:
             self.current, self.challenger = self.challenger, self.current
 
+    def others_than(self, report: BackendServerReport) -> list[BackendServerReport]:
+        """Return the reports of other incarnations that may be in its place."""
+        candidates = (self.current, self.challenger)
+        return [
+            other
+            for other in candidates
+            if other is not None and not is_same_incarnation(report, other)
+        ]
+
     def end(self, report: BackendServerReport) -> None:
         """Ignore the incarnation of a report from now on."""
         _remember(self._ended, _key(report))
--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -123,7 +123,7 @@
         self._run_numbers = RunNumbers()
         self._wake = asyncio.Event()
         self._starts = StartSender(
-            client, self._lease, self._wake.set, self._handle_lost
+            client, self._lease, clock, self._wake.set, self._handle_lost
         )
         self._stopper = RunStopper(
             client, self._lease, self._runs, clock, self._wake.set, self._handle_lost
@@ -351,15 +351,30 @@
         if self._lease.failed_polls == 1:
             silent_s = self._lease.silent_s
             decision_log.log_poll_failed(str(error), silent_s, len(self._runs))
-        if not self._lease.has_expired:
-            return
-        self._runs.end_all(EndKind.LEASE_EXPIRED)
+        if self._lease.has_expired:
+            self.end_certain_runs()
 
     @property
     def lease(self) -> BackendLease:
         """Return the lease that all runs share."""
         return self._lease
 
+    @property
+    def has_runs_in_doubt(self) -> bool:
+        """Whether a later life of the backend server may begin a run."""
+        return self._runs.any_in_doubt(self._clock())
+
+    def end_certain_runs(self) -> None:
+        """Report the runs as ended that no later life of the backend server may begin.
+
+        This life runs nothing any more.
+        """
+        self._runs.end_certain(EndKind.LEASE_EXPIRED, self._clock())
+
+    def end_all_runs(self) -> None:
+        """Report all runs as ended, because the next life runs none of them."""
+        self._runs.end_all(EndKind.LEASE_EXPIRED)
+
     def record_replaced(self, *, planned: bool) -> None:
         """Report a crash if runs were lost when another incarnation took over.
 
@@ -389,11 +404,11 @@
         self._on_lost()
 
     def _handle_lost(self) -> None:
-        """End all runs, because the backend server has restarted."""
+        """End the runs that are certainly over, as the backend server has restarted."""
         self._lease.is_down = True
         if self._crash_watch is not None:
             self._crash_watch.on_silent(self._runs, refused=False)
-        self._runs.end_all(EndKind.LEASE_EXPIRED)
+        self.end_certain_runs()
         self._on_lost()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/verbenaplank/agent/run_stopper.py
+++ b/src/verbenaplank/agent/run_stopper.py
@@ -80,6 +80,7 @@
                         await asyncio.shield(run.end)
             except BackendRestartedError:
                 self._on_lost()
+                await asyncio.wait([run.end])
             else:
                 run.visible_after_poll = self._runs.polls_sent
                 self._request_poll()
--- a/src/verbenaplank/agent/start_sender.py
+++ b/src/verbenaplank/agent/start_sender.py
@@ -20,6 +20,7 @@
     from verbenaplank.agent.active_run import ActiveRun
     from verbenaplank.agent.backend_lease import BackendLease
     from verbenaplank.agent.lease_protocol import LeasedBackendClient
+    from verbenaplank.clock.sources import MonotonicClock
 
 
 LEASE_ENDS = "the lease must end, because a run that is to end may still be active"
@@ -44,11 +45,13 @@
         self,
         client: LeasedBackendClient,
         lease: BackendLease,
+        clock: MonotonicClock,
         on_not_sent: Callable[[], None],
         on_lost: Callable[[], None],
     ) -> None:
         self._client = client
         self._lease = lease
+        self._clock = clock
         self._on_not_sent = on_not_sent
         self._on_lost = on_lost
 
@@ -92,6 +95,8 @@
         self, run: ActiveRun, content: str, timeout_s: float
     ) -> StartReply:
         """Send one start request, which also extends the lease."""
+        earlier_s = run.unanswered_start_s
+        run.unanswered_start_s = self._clock()
         try:
             with self._lease.extend() as deadline_ms:
                 if deadline_ms is None:
@@ -104,14 +109,17 @@
                 )
                 reply = await self._client.start(request, timeout_s)
         except (LeaseEndsError, UnreachableError):
+            run.unanswered_start_s = earlier_s
             raise
         except NotSentError:
+            run.unanswered_start_s = earlier_s
             self._lease.record_not_sent()
             self._on_not_sent()
             raise
         except BackendRestartedError:
             self._on_lost()
             raise CallFailedError("the backend server restarted") from None
+        run.unanswered_start_s = earlier_s
         if reply.clock_ms is not None:
             self._lease.update_clock(reply.clock_ms)
         return reply
--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from contextlib import AsyncExitStack
+from contextlib import suppress
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,7 @@
 from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.leased_backend import LeasedBackend
+from verbenaplank.agent.take_over import fence_off
 from verbenaplank.agent.take_over import is_answering
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.concurrency.unexpected_end import log_unexpected_end
@@ -224,10 +226,39 @@
             elif ended.is_set():
                 self._mark_ended(report)
             backend.record_replaced(planned=self._incarnations.is_leaving(report))
+            await self._end_runs(report, backend)
             if not self._stopping:
                 await agent.leave()
         self._state_changed.set()
 
+    async def _end_runs(
+        self, report: BackendServerReport, backend: LeasedBackend
+    ) -> None:
+        """Report the runs of a life that has ended.
+
+        One that the next life may begin is reported only once that life has been
+        fenced off and runs nothing, so that its task is not started beside it.
+        """
+        backend.end_certain_runs()
+        while backend.has_runs_in_doubt:
+            decision_log.log_runs_in_doubt(report)
+            successors = self._incarnations.others_than(report)
+            if any([await self._fence_off(other) for other in successors]):
+                break
+            self._state_changed.clear()
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._state_changed.wait(), RETRY_S)
+        backend.end_all_runs()
+
+    async def _fence_off(self, report: BackendServerReport) -> bool:
+        """Return whether an incarnation answered and runs nothing any more."""
+        try:
+            client = self._connect(report)
+            await fence_off(client, self._lease_s, self._tokens, self._clock)
+        except (CallFailedError, BackendRestartedError, OSError, OverflowError):
+            return False
+        return True
+
     def _record_life_ended(
         self, report: BackendServerReport, backend: LeasedBackend
     ) -> None:
--- a/src/verbenaplank/agent/take_over.py
+++ b/src/verbenaplank/agent/take_over.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 from verbenaplank.agent import decision_log
+from verbenaplank.agent.active_runs import ActiveRuns
+from verbenaplank.agent.backend_lease import BackendLease
 from verbenaplank.agent.call_timeouts import CALL_TIMEOUTS_S
 from verbenaplank.agent.call_timeouts import RETRY_S
 from verbenaplank.agent.fencing import TokensExhaustedError
@@ -15,8 +17,6 @@
 from verbenaplank.agent.lease_protocol import PollRequest
 
 if TYPE_CHECKING:
-    from verbenaplank.agent.active_runs import ActiveRuns
-    from verbenaplank.agent.backend_lease import BackendLease
     from verbenaplank.agent.fencing import FencingTokens
     from verbenaplank.agent.lease_protocol import LeasedBackendClient
     from verbenaplank.agent.lease_protocol import PollReply
@@ -69,6 +69,30 @@
     raise CallFailedError("runs of an earlier agent do not end")
 
 
+async def fence_off(
+    client: LeasedBackendClient,
+    lease_s: float,
+    tokens: FencingTokens,
+    clock: MonotonicClock,
+) -> None:
+    """Stop all that runs on a backend server, and have it refuse all earlier calls.
+
+    The client is closed afterwards.
+
+    Raises
+    ------
+    CallFailedError
+        If the backend server does not answer, or if the runs do not end.
+    BackendRestartedError
+        If the backend server has restarted.
+    """
+    lease = BackendLease(lease_s, clock)
+    try:
+        await take_over(client, lease, ActiveRuns(), tokens, clock)
+    finally:
+        client.close()
+
+
 async def is_answering(client: LeasedBackendClient) -> bool:
     """Return whether an incarnation of a backend server answers a call.
 
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -54,6 +54,13 @@
     return asyncio.create_task(run)
 
 
+async def wait_until_lost(backend: LeasedBackend) -> None:
+    """Wait until the agent knows that the backend server has restarted."""
+    async with asyncio.timeout(10):
+        while not backend.lease.is_down:  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+
+
 async def wait_until_started(server: FakeBackendServer) -> RunId:
     await wait_until(server, lambda: bool(server.active))
     return next(iter(server.active))
@@ -112,6 +119,8 @@
         await wait_until_started(former)
         former.restarted = True
         former.state_changed.set()
+        await wait_until_lost(backend)
+        backend.end_all_runs()
         await run
     server = FakeBackendServer()
     server.clock_ms = 100
@@ -516,6 +525,42 @@
         assert lost.is_set()
 
 
+async def test_run_that_a_later_life_may_begin_is_not_reported_at_a_restart() -> None:
+    """Its entry was told at once that it had ended, and started the task elsewhere.
+
+    A start request without an answer may be carried out in the next life.
+    """
+    server = FakeBackendServer()
+    server.starts_to_lose = 1
+    async with make_backend(server) as backend:
+        run = start_run(backend)
+        await wait_until_started(server)
+        server.restarted = True
+        server.state_changed.set()
+        await wait_until_lost(backend)
+        assert backend.has_runs_in_doubt
+        await asyncio.wait([run], timeout=2 * LEASE_S)
+        assert not run.done()
+        backend.end_all_runs()
+        assert (await run).outcome is TaskOutcome.CONNECTION_LOST
+
+
+async def test_run_that_a_later_life_may_begin_is_not_reported_in_silence() -> None:
+    """The silence may be that of a restart."""
+    server = FakeBackendServer()
+    server.starts_to_lose = 1
+    async with make_backend(server) as backend:
+        run = start_run(backend)
+        await wait_until_started(server)
+        server.silent = True
+        server.state_changed.set()
+        await asyncio.wait([run], timeout=3 * (LEASE_S + EXPIRY_MARGIN_S))
+        assert not run.done()
+        server.silent = False
+        server.end(next(iter(server.active)), EndKind.DONE)
+        assert (await run).outcome is TaskOutcome.SUCCEEDED
+
+
 async def test_lease_is_extended_only_right_after_an_answer() -> None:
     """A request that extends it may stay unanswered and reach the next life."""
     server = FakeBackendServer()
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -5,6 +5,7 @@
 import logging
 from contextlib import asynccontextmanager
 from contextlib import contextmanager
+from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -408,6 +409,22 @@
     site.servers[0].state_changed.set()
 
 
+async def test_run_of_a_former_life_is_reported_after_its_next_life_was_fenced_off(
+    unused_tcp_port: int,
+) -> None:
+    """The next life may carry out the start, beside the next run of the task."""
+    async with supervised(unused_tcp_port) as site, site.entry() as stream:
+        await start_lost_run(site, stream)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(0.5):
+                await receive_until(stream, "results")
+                pytest.fail("the run was reported before the next life was known")
+        site.supervisor.on_report(attrs.evolve(REPORT, incarnation="2"))
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            while not any(server.fence for server in site.servers[1:]):  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+
 async def test_nothing_starts_while_a_lease_for_a_former_life_may_last(
     unused_tcp_port: int,
 ) -> None:
