Let the lease end if a run that the agent did not start goes on

A run that comes from a start carried out late in a next life is stopped once it is listed, but its stop may stay unanswered any number of times, while polls extend the lease of all runs; its task may run elsewhere. Change: such a run has 0.5 s from when it is first listed; the lease is not extended past it.

--- a/src/verbenaplank/agent/active_runs.py
+++ b/src/verbenaplank/agent/active_runs.py
@@ -16,6 +16,11 @@
     from verbenaplank.agent.lease_protocol import PollReply
     from verbenaplank.agent.lease_protocol import RunId
 
+MAX_UNKNOWN_RUN_S = 0.5
+"""How long a run that this agent has not started may go on once it is listed.
+
+The lease is not extended past this time, whether or not a stop request is answered."""
+
 
 class ActiveRuns:
     """Finds runs by their id and by task, and records their ends.
@@ -34,6 +39,7 @@
         self.acknowledged_sequence = 0
         self.polls_sent = 0
         self.has_unacknowledged_ends = False
+        self._unknown_since_s: dict[RunId, float] = {}
         self._runs: dict[RunId, ActiveRun] = {}
         self._runs_by_task_id: dict[str, ActiveRun] = {}
         self._latest_by_name: dict[str, ActiveRun] = {}
@@ -81,11 +87,27 @@
         All runs share one lease, so it must not last longer, whether or not a stop
         request is carried out.  Return infinity without a run.
         """
-        limits_s = (
+        limits_s = [
             run.must_end_by_s for run in self._runs.values() if not run.end.done()
-        )
+        ]
+        since_s = self._unknown_since_s.values()
+        limits_s += [listed_s + MAX_UNKNOWN_RUN_S for listed_s in since_s]
         return min(limits_s, default=math.inf)
 
+    def update_unknown(self, reply: PollReply, now_s: float) -> list[RunId]:
+        """Return the active runs that this agent has not started or has reported.
+
+        Such a run comes from a start request that was carried out after the backend
+        server had restarted, and its task may run elsewhere.
+        """
+        since_s = self._unknown_since_s
+        self._unknown_since_s = {
+            progress.run: since_s.get(progress.run, now_s)
+            for progress in reply.active
+            if progress.run not in self._runs
+        }
+        return list(self._unknown_since_s)
+
     def record_ends(self, reply: PollReply) -> None:
         """Record the ends that a reply lists."""
         for ended in reply.ended:
--- a/src/verbenaplank/agent/run_stopper.py
+++ b/src/verbenaplank/agent/run_stopper.py
@@ -87,17 +87,12 @@
                 await asyncio.wait([run.end])
 
     def take_unknown_runs(self, reply: PollReply) -> list[RunId]:
-        """Return the active runs that this agent has not started or reported as ended.
+        """Return the active runs that this agent does not know, to be stopped.
 
-        Such a run comes from a start request that was carried out after the backend
-        server had restarted, and its task may run elsewhere.  A run is returned again
-        only after :meth:`stop_unknown_run` has ended for it.
+        A run is returned again only after :meth:`stop_unknown_run` has ended for it.
         """
-        unknown = [
-            progress.run
-            for progress in reply.active
-            if progress.run not in self._runs and progress.run not in self._unknown_runs
-        ]
+        listed = self._runs.update_unknown(reply, self._clock())
+        unknown = [run_id for run_id in listed if run_id not in self._unknown_runs]
         self._unknown_runs.update(unknown)
         return unknown
 
--- a/tests/agent/test_lease_bound.py
+++ b/tests/agent/test_lease_bound.py
@@ -13,6 +13,7 @@
 from verbenaplank.agent.effects import EntryKey
 from verbenaplank.agent.gate import Gate
 from verbenaplank.agent.gate_limits import GateLimits
+from verbenaplank.agent.lease_protocol import RunId
 from verbenaplank.agent.leased_backend import LeasedBackend
 from verbenaplank.agent.named_task import NamedTask
 from verbenaplank.agent.named_task import encode_task
@@ -155,3 +156,18 @@
             await wait_until(fixture.server, lambda: not fixture.runs_of(LOST))
         assert fixture.server.lease_until_ms - stopped_ms < CANCEL_S * 1_000
         keeping.cancel()
+
+
+async def test_run_that_the_agent_did_not_start_ends_though_stops_are_lost() -> None:
+    """Polls extended its lease, though its task may run elsewhere."""
+    async with runner_with_two_entries() as fixture:
+        keeping = asyncio.create_task(renew_forever(fixture.runner.gate, LOST))
+        fixture.server.loses_stops = True
+        stray = RunId(task="elsewhere", number=1)
+        listed_ms = fixture.server.clock_ms
+        fixture.server.active[stray] = 10
+        fixture.server.state_changed.set()
+        async with asyncio.timeout(CANCEL_S):
+            await wait_until(fixture.server, lambda: stray not in fixture.server.active)
+        assert fixture.server.lease_until_ms - listed_ms < 1_300
+        keeping.cancel()
