Try a backend server that is slow to be reached again before it is given up

Cause: since connections are introduced, a call whose introduction gets no answer in time counts as not sent, and the check whether a next life answers took that for a refused connection. Its only report was dropped then. With runs in doubt the agent waited for another report, 60 s at most. Change: only a refused connection is taken for an answer. The log line comes once.

--- a/src/verbenaplank/agent/supervisor.py
+++ b/src/verbenaplank/agent/supervisor.py
@@ -240,8 +240,9 @@
         fenced off and runs nothing, so that its task is not started beside it.
         """
         backend.end_certain_runs()
-        while backend.has_runs_in_doubt:
+        if backend.has_runs_in_doubt:
             decision_log.log_runs_in_doubt(report)
+        while backend.has_runs_in_doubt:
             successors = self._incarnations.others_than(report)
             if any([await self._fence_off(other) for other in successors]):
                 break
--- a/src/verbenaplank/agent/take_over.py
+++ b/src/verbenaplank/agent/take_over.py
@@ -15,6 +15,7 @@
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import NotSentError
 from verbenaplank.agent.lease_protocol import PollRequest
+from verbenaplank.agent.lease_protocol import UnreachableError
 
 if TYPE_CHECKING:
     from verbenaplank.agent.fencing import FencingTokens
@@ -104,6 +105,8 @@
         for timeout_s in CALL_TIMEOUTS_S:
             try:
                 await client.poll(request, timeout_s)
+            except UnreachableError:
+                continue
             except NotSentError:
                 return False
             except CallFailedError:
--- a/tests/agent/fake_worker.py
+++ b/tests/agent/fake_worker.py
@@ -15,6 +15,7 @@
 from verbenaplank.agent.lease_protocol import StartReply
 from verbenaplank.agent.lease_protocol import StartRequest
 from verbenaplank.agent.lease_protocol import StartStatus
+from verbenaplank.agent.lease_protocol import UnreachableError
 from verbenaplank.clock.sources import monotonic_s
 
 if TYPE_CHECKING:
@@ -40,6 +41,7 @@
         self.polls_to_lose = 0
         self.silent = False
         self.refuses_connections = False
+        self.connections_to_delay = 0
         self.restarted = False
         self.status: StartStatus | None = None
         self.state_changed = asyncio.Event()
@@ -129,6 +131,9 @@
             raise BackendRestartedError
         if self.refuses_connections:
             raise NotSentError("refused")
+        if self.connections_to_delay:
+            self.connections_to_delay -= 1
+            raise UnreachableError("delayed")
         if self.silent:
             raise CallFailedError("silent")
 
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -24,6 +24,7 @@
 from verbenaplank.agent.named_task import encode_task
 from verbenaplank.agent.report import BackendServerReport
 from verbenaplank.agent.supervisor import AgentSupervisor
+from verbenaplank.agent.take_over import is_answering
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.placement.task import Resources
 from verbenaplank.protocol.crash import CrashEvidence
@@ -452,3 +453,12 @@
             started = dispatch(3, 1.0, welcome.incarnation)
             await stream.send_message(ToAgent(dispatches=(started,)))
             await wait_until(site.servers[-1], lambda: bool(site.servers[-1].active))
+
+
+async def test_server_that_is_slow_to_be_reached_is_answering() -> None:
+    """A busy agent gave up the next life of its backend server after one try."""
+    server = FakeBackendServer()
+    server.connections_to_delay = 2
+    assert await is_answering(server)
+    server.refuses_connections = True
+    assert not await is_answering(server)
