--- a/src/verbenaplank/agent/leased_backend.py
+++ b/src/verbenaplank/agent/leased_backend.py
@@ -9,11 +9,8 @@
 
 import asyncio
 import logging
-import math
 from typing import TYPE_CHECKING
 
-import attrs
-
 from verbenaplank.agent import decision_log
 from verbenaplank.agent.active_run import ActiveRun
 from verbenaplank.agent.active_run import report_for_end
@@ -23,7 +20,6 @@
 from verbenaplank.agent.backend import RunReport
 from verbenaplank.agent.backend_lease import BackendLease
 from verbenaplank.agent.call_timeouts import RETRY_S
-from verbenaplank.agent.call_timeouts import call_timeout_s
 from verbenaplank.agent.fencing import FencingTokens
 from verbenaplank.agent.lease_holder import UnlimitedLeaseHolder
 from verbenaplank.agent.lease_protocol import BackendRestartedError
@@ -31,12 +27,12 @@
 from verbenaplank.agent.lease_protocol import EndKind
 from verbenaplank.agent.lease_protocol import FencedOffError
 from verbenaplank.agent.lease_protocol import NotSentError
-from verbenaplank.agent.lease_protocol import PollRequest
 from verbenaplank.agent.lease_protocol import RunId
 from verbenaplank.agent.lease_protocol import StartReply
 from verbenaplank.agent.lease_protocol import StartStatus
 from verbenaplank.agent.lease_protocol import UnreachableError
 from verbenaplank.agent.named_task import decode_task
+from verbenaplank.agent.poll_sender import PollSender
 from verbenaplank.agent.run_numbers import RunNumbers
 from verbenaplank.agent.run_stopper import RunStopper
 from verbenaplank.agent.start_sender import StartSender
@@ -58,10 +54,6 @@
     from verbenaplank.agent.lease_protocol import PollReply
     from verbenaplank.clock.sources import MonotonicClock
 
-POLL_WAIT_MS = 200
-"""How long the backend server may delay the reply to a poll while no run ends.  One
-poll without a reply then still leaves more than half of the shortest lease."""
-
 MAX_OUTDATED_STARTS = 4
 OUTDATED_STEP = 16
 """Added to a run number that was refused as outdated, to get the next one to try."""
@@ -118,13 +110,13 @@
         self._clock = clock
         self._runs = ActiveRuns()
         self._lease = BackendLease(lease_s, clock, self._runs.must_end_by_s)
-        self._lease_must_end = False
         self._on_lost = on_lost
         self._run_numbers = RunNumbers()
         self._wake = asyncio.Event()
         self._starts = StartSender(
             client, self._lease, clock, self._wake.set, self._handle_lost
         )
+        self._polls = PollSender(client, self._lease, self._runs, clock)
         self._stopper = RunStopper(
             client, self._lease, self._runs, clock, self._wake.set, self._handle_lost
         )
@@ -278,13 +270,7 @@
         self._runs.polls_sent += 1
         poll_number = self._runs.polls_sent
         self._runs.has_unacknowledged_ends = False
-        try:
-            reply = await self._send_poll()
-        except UnreachableError:
-            raise
-        except NotSentError:
-            self._lease.record_not_sent()
-            raise
+        reply = await self._polls.send()
         if reply.fenced:
             raise FencedOffError
         if self._lease.failed_polls:
@@ -293,35 +279,9 @@
         if self._crash_watch is not None:
             self._crash_watch.on_answer()
         self._process_reply(reply, poll_number)
-        if self._runs.any_stopping or self._lease_must_end:
+        if self._runs.any_stopping or self._polls.lease_must_end:
             await asyncio.sleep(RETRY_S / 5)
 
-    async def _send_poll(self) -> PollReply:
-        """Send a poll, which either waits for the next end or extends the lease.
-
-        A poll extends it only right after an answer, and does not wait.  So it hardly
-        ever stays unanswered, as one might that a later life carries out.
-        """
-        request = PollRequest(
-            fence=self._lease.fence,
-            deadline_ms=None,
-            acknowledged=self._runs.acknowledged_sequence,
-        )
-        timeout_s = call_timeout_s(self._lease.failed_polls)
-        if self._lease.failed_polls or not self._runs:
-            return await self._client.poll(request, timeout_s)
-        wait_s = self._lease.extended_s + POLL_WAIT_MS / 1_000 - self._clock()
-        if wait_s > 0.0:
-            wait_ms = 0 if self._runs.any_stopping else math.ceil(wait_s * 1_000)
-            request = attrs.evolve(request, wait_ms=wait_ms)
-            return await self._client.poll(request, timeout_s + wait_s)
-        with self._lease.extend() as deadline_ms:
-            if deadline_ms is None and not self._lease_must_end:
-                decision_log.log_lease_must_end(self._runs)
-            self._lease_must_end = deadline_ms is None
-            request = attrs.evolve(request, deadline_ms=deadline_ms)
-            return await self._client.poll(request, timeout_s)
-
     def _process_reply(self, reply: PollReply, poll_number: int) -> None:
         self._runs.record_ends(reply)
         for run_id in self._stopper.take_unknown_runs(reply):
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -18,10 +18,10 @@
 from verbenaplank.agent.lease_protocol import EndKind
 from verbenaplank.agent.lease_protocol import RunId
 from verbenaplank.agent.lease_protocol import StartStatus
-from verbenaplank.agent.leased_backend import POLL_WAIT_MS
 from verbenaplank.agent.leased_backend import LeasedBackend
 from verbenaplank.agent.named_task import NamedTask
 from verbenaplank.agent.named_task import encode_task
+from verbenaplank.agent.poll_sender import POLL_WAIT_MS
 from verbenaplank.clock.sources import monotonic_s
 from verbenaplank.concurrency import restarting
 from verbenaplank.protocol.work import TaskOutcome
