Leave nothing in doubt after a start that found the restart before it was sent

Cause: the introduction of a connection tells that another life answers, before the call is sent; the call counted as sent without an answer. The next life was then out of use for up to 60 s, and the run was reported late. Found by reading. Change: an error of its own says that the call was not sent. Measured: test_start_that_finds_a_restart_is_reported_as_not_started and test_extension_that_was_not_sent_leaves_nothing_to_a_later_life pass; they name the new error, so they were not run on the code before.

--- a/src/verbenaplank/agent/backend_lease.py
+++ b/src/verbenaplank/agent/backend_lease.py
@@ -10,6 +10,7 @@
 
 from verbenaplank.agent.backend_clock import BackendClock
 from verbenaplank.agent.lease_protocol import NotSentError
+from verbenaplank.agent.lease_protocol import RestartFoundError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -144,7 +145,7 @@
         """Extend the lease by a request that is sent inside the context.
 
         The lease counts as extended even if the request is not answered, as it may
-        take effect.  Only :class:`NotSentError` undoes the extension.
+        take effect.  Only an error that says that it was not sent undoes this.
 
         Yields
         ------
@@ -165,7 +166,7 @@
         self._in_flight.append(extension)
         try:
             yield extension.deadline_ms
-        except NotSentError:
+        except (NotSentError, RestartFoundError):
             self._in_flight.remove(extension)
             raise
         except BaseException:
--- a/src/verbenaplank/agent/connection_pool.py
+++ b/src/verbenaplank/agent/connection_pool.py
@@ -8,8 +8,10 @@
 
 from verbenaplank.agent.connection import BackendServerError
 from verbenaplank.agent.connection import Connection
+from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import NotSentError
+from verbenaplank.agent.lease_protocol import RestartFoundError
 from verbenaplank.agent.lease_protocol import UnreachableError
 
 if TYPE_CHECKING:
@@ -78,9 +80,9 @@
 
         Raises
         ------
-        BackendRestartedError
-            If another incarnation answers on a new connection, before the request was
-            sent.
+        RestartFoundError
+            If another incarnation answers on a new connection; the request was not sent
+            then.
         NotSentError
             If the request was not sent.
         CallFailedError
@@ -135,6 +137,9 @@
         except BackendServerError as error:
             connection.reset()
             raise UnreachableError(f"a new connection failed: {error!r}") from error
+        except BackendRestartedError as error:
+            connection.reset()
+            raise RestartFoundError from error
         except BaseException:
             connection.reset()
             raise
--- a/src/verbenaplank/agent/lease_protocol.py
+++ b/src/verbenaplank/agent/lease_protocol.py
@@ -31,6 +31,10 @@
     """The called incarnation of the backend server has ended."""
 
 
+class RestartFoundError(BackendRestartedError):
+    """The called incarnation has ended, and the call was not sent to the next one."""
+
+
 class FencedOffError(Exception):
     """A call was refused, because a higher fencing token has been used."""
 
--- a/src/verbenaplank/agent/start_sender.py
+++ b/src/verbenaplank/agent/start_sender.py
@@ -9,6 +9,7 @@
 from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import NotSentError
+from verbenaplank.agent.lease_protocol import RestartFoundError
 from verbenaplank.agent.lease_protocol import StartReply
 from verbenaplank.agent.lease_protocol import StartRequest
 from verbenaplank.agent.lease_protocol import StartStatus
@@ -116,6 +117,10 @@
             self._lease.record_not_sent()
             self._on_not_sent()
             raise
+        except RestartFoundError:
+            run.unanswered_start_s = earlier_s
+            self._on_lost()
+            raise NotSentError("the backend server restarted") from None
         except BackendRestartedError:
             self._on_lost()
             raise CallFailedError("the backend server restarted") from None
--- a/tests/agent/fake_worker.py
+++ b/tests/agent/fake_worker.py
@@ -9,6 +9,7 @@
 from verbenaplank.agent.lease_protocol import NotSentError
 from verbenaplank.agent.lease_protocol import PollReply
 from verbenaplank.agent.lease_protocol import PollRequest
+from verbenaplank.agent.lease_protocol import RestartFoundError
 from verbenaplank.agent.lease_protocol import RunEnd
 from verbenaplank.agent.lease_protocol import RunId
 from verbenaplank.agent.lease_protocol import RunProgress
@@ -43,6 +44,7 @@
         self.refuses_connections = False
         self.connections_to_delay = 0
         self.restarted = False
+        self.restart_found = False
         self.status: StartStatus | None = None
         self.state_changed = asyncio.Event()
         self.polled = asyncio.Event()
@@ -127,6 +129,8 @@
         return tuple(end for end in self.ends if end.sequence > self.acknowledged)
 
     def _check(self) -> None:
+        if self.restart_found:
+            raise RestartFoundError
         if self.restarted:
             raise BackendRestartedError
         if self.refuses_connections:
--- a/tests/agent/test_backend_lease.py
+++ b/tests/agent/test_backend_lease.py
@@ -10,6 +10,7 @@
 from verbenaplank.agent.backend_lease import BackendLease
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import NotSentError
+from verbenaplank.agent.lease_protocol import RestartFoundError
 
 LEASE_S = 1.0
 SLOW_CLOCK_FACTOR = 1.02
@@ -53,6 +54,20 @@
     assert lease.left_s >= LEASE_S
 
 
+@pytest.mark.parametrize("error", [NotSentError("refused"), RestartFoundError()])
+def test_extension_that_was_not_sent_leaves_nothing_to_a_later_life(
+    error: Exception,
+) -> None:
+    """A start that found a restart kept the next life out of use for up to 60 s."""
+    lease = make_lease(Clock())
+    with pytest.raises(type(error)), lease.extend():
+        raise error
+    assert lease.unanswered is None
+    with pytest.raises(CallFailedError), lease.extend():
+        raise CallFailedError("lost")
+    assert lease.unanswered is not None
+
+
 OUTCOMES = st.sampled_from([None, CallFailedError("lost"), NotSentError("refused")])
 STEPS = st.tuples(st.floats(0.0, 0.5), st.floats(-0.2, 1.5), OUTCOMES)
 
--- a/tests/agent/test_leased_backend.py
+++ b/tests/agent/test_leased_backend.py
@@ -652,3 +652,13 @@
         refused_s = monotonic_s()
         assert (await run).outcome is TaskOutcome.CONNECTION_LOST
         assert monotonic_s() - refused_s < 1.5 * LEASE_S + EXPIRY_MARGIN_S
+
+
+async def test_start_that_finds_a_restart_is_reported_as_not_started() -> None:
+    """It was not sent, so no life may begin its run."""
+    server = FakeBackendServer()
+    async with make_backend(server) as backend:
+        server.restart_found = True
+        assert (await start_run(backend)).outcome is TaskOutcome.NOT_STARTED
+        assert not backend.has_runs_in_doubt
+        assert backend.lease.unanswered is None
--- a/tests/verbena_platform/test_executor_client.py
+++ b/tests/verbena_platform/test_executor_client.py
@@ -9,10 +9,10 @@
 import pytest
 
 from verbena_platform.executor import ExecutorClient
-from verbenaplank.agent.lease_protocol import BackendRestartedError
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import NotSentError
 from verbenaplank.agent.lease_protocol import PollRequest
+from verbenaplank.agent.lease_protocol import RestartFoundError
 from verbenaplank.agent.lease_protocol import RunId
 from verbenaplank.agent.lease_protocol import StartRequest
 from verbenaplank.agent.report import BackendServerReport
@@ -136,7 +136,7 @@
             if call == "poll"
             else client.start(start_request, TIMEOUT_S)
         )
-        with pytest.raises(BackendRestartedError):
+        with pytest.raises(RestartFoundError):
             await sending
         assert executor.orders == 0
         assert executor.lease_until_ms == 0
