Give the opening of a connection a time of its own

A busy agent gave calls up before they were sent. Change: opening and introduction have 0.2 s, and the time of the call begins after them. Measured: test_introduction_takes_no_time_of_the_call failed before.

--- a/src/verbenaplank/agent/connection_pool.py
+++ b/src/verbenaplank/agent/connection_pool.py
@@ -22,6 +22,9 @@
     from verbenaplank.agent.connection import HttpResponse
     from verbenaplank.rpc.address import Address
 
+CONNECT_TIMEOUT_S = 0.2
+"""Longest time to open a connection and to learn which incarnation is there."""
+
 SLOW_CALL_S = 0.02
 """A call without a response for this long is probably lost, and lets another begin."""
 
@@ -75,8 +78,8 @@
         Parameters
         ----------
         timeout_s
-            Longest time for the connection, the request and the response, in seconds;
-            the wait for the turn does not count.
+            Longest time for the request and the response, in seconds; the wait for the
+            turn and the opening of a connection do not count.
 
         Raises
         ------
@@ -89,10 +92,9 @@
             If no response came; the request may have been carried out.
         """
         async with self._turn():
-            deadline_s = asyncio.get_running_loop().time() + timeout_s
-            connection = await self._connect(deadline_s)
+            connection = await self._connect()
             try:
-                async with asyncio.timeout_at(deadline_s):
+                async with asyncio.timeout(timeout_s):
                     response = await connection.post(path, payload, self._headers)
             except (OSError, BackendServerError) as error:
                 connection.reset()
@@ -113,7 +115,7 @@
         while self._idle:
             self._idle.pop().close()
 
-    async def _connect(self, deadline_s: float) -> Connection:
+    async def _connect(self) -> Connection:
         """Return an idle connection, or open one."""
         while self._idle:
             connection = self._idle.pop()
@@ -121,7 +123,7 @@
                 return connection
             connection.close()
         try:
-            async with asyncio.timeout_at(deadline_s):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 return await self._open()
         except TimeoutError as error:
             raise UnreachableError("no connection was opened in time") from error
--- a/tests/verbena_platform/test_executor_client.py
+++ b/tests/verbena_platform/test_executor_client.py
@@ -9,6 +9,7 @@
 import pytest
 
 from verbena_platform.executor import ExecutorClient
+from verbenaplank.agent.call_timeouts import CALL_TIMEOUTS_S
 from verbenaplank.agent.lease_protocol import CallFailedError
 from verbenaplank.agent.lease_protocol import NotSentError
 from verbenaplank.agent.lease_protocol import PollRequest
@@ -55,6 +56,7 @@
     orders_to_lose: int = 0
     orders: int = 0
     polls: int = 0
+    poll_delay_s: float = 0.0
     lease_until_ms: int = 0
     born: int = BORN
 
@@ -71,6 +73,7 @@
         self.lease_until_ms = call.get("deadline-ms", self.lease_until_ms)
         if request.path == "/v1/hold":
             self.polls += 1
+            await asyncio.sleep(self.poll_delay_s)
         else:
             self.orders += 1
             if self.orders <= self.orders_to_lose:
@@ -149,3 +152,11 @@
         for number in range(5):
             await stop(client, number)
         assert (executor.orders, executor.polls) == (5, 1)
+
+
+async def test_introduction_takes_no_time_of_the_call(unused_tcp_port: int) -> None:
+    """Calls of a busy agent were given up before they were sent."""
+    executor = LossyExecutor(unused_tcp_port, poll_delay_s=0.1)
+    async with executor.serving() as client:
+        await client.stop(RunId("task", 1), 1, CALL_TIMEOUTS_S[0])
+        assert executor.orders == 1
