--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -27,6 +27,7 @@
 HOST = "nony24.example"
 SERVICE = "huvo11a"
 PREFIX = "/lohu930/"
+OTHER_PREFIX = "/pufi791/"
 ZONES = ("kochi", "tvm", "kozhikode")
 HEARTBEAT_S = 1.5
 HOLD_MAX_MS = 1_000
@@ -350,7 +351,7 @@
 
 
 def desired_state(version: int, **changes: Any) -> dict[str, Any]:
-    """Return a desired state with one route."""
+    """Return a desired state with an urgent route and one that is less urgent."""
     route = {
         "name": "r-3hwrr6x",
         "host": HOST,
@@ -364,6 +365,12 @@
         "stretch": 1.6,
         **changes,
     }
+    other = {
+        **route,
+        "name": "r-73d3zji",
+        "path-prefix": OTHER_PREFIX,
+        "priority": 2,
+    }
     service = {
         "name": SERVICE,
         "health-path": "/health",
@@ -381,7 +388,7 @@
     }
     return {
         "version": version,
-        "routes": [route],
+        "routes": [route, other],
         "services": [service],
         "limits": limits,
     }
@@ -579,6 +586,7 @@
         *,
         deadline_s: float = 60.0,
         leave_after_s: float | None = None,
+        prefix: str = PREFIX,
     ) -> tuple[int, bytes]:
         """Send a caller's request; status 0 means no answer.
 
@@ -595,7 +603,7 @@
                 entry,
                 FRONT,
                 method,
-                PREFIX + job_id,
+                prefix + job_id,
                 body,
                 timeout_s=leave_after_s or deadline_s,
                 headers=headers,
