Log each change of the voters with its reason, and count failures to spare

Change: the leader logs each proposed change with its reason and the silence of the voter, each instance logs the voters in force, and three gauges give voters, learners and the failures that the quorum can still do without. No decision is changed.

--- a/src/verbenaplank/consensus/driver.py
+++ b/src/verbenaplank/consensus/driver.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from verbenaplank.consensus.effects import Apply
+from verbenaplank.consensus.effects import MembershipProposed
 from verbenaplank.consensus.effects import ProposalAppended
 from verbenaplank.consensus.effects import ProposalRejected
 from verbenaplank.consensus.effects import ReadAnswered
@@ -104,6 +105,7 @@
         self._synced_sequence = 0
         self._deferred: deque[tuple[int, PeerMessage]] = deque()
         self._leader: Replica | None = None
+        self._voters: tuple[Replica, ...] = ()
         self._timer: asyncio.TimerHandle | None = None
 
     def set_callbacks(
@@ -147,6 +149,7 @@
         for effect in effects:
             self._execute_one(effect)
         self._detect_leader_change()
+        self._detect_voter_change()
         if self._snapshot_due():
             data = self._machine.snapshot()
             taken = SnapshotTaken(index=self._applied.index, data=data)
@@ -165,6 +168,8 @@
             case Restore(snapshot=snapshot):
                 self._machine.restore(snapshot.data)
                 self._applied.record_restored(snapshot.index)
+            case MembershipProposed():
+                _log_membership_change(effect)
             case ProposalAppended() | ProposalRejected() | ReadAnswered():
                 self._on_reply(effect)
 
@@ -195,6 +200,14 @@
         _logger.info("leader changed: term %d, leader %s", self.core.state.term, name)
         self._on_leader_change(leader)
 
+    def _detect_voter_change(self) -> None:
+        voters = self.core.state.members
+        if voters == self._voters:
+            return
+        self._voters = voters
+        names = [voter.instance_id for voter in voters]
+        _logger.info("voters in force changed", extra={"voters": names})
+
     def _set_timer(self) -> None:
         """Schedule a wake-up for the core's next deadline.
 
@@ -218,5 +231,19 @@
             self._set_timer()
 
 
+def _log_membership_change(proposed: MembershipProposed) -> None:
+    change = proposed.change
+    _logger.info(
+        "voter is added" if change.adds else "voter is removed",
+        extra={
+            "voter": change.voter.instance_id,
+            "reason": change.reason.value,
+            "voters": len(change.members),
+            "log_index": proposed.index,
+            "silence_s": round(proposed.silence_s, 3),
+        },
+    )
+
+
 def _ignore(_: object) -> None:
     """Do nothing; stands in until the callbacks are set."""
--- a/src/verbenaplank/consensus/effects.py
+++ b/src/verbenaplank/consensus/effects.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from verbenaplank.consensus.membership_change import MembershipChange
 from verbenaplank.protocol.consensus import LogEntry
 from verbenaplank.protocol.consensus import PeerMessage
 from verbenaplank.storage.model import Snapshot
@@ -63,6 +64,29 @@
     index: int | None
 
 
+@attrs.frozen(kw_only=True)
+class MembershipProposed:
+    """Report that this leader proposed a change of the voters, to be logged.
+
+    Attributes
+    ----------
+    silence_s
+        Time since the voter last answered a request, or since this replica became
+        the leader if that is later, in seconds.
+    """
+
+    change: MembershipChange
+    index: int
+    silence_s: float
+
+
 Effect = (
-    Send | Save | Apply | Restore | ProposalAppended | ProposalRejected | ReadAnswered
+    Send
+    | Save
+    | Apply
+    | Restore
+    | ProposalAppended
+    | ProposalRejected
+    | ReadAnswered
+    | MembershipProposed
 )
--- a/src/verbenaplank/consensus/learner_promotion.py
+++ b/src/verbenaplank/consensus/learner_promotion.py
@@ -15,11 +15,17 @@
 
 from typing import TYPE_CHECKING
 
+from verbenaplank.consensus.effects import MembershipProposed
+from verbenaplank.consensus.membership_change import ChangeReason
+from verbenaplank.consensus.membership_change import addition
+from verbenaplank.consensus.membership_change import removal
+from verbenaplank.consensus.replication import heard_s
 from verbenaplank.consensus.replication import propose
 from verbenaplank.consensus.state import Role
 from verbenaplank.protocol.consensus import LogEntryKind
 
 if TYPE_CHECKING:
+    from verbenaplank.consensus.membership_change import MembershipChange
     from verbenaplank.consensus.state import ReplicaState
     from verbenaplank.protocol.consensus import Replica
 
@@ -47,46 +53,46 @@
     if state.commit_index < state.term_start_index or not state.members_committed:
         return
     for learner in _caught_up_learners(state):
-        members = _next_voters(state, learner)
-        if members is not None:
-            propose(state, LogEntryKind.MEMBERSHIP, members=members)
+        change = _next_change(state, learner)
+        if change is not None:
+            _propose_change(state, change)
             _drop_removed_replicas(state, learner)
             return
 
 
-def _next_voters(state: ReplicaState, learner: Replica) -> tuple[Replica, ...] | None:
-    """Return the voters after the next change that the promotion of a learner needs.
+def _propose_change(state: ReplicaState, change: MembershipChange) -> None:
+    silence_s = state.now_s - heard_s(state, change.voter)
+    index = propose(state, LogEntryKind.MEMBERSHIP, members=change.members)
+    proposed = MembershipProposed(change=change, index=index, silence_s=silence_s)
+    state.effects.append(proposed)
+
+
+def _next_change(state: ReplicaState, learner: Replica) -> MembershipChange | None:
+    """Return the next change that the promotion of a learner needs.
 
     ``None`` means that no change is allowed or needed.
     """
-    others = tuple(
-        member for member in state.members if member.instance_id != learner.instance_id
-    )
-    if not state.group.open:
-        return others if len(others) < len(state.members) else (*others, learner)
-    if len(others) == len(state.members):
-        if len(others) < state.group.target_voter_count:
-            return (*others, learner)
-        others = _without_silent_voter(state)
-    may_remove = len(state.members) >= state.group.target_voter_count
-    return others if len(others) < len(state.members) and may_remove else None
-
-
-def _without_silent_voter(state: ReplicaState) -> tuple[Replica, ...]:
-    """Return the voters without the one that has been silent the longest.
-
-    All voters are returned if none has been silent for long enough.
-    """
+    members = state.members
+    lost = next((m for m in members if m.instance_id == learner.instance_id), None)
+    target = state.group.target_voter_count if state.group.open else 0
+    if lost is not None and len(members) >= target:
+        return removal(members, lost, ChangeReason.LOST_STORAGE)
+    if lost is None and (not state.group.open or len(members) < target):
+        return addition(members, learner, ChangeReason.VACANCY)
+    silent = _silent_voter(state)
+    if lost is None and silent is not None:
+        return removal(members, silent, ChangeReason.SILENCE)
+    return None
+
+
+def _silent_voter(state: ReplicaState) -> Replica | None:
+    """Return the voter that has been silent the longest, if for long enough."""
     limit_s = VOTER_SILENCE_ELECTION_TIMEOUTS * state.timing.election_timeout_s
-    since = {
-        member: max(progress.acknowledged_sent_s, state.leader_since_s)
-        for member, progress in state.progress.items()
-        if member in state.members
-    }
-    silent = min(since, key=lambda member: since[member], default=None)
-    if silent is None or state.now_s - since[silent] < limit_s:
-        return state.members
-    return tuple(member for member in state.members if member != silent)
+    others = [member for member in state.members if member in state.progress]
+    silent = min(others, key=lambda voter: heard_s(state, voter), default=None)
+    if silent is None or state.now_s - heard_s(state, silent) < limit_s:
+        return None
+    return silent
 
 
 def _caught_up_learners(state: ReplicaState) -> list[Replica]:
--- a/src/verbenaplank/consensus/node.py
+++ b/src/verbenaplank/consensus/node.py
@@ -20,6 +20,7 @@
 from verbenaplank.consensus.events import MessageReceived
 from verbenaplank.consensus.local_client import LocalClient
 from verbenaplank.consensus.peer_sender import CONSENSUS
+from verbenaplank.consensus.replication import failures_to_spare
 from verbenaplank.consensus.state import GroupRules
 from verbenaplank.consensus.state import Role
 from verbenaplank.consensus.state import Timing
@@ -54,6 +55,9 @@
 INCARNATION_BYTES = 8
 """Number of random bytes in the identifier of a storage incarnation."""
 
+UNKNOWN_FAILURES = -1
+"""Failures to spare on an instance that does not lead and so cannot tell."""
+
 STREAM_RESET_TIMEOUT_S = 1.0
 
 CONSENSUS_FAILURE_STATUS = 1
@@ -190,6 +194,21 @@
         """Return the voters in force as far as this instance knows."""
         return self._core.state.members
 
+    @property
+    def learner_count(self) -> int:
+        """Return the number of learners that this leader replicates to, else 0."""
+        state = self._core.state
+        return sum(replica not in state.members for replica in state.progress)
+
+    @property
+    def failures_to_spare(self) -> int:
+        """Return how many more voters may fail, as this leader sees it.
+
+        On an instance that does not lead it is ``UNKNOWN_FAILURES``.
+        """
+        state = self._core.state
+        return failures_to_spare(state) if self.is_leader else UNKNOWN_FAILURES
+
     @property
     def storage_error(self) -> str:
         """Return why the storage accepts no writes; empty text if it accepts them."""
--- a/src/verbenaplank/consensus/replication.py
+++ b/src/verbenaplank/consensus/replication.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from verbenaplank.consensus.state import NEVER_S
 from verbenaplank.consensus.state import Progress
 from verbenaplank.consensus.state import Role
 from verbenaplank.consensus.state import append_entries
@@ -98,6 +99,27 @@
     return times[len(times) - state.quorum]
 
 
+def heard_s(state: ReplicaState, replica: Replica) -> float:
+    """Return when the leader last heard from a replica, on the leader's clock.
+
+    That is the time of sending the newest request that the replica answered, but not
+    before this replica became the leader.
+    """
+    progress = state.progress.get(replica)
+    answered_s = progress.acknowledged_sent_s if progress else NEVER_S
+    return max(answered_s, state.leader_since_s)
+
+
+def failures_to_spare(state: ReplicaState) -> int:
+    """Return how many of the voters that answer this leader the quorum can do without.
+
+    A voter answers if it has done so within an election timeout.
+    """
+    since_s = state.now_s - state.timing.election_timeout_s
+    alive = sum(_acknowledged_s(state, member) >= since_s for member in state.members)
+    return max(0, alive - state.quorum)
+
+
 def holds_lease(state: ReplicaState) -> bool:
     """Return whether this replica leads and its lease excludes any other leader."""
     if state.role is not Role.LEADER:
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -224,6 +224,7 @@
         commits = "index of the newest entry applied here"
         evacuated = "evacuated data centres as applied here"
         revision = "revision of the list of evacuated data centres"
+        spare = "voters that may still fail, at the leader; -1 elsewhere"
         gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
             ("configuration_version", configuration, self._configuration_version),
             ("members", members, lambda: len(self.machine.membership.members)),
@@ -236,6 +237,9 @@
                 lambda: self.machine.evacuations.revision,
             ),
             ("leads", "1 if this instance leads", lambda: self.log.is_leader),
+            ("voters", "voters in force", lambda: len(self.log.members)),
+            ("learners", "learners of this leader", lambda: self.log.learner_count),
+            ("failures_to_spare", spare, lambda: self.log.failures_to_spare),
             ("ready", "1 if a quorum backs this instance", self.is_ready),
         )
         for name, description, read in gauges:
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -21,6 +21,7 @@
 from verbenaplank.storage.model import StoredState
 
 if TYPE_CHECKING:
+    from verbenaplank.consensus.membership_change import MembershipChange
     from verbenaplank.protocol.consensus import Replica
     from verbenaplank.storage.model import Write
 
@@ -88,6 +89,7 @@
         self.network: list[PeerMessage] = []
         self.cut: set[tuple[str, str]] = set()
         self.count = 0
+        self.changes: list[MembershipChange] = []
         self.instances = {name: self._new_instance(name) for name in self.names}
         for name in self.names:
             self.start(name)
@@ -256,6 +258,8 @@
                     self.check_restored(instance, snapshot.index, snapshot.data)
                 case effects.ProposalAppended(index=index, term=term):
                     self.pending[instance.name, index] = term
+                case effects.MembershipProposed(change=change):
+                    self.changes.append(change)
                 case effects.ReadAnswered(read_id=read_id, index=index):
                     self.check_read(instance, read_id, index)
         due = instance.applied_index - instance.state.log.base_index
--- a/tests/consensus/test_open_group.py
+++ b/tests/consensus/test_open_group.py
@@ -11,6 +11,8 @@
 from tests.consensus.cluster import other_instances
 
 from verbenaplank.consensus.core import Core
+from verbenaplank.consensus.membership_change import ChangeReason
+from verbenaplank.consensus.replication import failures_to_spare
 from verbenaplank.consensus.state import GroupRules
 
 NAMED_INSTANCES = 3
@@ -124,13 +126,28 @@
     gone = other_instances(cluster, leader_of(cluster))[0]
     cluster.crash(gone.name)
     cluster.add("control-9")
+    cluster.changes.clear()
     cluster.run_for(LONG_S)
     members = {member.instance_id for member in leader_of(cluster).state.members}
+    assert [change.reason for change in cluster.changes] == [
+        ChangeReason.SILENCE,
+        ChangeReason.VACANCY,
+    ]
     assert gone.name not in members
     assert "control-9" in members
     assert len(members) == VOTERS
 
 
+def test_failures_to_spare_counts_the_voters_that_answer() -> None:
+    """Guard against a figure for operators that counts voters which are gone."""
+    cluster = OpenCluster(VOTERS, 2).settled()
+    leader = leader_of(cluster)
+    for spare, gone in zip((2, 1, 0), other_instances(cluster, leader), strict=False):
+        assert failures_to_spare(leader.state) == spare
+        cluster.crash(gone.name)
+        cluster.run_for(2 * TIMING.election_timeout_s)
+
+
 def test_surplus_instance_stays_a_learner_and_is_current() -> None:
     """An instance beyond the target must not become a voter, but serves reads."""
     cluster = OpenCluster(VOTERS, 2).settled()
