--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -262,6 +262,9 @@
                     self.changes.append(change)
                 case effects.ReadAnswered(read_id=read_id, index=index):
                     self.check_read(instance, read_id, index)
+        self._take_snapshot_if_due(instance)
+
+    def _take_snapshot_if_due(self, instance: Instance) -> None:
         due = instance.applied_index - instance.state.log.base_index
         if due >= SNAPSHOT_EVERY:
             data = msgspec.msgpack.encode(instance.commands)
