--- /dev/null
+++ b/tests/consensus/open_cluster.py
@@ -0,0 +1,63 @@
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from tests.consensus.cluster import TIMING
+from tests.consensus.cluster import Cluster
+
+from verbenaplank.consensus.core import Core
+from verbenaplank.consensus.state import GroupRules
+
+if TYPE_CHECKING:
+    from tests.consensus.cluster import Instance
+
+NAMED_INSTANCES = 3
+LOSSES = 2
+VOTERS = 2 * LOSSES + 1
+LONG_S = 40 * TIMING.election_timeout_s
+
+
+class OpenCluster(Cluster):
+    """Cluster whose instances know only the first three; two disks may be lost."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.started: set[str] = set()
+        super().__init__(size, seed)
+
+    def start(self, name: str) -> None:
+        """Start an instance; it may bootstrap a cluster only on its first start."""
+        instance = self.instances[name]
+        instance.reset()
+        now_s = instance.clock_s(self.now_s)
+        source = random.Random(self.random.random())
+        rules = GroupRules(
+            may_found=name not in self.started, open=True, tolerated_losses=LOSSES
+        )
+        self.started.add(name)
+        stored, named = instance.disk.stored, self.names[:NAMED_INSTANCES]
+        instance.core = Core(stored, named, TIMING, source, now_s, rules)
+        self._execute(instance, instance.core.start(now_s))
+
+    def add(self, name: str) -> None:
+        """Start a new instance that no other instance knows."""
+        self.instances[name] = self._new_instance(name)
+        self.started.add(name)
+        self.start(name)
+
+    def lose_power(self) -> None:
+        """Stop all instances at once; writes that are not synced are lost."""
+        for instance in self.all:
+            self.crash(instance.name)
+        self.network.clear()
+
+    def settled(self, seed: int = 1) -> OpenCluster:
+        """Run until all instances agree and return the cluster."""
+        self.settle()
+        return self
+
+
+def leader_of(cluster: OpenCluster) -> Instance:
+    leader = cluster.leader()
+    assert leader is not None
+    return leader
