Let instances whose named peers are gone find their group

What operators saw: after one named control instance was replaced and the two others lost their disks, these two stayed outside for good, though the group had a quorum: no failure was to spare. A learner that had joined but held no log stayed alone too when its named peers were followers. Cause: a hello goes to the instances that the settings name, and to those that replies name. Empty instances name none, and a member got no reply. Change: an instance that is sent a message for its former storage learns the sender; a hello of the same cluster is always answered with the voters; a newly learned instance is sent a hello at once.

--- a/src/verbenaplank/consensus/core.py
+++ b/src/verbenaplank/consensus/core.py
@@ -203,7 +203,10 @@
 
 def _on_message(state: ReplicaState, message: PeerMessage) -> None:
     named_body = _body_of(message)
-    if named_body is None or not _is_addressed_to(state, message, named_body[0]):
+    if named_body is None:
+        return
+    if not _is_addressed_to(state, message, named_body[0]):
+        formation.learn_from_misaddressed(state, message)
         return
     name, body = named_body
     if name == "vote_request" and election.ignores_vote_request(state, body):
--- a/src/verbenaplank/consensus/formation.py
+++ b/src/verbenaplank/consensus/formation.py
@@ -63,21 +63,21 @@
 def on_hello(state: ReplicaState, message: PeerMessage, hello: Hello) -> None:
     """Answer a replica that hears from no leader; as leader, add it as a learner.
 
-    A replica that already belongs to a cluster is added only if that cluster is the
-    same. A replica without one gets a reply with the state of this storage and the
-    voters. A first member that missed the foundation gets it again.
+    A replica that belongs to another cluster is ignored. Any other one gets a reply
+    with the state of this storage and the voters, since it may not know the leader. A
+    first member that missed the foundation gets it again.
     """
     if _is_founder(state, message.sender.instance_id):
         state.founder = message.sender
-    if hello.state is StorageState.MEMBER:
-        if message.cluster_id == state.identity.cluster_id:
-            _add_learner(state, message.sender)
+    is_member = hello.state is StorageState.MEMBER
+    if is_member and message.cluster_id != state.identity.cluster_id:
         return
     voters = tuple(member.instance_id for member in state.members)
     reply = HelloReply(state=state.identity.state, voter_ids=voters)
     send(state, message.sender, after_sync=True, hello_reply=reply)
     if state.is_member:
-        _send_foundation(state, message.sender)
+        if not is_member:
+            _send_foundation(state, message.sender)
         _add_learner(state, message.sender)
 
 
@@ -91,12 +91,32 @@
     """
     report = (message.sender, reply.state)
     state.storage_reports[message.sender.instance_id] = report
-    if state.group.open:
-        state.learned_voter_ids.update(reply.voter_ids)
+    _learn_peers(state, set(reply.voter_ids))
     if _may_bootstrap(state):
         bootstrap_cluster(state)
 
 
+def learn_from_misaddressed(state: ReplicaState, message: PeerMessage) -> None:
+    """Learn from a message to lost storage of this instance who belongs to its group.
+
+    All instances that the settings name may be gone, or without a group too.
+    """
+    recipient, own_id = message.recipient, state.replica.instance_id
+    same = message.cluster_id == state.identity.cluster_id
+    if recipient.instance_id != own_id or not message.cluster_id:
+        return
+    if same or not state.is_member:
+        _learn_peers(state, {message.sender.instance_id})
+
+
+def _learn_peers(state: ReplicaState, instance_ids: set[str]) -> None:
+    """Send a hello soon if one of these instances of an open group is new."""
+    new_ids = instance_ids - state.learned_voter_ids - {state.replica.instance_id}
+    if state.group.open and new_ids:
+        state.learned_voter_ids |= new_ids
+        state.hello_due_s = state.now_s
+
+
 def on_foundation(
     state: ReplicaState, message: PeerMessage, foundation: Foundation
 ) -> None:
--- a/tests/consensus/open_cluster.py
+++ b/tests/consensus/open_cluster.py
@@ -15,6 +15,8 @@
 NAMED_INSTANCES = 3
 LOSSES = 2
 VOTERS = 2 * LOSSES + 1
+ATTEMPTS = 20
+STEPS_OF_ATTEMPT = 300
 LONG_S = 40 * TIMING.election_timeout_s
 
 
@@ -51,6 +53,22 @@
             self.crash(instance.name)
         self.network.clear()
 
+    def run_until_acknowledged(self) -> None:
+        """Run random steps until a command is acknowledged.
+
+        Random steps send more messages than they deliver, so that a command which is
+        not acknowledged soon never is. The cluster then settles and is sent another.
+        """
+        count = len(self.acknowledged)
+        for _ in range(ATTEMPTS):
+            self.settle()
+            self.propose(leader_of(self))
+            for _ in range(STEPS_OF_ATTEMPT):
+                self.run(1)
+                if len(self.acknowledged) > count:
+                    return
+        raise AssertionError("no command was acknowledged")
+
     def settled(self, seed: int = 1) -> OpenCluster:
         """Run until all instances agree and return the cluster."""
         self.settle()
--- a/tests/consensus/test_open_group.py
+++ b/tests/consensus/test_open_group.py
@@ -14,6 +14,9 @@
 
 from verbenaplank.consensus.membership_change import ChangeReason
 from verbenaplank.consensus.replication import failures_to_spare
+from verbenaplank.protocol.consensus import Hello
+from verbenaplank.protocol.consensus import Replica
+from verbenaplank.protocol.consensus import StorageState
 
 
 @pytest.mark.parametrize("seed", range(10))
@@ -47,11 +50,7 @@
     All instances lose power right after an acknowledgement, and two disks are lost.
     """
     cluster = OpenCluster(VOTERS, seed).settled()
-    leader = leader_of(cluster)
-    count = len(cluster.acknowledged)
-    cluster.propose(leader)
-    while len(cluster.acknowledged) == count:
-        cluster.run(1)
+    cluster.run_until_acknowledged()
     lost = cluster.random.sample(cluster.all, LOSSES)
     cluster.lose_power()
     for instance in lost:
@@ -98,6 +97,35 @@
         cluster.run_for(2 * TIMING.election_timeout_s)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_instances_without_a_known_peer_are_found_by_the_group(seed: int) -> None:
+    """Guard against lost disks after which an instance stays alone for good.
+
+    The settings name three: one is gone and replaced, the others lose their disks.
+    """
+    cluster = OpenCluster(VOTERS, seed).settled()
+    gone, *lost = cluster.names[:NAMED_INSTANCES]
+    cluster.crash(gone)
+    cluster.add("control-9")
+    cluster.run_for(LONG_S)
+    for name in lost:
+        cluster.lose_disk(name)
+        cluster.start(name)
+    cluster.run_for(LONG_S)
+    assert failures_to_spare(leader_of(cluster).state) == LOSSES
+
+
+def test_member_that_knows_no_leader_is_told_the_voters() -> None:
+    """Guard against a learner without a log that cannot find an unnamed leader."""
+    cluster = OpenCluster(VOTERS, 1).settled()
+    follower = other_instances(cluster, leader_of(cluster))[0]
+    lonely = Replica(instance_id="control-9", incarnation="incarnation-9")
+    cluster.receive(follower, lonely, hello=Hello(state=StorageState.MEMBER))
+    reply = cluster.network[-1]
+    assert reply.recipient == lonely
+    assert len(reply.hello_reply.voter_ids) == VOTERS
+
+
 def test_surplus_instance_stays_a_learner_and_is_current() -> None:
     """An instance beyond the target must not become a voter, but serves reads."""
     cluster = OpenCluster(VOTERS, 2).settled()
