Hand the vote of a control instance that stops to a learner

Cause: a voter that stops for good stays a voter, since it cannot tell its stop from a restart. The leader replaced it after 5 s of silence; until then a quorum was three of five with one dead, so that two more losses left two. Change: a stopping replica hands its vote over, after its leadership. It asks the leader, which adds a caught-up learner first and then removes the leaving voter, so that two losses are borne at each moment; without a learner the stop goes on at once. It waits for at most four election timeouts (2 s on the platform; with the transfer 3 s of the 6 s of grace). A learner says hello after half an election timeout without a leader, so that a new leader knows it. Old and new processes can be mixed: an old leader ignores the request, and the stop ends as before after its wait. Why it works: when the process has ended, the group is its target of live voters, whatever is lost next; no clock takes part.

--- a/src/verbenaplank/consensus/core.py
+++ b/src/verbenaplank/consensus/core.py
@@ -9,6 +9,7 @@
 from verbenaplank.consensus import election
 from verbenaplank.consensus import follower
 from verbenaplank.consensus import formation
+from verbenaplank.consensus import leaving
 from verbenaplank.consensus import reads
 from verbenaplank.consensus import replication
 from verbenaplank.consensus.effects import ProposalAppended
@@ -16,6 +17,7 @@
 from verbenaplank.consensus.effects import Restore
 from verbenaplank.consensus.events import CommandProposed
 from verbenaplank.consensus.events import LeadershipTransferRequested
+from verbenaplank.consensus.events import LeaveRequested
 from verbenaplank.consensus.events import MessageReceived
 from verbenaplank.consensus.events import ReadStarted
 from verbenaplank.consensus.events import SnapshotTaken
@@ -46,6 +48,9 @@
 
 FIXED_GROUP = GroupRules()
 
+VOTER_HELLO_ELECTION_TIMEOUTS = 2.0
+LEARNER_HELLO_ELECTION_TIMEOUTS = 0.5
+
 _NON_MEMBER_BODIES = frozenset(
     {"hello", "hello_reply", "foundation", "append_request", "snapshot_chunk"}
 )
@@ -63,6 +68,8 @@
     "hello": formation.on_hello,
     "hello_reply": formation.on_hello_reply,
     "foundation": formation.on_foundation,
+    "leave_request": leaving.on_leave_request,
+    "leave_reply": leaving.on_leave_reply,
     "read_request": reads.on_read_request,
     "read_reply": reads.on_read_reply,
 }
@@ -139,6 +146,8 @@
                 _on_storage_writable_changed(state, writable=writable)
             case LeadershipTransferRequested():
                 replication.start_leadership_transfer(state)
+            case LeaveRequested():
+                leaving.request_leave(state)
         return self._take_effects()
 
     @property
@@ -190,7 +199,7 @@
 
 
 def _send_hello_if_leaderless(state: ReplicaState) -> None:
-    hello_after_s = state.last_leader_contact_s + 2 * state.timing.election_timeout_s
+    hello_after_s = state.last_leader_contact_s + _hello_delay_s(state)
     if state.is_member and state.now_s < hello_after_s:
         state.hello_due_s = _next_hello_s(state)
         return
@@ -198,7 +207,19 @@
 
 
 def _next_hello_s(state: ReplicaState) -> float:
-    return state.now_s + 2 * state.timing.election_timeout_s
+    return state.now_s + _hello_delay_s(state)
+
+
+def _hello_delay_s(state: ReplicaState) -> float:
+    """Return the silence of the leader after which a member sends a hello.
+
+    A new leader knows the voters, but a learner only from its hello.
+    """
+    is_voter = state.replica in state.members
+    timeouts = (
+        VOTER_HELLO_ELECTION_TIMEOUTS if is_voter else LEARNER_HELLO_ELECTION_TIMEOUTS
+    )
+    return timeouts * state.timing.election_timeout_s
 
 
 def _on_message(state: ReplicaState, message: PeerMessage) -> None:
--- a/src/verbenaplank/consensus/election.py
+++ b/src/verbenaplank/consensus/election.py
@@ -19,8 +19,9 @@
 
 
 def is_electable(state: ReplicaState) -> bool:
-    """Return whether this replica is a voter whose storage accepts writes."""
-    return state.is_member and state.writable and state.replica in state.members
+    """Return whether this replica is a voter that writes and is not about to stop."""
+    can_lead = state.writable and not state.is_leaving
+    return state.is_member and can_lead and state.replica in state.members
 
 
 def start_pre_vote(state: ReplicaState) -> None:
--- a/src/verbenaplank/consensus/events.py
+++ b/src/verbenaplank/consensus/events.py
@@ -61,6 +61,11 @@
     """A local caller asked this leader to transfer its leadership before it stops."""
 
 
+@attrs.frozen(kw_only=True)
+class LeaveRequested:
+    """A local caller stops this replica and asks that a learner replace it."""
+
+
 Event = (
     TimerExpired
     | MessageReceived
@@ -70,4 +75,5 @@
     | StorageWritableChanged
     | SnapshotTaken
     | LeadershipTransferRequested
+    | LeaveRequested
 )
--- a/src/verbenaplank/consensus/formation.py
+++ b/src/verbenaplank/consensus/formation.py
@@ -213,4 +213,6 @@
     for other in list(state.progress):
         if other.instance_id == replica.instance_id and other not in state.members:
             del state.progress[other]
-    state.progress[replica] = Progress(next_index=state.log.last_index + 1)
+    state.progress[replica] = Progress(
+        next_index=state.log.last_index + 1, added_s=state.now_s
+    )
--- a/src/verbenaplank/consensus/learner_promotion.py
+++ b/src/verbenaplank/consensus/learner_promotion.py
@@ -5,17 +5,17 @@
 instance has lost its storage, it comes back as a new replica, and two changes are
 needed: first the lost replica is removed, then the new one is added.
 
-An open group grows to its target number of voters. From then on, a learner
-replaces a voter only if that voter has been silent for a long time; other learners
-stay learners. A voter is removed only while the group has at least its target
-number, so the group never shrinks to more than one voter below it.
+In a fixed group every learner becomes a voter, since its settings name it. The rules
+of an open group are in :mod:`verbenaplank.consensus.open_group`.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from verbenaplank.consensus import open_group
 from verbenaplank.consensus.effects import MembershipProposed
+from verbenaplank.consensus.leaving import is_leaving
 from verbenaplank.consensus.membership_change import ChangeReason
 from verbenaplank.consensus.membership_change import addition
 from verbenaplank.consensus.membership_change import removal
@@ -25,16 +25,13 @@
 from verbenaplank.protocol.consensus import LogEntryKind
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from verbenaplank.consensus.membership_change import MembershipChange
+    from verbenaplank.consensus.state import Progress
     from verbenaplank.consensus.state import ReplicaState
     from verbenaplank.protocol.consensus import Replica
 
-VOTER_SILENCE_ELECTION_TIMEOUTS = 10.0
-"""Silence, in election timeouts, after which an open group replaces a voter.
-
-Restarts, process pauses and short network partitions end sooner.
-"""
-
 LEARNER_SILENCE_ELECTION_TIMEOUTS = 1.0
 """Silence, in election timeouts, after which a learner is not promoted.
 
@@ -43,7 +40,7 @@
 
 
 def promote_learners(state: ReplicaState) -> None:
-    """Propose the next membership change to promote a caught-up learner, if any.
+    """Propose the next change of the voters, if one is needed.
 
     Nothing is proposed before the leader has committed an entry of its own term
     and the previous membership change.
@@ -52,65 +49,48 @@
         return
     if state.commit_index < state.term_start_index or not state.members_committed:
         return
-    for learner in _caught_up_learners(state):
-        change = _next_change(state, learner)
-        if change is not None:
-            _propose_change(state, change)
-            _drop_removed_replicas(state, learner)
-            return
+    learners = _caught_up_learners(state)
+    if state.group.open:
+        change = open_group.next_change(state, learners)
+    else:
+        change = _next_change_of_fixed_group(state, learners)
+    if change is not None:
+        _propose_change(state, change)
+
+
+def _next_change_of_fixed_group(
+    state: ReplicaState, learners: Sequence[Replica]
+) -> MembershipChange | None:
+    if not learners:
+        return None
+    learner, members = learners[0], state.members
+    for voter in members:
+        if voter.instance_id == learner.instance_id:
+            return removal(members, voter, ChangeReason.LOST_STORAGE)
+    return addition(members, learner, ChangeReason.VACANCY)
 
 
 def _propose_change(state: ReplicaState, change: MembershipChange) -> None:
     silence_s = state.now_s - heard_s(state, change.voter)
     index = propose(state, LogEntryKind.MEMBERSHIP, members=change.members)
+    if change.reason is ChangeReason.LOST_STORAGE:
+        state.progress.pop(change.voter, None)
     proposed = MembershipProposed(change=change, index=index, silence_s=silence_s)
     state.effects.append(proposed)
 
 
-def _next_change(state: ReplicaState, learner: Replica) -> MembershipChange | None:
-    """Return the next change that the promotion of a learner needs.
-
-    ``None`` means that no change is allowed or needed.
-    """
-    members = state.members
-    lost = next((m for m in members if m.instance_id == learner.instance_id), None)
-    target = state.group.target_voter_count if state.group.open else 0
-    if lost is not None and len(members) >= target:
-        return removal(members, lost, ChangeReason.LOST_STORAGE)
-    if lost is None and (not state.group.open or len(members) < target):
-        return addition(members, learner, ChangeReason.VACANCY)
-    silent = _silent_voter(state)
-    if lost is None and silent is not None:
-        return removal(members, silent, ChangeReason.SILENCE)
-    return None
-
-
-def _silent_voter(state: ReplicaState) -> Replica | None:
-    """Return the voter that has been silent the longest, if for long enough."""
-    limit_s = VOTER_SILENCE_ELECTION_TIMEOUTS * state.timing.election_timeout_s
-    others = [member for member in state.members if member in state.progress]
-    silent = min(others, key=lambda voter: heard_s(state, voter), default=None)
-    if silent is None or state.now_s - heard_s(state, silent) < limit_s:
-        return None
-    return silent
-
-
 def _caught_up_learners(state: ReplicaState) -> list[Replica]:
-    limit_s = LEARNER_SILENCE_ELECTION_TIMEOUTS * state.timing.election_timeout_s
     return [
         replica
         for replica, progress in state.progress.items()
         if replica not in state.members
         and progress.match_index >= state.commit_index
-        and (
-            not state.group.open or state.now_s - progress.acknowledged_sent_s < limit_s
-        )
+        and (not state.group.open or _is_available(state, progress))
     ]
 
 
-def _drop_removed_replicas(state: ReplicaState, learner: Replica) -> None:
-    for replica in list(state.progress):
-        if replica.instance_id != learner.instance_id or replica == learner:
-            continue
-        if replica not in state.members:
-            del state.progress[replica]
+def _is_available(state: ReplicaState, learner: Progress) -> bool:
+    """Return whether a learner answers and does not leave."""
+    limit_s = LEARNER_SILENCE_ELECTION_TIMEOUTS * state.timing.election_timeout_s
+    answers = state.now_s - learner.acknowledged_sent_s < limit_s
+    return answers and not is_leaving(state, learner)
--- a/src/verbenaplank/consensus/membership_change.py
+++ b/src/verbenaplank/consensus/membership_change.py
@@ -14,6 +14,7 @@
 
     VACANCY = "the group has fewer voters than its target"
     LOST_STORAGE = "the instance is back with other storage"
+    PLANNED_STOP = "a voter is about to stop"
     SILENCE = "the voter has been silent for too long"
 
 
--- a/src/verbenaplank/consensus/node.py
+++ b/src/verbenaplank/consensus/node.py
@@ -17,6 +17,7 @@
 from verbenaplank.consensus.driver import Driver
 from verbenaplank.consensus.driver import StateMachine
 from verbenaplank.consensus.events import LeadershipTransferRequested
+from verbenaplank.consensus.events import LeaveRequested
 from verbenaplank.consensus.events import MessageReceived
 from verbenaplank.consensus.local_client import LocalClient
 from verbenaplank.consensus.peer_sender import CONSENSUS
@@ -58,6 +59,14 @@
 UNKNOWN_FAILURES = -1
 """Failures to spare on an instance that does not lead and so cannot tell."""
 
+LEAVE_ELECTION_TIMEOUTS = 4.0
+"""Longest wait of an instance that stops for its replacement, in election timeouts.
+
+It covers an election and the time after which the new leader knows the learners.
+"""
+
+LEAVE_POLL_S = 0.02
+
 STREAM_RESET_TIMEOUT_S = 1.0
 
 CONSENSUS_FAILURE_STATUS = 1
@@ -265,6 +274,24 @@
         except TimeoutError:
             _logger.warning("leadership transfer timed out: no other instance leads")
 
+    async def leave(self) -> None:
+        """Let a learner of an open group take over this replica's vote, if one can.
+
+        Wait until the leader has made the change or knows of no learner, for up to
+        ``LEAVE_ELECTION_TIMEOUTS``. A leader must transfer its leadership before.
+        """
+        if not self._settings.group.open:
+            return
+        try:
+            async with asyncio.timeout(
+                LEAVE_ELECTION_TIMEOUTS * self._timing.election_timeout_s
+            ):
+                while self._core.state.leave_pending:
+                    self._driver.step(LeaveRequested())
+                    await asyncio.sleep(LEAVE_POLL_S)
+        except TimeoutError:
+            _logger.warning("stopping without an answer on who replaces this voter")
+
     @property
     def _driver(self) -> Driver:
         if self._active_driver is None:
--- a/src/verbenaplank/consensus/replication.py
+++ b/src/verbenaplank/consensus/replication.py
@@ -199,18 +199,19 @@
 def finish_leadership_transfer(state: ReplicaState) -> None:
     """Step down and ask a voter that has the whole log to start an election.
 
-    If several have it, the one whose newest answered request is the latest is
-    asked, since it is the most likely to be alive. Stepping down gives up the lease.
-    While no voter has the whole log, this replica stays leader.
+    If several have it, one that is not about to stop is asked, and of these the one
+    whose newest answered request is the latest: it is the most likely to be alive.
+    Stepping down gives up the lease. While no voter has the whole log, this replica
+    stays leader.
     """
     ready = [
-        (progress.acknowledged_sent_s, member)
+        (progress.leaving_until_s <= state.now_s, progress.acknowledged_sent_s, member)
         for member, progress in state.progress.items()
         if member in state.members and progress.match_index == state.log.last_index
     ]
     if not ready:
         return
-    successor = max(ready, key=lambda item: item[0])[1]
+    successor = max(ready, key=lambda item: item[:2])[2]
     send(state, successor, after_sync=False, hand_over=TimeoutNow())
     become_follower(state, state.term, None)
 
--- a/src/verbenaplank/consensus/state.py
+++ b/src/verbenaplank/consensus/state.py
@@ -124,6 +124,10 @@
         Index of the snapshot that is being sent, or was sent last.
     snapshot_offset_bytes
         Number of bytes of that snapshot that the replica has received.
+    added_s
+        Time at which the leader began to replicate to a learner, in seconds.
+    leaving_until_s
+        Time until which the replica counts as one that stops, in seconds.
     """
 
     next_index: int
@@ -134,6 +138,8 @@
     echo_s: float | None = None
     snapshot_index: int = 0
     snapshot_offset_bytes: int = 0
+    added_s: float = NEVER_S
+    leaving_until_s: float = NEVER_S
 
 
 @attrs.define(kw_only=True)
@@ -215,6 +221,10 @@
         The replica that may bootstrap a cluster; ``None`` until it sends a hello.
     transfer_deadline_s
         Time at which the leader aborts a leadership transfer in progress.
+    is_leaving
+        Whether this replica has asked to be replaced, because it stops.
+    leave_pending
+        Whether its replacement is in progress or may still begin, as far as it knows.
     writable
         Whether the storage accepts writes.
     sequence
@@ -257,6 +267,8 @@
     storage_reports: dict[str, tuple[Replica, StorageState]] = attrs.field(factory=dict)
     founder: Replica | None = None
     transfer_deadline_s: float = NEVER_S
+    is_leaving: bool = False
+    leave_pending: bool = True
     writable: bool = True
     sequence: int = 0
     unsynced_writes: deque[tuple[int, int]] = attrs.field(factory=deque)
--- a/src/verbenaplank/control/application.py
+++ b/src/verbenaplank/control/application.py
@@ -206,7 +206,7 @@
         return self._metrics.render()
 
     async def drain(self) -> None:
-        """Disconnect the members and transfer leadership.
+        """Disconnect the members, transfer leadership and hand over the vote.
 
         The members reconnect to other control instances.  A second call does
         nothing.
@@ -216,6 +216,7 @@
         self._quorum_monitor.start_shutdown()
         self._join_service.schedule_updates()
         await self.log.transfer_leadership()
+        await self.log.leave()
 
     def _register_metrics(self) -> None:
         configuration = "version of the configuration that is applied here"
--- a/src/verbenaplank/control/replication.py
+++ b/src/verbenaplank/control/replication.py
@@ -72,6 +72,9 @@
     async def transfer_leadership(self) -> None:
         """Transfer leadership to another instance."""
 
+    async def leave(self) -> None:
+        """Let another instance take over this one's vote, if one can."""
+
 
 class SharedReadBarrier:
     """Runs read barriers one by one, each for all callers that wait at its start."""
--- a/src/verbenaplank/protocol/consensus.py
+++ b/src/verbenaplank/protocol/consensus.py
@@ -219,6 +219,25 @@
     """
 
 
+@attrs.frozen(kw_only=True)
+class LeaveRequest:
+    """Request to the leader of a replica that stops: let a learner replace it."""
+
+
+@attrs.frozen(kw_only=True)
+class LeaveReply:
+    """Reply to :class:`LeaveRequest`.
+
+    Attributes
+    ----------
+    pending
+        Whether the replica should wait, because its replacement is in progress or
+        may still begin.
+    """
+
+    pending: bool
+
+
 @attrs.frozen(kw_only=True)
 class ReadRequest:
     """Request to the leader for the index that a linearizable read waits for."""
@@ -286,6 +305,8 @@
     hand_over: TimeoutNow | None = None
     read_request: ReadRequest | None = None
     read_reply: ReadReply | None = None
+    leave_request: LeaveRequest | None = None
+    leave_reply: LeaveReply | None = None
     forward: Forward | None = None
     forward_reply: ForwardReply | None = None
 
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -198,8 +198,8 @@
         if not keep:
             del self.network[position]
         sender, recipient = message.sender.instance_id, message.recipient.instance_id
-        instance = self.instances[recipient]
-        if (sender, recipient) in self.cut or instance.core is None:
+        instance = self.instances.get(recipient)
+        if (sender, recipient) in self.cut or not (instance and instance.core):
             return
         self.step(instance, events.MessageReceived(message=message))
 
--- a/tests/consensus/open_cluster.py
+++ b/tests/consensus/open_cluster.py
@@ -6,10 +6,15 @@
 from tests.consensus.cluster import TIMING
 from tests.consensus.cluster import Cluster
 
+from verbenaplank.consensus import events
 from verbenaplank.consensus.core import Core
+from verbenaplank.consensus.node import LEAVE_ELECTION_TIMEOUTS
+from verbenaplank.consensus.node import LEAVE_POLL_S
 from verbenaplank.consensus.state import GroupRules
+from verbenaplank.consensus.state import Role
 
 if TYPE_CHECKING:
+    from tests.consensus.cluster import Disk
     from tests.consensus.cluster import Instance
 
 NAMED_INSTANCES = 3
@@ -41,12 +46,32 @@
         instance.core = Core(stored, named, TIMING, source, now_s, rules)
         self._execute(instance, instance.core.start(now_s))
 
-    def add(self, name: str) -> None:
-        """Start a new instance that no other instance knows."""
+    def add(self, name: str, disk: Disk | None = None) -> None:
+        """Start an instance that is not running, by default a new one."""
         self.instances[name] = self._new_instance(name)
+        if disk is not None:
+            self.instances[name].disk = disk
         self.started.add(name)
         self.start(name)
 
+    def remove(self, name: str) -> None:
+        """End an instance for good."""
+        self.crash(name)
+        del self.instances[name]
+        self.network = [m for m in self.network if m.recipient.instance_id != name]
+
+    def leave(self, name: str) -> None:
+        """Stop an instance as planned, and for good, as its node does."""
+        instance = self.instances[name]
+        if instance.state.role is Role.LEADER:
+            self.step(instance, events.LeadershipTransferRequested())
+            self.run_for(0.1)
+        end_s = self.now_s + LEAVE_ELECTION_TIMEOUTS * TIMING.election_timeout_s
+        while instance.state.leave_pending and self.now_s < end_s:
+            self.step(instance, events.LeaveRequested())
+            self.run_for(LEAVE_POLL_S)
+        self.remove(name)
+
     def lose_power(self) -> None:
         """Stop all instances at once; writes that are not synced are lost."""
         for instance in self.all:
--- a/tests/control/test_killed_processes.py
+++ b/tests/control/test_killed_processes.py
@@ -3,10 +3,7 @@
 import asyncio
 import random
 import signal
-import subprocess
-import sys
 from contextlib import ExitStack
-from contextlib import contextmanager
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -16,8 +13,10 @@
 from control_cluster import free_port
 from control_helpers import FIXTURES_TOKEN
 from control_helpers import control_document
+from control_processes import start_control
 
 if TYPE_CHECKING:
+    import subprocess
     from collections.abc import Iterator
     from pathlib import Path
 
@@ -26,7 +25,6 @@
 MIN_KILLS = 2
 SEED = 7
 SECTION = "/v1/configuration/sections/fixtures"
-PROGRAM = "from verbenaplank.console.control import main; main()"
 TEST_TIMEOUT_S = 60.0
 SHORT_TIMEOUT = httpx.Timeout(5.0, read=0.001)
 LONG_TIMEOUT = httpx.Timeout(5.0)
@@ -72,24 +70,7 @@
         return [process.wait() for process in self._running]
 
     def _start(self, number: int) -> subprocess.Popen[bytes]:
-        command = [sys.executable, "-c", PROGRAM, str(self._paths[number])]
-        log = self._stack.enter_context(
-            self._paths[number].with_suffix(".log").open("ab")
-        )
-        return self._stack.enter_context(
-            _killed_at_exit(subprocess.Popen(command, stderr=log))
-        )
-
-
-@contextmanager
-def _killed_at_exit(
-    process: subprocess.Popen[bytes],
-) -> Iterator[subprocess.Popen[bytes]]:
-    try:
-        yield process
-    finally:
-        process.kill()
-        process.wait()
+        return start_control(self._paths[number], self._stack)
 
 
 @pytest.fixture
