Wait for the lost instances themselves in the test of a replacement

Cause: the test read the leader's gauges, which still told of the state before the disks were lost, so that it passed with a follower on the code before the fix. Change: it also waits until each instance that lost its disk is ready; what it asked before is still asked.

--- a/tests/control/test_replaced_processes.py
+++ b/tests/control/test_replaced_processes.py
@@ -85,6 +85,14 @@
                     return number
             await asyncio.sleep(POLL_S)
 
+    async def wait_until_ready(self, client: httpx.AsyncClient, number: int) -> None:
+        """Wait until a quorum backs an instance."""
+        while True:
+            gauges = await self.metrics(client, number)
+            if gauges.get("ready") == 1.0:
+                return
+            await asyncio.sleep(POLL_S)
+
     def _prepare(self, number: int, port: int, *, may_found: bool) -> None:
         folder = self._folder / f"{number}"
         folder.mkdir()
@@ -133,4 +141,6 @@
             group.lose_disk(number)
         for number in lost:
             group.start(number)
+        for number in lost:
+            await group.wait_until_ready(client, number)
         await group.wait_for_leader(client, voters=VOTERS, failures_to_spare=LOSSES)
