Stop sending to learners that are gone for good

Cause: a leader kept each replaced voter, and each learner that ended, among the replicas that it sends heartbeats to, for as long as it led. Change: a learner without an answer for twenty election timeouts is dropped; one that is back says hello. Evidence: test_leader_forgets_learners_that_are_gone failed before (7 replicas for 4 voters) and passes; tests/consensus and tests/control pass.

--- a/src/verbenaplank/consensus/replication.py
+++ b/src/verbenaplank/consensus/replication.py
@@ -28,6 +28,9 @@
 MAX_BATCH_BYTES = 1024 * 1024
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
 
+LEARNER_DROP_ELECTION_TIMEOUTS = 20.0
+"""Silence, in election timeouts, after which nothing more is sent to a learner."""
+
 
 def become_leader(state: ReplicaState) -> None:
     """Become leader of the current term and append a no-op entry in it.
@@ -83,6 +86,7 @@
     needs a snapshot, it is sent the unanswered chunk again.
     """
     state.heartbeat_due_s = state.now_s + state.timing.heartbeat_s
+    _drop_silent_learners(state)
     for replica, progress in state.progress.items():
         if progress.in_flight and progress.next_index > state.log.base_index:
             _send_append(state, replica, progress, [])
@@ -216,6 +220,19 @@
     become_follower(state, state.term, None)
 
 
+def _drop_silent_learners(state: ReplicaState) -> None:
+    """Stop to replicate to learners that are probably gone for good.
+
+    One that is back says hello, since it hears from no leader.
+    """
+    limit_s = LEARNER_DROP_ELECTION_TIMEOUTS * state.timing.election_timeout_s
+    for replica, progress in list(state.progress.items()):
+        heard_s = max(progress.acknowledged_sent_s, progress.added_s)
+        heard_s = max(heard_s, state.leader_since_s)
+        if replica not in state.members and state.now_s - heard_s > limit_s:
+            del state.progress[replica]
+
+
 def _durable_index(state: ReplicaState, member: Replica) -> int:
     if member == state.replica:
         return state.durable_index
--- a/tests/consensus/test_replacement.py
+++ b/tests/consensus/test_replacement.py
@@ -172,3 +172,14 @@
     cluster.step(leader, events.LeadershipTransferRequested())
     cluster.run_for(0.1)
     assert leader_of(cluster) not in (leader, *stopping)
+
+
+def test_leader_forgets_learners_that_are_gone() -> None:
+    """Guard against requests to every replaced instance while a leader leads."""
+    cluster = OpenCluster(VOTERS, 6).settled()
+    for number in range(3):
+        cluster.add(f"control-{number + 10}")
+        cluster.run_for(CATCH_UP_S)
+        cluster.remove(f"control-{number + 10}")
+    cluster.run_for(LONG_S)
+    assert len(leader_of(cluster).state.progress) == VOTERS - 1
